--- /dev/null
+++ b/packages/call-matching/include/emberdale/call_desk.hpp
@@ -0,0 +1,152 @@
+// The stages of a call that need no I/O: gate, match, pending, retry, end.
+// Deterministic: the daemon and the simulator run the same desk.
+#pragma once
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emberdale/grant_keeper.hpp"
+#include "emberdale/traffic_view.hpp"
+
+namespace emberdale {
+
+using CallIndex = std::int64_t;
+
+struct ArrivingCall {
+  CallId id;
+  std::string method, path;
+  std::map<std::string, std::string> headers;  // lower-case names
+  std::string prefix;                          // the start of the body, as long as any plan asks
+  std::int64_t body_bytes = 0;
+  Span horizon{0};  // 0: as the plan says
+};
+
+// Send this call to that runner now.
+struct SendAct {
+  CallIndex call = 0;
+  CallId id;
+  RunnerName runner;
+  std::string http, path, method, seal_key;
+  Integer incarnation = 0;
+  bool is_repeatable = false, is_streaming = false;
+  Moment horizon;
+};
+
+// The final answer to the caller, when no runner gives it.
+struct FinalAct {
+  CallIndex call = 0;  // 0: refused at the gate, never taken in
+  int code = 503;
+  std::string reason;
+  bool may_have_run = false;  // false: it surely did not run and never will
+  Span retry_after{0};        // 0: asking again is of no use
+  std::vector<std::string> homes;  // 421: where the call belongs
+};
+
+enum class SendEndKind {
+  answered,      // complete, sealed, handed over
+  refused,       // the runner refused it before running it
+  unsent,        // the link never came up: nothing left this daemon
+  lost,          // sent, and no sound answer came back
+  caller_gone,   // the caller left; the send was given up
+};
+
+struct SendEnd {
+  CallIndex call = 0;
+  SendEndKind kind = SendEndKind::lost;
+  std::string reason;
+  bool has_report = false;  // the runner told its burden along
+  Integer incarnation = 0, burden = 0, capacity = 0;
+  bool is_cold = false;
+};
+
+struct DeskSettings {
+  Address self;
+  RegionName region;
+  std::size_t pending_bound = 128;       // per plan
+  Span pending_patience{600};            // no call waits longer for a free runner
+  double retry_share = 0.12;             // retries earned by each first send
+  double retry_start = 2, retry_bound = 12;
+};
+
+// Example:
+//   CallDesk desk(settings); desk.see(view, now); desk.set_grant(grant);
+//   auto refusal = desk.arrive(call, now, index);      // refused at once, or taken in
+//   for (auto& act : desk.take_sends()) send(act);     // checked against the grant this instant
+//   desk.end_send(end, now); desk.on_alarm(now); for (auto& act : desk.take_finals()) answer(act);
+class CallDesk {
+ public:
+  explicit CallDesk(DeskSettings settings) : settings_(std::move(settings)), retry_tokens_(settings_.retry_start) {}
+
+  void see(std::shared_ptr<const TrafficView> view, Moment now);
+  void set_grant(const Grant& grant) { grant_ = grant; }
+  // Stop taking calls: what is in hand is finished. Example: desk.close();
+  void close() { is_closed_ = true; }
+
+  std::optional<FinalAct> arrive(const ArrivingCall& call, Moment now, CallIndex index);
+  void first_piece(CallIndex index);  // from here on no other runner may continue the call
+  void end_send(const SendEnd& end, Moment now);
+  void caller_gone(CallIndex index, Moment now);
+  void on_alarm(Moment now);
+
+  std::vector<SendAct> take_sends();
+  std::vector<FinalAct> take_finals();
+  std::size_t in_hand() const { return calls_.size(); }
+  bool is_granted(Moment now) const;
+  // How many bytes of the body the gate wants as prefix. Example: desk.widest_prefix()
+  std::int64_t widest_prefix() const;
+
+  struct Counts {
+    std::int64_t arrived = 0, sends = 0, retries = 0, answered = 0, refused_gate = 0, refused_full = 0,
+                 refused_no_grant = 0, refused_other = 0, unknown = 0, spilled = 0, misdirected = 0, pended = 0,
+                 cold_sends = 0, retry_denied = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Call {
+    CallId id;
+    PlanName plan;
+    std::string method, path;
+    RegionName home;  // empty: free
+    std::string key;  // affinity
+    Moment horizon, pending_until;
+    RunnerName runner;
+    std::vector<RunnerName> tried;
+    bool is_pending = false, is_spilled = false, is_retry = false, has_piece = false;
+  };
+  struct Link {  // what this daemon itself knows of one runner
+    Integer in_flight = 0;
+    Integer reported_burden = 0, own_at_report = 0, capacity = 0;
+    Integer incarnation = 0;
+    bool is_cold = false, has_report = false;
+    MapVersion shunned_at;  // not used until the map moves past this version...
+    Moment shunned_until;   // ...or this moment is past
+  };
+  const ServingPlan* plan_of(const Call& call) const;
+  std::optional<RunnerName> match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const;
+  std::optional<RunnerName> match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now) const;
+  Integer burden_of(const RunnerRow& row, const Link& link) const;
+  Integer bound_of(const RunnerRow& row, const Link& link) const;
+  bool try_send(CallIndex index, Call& call, Moment now);
+  void finish(CallIndex index, FinalAct act);
+  void pump(Moment now);
+  FinalAct refusal(CallIndex index, const std::string& reason, Span retry_after);
+
+  DeskSettings settings_;
+  std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
+  Grant grant_;
+  bool is_closed_ = false;
+  std::map<CallIndex, Call> calls_;
+  std::map<PlanName, std::list<CallIndex>> pending_;
+  std::map<RunnerName, Link> links_;
+  std::map<PlanName, std::pair<Integer, Integer>> in_flight_;  // all, spilled
+  double retry_tokens_;
+  std::vector<SendAct> sends_;
+  std::vector<FinalAct> finals_;
+  Counts counts_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/call-matching/include/emberdale/grant_keeper.hpp
@@ -0,0 +1,56 @@
+// The grant under which a data daemon may send: proof by a register majority that its map is current.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+inline constexpr Span grant_length{2000};
+
+// What the traffic thread checks at the gate and again at the moment of send.
+struct Grant {
+  Moment until{-1};
+  MapVersion floor;
+};
+
+// Example:
+//   GrantKeeper keeper; keeper.learn_acceptors(acceptors); keeper.ask(now);   // every 500 ms
+//   keeper.on_answer(from, answer, my_version, now); keeper.grant().until > now
+class GrantKeeper {
+ public:
+  void learn_acceptors(const std::vector<AcceptorEntry>& acceptors);
+  void ask(Moment now);
+  // The time of the grant counts from before the ask, on the steady clock.
+  void on_answer(const ReadAnswer& answer, const MapVersion& mine, Moment now);
+  // A newer map may be all that was missing. Example: keeper.on_version(mine)
+  void on_version(const MapVersion& mine);
+  const Grant& grant() const { return grant_; }
+  std::vector<Sending> take_out();
+  std::int64_t renewed() const { return renewed_; }
+  std::int64_t behind() const { return behind_; }
+
+ private:
+  struct Asked {
+    Integer ask = 0;
+    Moment begun;
+    std::set<StoreId> answered;
+    Ballot highest;
+    std::vector<AcceptorEntry> acceptors, next;
+    MapVersion floor;
+    bool is_proven = false;
+  };
+  void settle(Asked& asked, const MapVersion& mine);
+
+  std::vector<AcceptorEntry> acceptors_, next_;
+  std::map<Integer, Asked> asked_;  // the last few, so a slow answer still counts
+  Integer last_ask_ = 0;
+  Grant grant_;
+  std::vector<Sending> out_;
+  std::int64_t renewed_ = 0, behind_ = 0;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/call-matching/include/emberdale/traffic_view.hpp
@@ -0,0 +1,40 @@
+// What the traffic threads see of the map: immutable, swapped whole.
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emberdale/map_slices.hpp"
+#include "emberdale/serving_plans.hpp"
+
+namespace emberdale {
+
+struct TrafficView {
+  MapVersion version;  // the oldest of its slices: all of it is at least that new
+  Integer config_revision = 0;
+  std::vector<ServingPlan> plans;
+  std::map<RunnerName, RunnerRow> runners;
+  std::map<PoolName, std::vector<RunnerName>> pools;
+  std::map<std::pair<PoolName, RegionName>, RegionRow> regions;
+  std::vector<GatewayRow> gateways;
+};
+
+// The slices of one data daemon, and the view folded from them.
+// Example: SliceBook book; if (book.apply(news)) swap_in(book.view());
+class SliceBook {
+ public:
+  // True when the view changed. Example: book.apply(std::get<SliceNews>(message))
+  bool apply(const SliceNews& news);
+  std::vector<std::string> topics() const;  // "plans" and the pools that the plans name
+  std::vector<TopicKnown> known() const;
+  const std::shared_ptr<const TrafficView>& view() const { return view_; }
+  MapVersion version() const { return view_->version; }
+
+ private:
+  void fold();
+  std::map<std::string, SliceHolder> holders_;
+  std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/call-matching/src/call_desk.cpp
@@ -0,0 +1,362 @@
+#include "emberdale/call_desk.hpp"
+
+#include <algorithm>
+
+#include "emberdale/placement_map.hpp"
+
+namespace emberdale {
+namespace {
+constexpr Span shun_time{1500};
+}
+
+void CallDesk::see(std::shared_ptr<const TrafficView> view, Moment now) {
+  view_ = std::move(view);
+  for (auto entry = links_.begin(); entry != links_.end();) {
+    if (view_->runners.count(entry->first) == 0 && entry->second.in_flight == 0) entry = links_.erase(entry);
+    else ++entry;
+  }
+  pump(now);
+}
+
+bool CallDesk::is_granted(Moment now) const { return now < grant_.until && grant_.floor <= view_->version; }
+
+std::int64_t CallDesk::widest_prefix() const {
+  std::int64_t widest = 0;
+  for (const auto& plan : view_->plans) widest = std::max(widest, plan.prefix_bytes);
+  return widest;
+}
+
+const ServingPlan* CallDesk::plan_of(const Call& call) const {
+  for (const auto& plan : view_->plans)
+    if (plan.name == call.plan) return &plan;
+  return nullptr;
+}
+
+FinalAct CallDesk::refusal(CallIndex index, const std::string& reason, Span retry_after) {
+  return FinalAct{index, 503, reason, false, retry_after, {}};
+}
+
+std::optional<FinalAct> CallDesk::arrive(const ArrivingCall& arriving, Moment now, CallIndex index) {
+  ++counts_.arrived;
+  auto refuse = [&](int code, const std::string& reason, Span retry_after) {
+    return FinalAct{index, code, reason, false, retry_after, {}};
+  };
+  if (is_closed_) {
+    ++counts_.refused_other;
+    return refuse(503, "this daemon is stopping", Span{1000});
+  }
+  if (!is_granted(now)) {
+    ++counts_.refused_no_grant;
+    return refuse(503, "the map is not proven current here", Span{1000});
+  }
+  PlanMatch matched = match_plan(view_->plans, arriving.method, arriving.path, arriving.headers);
+  if (matched.plan == nullptr) {
+    ++counts_.refused_gate;
+    return matched.is_path_known ? refuse(405, "no plan takes this method or these headers here", Span{0})
+                                 : refuse(404, "no plan takes this path", Span{0});
+  }
+  const ServingPlan& plan = *matched.plan;
+  if (arriving.body_bytes > plan.max_body_bytes) {
+    ++counts_.refused_gate;
+    return refuse(413, "the body is larger than plan '" + plan.name.text + "' takes", Span{0});
+  }
+  Call call;
+  call.id = arriving.id;
+  call.plan = plan.name;
+  call.method = arriving.method;
+  call.path = arriving.path;
+  call.home = plan.home;
+  if (!plan.home_header.empty()) {
+    auto header = arriving.headers.find(plan.home_header);
+    if (header == arriving.headers.end()) {
+      ++counts_.refused_gate;
+      return refuse(400, "header '" + plan.home_header + "' must name the home region", Span{0});
+    }
+    call.home.text = header->second;
+    bool is_region = std::any_of(view_->regions.begin(), view_->regions.end(), [&](const auto& entry) {
+      return entry.first.first == plan.pool && entry.first.second == call.home;
+    });
+    if (!is_region) {
+      ++counts_.refused_gate;
+      return refuse(400, "'" + call.home.text + "' is no region of pool '" + plan.pool.text + "'", Span{0});
+    }
+  }
+  if (!call.home.empty() && call.home != settings_.region) {
+    ++counts_.misdirected;
+    FinalAct act = refuse(421, "this work has its home in region '" + call.home.text + "'", Span{0});
+    for (const auto& gateway : view_->gateways)
+      if (gateway.region == call.home) act.homes.push_back(gateway.http);
+    return act;
+  }
+  call.key = plan.prefix_bytes > 0 ? arriving.prefix.substr(0, static_cast<std::size_t>(plan.prefix_bytes)) : arriving.id.text;
+  Span length{plan.horizon_ms};
+  if (arriving.horizon.value > 0 && arriving.horizon < length) length = arriving.horizon;
+  call.horizon = now + length;
+  call.pending_until = now + Span{std::min(settings_.pending_patience.value, length.value / 3)};
+  auto& taken = calls_[index] = std::move(call);
+  if (try_send(index, taken, now)) return std::nullopt;
+  auto& queue = pending_[plan.name];
+  if (queue.size() >= settings_.pending_bound) {
+    calls_.erase(index);
+    ++counts_.refused_full;
+    return refuse(503, "every runner for it is full, and so is the pending queue", Span{1000});
+  }
+  ++counts_.pended;
+  taken.is_pending = true;
+  queue.push_back(index);
+  return std::nullopt;
+}
+
+Integer CallDesk::burden_of(const RunnerRow& row, const Link& link) const {
+  Integer reported = link.has_report && link.incarnation == row.incarnation ? link.reported_burden - link.own_at_report : 0;
+  if (reported < 0) reported = 0;
+  return reported + link.in_flight;
+}
+
+Integer CallDesk::bound_of(const RunnerRow& row, const Link& link) const {
+  if (row.status == "cold" || (link.is_cold && link.incarnation == row.incarnation)) {
+    for (const auto& grant : row.grants)
+      if (grant.daemon == settings_.self) return grant.calls;
+    return 0;
+  }
+  return row.capacity;
+}
+
+std::optional<RunnerName> CallDesk::match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now) const {
+  auto pool = view_->pools.find(plan.pool);
+  if (pool == view_->pools.end()) return std::nullopt;
+  struct Choice {
+    const RunnerRow* row;
+    Integer burden, bound;
+    bool is_cold;
+  };
+  std::vector<Choice> choices;
+  Integer total = 0;
+  std::vector<std::string> names;
+  static const Link blank;
+  for (const auto& name : pool->second) {
+    const RunnerRow& row = view_->runners.at(name);
+    if (row.region != region || (row.status != "warm" && row.status != "cold")) continue;
+    if (std::find(call.tried.begin(), call.tried.end(), name) != call.tried.end()) continue;
+    auto entry = links_.find(name);
+    const Link& link = entry == links_.end() ? blank : entry->second;
+    if (now < link.shunned_until && !(link.shunned_at < view_->version && link.incarnation != row.incarnation)) continue;
+    bool is_cold = row.status == "cold" || (link.is_cold && link.incarnation == row.incarnation);
+    Integer bound = bound_of(row, link);
+    // A cold runner is bounded by this daemon's own grant; a warm one by its whole burden.
+    Integer burden = is_cold ? link.in_flight : burden_of(row, link);
+    if (burden >= bound) continue;
+    choices.push_back({&row, burden, bound, is_cold});
+    total += burden;
+    names.push_back(name.text);
+  }
+  if (choices.empty()) return std::nullopt;
+  // Prefix-affine within a load bound: the first in rank that is not above its fair share.
+  Integer fair = (total + 1) * 5 / (4 * static_cast<Integer>(choices.size())) + 1;
+  auto ranked = rendezvous_rank(call.key, names);
+  for (const auto& name : ranked)
+    for (const auto& choice : choices)
+      if (choice.row->name.text == name && choice.burden < fair) return choice.row->name;
+  return std::min_element(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.burden < b.burden; })->row->name;
+}
+
+std::optional<RunnerName> CallDesk::match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const {
+  is_spill = false;
+  if (auto runner = match_in(call, plan, settings_.region, now)) return runner;
+  if (!call.home.empty() || !plan.may_spill) return std::nullopt;
+  // Nothing is free at home: what may, spills, up to the plan's share of what is in flight.
+  auto counts = in_flight_.find(plan.name);
+  Integer all = counts == in_flight_.end() ? 0 : counts->second.first;
+  Integer spilled = counts == in_flight_.end() ? 0 : counts->second.second;
+  auto home_row = view_->regions.find({plan.pool, settings_.region});
+  bool is_home_dead = home_row == view_->regions.end() || home_row->second.capacity == 0;
+  if (!is_home_dead && (spilled + 1) * 100 > std::max<Integer>(all + 1, 4) * plan.spill_percent) return std::nullopt;
+  for (const auto& [where, row] : view_->regions) {
+    if (where.first != plan.pool || where.second == settings_.region || row.capacity == 0) continue;
+    if (auto runner = match_in(call, plan, where.second, now)) {
+      is_spill = true;
+      return runner;
+    }
+  }
+  return std::nullopt;
+}
+
+bool CallDesk::try_send(CallIndex index, Call& call, Moment now) {
+  const ServingPlan* plan = plan_of(call);
+  if (plan == nullptr || !is_granted(now)) return false;
+  bool is_spill = false;
+  auto runner = match(call, *plan, now, is_spill);
+  if (!runner) return false;
+  const RunnerRow& row = view_->runners.at(*runner);
+  Link& link = links_[*runner];
+  ++link.in_flight;
+  auto& counts = in_flight_[plan->name];
+  ++counts.first;
+  if (is_spill) {
+    ++counts.second;
+    ++counts_.spilled;
+  }
+  if (row.status == "cold") ++counts_.cold_sends;
+  call.runner = *runner;
+  call.is_spilled = is_spill;
+  call.is_pending = false;
+  ++counts_.sends;
+  if (!call.is_retry) retry_tokens_ = std::min(settings_.retry_bound, retry_tokens_ + settings_.retry_share);
+  sends_.push_back({index, call.id, row.name, row.http, call.path, call.method, row.seal_key, row.incarnation,
+                    plan->is_repeatable, plan->is_streaming, call.horizon});
+  return true;
+}
+
+void CallDesk::first_piece(CallIndex index) {
+  auto entry = calls_.find(index);
+  if (entry != calls_.end()) entry->second.has_piece = true;
+}
+
+void CallDesk::finish(CallIndex index, FinalAct act) {
+  act.call = index;
+  finals_.push_back(std::move(act));
+  calls_.erase(index);
+}
+
+void CallDesk::end_send(const SendEnd& end, Moment now) {
+  auto entry = calls_.find(end.call);
+  if (entry == calls_.end()) return;
+  Call& call = entry->second;
+  Link& link = links_[call.runner];
+  if (link.in_flight > 0) --link.in_flight;
+  auto& counts = in_flight_[call.plan];
+  --counts.first;
+  if (call.is_spilled) --counts.second;
+  if (end.has_report) {
+    link.has_report = true;
+    link.incarnation = end.incarnation;
+    link.reported_burden = end.burden;
+    link.own_at_report = link.in_flight;
+    link.capacity = end.capacity;
+    link.is_cold = end.is_cold;
+  }
+  const ServingPlan* plan = plan_of(call);
+  if (end.reason == "no link" || end.reason == "link broke") {
+    link.shunned_at = view_->version;
+    link.shunned_until = now + shun_time;
+    auto row = view_->runners.find(call.runner);
+    link.incarnation = row == view_->runners.end() ? 0 : row->second.incarnation;
+  }
+  if (end.kind == SendEndKind::refused && end.has_report) {
+    // Full, or back under another incarnation: its own word counts until the map has caught up.
+    auto row = view_->runners.find(call.runner);
+    if (row != view_->runners.end() && row->second.incarnation != end.incarnation) {
+      link.shunned_at = view_->version;
+      link.shunned_until = now + shun_time;
+      link.incarnation = row->second.incarnation;
+    }
+  }
+  switch (end.kind) {
+    case SendEndKind::answered:
+      ++counts_.answered;
+      calls_.erase(entry);
+      break;
+    case SendEndKind::caller_gone:
+      calls_.erase(entry);
+      break;
+    case SendEndKind::refused:
+    case SendEndKind::unsent:
+    case SendEndKind::lost: {
+      bool surely_not_run = end.kind != SendEndKind::lost;
+      bool may_retry = plan != nullptr && !call.has_piece && (surely_not_run || plan->is_repeatable) && now < call.horizon;
+      call.tried.push_back(call.runner);
+      if (may_retry && retry_tokens_ >= 1) {
+        call.is_retry = true;
+        if (try_send(end.call, call, now)) {
+          retry_tokens_ -= 1;
+          ++counts_.retries;
+          break;
+        }
+        auto& queue = pending_[call.plan];
+        if (queue.size() < settings_.pending_bound && now < call.pending_until) {
+          call.tried.clear();
+          call.is_pending = true;
+          queue.push_back(end.call);
+          break;
+        }
+      } else if (may_retry) {
+        ++counts_.retry_denied;
+      }
+      if (surely_not_run) {
+        ++counts_.refused_full;
+        finish(end.call, refusal(end.call, "no runner could take it: " + end.reason, Span{1000}));
+      } else {
+        ++counts_.unknown;
+        finish(end.call, FinalAct{end.call, 502, "the runner gave no sound answer: " + end.reason, true,
+                                  plan != nullptr && plan->is_repeatable ? Span{1000} : Span{0}, {}});
+      }
+      break;
+    }
+  }
+  pump(now);
+}
+
+void CallDesk::caller_gone(CallIndex index, Moment now) {
+  auto entry = calls_.find(index);
+  if (entry == calls_.end() || !entry->second.is_pending) return;  // a send in hand ends on its own
+  pending_[entry->second.plan].remove(index);
+  calls_.erase(entry);
+  pump(now);
+}
+
+void CallDesk::pump(Moment now) {
+  for (auto& [name, queue] : pending_) {
+    while (!queue.empty()) {
+      CallIndex index = queue.front();
+      Call& call = calls_.at(index);
+      if (call.pending_until <= now || call.horizon <= now || is_closed_) {
+        queue.pop_front();
+        ++counts_.refused_full;
+        finish(index, refusal(index, is_closed_ ? "this daemon is stopping" : "no runner came free for it", Span{1000}));
+        continue;
+      }
+      if (plan_of(call) == nullptr) {
+        queue.pop_front();
+        ++counts_.refused_gate;
+        finish(index, FinalAct{index, 404, "its plan was taken away", false, Span{0}, {}});
+        continue;
+      }
+      if (call.is_retry && retry_tokens_ < 1) {
+        queue.pop_front();
+        ++counts_.retry_denied;
+        finish(index, refusal(index, "no retry is left for it", Span{1000}));
+        continue;
+      }
+      bool is_retry = call.is_retry;
+      if (!try_send(index, call, now)) break;
+      if (is_retry) {
+        retry_tokens_ -= 1;
+        ++counts_.retries;
+      }
+      queue.pop_front();
+    }
+  }
+}
+
+void CallDesk::on_alarm(Moment now) {
+  // Those further back may run out before the front does.
+  for (auto& [name, queue] : pending_) {
+    for (auto entry = queue.begin(); entry != queue.end();) {
+      Call& call = calls_.at(*entry);
+      if (call.pending_until <= now || call.horizon <= now) {
+        ++counts_.refused_full;
+        CallIndex index = *entry;
+        entry = queue.erase(entry);
+        finish(index, refusal(index, "no runner came free for it", Span{1000}));
+      } else {
+        ++entry;
+      }
+    }
+  }
+  pump(now);
+}
+
+std::vector<SendAct> CallDesk::take_sends() { return std::exchange(sends_, {}); }
+std::vector<FinalAct> CallDesk::take_finals() { return std::exchange(finals_, {}); }
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/call-matching/src/traffic_view.cpp
@@ -0,0 +1,70 @@
+#include "emberdale/traffic_view.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "emberdale/avro_codec.hpp"
+
+namespace emberdale {
+
+bool SliceBook::apply(const SliceNews& news) {
+  if (!holders_[news.topic].apply(news)) return false;
+  fold();
+  return true;
+}
+
+std::vector<std::string> SliceBook::topics() const {
+  std::set<std::string> names{plans_topic};
+  for (const auto& plan : view_->plans) names.insert(pool_topic(plan.pool));
+  return {names.begin(), names.end()};
+}
+
+std::vector<TopicKnown> SliceBook::known() const {
+  std::vector<TopicKnown> known;
+  for (const auto& topic : topics()) {
+    auto holder = holders_.find(topic);
+    known.push_back({topic, holder == holders_.end() ? MapVersion{} : holder->second.version()});
+  }
+  return known;
+}
+
+void SliceBook::fold() {
+  auto view = std::make_shared<TrafficView>();
+  const auto& plans = holders_[plans_topic];
+  view->version = plans.version();
+  view->config_revision = plans.config_revision();
+  std::vector<Finding> findings;  // the master checked them; what it let through is sound
+  for (const auto& [key, body] : plans.rows()) {
+    if (key.rfind("plan/", 0) == 0) {
+      auto row = decode_plan_row(body);
+      if (!row) continue;
+      if (auto plan = read_plan(row->name.text, row->body, findings)) view->plans.push_back(std::move(*plan));
+    } else if (key.rfind("gateway/", 0) == 0) {
+      if (auto row = decode_gateway_row(body)) view->gateways.push_back(std::move(*row));
+    } else if (auto row = decode_region_row(body)) {
+      view->regions[{row->pool, row->region}] = *row;
+    }
+  }
+  std::set<std::string> wanted{plans_topic};
+  for (const auto& plan : view->plans) {
+    std::string topic = pool_topic(plan.pool);
+    if (!wanted.insert(topic).second) continue;
+    const auto& holder = holders_[topic];
+    view->version = std::min(view->version, holder.version());
+    view->config_revision = std::min(view->config_revision, holder.config_revision());
+    auto& pool = view->pools[plan.pool];
+    for (const auto& [key, body] : holder.rows()) {
+      auto row = decode_runner_row(body);
+      if (!row) continue;
+      pool.push_back(row->name);
+      view->runners[row->name] = std::move(*row);
+    }
+  }
+  for (auto entry = holders_.begin(); entry != holders_.end();) {
+    if (wanted.count(entry->first) == 0) entry = holders_.erase(entry);
+    else ++entry;
+  }
+  view_ = std::move(view);
+}
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -0,0 +1,77 @@
+// One copy of the register: an acceptor of two rounds, without I/O, clock or threads.
+#pragma once
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+#define EMBERDALE_ACCEPTOR_RECORD(F) F(Ballot, promised) F(bool, has_value) F(Ballot, accepted) F(Bytes, value)
+EMBERDALE_RECORD(AcceptorRecord, EMBERDALE_ACCEPTOR_RECORD)
+
+// Example: unpack_record(pack_record(record))->promised == record.promised
+std::string pack_record(const AcceptorRecord& record);
+Outcome<AcceptorRecord> unpack_record(const std::string& bytes);
+
+// What to write before any answer may leave: the shell writes `record`, syncs, then calls synced(token).
+struct WriteWish {
+  std::int64_t token = 0;
+  std::string record;
+};
+
+// Example:
+//   RegisterAcceptor acceptor(StoreId{"s1"}); acceptor.restore(records_from_disk);
+//   acceptor.on_message(from, message, now);   // fills `writes` and `out`
+//   for (auto& wish : acceptor.take_writes()) { disk.append(wish.record); disk.sync(); acceptor.synced(wish.token); }
+class RegisterAcceptor {
+ public:
+  explicit RegisterAcceptor(StoreId store) : store_(std::move(store)) {}
+
+  // Replays records of the log in order. Example: acceptor.restore(opening.records)
+  Outcome<bool> restore(const std::vector<std::string>& records);
+
+  // Takes the register's messages; others are left alone (returns false).
+  bool on_message(const Address& from, const Message& message, Moment now);
+
+  // The write of that token (and all before it) is on disk. Example: acceptor.synced(3)
+  void synced(std::int64_t token);
+  // The write of that token was refused by the disk: its answer is never sent.
+  void refused(std::int64_t token);
+
+  std::vector<WriteWish> take_writes();
+  std::vector<Sending> take_out();
+
+  // The whole state as one record, for a snapshot. Example: log.snapshot(acceptor.picture())
+  std::string picture() const;
+
+  bool is_blank() const { return synced_.accepted == Ballot{}; }
+  const StoreId& store() const { return store_; }
+  const FleetState& state() const { return state_; }  // of the synced value
+  const Ballot& accepted() const { return synced_.accepted; }
+
+ private:
+  struct Held {
+    std::int64_t token;
+    AcceptorRecord after;
+    Sending answer;
+  };
+  void write(AcceptorRecord after, bool has_value, Sending answer);
+  void settle(const AcceptorRecord& record);
+
+  StoreId store_;
+  AcceptorRecord ahead_;   // with what is still being written
+  AcceptorRecord synced_;  // what is on disk: reads answer from here
+  FleetState state_;
+  std::deque<Held> held_;
+  std::int64_t last_token_ = 0;
+  std::vector<WriteWish> writes_;
+  std::vector<Sending> out_;
+  std::map<Address, Moment> heard_;
+  std::optional<Moment> awake_since_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -0,0 +1,131 @@
+// Changes and reads of the register: two rounds at a majority, from any control daemon.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+// What a change makes of the state it finds.
+struct Verdict {
+  enum class Kind { apply, refuse, already_there };
+  Kind kind = Kind::refuse;
+  FleetState state;    // for apply
+  std::string reason;  // for refuse
+};
+using Change = std::function<Verdict(const FleetState&)>;
+
+// How a change ended. `refused` is certain: it is not in the register and never will be.
+struct ChangeEnd {
+  enum class Kind { committed, refused, no_majority, unknown };
+  Kind kind = Kind::unknown;
+  FleetState state;  // as committed (committed), or as found (refused)
+  std::string reason;
+};
+
+// Whether the stores that answered are a majority of the set, and of the next set while one is
+// being joined. Example: has_majority(state.acceptors, state.next_acceptors, {StoreId{"s1"}, StoreId{"s2"}})
+bool has_majority(const std::vector<AcceptorEntry>& acceptors, const std::vector<AcceptorEntry>& next,
+                  const std::set<StoreId>& answered);
+
+// Example:
+//   RegisterProposer proposer(self, Dice(1)); proposer.learn_acceptors(from_a_ping_answer);
+//   proposer.change([](const FleetState& s) { ... }, [](const ChangeEnd& end) { ... }, now, Span{3000});
+//   proposer.poll(now);            // refreshes state() by a majority read, mends stale copies
+//   proposer.on_message(from, message, now); proposer.on_alarm(now); for (auto& s : proposer.take_out()) send(s);
+class RegisterProposer {
+ public:
+  RegisterProposer(Address self, Dice dice) : self_(std::move(self)), dice_(dice) {}
+
+  void learn_acceptors(const std::vector<AcceptorEntry>& acceptors);
+  void change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience);
+  void poll(Moment now, const std::string& role, bool wants_heard);
+  bool on_message(const Address& from, const Message& message, Moment now);
+  void on_alarm(Moment now);
+  std::vector<Sending> take_out();
+
+  bool has_state() const { return has_state_; }
+  const FleetState& state() const { return state_; }  // the newest state known to be chosen
+  const Ballot& ballot() const { return state_ballot_; }
+  Moment confirmed_at() const { return confirmed_at_; }  // start of the read that proved it newest
+  const std::vector<AcceptorEntry>& acceptors() const { return acceptors_; }
+  // Silence of each edge daemon as a majority of copies reports it; empty when not known.
+  const std::optional<std::map<Address, Span>>& silences() const { return silences_; }
+  std::size_t changes_in_hand() const { return waiting_.size() + (current_ ? 1 : 0); }
+
+  struct Counts {
+    std::int64_t rounds = 0, conflicts = 0, committed = 0, unknown = 0, mended = 0, reads = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Job {
+    Change change;
+    std::function<void(const ChangeEnd&)> done;
+    Moment horizon;
+    bool was_accept_sent = false;
+  };
+  struct Round {
+    Job job;
+    enum class Phase { pausing, preparing, accepting } phase = Phase::pausing;
+    std::int64_t ask = 0;
+    Ballot ballot;
+    Moment phase_end;
+    int tries = 0;
+    std::set<StoreId> granted;
+    Ballot highest;
+    Bytes value;
+    std::set<Ballot> seen;  // accepted ballots among the promises
+    // What the accept round carries, and how the job ends if it is chosen.
+    FleetState proposed;
+    ChangeEnd end;
+  };
+  struct Read {
+    std::int64_t ask = 0;
+    Moment begun;
+    std::map<StoreId, Ballot> answers;
+    std::map<StoreId, Address> places;
+    Ballot highest;
+    std::vector<AcceptorEntry> acceptors, next;
+    std::map<StoreId, std::map<Address, Span>> heard;
+    std::map<StoreId, Span> awake;
+    bool wants_heard = false;
+    bool was_settled = false;
+  };
+  void start_next(Moment now);
+  void begin_prepare(Moment now);
+  void pause(Moment now);
+  void begin_accept(Moment now);
+  void finish(ChangeEnd end, Moment now);
+  void adopt(const Ballot& ballot, const FleetState& state, Moment proven_from);
+  void settle_read(Moment now);
+  std::vector<AcceptorEntry> everyone() const;
+  void send_each(const std::vector<AcceptorEntry>& stores, const std::function<Message(const StoreId&)>& make);
+
+  Address self_;
+  Dice dice_;
+  std::vector<AcceptorEntry> acceptors_, next_acceptors_;
+  Ballot highest_seen_;
+  bool has_state_ = false;
+  FleetState state_;
+  Bytes state_bytes_;
+  Ballot state_ballot_;
+  Moment confirmed_at_{-1};
+  std::optional<Round> current_;
+  std::deque<Job> waiting_;
+  std::optional<Read> read_;
+  std::map<Ballot, Bytes> read_values_;
+  int split_reads_ = 0;
+  std::optional<std::map<Address, Span>> silences_;
+  std::int64_t last_ask_ = 0;
+  std::vector<Sending> out_;
+  Counts counts_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -0,0 +1,324 @@
+#include "emberdale/register_proposer.hpp"
+
+#include <algorithm>
+
+#include "emberdale/avro_codec.hpp"
+
+namespace emberdale {
+namespace {
+constexpr Span phase_patience{400};
+
+bool holds_majority(const std::vector<AcceptorEntry>& set, const std::set<StoreId>& answered) {
+  std::size_t count = 0;
+  for (const auto& entry : set) count += answered.count(entry.store);
+  return count >= set.size() / 2 + 1;
+}
+
+bool same_set(const std::vector<AcceptorEntry>& a, const std::vector<AcceptorEntry>& b) {
+  auto ids = [](const std::vector<AcceptorEntry>& set) {
+    std::set<std::pair<StoreId, Address>> names;
+    for (const auto& entry : set) names.insert({entry.store, entry.address});
+    return names;
+  };
+  return ids(a) == ids(b);
+}
+}  // namespace
+
+bool has_majority(const std::vector<AcceptorEntry>& acceptors, const std::vector<AcceptorEntry>& next,
+                  const std::set<StoreId>& answered) {
+  if (acceptors.empty()) return false;
+  return holds_majority(acceptors, answered) && (next.empty() || holds_majority(next, answered));
+}
+
+void RegisterProposer::learn_acceptors(const std::vector<AcceptorEntry>& acceptors) {
+  if (!has_state_ && acceptors_.empty() && !acceptors.empty()) acceptors_ = acceptors;
+}
+
+std::vector<AcceptorEntry> RegisterProposer::everyone() const {
+  std::vector<AcceptorEntry> all = acceptors_;
+  for (const auto& entry : next_acceptors_)
+    if (std::none_of(all.begin(), all.end(), [&](const auto& known) { return known.store == entry.store; }))
+      all.push_back(entry);
+  return all;
+}
+
+void RegisterProposer::send_each(const std::vector<AcceptorEntry>& stores,
+                                 const std::function<Message(const StoreId&)>& make) {
+  for (const auto& entry : stores) out_.push_back({entry.address, make(entry.store)});
+}
+
+void RegisterProposer::change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience) {
+  waiting_.push_back({std::move(change), std::move(done), now + patience});
+  if (!current_) start_next(now);
+}
+
+void RegisterProposer::start_next(Moment now) {
+  if (current_ || waiting_.empty()) return;
+  current_.emplace();
+  current_->job = std::move(waiting_.front());
+  waiting_.pop_front();
+  begin_prepare(now);
+}
+
+void RegisterProposer::begin_prepare(Moment now) {
+  Round& round = *current_;
+  ++counts_.rounds;
+  ++round.tries;
+  round.phase = Round::Phase::preparing;
+  round.ask = ++last_ask_;
+  round.ballot = Ballot{highest_seen_.number + 1, self_};
+  highest_seen_ = round.ballot;
+  round.phase_end = now + phase_patience;
+  round.granted.clear();
+  round.seen.clear();
+  round.highest = Ballot{};
+  round.value = Bytes{};
+  send_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot}; });
+}
+
+void RegisterProposer::pause(Moment now) {
+  Round& round = *current_;
+  round.phase = Round::Phase::pausing;
+  round.ask = ++last_ask_;
+  std::int64_t spread = 20ll << std::min(round.tries, 5);
+  round.phase_end = now + Span{5 + dice_.below(spread)};
+}
+
+void RegisterProposer::begin_accept(Moment now) {
+  Round& round = *current_;
+  auto found = decode_state(round.value.data);
+  if (!found) {
+    finish({ChangeEnd::Kind::no_majority, {}, found.reason}, now);
+    return;
+  }
+  // The set that voted must be the set the value names: else vote again among those.
+  if (!same_set(found->acceptors, acceptors_) || !same_set(found->next_acceptors, next_acceptors_)) {
+    acceptors_ = found->acceptors;
+    next_acceptors_ = found->next_acceptors;
+    pause(now);
+    return;
+  }
+  Verdict verdict = round.job.change(*found);
+  bool is_settled = round.seen.size() == 1;  // every promise shows one ballot: a majority holds it
+  if (verdict.kind == Verdict::Kind::apply) {
+    round.proposed = std::move(verdict.state);
+    round.proposed.version = found->version + 1;
+    round.end = {ChangeEnd::Kind::committed, round.proposed, ""};
+  } else {
+    round.end.kind = verdict.kind == Verdict::Kind::refuse ? ChangeEnd::Kind::refused : ChangeEnd::Kind::committed;
+    round.end.reason = verdict.reason;
+    round.end.state = *found;
+    if (is_settled) {
+      finish(round.end, now);
+      return;
+    }
+    round.proposed = *found;  // a refusal stands on a state that is really chosen
+  }
+  round.phase = Round::Phase::accepting;
+  round.phase_end = now + phase_patience;
+  round.granted.clear();
+  round.value.data = encode_state(round.proposed);
+  if (verdict.kind == Verdict::Kind::apply) round.job.was_accept_sent = true;
+  std::vector<AcceptorEntry> stores = everyone();
+  for (const auto& set : {round.proposed.acceptors, round.proposed.next_acceptors})
+    for (const auto& entry : set)
+      if (std::none_of(stores.begin(), stores.end(), [&](const auto& known) { return known.store == entry.store; }))
+        stores.push_back(entry);
+  send_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, round.value}; });
+}
+
+void RegisterProposer::adopt(const Ballot& ballot, const FleetState& state, Moment proven_from) {
+  if (!has_state_ || state_ballot_ < ballot) {
+    has_state_ = true;
+    state_ = state;
+    state_ballot_ = ballot;
+    state_bytes_.data = encode_state(state);
+    acceptors_ = state.acceptors;
+    next_acceptors_ = state.next_acceptors;
+  }
+  if (confirmed_at_ < proven_from) confirmed_at_ = proven_from;
+  if (highest_seen_ < ballot) highest_seen_ = ballot;
+}
+
+void RegisterProposer::finish(ChangeEnd end, Moment now) {
+  auto done = std::move(current_->job.done);
+  current_.reset();
+  if (end.kind == ChangeEnd::Kind::committed) ++counts_.committed;
+  if (end.kind == ChangeEnd::Kind::unknown) ++counts_.unknown;
+  start_next(now);
+  if (done) done(end);
+}
+
+void RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
+  ++counts_.reads;
+  read_.emplace();
+  read_->ask = ++last_ask_;
+  read_->begun = now;
+  read_->wants_heard = wants_heard;
+  read_values_.clear();
+  send_each(everyone(), [&](const StoreId&) { return ReadAsk{read_->ask, role, state_ballot_, wants_heard}; });
+}
+
+void RegisterProposer::settle_read(Moment now) {
+  Read& read = *read_;
+  std::set<StoreId> same, all;
+  for (const auto& [store, ballot] : read.answers) {
+    all.insert(store);
+    if (ballot == read.highest) same.insert(store);
+  }
+  if (read.highest == Ballot{}) return;
+  if (!has_majority(read.acceptors, read.next, all)) {
+    // The newest answer may name other copies than those asked.
+    if (!same_set(read.acceptors, acceptors_) || !same_set(read.next, next_acceptors_)) {
+      bool is_newer = !has_state_ || state_ballot_ < read.highest;
+      if (is_newer) {
+        acceptors_ = read.acceptors;
+        next_acceptors_ = read.next;
+      }
+    }
+    return;
+  }
+  if (read.wants_heard) {
+    // The most recent sign of life that any copy of this majority has seen, once all have watched.
+    std::map<Address, Span> silences;
+    Span watched{INT64_MAX};
+    for (const auto& [store, span] : read.awake) watched = std::min(watched, span);
+    for (const auto& [store, heard] : read.heard)
+      for (const auto& [daemon, age] : heard) {
+        auto [entry, is_new] = silences.insert({daemon, age});
+        if (!is_new) entry->second = std::min(entry->second, age);
+      }
+    silences[Address{}] = watched;
+    silences_ = std::move(silences);
+  }
+  if (!has_majority(read.acceptors, read.next, same)) {
+    // A change is under way, or was left behind: mend it by carrying the newest through once more.
+    if (read.answers.size() == everyone().size() || ++split_reads_ >= 2) {
+      split_reads_ = 0;
+      if (!current_ && waiting_.empty()) {
+        ++counts_.mended;
+        change([](const FleetState&) { return Verdict{Verdict::Kind::already_there, {}, ""}; }, nullptr, now, Span{1500});
+      }
+    }
+    return;
+  }
+  split_reads_ = 0;
+  Bytes* value = nullptr;
+  auto entry = read_values_.find(read.highest);
+  if (entry != read_values_.end()) value = &entry->second;
+  if (read.highest == state_ballot_) {
+    adopt(state_ballot_, state_, read.begun);
+  } else if (value != nullptr) {
+    auto state = decode_state(value->data);
+    if (!state) return;
+    adopt(read.highest, *state, read.begun);
+  } else {
+    return;
+  }
+  if (!read.was_settled) {
+    read.was_settled = true;
+  }
+  for (const auto& [store, ballot] : read.answers) {  // a read mends the copies that it finds old
+    if (!(ballot < read.highest)) continue;
+    bool is_member = false;
+    for (const auto& member : everyone()) is_member = is_member || member.store == store;
+    if (!is_member) continue;
+    ++counts_.mended;
+    out_.push_back({read.places[store], Accept{0, store, state_ballot_, state_bytes_}});
+    read.answers[store] = read.highest;
+  }
+}
+
+bool RegisterProposer::on_message(const Address& from, const Message& message, Moment now) {
+  if (const auto* promise = std::get_if<Promise>(&message)) {
+    if (highest_seen_ < promise->promised) highest_seen_ = promise->promised;
+    if (!current_ || current_->phase != Round::Phase::preparing || promise->ask != current_->ask) return true;
+    Round& round = *current_;
+    if (!promise->granted) {
+      ++counts_.conflicts;
+      pause(now);
+      return true;
+    }
+    round.granted.insert(promise->store);
+    round.seen.insert(promise->accepted);
+    if (round.highest < promise->accepted) {
+      round.highest = promise->accepted;
+      round.value = promise->value;
+    }
+    if (has_majority(acceptors_, next_acceptors_, round.granted)) {
+      if (round.highest == Ballot{}) finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
+      else begin_accept(now);
+    }
+    return true;
+  }
+  if (const auto* accepted = std::get_if<Accepted>(&message)) {
+    if (highest_seen_ < accepted->promised) highest_seen_ = accepted->promised;
+    if (!current_ || current_->phase != Round::Phase::accepting || accepted->ask != current_->ask) return true;
+    Round& round = *current_;
+    if (!accepted->granted) {
+      ++counts_.conflicts;
+      pause(now);
+      return true;
+    }
+    round.granted.insert(accepted->store);
+    // Both the set that voted and the set that the new value names must hold it.
+    if (has_majority(acceptors_, next_acceptors_, round.granted) &&
+        has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
+      adopt(round.ballot, round.proposed, confirmed_at_);
+      finish(round.end, now);
+    }
+    return true;
+  }
+  if (const auto* answer = std::get_if<ReadAnswer>(&message)) {
+    if (!read_ || answer->ask != read_->ask) return true;
+    Read& read = *read_;
+    read.answers[answer->store] = answer->accepted;
+    read.places[answer->store] = from;
+    if (!answer->value.data.empty()) read_values_[answer->accepted] = answer->value;
+    if (answer->accepted == state_ballot_) read_values_[answer->accepted] = state_bytes_;
+    if (read.highest < answer->accepted) {
+      read.highest = answer->accepted;
+      read.acceptors = answer->acceptors;
+      read.next = answer->next_acceptors;
+    }
+    if (read.wants_heard) {
+      for (const auto& heard : answer->heard) read.heard[answer->store][heard.daemon] = Span{heard.age};
+      read.awake[answer->store] = Span{answer->awake};
+    }
+    settle_read(now);
+    return true;
+  }
+  return false;
+}
+
+void RegisterProposer::on_alarm(Moment now) {
+  // What waits behind a change in hand keeps its own horizon, and is surely not applied.
+  for (std::size_t i = 0; i < waiting_.size();) {
+    if (waiting_[i].horizon <= now) {
+      auto done = std::move(waiting_[i].done);
+      waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
+      if (done) done({ChangeEnd::Kind::no_majority, {}, "the register gave no answer in time"});
+    } else {
+      ++i;
+    }
+  }
+  if (!current_) {
+    start_next(now);
+    return;
+  }
+  Round& round = *current_;
+  if (round.job.horizon <= now) {
+    bool was_sent = round.job.was_accept_sent;
+    finish({was_sent ? ChangeEnd::Kind::unknown : ChangeEnd::Kind::no_majority, {},
+            was_sent ? "no majority confirmed the change in time" : "no majority of core machines answered"}, now);
+    return;
+  }
+  if (round.phase_end <= now) {
+    if (round.phase == Round::Phase::pausing) begin_prepare(now);
+    else pause(now);
+  }
+}
+
+std::vector<Sending> RegisterProposer::take_out() { return std::exchange(out_, {}); }
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -0,0 +1,67 @@
+// The control state of one data daemon: what it follows of the map, and its grant to send.
+// Without I/O, clock or threads.
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emberdale/event_journal.hpp"
+#include "emberdale/grant_keeper.hpp"
+#include "emberdale/traffic_view.hpp"
+
+namespace emberdale {
+
+// Example:
+//   DataDaemon daemon(self, seeds, 1); daemon.start(now);
+//   daemon.on_message(from, message, now); daemon.on_alarm(now);
+//   for (auto& s : daemon.take_out()) links.send(s.to, s.message);
+//   desk.see(daemon.view(), now); desk.set_grant(daemon.grant());
+class DataDaemon {
+ public:
+  DataDaemon(DaemonEntry self, std::vector<Address> seeds, std::uint64_t dice_seed)
+      : self_(std::move(self)), seeds_(std::move(seeds)), dice_(dice_seed) {}
+
+  void start(Moment now);
+  void on_message(const Address& from, const Message& message, Moment now);
+  void on_alarm(Moment now);
+  std::vector<Sending> take_out();
+
+  const Grant& grant() const { return keeper_.grant(); }
+  const GrantKeeper& keeper() const { return keeper_; }
+  const std::shared_ptr<const TrafficView>& view() const { return book_.view(); }
+  EventJournal& journal() { return journal_; }
+  const DaemonEntry& self() const { return self_; }
+  struct Counts {
+    std::int64_t news = 0, news_used = 0, homes_left = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Known {
+    DaemonEntry entry;
+    Moment heard{-100000};
+  };
+  struct Home {
+    Address address;
+    Moment since{-100000}, news{-100000};
+  };
+  std::vector<std::string> live_edges(Moment now) const;
+  void subscribe(Moment now);
+
+  DaemonEntry self_;
+  std::vector<Address> seeds_;
+  Dice dice_;
+  std::map<Address, Known> known_;
+  std::map<std::string, Home> homes_;      // by topic
+  std::map<Address, Moment> shunned_;      // homes that went silent, until then
+  SliceBook book_;
+  GrantKeeper keeper_;
+  EventJournal journal_{256};
+  Moment ping_next_, ask_next_, subscribe_next_;
+  bool was_granted_ = false;
+  std::vector<Sending> out_;
+  Counts counts_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -0,0 +1,119 @@
+#include "emberdale/data_daemon.hpp"
+
+#include <algorithm>
+
+#include "emberdale/placement_map.hpp"
+
+namespace emberdale {
+namespace {
+constexpr Span ping_pace{500}, ask_pace{500}, subscribe_pace{400};
+constexpr Span alive_span{2000}, silent_home{1300}, shun_span{3000};
+}  // namespace
+
+void DataDaemon::start(Moment now) {
+  for (const auto& seed : seeds_) known_[seed].entry.address = seed;
+  ping_next_ = ask_next_ = subscribe_next_ = now;
+  on_alarm(now);
+}
+
+std::vector<std::string> DataDaemon::live_edges(Moment now) const {
+  std::vector<std::string> near, all;
+  for (const auto& [address, known] : known_) {
+    if (known.entry.role != "edge" || now - known.heard > alive_span) continue;
+    auto shunned = shunned_.find(address);
+    if (shunned != shunned_.end() && now < shunned->second) continue;
+    all.push_back(address.text);
+    if (known.entry.zone == self_.zone) near.push_back(address.text);
+  }
+  return near.empty() ? all : near;
+}
+
+// Each service's home in this zone is subscribed to; a home that went silent is left for the next.
+void DataDaemon::subscribe(Moment now) {
+  std::map<Address, std::vector<TopicKnown>> by_home;
+  auto live = live_edges(now);
+  std::map<std::string, Home> homes;
+  for (const auto& known : book_.known()) {
+    Home home = homes_[known.topic];
+    if (!home.address.empty() && now - std::max(home.since, home.news) > silent_home) {
+      shunned_[home.address] = now + shun_span;
+      live.erase(std::remove(live.begin(), live.end(), home.address.text), live.end());
+      journal_.append(now, "home_silent", known.topic + " at " + home.address.text);
+      ++counts_.homes_left;
+      home = Home{};
+    }
+    auto ranked = rendezvous_rank("home:" + known.topic, live);
+    if (!ranked.empty() && ranked.front() != home.address.text) home = Home{Address{ranked.front()}, now, Moment{-100000}};
+    if (!home.address.empty()) by_home[home.address].push_back(known);
+    homes[known.topic] = home;
+  }
+  homes_ = std::move(homes);
+  bool is_granted = now < grant().until && grant().floor <= book_.version();
+  for (auto& [home, topics] : by_home)
+    out_.push_back({home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted}});
+}
+
+void DataDaemon::on_message(const Address& from, const Message& message, Moment now) {
+  if (const auto* answer = std::get_if<PingAnswer>(&message)) {
+    auto& known = known_[from];
+    known.entry = answer->sender;
+    known.heard = now;
+    for (const auto& entry : answer->known)
+      if (known_[entry.address].entry.role.empty()) known_[entry.address].entry = entry;
+    keeper_.learn_acceptors(answer->acceptors);
+  }
+  if (const auto* answer = std::get_if<ReadAnswer>(&message)) keeper_.on_answer(*answer, book_.version(), now);
+  if (const auto* news = std::get_if<SliceNews>(&message)) {
+    ++counts_.news;
+    auto home = homes_.find(news->topic);
+    if (home != homes_.end() && home->second.address == from) home->second.news = now;
+    auto topics = book_.topics();
+    Integer revision = view()->config_revision;
+    if (std::find(topics.begin(), topics.end(), news->topic) != topics.end() && book_.apply(*news)) {
+      ++counts_.news_used;
+      keeper_.on_version(book_.version());
+      if (view()->config_revision != revision) {
+        journal_.append(now, "in_force", show(book_.version()) + " config " + std::to_string(view()->config_revision));
+        subscribe(now);  // the homes, and through them the operators, hear of it at once
+      } else if (book_.topics() != topics) {
+        subscribe(now);
+      }
+    }
+  }
+}
+
+void DataDaemon::on_alarm(Moment now) {
+  if (ping_next_ <= now) {
+    ping_next_ = now + ping_pace;
+    std::vector<Address> others;
+    for (const auto& [address, known] : known_) {
+      bool is_near = known.entry.role == "edge" && known.entry.zone == self_.zone;
+      bool is_seed = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
+      if (is_near || (is_seed && now - known.heard > alive_span)) out_.push_back({address, Ping{0, self_, {}, book_.version()}});
+      else others.push_back(address);
+    }
+    for (int i = 0; i < 2 && !others.empty(); ++i)
+      out_.push_back({others[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(others.size())))], Ping{0, self_, {}, book_.version()}});
+  }
+  if (ask_next_ <= now) {
+    ask_next_ = now + ask_pace;
+    keeper_.ask(now);
+  }
+  if (subscribe_next_ <= now) {
+    subscribe_next_ = now + subscribe_pace;
+    subscribe(now);
+  }
+  bool is_granted = now < grant().until && grant().floor <= book_.version();
+  if (is_granted != was_granted_) {
+    was_granted_ = is_granted;
+    journal_.append(now, is_granted ? "granted" : "grant_lapsed", show(book_.version()));
+  }
+  for (auto& sending : keeper_.take_out()) out_.push_back(std::move(sending));
+}
+
+std::vector<Sending> DataDaemon::take_out() { 
+  for (auto& sending : keeper_.take_out()) out_.push_back(std::move(sending));
+  return std::exchange(out_, {});
+}
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/data-plane/src/main.cpp
@@ -0,0 +1,145 @@
+// emberdale-data-plane: takes calls in and brings them to runners, as the map says.
+#include <docopt/docopt.h>
+#include <glog/logging.h>
+#include <pplx/threadpool.h>
+
+#include <boost/asio.hpp>
+#include <future>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "call_relay.hpp"
+#include "emberdale/data_daemon.hpp"
+#include "emberdale/program_settings.hpp"
+#include "emberdale/sibling_links.hpp"
+
+using namespace emberdale;
+using Json = nlohmann::json;
+
+static const char usage[] = R"(emberdale-data-plane: serves calls by the master's placement map.
+
+Usage:
+  emberdale-data-plane [options]
+  emberdale-data-plane (-h | --help)
+
+Options:
+  --settings FILE       JSON file with the settings below; flags go over it.
+  --link IP:PORT        Address for links from siblings (also this daemon's id).
+  --http IP:PORT        Address for callers.
+  --zone NAME           Zone of this machine.
+  --region NAME         Region of the zone.
+  --seeds LIST          Up to three IP:PORT link addresses of control daemons.
+  --allow-link-faults   Tests only: let /emberdale/faults cut and delay links.
+  -h --help             Show this.
+)";
+
+int main(int count, char** words) {
+  auto arguments = docopt::docopt(usage, {words + 1, words + count}, true, "emberdale-data-plane 0.1");
+  std::vector<std::string> findings;
+  ProgramSettings settings = read_settings(arguments, "data", findings);
+  if (!findings.empty()) {
+    for (const auto& finding : findings) std::cerr << "emberdale-data-plane: " << finding << "\n";
+    return 2;
+  }
+  start_program("emberdale-data-plane");
+  crossplat::threadpool::initialize_with_threads(5);
+
+  boost::asio::io_context context(1);
+  ControlWord word;
+  DataDaemon daemon(settings.self, settings.seeds, static_cast<std::uint64_t>(settings.self.incarnation));
+  daemon.journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
+  std::unique_ptr<SiblingLinks> links;
+  auto flush = [&] {
+    word.put(daemon.view(), daemon.grant());
+    for (auto& sending : daemon.take_out()) links->send(sending.to, sending.message);
+  };
+  links = std::make_unique<SiblingLinks>(context, settings.self.address, [&](const Address& from, Message message) {
+    daemon.on_message(from, message, steady_now());
+    flush();
+  });
+  auto listens = links->listen();
+  if (!listens) {
+    LOG(ERROR) << listens.reason;
+    return 1;
+  }
+  DeskSettings desk;
+  desk.self = settings.self.address;
+  desk.region = settings.self.region;
+  CallRelay relay(desk, word, settings.self.http);
+  relay.on_own_path = [&](web::http::http_request request) {
+    auto path = request.relative_uri().path();
+    auto reply = [](web::http::http_request& to, int code, const std::string& body, const char* kind) {
+      web::http::http_response response(static_cast<web::http::status_code>(code));
+      response.set_body(body, kind);
+      to.reply(response).then([](pplx::task<void> ended) {
+        try {
+          ended.get();
+        } catch (const std::exception&) {
+        }
+      });
+    };
+    if (path == "/emberdale/health") {
+      auto [view, grant] = word.get();
+      bool is_granted = steady_now() < grant.until && grant.floor <= view->version;
+      Json health{{"status", is_granted ? "serving" : "not_serving"}, {"map_version", show(view->version)},
+                  {"config_revision", view->config_revision}, {"in_hand", relay.in_hand()}};
+      return reply(request, is_granted ? 200 : 503, health.dump(), "application/json");
+    }
+    if (path == "/emberdale/metrics") {
+      auto c = relay.counts();
+      const auto& r = relay.relay_counts();
+      return reply(request, 200, counters_text("emberdale_data", {
+          {"calls_arrived", c.arrived}, {"sends", c.sends}, {"retries", c.retries}, {"retries_denied", c.retry_denied},
+          {"calls_answered", c.answered}, {"refused_gate", c.refused_gate}, {"refused_full", c.refused_full},
+          {"refused_no_grant", c.refused_no_grant}, {"refused_other", c.refused_other}, {"outcome_unknown", c.unknown},
+          {"spilled", c.spilled}, {"misdirected", c.misdirected}, {"pended", c.pended}, {"cold_sends", c.cold_sends},
+          {"bad_seals", r.bad_seals}, {"streams_broken", r.streams_broken}, {"links_broken", r.links_broken},
+          {"callers_gone", r.callers_gone}, {"stream_pieces", r.pieces}, {"horizons_passed", r.horizons_passed},
+          {"accept_refused", r.accept_refused}, {"in_hand", static_cast<std::int64_t>(relay.in_hand())}}), "text/plain; version=0.0.4");
+    }
+    if (path == "/emberdale/faults" && request.method() == web::http::methods::POST) {
+      if (!settings.may_fault_links) return reply(request, 403, R"({"reason":"started without --allow-link-faults"})", "application/json");
+      request.extract_string(true).then([&, request, reply](utility::string_t body) mutable {
+        Json wish = Json::parse(body, nullptr, false);
+        if (!wish.is_object()) return reply(request, 400, R"({"reason":"not a JSON object"})", "application/json");
+        boost::asio::post(context, [&links, wish] {
+          if (wish.value("clear", false)) links->clear_faults();
+          if (wish.contains("siblings"))
+            for (const auto& sibling : wish["siblings"])
+              links->set_fault({sibling.get<std::string>()}, {wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}});
+        });
+        reply(request, 200, "{}", "application/json");
+      });
+      return;
+    }
+    reply(request, 404, R"({"reason":"there is nothing here"})", "application/json");
+  };
+  auto opened = relay.open();
+  if (!opened) {
+    LOG(ERROR) << opened.reason;
+    return 1;
+  }
+  boost::asio::steady_timer alarm(context);
+  std::function<void()> tick = [&] {
+    alarm.expires_after(std::chrono::milliseconds(25));
+    alarm.async_wait([&](boost::system::error_code fault) {
+      if (fault) return;
+      daemon.on_alarm(steady_now());
+      flush();
+      tick();
+    });
+  };
+  std::thread control([&] {
+    daemon.start(steady_now());
+    flush();
+    tick();
+    context.run();
+  });
+  LOG(INFO) << "serving in zone " << settings.self.zone << ", region " << settings.self.region << ", callers at " << settings.self.http;
+  int signal = wait_for_stop();
+  LOG(INFO) << "stopping on signal " << signal << ": what is in hand is finished or refused";
+  relay.stop(Span{8000});
+  boost::asio::post(context, [&] { context.stop(); });
+  control.join();
+  return 0;
+}
--- /dev/null
+++ b/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
@@ -0,0 +1,76 @@
+// A whole deployment as real processes on this machine, for trials: the daemons themselves start no
+// process, this test tool does.
+#pragma once
+#include <sys/types.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emberdale/small_types.hpp"
+
+namespace emberdale {
+
+struct FleetProcess {
+  std::string name;                // e.g. "a2-control", "model-3"
+  std::string role;                // core, edge, data, model, record
+  std::string zone, region;
+  std::string link, http;
+  std::vector<std::string> words;  // how it is started, and started again
+  pid_t id = 0;                    // 0: not running
+};
+
+struct ProgramEnd {
+  int status = -1;
+  std::string out;
+};
+
+// Example:
+//   FleetOfProcesses fleet("caspian", "fleet-caspian", "build/bin"); fleet.start_daemons();
+//   fleet.found(); fleet.declare(); ... fleet.end("a1-control", SIGKILL); fleet.begin("a1-control");
+class FleetOfProcesses {
+ public:
+  FleetOfProcesses(std::string deployment, std::string folder, std::string programs);
+  ~FleetOfProcesses();  // ends what it started, by id
+
+  Outcome<bool> start_all();
+  Outcome<bool> found();
+  // Declares runners and plans with emberdale-client and watches them into force.
+  Outcome<bool> declare();
+
+  bool begin(const std::string& name);
+  void end(const std::string& name, int signal);
+  void signal(const std::string& name, int signal);
+  // Stops everything cleanly; tells who did not stop in time.
+  std::vector<std::string> stop();
+
+  ProgramEnd client(std::vector<std::string> words);
+  pid_t start_program(const std::vector<std::string>& words, const std::string& log);
+  ProgramEnd run_program(const std::vector<std::string>& words);
+  int wait_program(pid_t id);
+
+  FleetProcess& at(const std::string& name) { return processes_.at(name); }
+  const std::map<std::string, FleetProcess>& processes() const { return processes_; }
+  std::string controls() const;   // HTTP addresses for the client
+  std::string gateways() const;   // REGION=IP:PORT for the callers
+  std::string master_name();      // which process is master, by the fleet's own word
+  // GET of a page of one process; nothing if it does not answer.
+  std::optional<std::string> page(const std::string& http, const std::string& path) const;
+  std::optional<std::string> post(const std::string& http, const std::string& path, const std::string& body) const;
+  nlohmann::json picture() const;
+  const std::string& folder() const { return folder_; }
+  const std::string& deployment() const { return deployment_; }
+
+ private:
+  void add(FleetProcess process) { processes_[process.name] = std::move(process); }
+  std::string deployment_, folder_, programs_;
+  std::map<std::string, FleetProcess> processes_;
+};
+
+// Addresses on loopback that are free now, below the range the system gives to outgoing links.
+// Example: auto places = free_addresses(3);
+std::vector<std::string> free_addresses(std::size_t count);
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -0,0 +1,321 @@
+#include "emberdale/fleet_of_processes.hpp"
+
+#include <arpa/inet.h>
+#include <cpprest/http_client.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <thread>
+
+#include "emberdale/serving_plans.hpp"
+
+extern char** environ;
+
+namespace emberdale {
+
+using Json = nlohmann::json;
+
+std::vector<std::string> free_addresses(std::size_t count) {
+  std::vector<std::string> places;
+  std::vector<int> held;
+  std::random_device device;
+  std::mt19937 engine(device());
+  while (places.size() < count) {
+    int port = 10300 + static_cast<int>(engine() % 22000);
+    int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in place{};
+    place.sin_family = AF_INET;
+    place.sin_port = htons(static_cast<std::uint16_t>(port));
+    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(handle, reinterpret_cast<sockaddr*>(&place), sizeof place) == 0) {
+      held.push_back(handle);
+      places.push_back("127.0.0.1:" + std::to_string(port));
+    } else {
+      ::close(handle);
+    }
+  }
+  for (int handle : held) ::close(handle);
+  return places;
+}
+
+FleetOfProcesses::FleetOfProcesses(std::string deployment, std::string folder, std::string programs)
+    : deployment_(std::move(deployment)), folder_(std::move(folder)), programs_(std::move(programs)) {
+  ::mkdir(folder_.c_str(), 0755);
+  bool is_caspian = deployment_ == "caspian";
+  // Two regions of unequal size: zones a and b in the first, zone c in the second.
+  std::map<std::string, std::string> region_of{{"a", is_caspian ? "north" : "valley"}, {"b", is_caspian ? "north" : "valley"},
+                                               {"c", is_caspian ? "south" : "hills"}};
+  std::vector<int> models = is_caspian ? std::vector<int>{3, 3, 5} : std::vector<int>{5, 5, 8};
+  auto places = free_addresses(100);
+  std::size_t next = 0;
+  auto take = [&] { return places[next++]; };
+  std::map<std::string, std::string> core_link;
+  for (const char* zone : {"a", "b", "c"}) core_link[zone] = take();
+  std::string seeds = core_link["a"] + "," + core_link["b"] + "," + core_link["c"];
+  int number = 0;
+  std::size_t zone_index = 0;
+  for (const std::string zone : {"a", "b", "c"}) {
+    const std::string& region = region_of[zone];
+    auto daemon = [&](const std::string& name, const std::string& role, const std::string& program, const std::string& link) {
+      FleetProcess process{name, role, zone, region, link, take(), {}, 0};
+      process.words = {programs_ + "/" + program, "--link", link, "--http", process.http, "--zone", zone, "--region", region,
+                       "--seeds", seeds, "--allow-link-faults"};
+      if (role == "core") {
+        process.words.push_back("--data-folder");
+        process.words.push_back(folder_ + "/data-" + name);
+      }
+      add(std::move(process));
+    };
+    daemon(zone + "0-core", "core", "emberdale-control-plane", core_link[zone]);
+    for (int machine = 1; machine <= 3; ++machine) {
+      std::string name = zone + std::to_string(machine);
+      daemon(name + "-control", "edge", "emberdale-control-plane", take());
+      daemon(name + "-data", "data", "emberdale-data-plane", take());
+    }
+    auto back_end = [&](const std::string& name, const std::string& role, const std::string& program) {
+      FleetProcess process{name, role, zone, region, "", take(), {}, 0};
+      process.words = {programs_ + "/" + program, "--http", process.http, "--name", name, "--seal-key", "key-" + name,
+                       "--ledger", folder_ + "/ledger-" + name};
+      if (role == "record") process.words.insert(process.words.end(), {"--capacity", "16", "--allowance", "4", "--warm-ms", "1000"});
+      add(std::move(process));
+    };
+    for (int i = 0; i < models[zone_index]; ++i) back_end("model-" + std::to_string(++number), "model", "emberdale-runner-stand-in");
+    back_end("record-" + zone, "record", "emberdale-record-stand-in");
+    ++zone_index;
+  }
+}
+
+FleetOfProcesses::~FleetOfProcesses() {
+  for (auto& [name, process] : processes_)
+    if (process.id > 0) {
+      ::kill(process.id, SIGCONT);
+      end(name, SIGKILL);
+    }
+}
+
+pid_t FleetOfProcesses::start_program(const std::vector<std::string>& words, const std::string& log) {
+  std::vector<char*> arguments;
+  for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
+  posix_spawn_file_actions_addopen(&files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, 1, 2);
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  sigset_t none;
+  sigemptyset(&none);
+  posix_spawnattr_setsigmask(&attributes, &none);
+  posix_spawnattr_setpgroup(&attributes, 0);
+  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETPGROUP);
+  pid_t id = 0;
+  int fault = posix_spawn(&id, words[0].c_str(), &files, &attributes, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&files);
+  posix_spawnattr_destroy(&attributes);
+  return fault == 0 ? id : 0;
+}
+
+int FleetOfProcesses::wait_program(pid_t id) {
+  int status = 0;
+  if (::waitpid(id, &status, 0) != id) return -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+ProgramEnd FleetOfProcesses::run_program(const std::vector<std::string>& words) {
+  static int number = 0;
+  std::string log = folder_ + "/program-" + std::to_string(::getpid()) + "-" + std::to_string(++number) + ".out";
+  ::unlink(log.c_str());
+  ProgramEnd end;
+  pid_t id = start_program(words, log);
+  if (id == 0) return end;
+  end.status = wait_program(id);
+  std::ifstream stream(log);
+  end.out.assign(std::istreambuf_iterator<char>(stream), {});
+  ::unlink(log.c_str());
+  return end;
+}
+
+bool FleetOfProcesses::begin(const std::string& name) {
+  auto& process = processes_.at(name);
+  if (process.id > 0) return true;
+  process.id = start_program(process.words, folder_ + "/" + name + ".log");
+  return process.id > 0;
+}
+
+void FleetOfProcesses::signal(const std::string& name, int signal) {
+  auto& process = processes_.at(name);
+  if (process.id > 0) ::kill(process.id, signal);
+}
+
+void FleetOfProcesses::end(const std::string& name, int signal_number) {
+  auto& process = processes_.at(name);
+  if (process.id <= 0) return;
+  ::kill(process.id, signal_number);
+  wait_program(process.id);
+  process.id = 0;
+}
+
+std::vector<std::string> FleetOfProcesses::stop() {
+  std::vector<std::string> late;
+  // Callers' side first, then the control plane, then the back ends.
+  for (const std::string role : {"data", "edge", "core", "model", "record"}) {
+    for (auto& [name, process] : processes_)
+      if (process.role == role && process.id > 0) ::kill(process.id, SIGTERM);
+    auto horizon = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    for (auto& [name, process] : processes_) {
+      if (process.role != role || process.id <= 0) continue;
+      int status = 0;
+      pid_t ended = 0;
+      while ((ended = ::waitpid(process.id, &status, WNOHANG)) == 0 && std::chrono::steady_clock::now() < horizon)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      if (ended == 0) {
+        late.push_back(name);
+        ::kill(process.id, SIGKILL);
+        ::waitpid(process.id, &status, 0);
+      } else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
+        late.push_back(name + " ended with " + std::to_string(WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status)));
+      }
+      process.id = 0;
+    }
+  }
+  return late;
+}
+
+Outcome<bool> FleetOfProcesses::start_all() {
+  for (auto& [name, process] : processes_)
+    if (!begin(name)) return failure("can't start " + process.words[0]);
+  auto horizon = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  for (auto& [name, process] : processes_) {
+    std::string path = process.role == "core" || process.role == "edge" ? "/health" : process.role == "data" ? "/emberdale/health" : "/status";
+    while (!page(process.http, path)) {
+      if (std::chrono::steady_clock::now() > horizon) return failure(name + " does not answer; see " + folder_ + "/" + name + ".log");
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+  std::ofstream(folder_ + "/fleet.json") << picture().dump(2) << "\n";
+  return true;
+}
+
+std::string FleetOfProcesses::controls() const {
+  std::string list;
+  for (const auto& [name, process] : processes_)
+    if ((process.role == "edge" || process.role == "core") && process.id > 0) list += (list.empty() ? "" : ",") + process.http;
+  return list;
+}
+
+std::string FleetOfProcesses::gateways() const {
+  std::string list;
+  for (const auto& [name, process] : processes_)
+    if (process.role == "data") list += (list.empty() ? "" : ",") + process.region + "=" + process.http;
+  return list;
+}
+
+ProgramEnd FleetOfProcesses::client(std::vector<std::string> words) {
+  words.insert(words.begin(), {programs_ + "/emberdale-client", "--control", controls()});
+  return run_program(words);
+}
+
+std::optional<std::string> FleetOfProcesses::page(const std::string& http, const std::string& path) const {
+  try {
+    web::http::client::http_client_config config;
+    config.set_timeout(std::chrono::seconds(2));
+    web::http::client::http_client client("http://" + http, config);
+    web::http::http_request request("GET");
+    request.set_request_uri(path);
+    request.headers().add("Connection", "close");
+    return client.request(request).get().extract_string(true).get();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string> FleetOfProcesses::post(const std::string& http, const std::string& path, const std::string& body) const {
+  try {
+    web::http::client::http_client client("http://" + http);
+    return client.request("POST", path, body, "application/json").get().extract_string(true).get();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string FleetOfProcesses::master_name() {
+  for (auto& [name, process] : processes_) {
+    if (process.role != "edge" || process.id <= 0) continue;
+    auto health = page(process.http, "/health");
+    if (!health) continue;
+    Json body = Json::parse(*health, nullptr, false);
+    if (body.is_object() && body.value("is_master", false)) return name;
+  }
+  return "";
+}
+
+Outcome<bool> FleetOfProcesses::found() {
+  auto ended = client({"found", deployment_, at("a0-core").link, at("b0-core").link, at("c0-core").link});
+  if (ended.status != 0) return failure("not founded: " + ended.out);
+  auto horizon = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (master_name().empty()) {
+    if (std::chrono::steady_clock::now() > horizon) return failure("no master was elected");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
+Outcome<bool> FleetOfProcesses::declare() {
+  auto put = [&](const std::string& kind, const std::string& name, const Json& body) -> std::string {
+    std::string file = folder_ + "/" + kind + "-" + name + ".json";
+    std::ofstream(file) << body.dump(2) << "\n";
+    for (int tries = 0; tries < 5; ++tries) {
+      auto ended = client({"put", kind, name, file});
+      if (ended.status == 0) return "";
+      if (tries == 4 || ended.status != 1) return kind + "/" + name + ": " + ended.out;
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    return "";
+  };
+  for (const auto& [name, process] : processes_) {
+    if (process.role != "model" && process.role != "record") continue;
+    auto fault = put(runners_kind, name, {{"address", process.http}, {"pool", process.role == "model" ? "models" : "records"},
+                                          {"zone", process.zone}, {"region", process.region}, {"seal_key", "key-" + name}});
+    if (!fault.empty()) return failure(fault);
+  }
+  bool is_caspian = deployment_ == "caspian";
+  Json home{{"header", "X-Home-Region"}}, spill{{"allowed", true}, {"limit_percent", 50}};
+  std::map<std::string, Json> plans;
+  if (is_caspian) {
+    plans["manifest-check"] = {{"service", "berths"}, {"match", {{"path", "/v1/manifest-checks"}}}, {"pool", "models"}, {"spill", spill}, {"horizon_ms", 5000}, {"prefix_bytes", 2048}};
+    plans["booking-chat"] = {{"service", "berths"}, {"match", {{"path", "/v1/booking-chats"}}}, {"pool", "models"}, {"home", home}, {"streaming", true}, {"horizon_ms", 20000}, {"prefix_bytes", 2048}};
+    plans["slot-confirmation"] = {{"service", "bookings"}, {"match", {{"path", "/v1/slot-confirmations"}}}, {"pool", "records"}, {"spill", spill}, {"repeatable", true}, {"horizon_ms", 3000}};
+  } else {
+    plans["dispute-check"] = {{"service", "charges"}, {"match", {{"path", "/v1/dispute-checks"}}}, {"pool", "models"}, {"home", home}, {"horizon_ms", 5000}, {"prefix_bytes", 2048}};
+    plans["complaint-reply"] = {{"service", "complaints"}, {"match", {{"path", "/v1/complaint-replies"}}}, {"pool", "models"}, {"spill", spill}, {"streaming", true}, {"horizon_ms", 20000}, {"prefix_bytes", 2048}};
+    plans["receipt-lookup"] = {{"service", "receipts"}, {"match", {{"path", "/v1/receipt-lookups"}}}, {"pool", "records"}, {"spill", spill}, {"repeatable", true}, {"horizon_ms", 3000}};
+  }
+  for (const auto& [name, plan] : plans) {
+    auto fault = put(plans_kind, name, plan);
+    if (!fault.empty()) return failure(fault);
+  }
+  auto watched = client({"watch", plans_kind, "--until-in-force"});
+  if (watched.status != 0) return failure("the plans are not in force: " + watched.out);
+  return true;
+}
+
+Json FleetOfProcesses::picture() const {
+  Json list = Json::array();
+  for (const auto& [name, process] : processes_)
+    list.push_back({{"name", name}, {"role", process.role}, {"zone", process.zone}, {"region", process.region},
+                    {"link", process.link}, {"http", process.http}, {"process", process.id}});
+  return {{"deployment", deployment_}, {"processes", list}};
+}
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -0,0 +1,197 @@
+// emberdale-fleet-trial: a deployment under load while things fail, with every answer checked.
+#include <docopt/docopt.h>
+#include <signal.h>
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "emberdale/fleet_of_processes.hpp"
+#include "emberdale/program_settings.hpp"
+
+using namespace emberdale;
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+static const char usage[] = R"(emberdale-fleet-trial: serves the brief's mix while the master is killed, a runner comes back
+cold and a zone is emptied and taken back; then counts what was served, refused and wrong.
+
+Usage:
+  emberdale-fleet-trial [options]
+
+Options:
+  --deployment NAME   caspian or kathmandu [default: caspian].
+  --folder FOLDER     Data, logs and ledgers [default: fleet-trial].
+  --programs FOLDER   Where the programs are; else beside this one.
+  --seconds N         Length of the load [default: 40].
+  --rate N            Calls each second; else the brief's.
+  --seed N            Seed of the mix [default: 1].
+  --faults LIST       Any of master,runner,zone, or none [default: master,runner,zone].
+  -h --help           Show this.
+)";
+
+namespace {
+
+std::int64_t wall_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+struct Run {
+  std::string call, runner, mode;
+  std::int64_t at = 0, running = 0;
+};
+
+struct Ledgers {
+  std::vector<Run> runs;
+  std::map<std::string, std::int64_t> refusals;
+};
+
+Ledgers read_ledgers(const FleetOfProcesses& fleet) {
+  Ledgers ledgers;
+  for (const auto& [name, process] : fleet.processes()) {
+    if (process.role != "model" && process.role != "record") continue;
+    std::ifstream stream(fleet.folder() + "/ledger-" + name);
+    std::string line;
+    while (std::getline(stream, line)) {
+      std::stringstream words(line);
+      std::string act, call, own;
+      Run run;
+      words >> act >> call >> own >> run.runner >> run.at >> run.running >> run.mode;
+      run.call = call;
+      if (act == "run") ledgers.runs.push_back(run);
+      else ++ledgers.refusals[act];
+    }
+  }
+  return ledgers;
+}
+
+std::map<std::string, std::int64_t> sum_metrics(const FleetOfProcesses& fleet, const std::string& role, const std::string& path) {
+  std::map<std::string, std::int64_t> sums;
+  for (const auto& [name, process] : fleet.processes()) {
+    if (process.role != role || process.id <= 0) continue;
+    auto text = fleet.page(process.http, path);
+    if (!text) continue;
+    std::stringstream stream(*text);
+    std::string line;
+    while (std::getline(stream, line)) {
+      if (line.empty() || line[0] == '#') continue;
+      auto gap = line.find(' ');
+      sums[line.substr(0, gap)] += std::atoll(line.c_str() + gap);
+    }
+  }
+  return sums;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  auto arguments = docopt::docopt(usage, {words + 1, words + count}, true, "emberdale-fleet-trial 0.1");
+  std::string deployment = arguments["--deployment"].asString();
+  std::string self = words[0];
+  std::string programs = arguments["--programs"].isString() ? arguments["--programs"].asString() : self.substr(0, self.rfind('/'));
+  double seconds = std::atof(arguments["--seconds"].asString().c_str());
+  std::string rate = arguments["--rate"].isString() ? arguments["--rate"].asString() : deployment == "caspian" ? "200" : "300";
+  std::string faults = arguments["--faults"].asString();
+  auto is_wanted = [&](const std::string& fault) { return faults.find(fault) != std::string::npos; };
+  start_program("emberdale-fleet-trial");
+
+  FleetOfProcesses fleet(deployment, arguments["--folder"].asString(), programs);
+  auto began = Clock::now();
+  for (auto step : {&FleetOfProcesses::start_all, &FleetOfProcesses::found, &FleetOfProcesses::declare}) {
+    auto done = (fleet.*step)();
+    if (!done) {
+      std::cerr << done.reason << "\n";
+      return 1;
+    }
+  }
+  Json events = Json::array();
+  auto since = [&](Clock::time_point start) { return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start).count(); };
+  events.push_back({{"event", "fleet serves"}, {"took_ms", since(began)}});
+
+  std::string report_file = fleet.folder() + "/callers.json";
+  pid_t callers = fleet.start_program({programs + "/emberdale-caller-stand-in", "--deployment", deployment, "--gateways", fleet.gateways(), "--rate", rate,
+                                       "--seconds", std::to_string(seconds), "--seed", arguments["--seed"].asString(), "--report", report_file,
+                                       "--outcomes", fleet.folder() + "/outcomes"}, fleet.folder() + "/callers.log");
+  auto start = Clock::now();
+  auto wait_until = [&](double share) { std::this_thread::sleep_until(start + std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000 * share))); };
+
+  std::int64_t emptied_at = 0, taken_back_at = 0;
+  std::string emptied_zone = "b";
+  if (is_wanted("master")) {
+    wait_until(0.15);
+    std::string master = fleet.master_name();
+    auto killed = Clock::now();
+    fleet.end(master, SIGKILL);
+    std::string next;
+    while ((next = fleet.master_name()).empty() && since(killed) < 30000) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    events.push_back({{"event", "master killed"}, {"was", master}, {"next", next}, {"new_master_after_ms", since(killed)}});
+    fleet.begin(master);
+  }
+  if (is_wanted("runner")) {
+    wait_until(0.4);
+    fleet.end("model-2", SIGKILL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    fleet.begin("model-2");
+    events.push_back({{"event", "runner model-2 killed and started again cold"}});
+  }
+  if (is_wanted("zone")) {
+    wait_until(0.6);
+    auto ordered = Clock::now();
+    auto ended = fleet.client({"evacuate", emptied_zone, "--wait"});
+    emptied_at = wall_ms();
+    events.push_back({{"event", "zone emptied"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+    wait_until(0.85);
+    taken_back_at = wall_ms();
+    ordered = Clock::now();
+    ended = fleet.client({"take-back", emptied_zone, "--wait"});
+    events.push_back({{"event", "zone taken back"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+  }
+  int callers_status = fleet.wait_program(callers);
+
+  Json report;
+  std::ifstream(report_file) >> report;
+  Json result{{"deployment", deployment}, {"seconds", seconds}, {"rate", rate}, {"events", events}, {"callers", report}};
+  std::map<std::string, std::string> region_of, zone_of;
+  for (const auto& [name, process] : fleet.processes()) {
+    region_of[name] = process.region;
+    zone_of[name] = process.zone;
+  }
+  Ledgers ledgers = read_ledgers(fleet);
+  std::map<std::string, int> runs_of;
+  std::map<std::string, std::string> outcome_of;
+  std::ifstream outcomes(fleet.folder() + "/outcomes");
+  std::string id, kind, outcome;
+  while (outcomes >> id >> kind >> outcome) outcome_of[id] = outcome;
+  std::int64_t twice = 0, after_refusal = 0, abroad = 0, in_emptied = 0;
+  for (const auto& run : ledgers.runs) {
+    bool is_repeatable = run.call.rfind("slot-confirmation", 0) == 0 || run.call.rfind("receipt-lookup", 0) == 0;
+    int number = ++runs_of[run.call];
+    if (!is_repeatable && number == 2) ++twice;
+    if (outcome_of[run.call] == "refused" && !is_repeatable) ++after_refusal;
+    auto first = run.call.find('.'), second = run.call.find('.', first + 1);
+    std::string home = run.call.substr(first + 1, second - first - 1);
+    if (home != "free" && home != region_of[run.runner]) ++abroad;
+    if (emptied_at > 0 && zone_of[run.runner] == emptied_zone && run.at > emptied_at && run.at < taken_back_at) ++in_emptied;
+  }
+  std::int64_t cold_over = ledgers.refusals["refuse-cold"];
+  auto data = sum_metrics(fleet, "data", "/emberdale/metrics");
+  auto control = sum_metrics(fleet, "edge", "/metrics");
+  result["runs"] = ledgers.runs.size();
+  result["run_refusals"] = ledgers.refusals;
+  result["data_daemons"] = data;
+  result["retry_share"] = data["emberdale_data_sends"] == 0 ? 0.0 : static_cast<double>(data["emberdale_data_retries"]) / static_cast<double>(data["emberdale_data_sends"]);
+  result["control_maps_published"] = control["emberdale_control_maps_published"];
+  result["breaks"] = {{"wrong answers", report["wrong"]}, {"run twice", twice}, {"run after refusal", after_refusal}, {"homed work abroad", abroad},
+                      {"new work in the emptied zone once in force", in_emptied}, {"cold runner asked above its allowance", cold_over}};
+  auto late = fleet.stop();
+  result["not_stopped_cleanly"] = late;
+  std::ofstream(fleet.folder() + "/trial.json") << result.dump(2) << "\n";
+  std::cout << result.dump(2) << std::endl;
+  bool is_good = callers_status == 0 && late.empty();
+  for (const auto& [name, number] : result["breaks"].items())
+    if (number != 0 && name != "cold runner asked above its allowance") is_good = false;
+  return is_good ? 0 : 1;
+}
--- /dev/null
+++ b/packages/master-election/include/emberdale/master_election.hpp
@@ -0,0 +1,108 @@
+// The election of the one master among the control daemons of the edge machines: ping rounds,
+// joining a reported master, quorum-gated ranking, joins, and a claim in the register.
+// Without I/O, clock or threads. docs/election.md says what was kept of the source.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+struct ElectionTimes {
+  Span ping_round{3000};      // the bounded time of findMaster
+  Span ping_again{700};       // within a round, siblings are pinged again to keep answers fresh
+  Span join{1500};            // how long joins are awaited, and answers to a join
+  Span follow{400};           // a follower's pings to its master
+  Span master_silence{1500};  // after this long without an answer the master counts as down
+  Span lonely_master{2500};   // a master that hears no quorum for so long steps down
+  Span pause{250};            // between failed rounds, plus as much again at random
+};
+
+// A reign that this daemon may now claim in the register: it has quorum - 1 joins.
+struct ReignClaim {
+  Integer expected_reign = 0;
+  std::set<Address> joined;
+};
+
+// Example:
+//   MasterElection election(self, Dice(1)); election.set_roster(roster, reign); election.start(now);
+//   election.on_message(from, message, now); election.on_alarm(now);
+//   if (auto claim = election.take_claim()) register.change(claim_change(*claim), ...);
+//   election.claim_ended(true, 4, now);       // the register says: reign 4 is ours
+class MasterElection {
+ public:
+  enum class Phase { idle, pinging, pausing, awaiting_joins, claiming, joining, following, leading };
+
+  MasterElection(DaemonEntry self, Dice dice, ElectionTimes times = {})
+      : self_(std::move(self)), dice_(dice), times_(times) {}
+
+  void start(Moment now);
+  // The eligible daemons (nodeCount) and the reign, as the register has them.
+  void set_roster(const std::vector<DaemonEntry>& roster, Integer reign, const Address& reign_master, Moment now);
+  // Daemons to ping beside the roster: seeds and what answers named.
+  void learn(const Address& sibling);
+  void set_version(const MapVersion& version) { version_ = version; }
+
+  bool on_message(const Address& from, const Message& message, Moment now);
+  void on_alarm(Moment now);
+  std::optional<ReignClaim> take_claim();
+  void claim_ended(bool is_won, Integer reign, Moment now);
+  // A clean stop: siblings start a round at once. Example: election.leave();
+  void leave();
+
+  bool is_master() const { return phase_ == Phase::leading; }
+  const Address& master() const { return master_; }  // empty: none, or found down
+  Integer reign() const { return reign_; }
+  Phase phase() const { return phase_; }
+  std::size_t quorum() const { return roster_.size() / 2 + 1; }
+  // Rounds in a row that had too few answers for a ranking.
+  int starved_rounds() const { return starved_rounds_; }
+  const std::map<Address, Moment>& followers() const { return followers_; }
+  std::vector<Sending> take_out();
+
+  struct Counts {
+    std::int64_t rounds = 0, starved = 0, joins_failed = 0, elected = 0, stepped_down = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Answer {
+    Address master;
+    MapVersion version;
+  };
+  void begin_round(Moment now);
+  void pause(Moment now);
+  void ping_everyone();
+  void end_round(Moment now);
+  void step_down(Moment now);
+  bool is_found_down(const Address& master) const;
+  void check_joins(Moment now);
+  bool is_eligible(const Address& daemon) const { return roster_.count(daemon) != 0; }
+
+  DaemonEntry self_;
+  Dice dice_;
+  ElectionTimes times_;
+  Phase phase_ = Phase::idle;
+  Address master_;
+  Integer reign_ = 0;        // the newest reign the register showed, or that we lead
+  Address reign_master_;
+  MapVersion version_;
+  std::set<Address> roster_;
+  std::set<Address> siblings_;
+  std::map<Address, Answer> answers_;
+  std::map<Address, std::pair<Moment, Integer>> joins_;  // recent joins: when, and their ask
+  std::map<Address, Moment> followers_;
+  Integer ask_ = 0;
+  Moment phase_end_, ping_next_, follow_next_, master_heard_, quorum_heard_;
+  Address joining_;
+  int starved_rounds_ = 0;
+  std::optional<ReignClaim> claim_;
+  std::vector<Sending> out_;
+  Counts counts_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/master-election/src/master_election.cpp
@@ -0,0 +1,281 @@
+#include "emberdale/master_election.hpp"
+
+#include <algorithm>
+
+namespace emberdale {
+
+void MasterElection::start(Moment now) {
+  if (phase_ == Phase::idle) begin_round(now);
+}
+
+void MasterElection::learn(const Address& sibling) {
+  if (sibling != self_.address && !sibling.empty()) siblings_.insert(sibling);
+}
+
+void MasterElection::set_roster(const std::vector<DaemonEntry>& roster, Integer reign, const Address& reign_master,
+                                Moment now) {
+  roster_.clear();
+  for (const auto& entry : roster) roster_.insert(entry.address);
+  for (auto entry = siblings_.begin(); entry != siblings_.end();) {
+    // Ghosts that left the roster are not waited for any more; live ones name themselves again.
+    if (roster_.count(*entry) == 0 && answers_.count(*entry) == 0) entry = siblings_.erase(entry);
+    else ++entry;
+  }
+  for (const auto& address : roster_) learn(address);
+  if (reign < reign_) return;
+  bool is_newer = reign > reign_;
+  reign_ = reign;
+  reign_master_ = reign_master;
+  if (phase_ == Phase::leading && (is_newer || reign_master != self_.address)) step_down(now);
+  if (phase_ == Phase::following && is_newer && reign_master != master_) {
+    master_ = Address{};  // the master that was joined has been replaced
+    begin_round(now);
+  }
+}
+
+void MasterElection::ping_everyone() {
+  for (const auto& sibling : siblings_)
+    out_.push_back({sibling, Ping{ask_, self_, master_, version_}});
+}
+
+void MasterElection::begin_round(Moment now) {
+  ++counts_.rounds;
+  phase_ = Phase::pinging;
+  ++ask_;
+  answers_.clear();
+  phase_end_ = now + times_.ping_round;
+  ping_next_ = now + times_.ping_again;
+  ping_everyone();
+}
+
+void MasterElection::pause(Moment now) {
+  phase_ = Phase::pausing;
+  phase_end_ = now + Span{times_.pause.value + dice_.below(times_.pause.value)};
+}
+
+// More than half of the eligible daemons find that master down: they answer, and name it no more.
+bool MasterElection::is_found_down(const Address& master) const {
+  if (answers_.count(master) != 0) return false;
+  std::size_t find_it_down = 1;  // this daemon, which is in a round
+  for (const auto& [daemon, answer] : answers_)
+    if (is_eligible(daemon) && answer.master != master) ++find_it_down;
+  return find_it_down > roster_.size() / 2;
+}
+
+void MasterElection::end_round(Moment now) {
+  std::set<Address> active;
+  for (const auto& [daemon, answer] : answers_)
+    if (!answer.master.empty() && answer.master != self_.address && !is_found_down(answer.master))
+      active.insert(answer.master);
+  if (!active.empty()) {
+    starved_rounds_ = 0;
+    joining_ = *active.begin();
+  } else {
+    struct Candidate {
+      MapVersion version;
+      Address daemon;
+    };
+    std::vector<Candidate> candidates;
+    if (is_eligible(self_.address)) candidates.push_back({version_, self_.address});
+    for (const auto& [daemon, answer] : answers_)
+      if (is_eligible(daemon)) candidates.push_back({answer.version, daemon});
+    if (roster_.empty() || candidates.size() < quorum()) {
+      ++counts_.starved;
+      ++starved_rounds_;
+      pause(now);
+      return;
+    }
+    starved_rounds_ = 0;
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+      return a.version == b.version ? a.daemon < b.daemon : b.version < a.version;
+    });
+    if (candidates.front().daemon == self_.address) {
+      phase_ = Phase::awaiting_joins;
+      phase_end_ = now + times_.join;
+      check_joins(now);
+      return;
+    }
+    joining_ = candidates.front().daemon;
+  }
+  phase_ = Phase::joining;
+  phase_end_ = now + times_.join + times_.join;  // the master-to-be waits for joins, then claims
+  ++ask_;
+  out_.push_back({joining_, Join{ask_, self_, version_}});
+}
+
+void MasterElection::check_joins(Moment now) {
+  if (phase_ != Phase::awaiting_joins) return;
+  std::set<Address> joined;
+  for (const auto& [daemon, join] : joins_)
+    if (is_eligible(daemon) && now - join.first <= times_.ping_round) joined.insert(daemon);
+  if (joined.size() + 1 < quorum()) return;
+  phase_ = Phase::claiming;
+  claim_ = ReignClaim{reign_, std::move(joined)};
+}
+
+std::optional<ReignClaim> MasterElection::take_claim() { return std::exchange(claim_, std::nullopt); }
+
+void MasterElection::claim_ended(bool is_won, Integer reign, Moment now) {
+  if (phase_ != Phase::claiming) return;
+  if (!is_won) {
+    for (const auto& [daemon, join] : joins_) out_.push_back({daemon, JoinAnswer{join.second, false, reign_, "claim lost"}});
+    joins_.clear();
+    pause(now);
+    return;
+  }
+  ++counts_.elected;
+  phase_ = Phase::leading;
+  master_ = reign_master_ = self_.address;
+  reign_ = reign;
+  quorum_heard_ = now;
+  followers_.clear();
+  for (const auto& [daemon, join] : joins_) {
+    followers_[daemon] = now;
+    out_.push_back({daemon, JoinAnswer{join.second, true, reign_, ""}});
+  }
+  joins_.clear();
+}
+
+void MasterElection::step_down(Moment now) {
+  ++counts_.stepped_down;
+  master_ = Address{};
+  followers_.clear();
+  begin_round(now);
+}
+
+void MasterElection::leave() {
+  master_ = Address{};
+  phase_ = Phase::idle;
+  for (const auto& sibling : siblings_) out_.push_back({sibling, Leave{self_}});
+}
+
+bool MasterElection::on_message(const Address& from, const Message& message, Moment now) {
+  if (const auto* ping = std::get_if<Ping>(&message)) {
+    if (ping->sender.role == "edge") learn(from);
+    return false;  // the daemon answers with all it knows
+  }
+  if (const auto* answer = std::get_if<PingAnswer>(&message)) {
+    if (answer->sender.role != "edge") return false;
+    learn(from);
+    for (const auto& entry : answer->known)
+      if (entry.role == "edge" && siblings_.count(entry.address) == 0 && entry.address != self_.address) {
+        learn(entry.address);
+        if (phase_ == Phase::pinging) out_.push_back({entry.address, Ping{ask_, self_, master_, version_}});
+      }
+    if (phase_ == Phase::pinging && answer->ask == ask_) {
+      answers_[from] = {answer->master, answer->version};
+      bool has_all = std::all_of(siblings_.begin(), siblings_.end(), [&](const auto& s) { return answers_.count(s) != 0; });
+      // Not sooner than all known have answered, nor while the roster is still unread.
+      if (has_all && !roster_.empty()) end_round(now);
+    }
+    return false;
+  }
+  if (const auto* join = std::get_if<Join>(&message)) {
+    learn(from);
+    if (phase_ == Phase::leading) {
+      followers_[from] = now;
+      out_.push_back({from, JoinAnswer{join->ask, true, reign_, ""}});
+    } else if (phase_ == Phase::following) {
+      out_.push_back({from, JoinAnswer{join->ask, false, reign_, "following another"}});
+    } else {
+      joins_[from] = {now, join->ask};
+      check_joins(now);
+    }
+    return true;
+  }
+  if (const auto* answer = std::get_if<JoinAnswer>(&message)) {
+    if (phase_ != Phase::joining || answer->ask != ask_ || from != joining_) return true;
+    if (!answer->granted || answer->reign < reign_) {
+      ++counts_.joins_failed;
+      pause(now);
+      return true;
+    }
+    phase_ = Phase::following;
+    master_ = from;
+    reign_ = answer->reign;
+    reign_master_ = from;
+    master_heard_ = now;
+    follow_next_ = now;
+    joins_.clear();
+    return true;
+  }
+  if (const auto* leave = std::get_if<Leave>(&message)) {
+    answers_.erase(leave->sender.address);
+    siblings_.erase(leave->sender.address);
+    followers_.erase(from);
+    if (from == master_) {
+      master_ = Address{};
+      begin_round(now);
+    }
+    return true;
+  }
+  if (const auto* follow = std::get_if<Follow>(&message)) {
+    bool is_ours = phase_ == Phase::leading;
+    if (is_ours) followers_[from] = now;
+    out_.push_back({from, FollowAnswer{is_ours ? reign_ : 0, is_ours, version_}});
+    (void)follow;
+    return false;  // the daemon reads the statuses in it
+  }
+  if (const auto* answer = std::get_if<FollowAnswer>(&message)) {
+    if (phase_ != Phase::following || from != master_) return true;
+    if (!answer->master || answer->reign < reign_) {  // the state still shows no master
+      master_ = Address{};
+      begin_round(now);
+      return true;
+    }
+    master_heard_ = now;
+    return true;
+  }
+  return false;
+}
+
+void MasterElection::on_alarm(Moment now) {
+  switch (phase_) {
+    case Phase::idle:
+    case Phase::claiming:
+      break;
+    case Phase::pinging:
+      if (phase_end_ <= now) {
+        end_round(now);
+      } else if (ping_next_ <= now) {
+        ping_next_ = now + times_.ping_again;
+        ping_everyone();
+      }
+      break;
+    case Phase::pausing:
+      if (phase_end_ <= now) begin_round(now);
+      break;
+    case Phase::awaiting_joins:
+      if (phase_end_ <= now) {
+        ++counts_.joins_failed;
+        for (const auto& [daemon, join] : joins_) out_.push_back({daemon, JoinAnswer{join.second, false, reign_, "too few joins"}});
+        joins_.clear();
+        pause(now);
+      }
+      break;
+    case Phase::joining:
+      if (phase_end_ <= now) {
+        ++counts_.joins_failed;
+        pause(now);
+      }
+      break;
+    case Phase::following:
+      if (now - master_heard_ > times_.master_silence) {
+        master_ = Address{};  // from here on our pings and answers say that we find it down
+        begin_round(now);
+      }
+      break;
+    case Phase::leading: {
+      std::size_t heard = 1;
+      for (const auto& [daemon, moment] : followers_)
+        if (is_eligible(daemon) && now - moment <= times_.master_silence) ++heard;
+      if (heard >= quorum()) quorum_heard_ = now;
+      if (now - quorum_heard_ > times_.lonely_master) step_down(now);
+      break;
+    }
+  }
+}
+
+std::vector<Sending> MasterElection::take_out() { return std::exchange(out_, {}); }
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/placement-map/include/emberdale/map_slices.hpp
@@ -0,0 +1,65 @@
+// Slices of the map: what a home daemon feeds its subscribers, and what a subscriber holds.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+inline constexpr const char* plans_topic = "plans";
+// Example: pool_topic(PoolName{"models"}) == "pool:models"
+std::string pool_topic(const PoolName& pool);
+
+// The rows of one topic, by key. Example: slice_rows(map, "plans")
+std::map<std::string, std::string> slice_rows(const PlacementMap& map, const std::string& topic);
+
+// The home's side. Example:
+//   SlicePublisher publisher; publisher.on_map(map, now); publisher.on_subscribe(from, subscribe, now);
+//   for (auto& sending : publisher.take_out()) links.send(sending.to, sending.message);
+class SlicePublisher {
+ public:
+  void on_map(const PlacementMap& map, Moment now);
+  void on_subscribe(const Address& from, const Subscribe& subscribe, Moment now);
+  // Who subscribes and what they say is in force, with the age of that word.
+  std::vector<InForce> in_force(Moment now) const;
+  void forget_silent(Moment now, Span silence);
+  std::vector<Sending> take_out();
+  std::int64_t rows_sent() const { return rows_sent_; }
+
+ private:
+  struct Topic {
+    MapVersion sent;
+    std::map<std::string, std::string> rows;
+  };
+  struct Subscriber {
+    InForce report;
+    Moment heard;
+    std::map<std::string, Topic> topics;
+  };
+  void feed(const Address& to, Subscriber& subscriber, const std::string& name, Topic& topic, const MapVersion& known);
+
+  PlacementMap map_;
+  std::map<Address, Subscriber> subscribers_;
+  std::map<std::string, std::map<std::string, std::string>> rows_;  // of the map, cut once
+  std::vector<Sending> out_;
+  std::int64_t rows_sent_ = 0;
+};
+
+// The subscriber's side of one topic: versions never go back, and a change fits only its base.
+// Example: if (holder.apply(news)) use(holder.rows());
+class SliceHolder {
+ public:
+  bool apply(const SliceNews& news);
+  const MapVersion& version() const { return version_; }
+  Integer config_revision() const { return config_revision_; }
+  const std::map<std::string, std::string>& rows() const { return rows_; }
+
+ private:
+  MapVersion version_;
+  Integer config_revision_ = 0;
+  std::map<std::string, std::string> rows_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/placement-map/src/map_slices.cpp
@@ -0,0 +1,101 @@
+#include "emberdale/map_slices.hpp"
+
+#include "emberdale/avro_codec.hpp"
+
+namespace emberdale {
+
+std::string pool_topic(const PoolName& pool) { return "pool:" + pool.text; }
+
+std::map<std::string, std::string> slice_rows(const PlacementMap& map, const std::string& topic) {
+  std::map<std::string, std::string> rows;
+  if (topic == plans_topic) {
+    for (const auto& plan : map.plans) rows["plan/" + plan.name.text] = encode_plan_row(plan);
+    for (const auto& gateway : map.gateways) rows["gateway/" + gateway.daemon.text] = encode_gateway_row(gateway);
+    for (const auto& region : map.regions) rows["region/" + region.pool.text + "/" + region.region.text] = encode_region_row(region);
+    return rows;
+  }
+  for (const auto& runner : map.runners)
+    if (pool_topic(runner.pool) == topic) rows["runner/" + runner.name.text] = encode_runner_row(runner);
+  return rows;
+}
+
+void SlicePublisher::on_map(const PlacementMap& map, Moment) {
+  map_ = map;
+  rows_.clear();
+  for (auto& [address, subscriber] : subscribers_)
+    for (auto& [name, topic] : subscriber.topics) feed(address, subscriber, name, topic, topic.sent);
+}
+
+void SlicePublisher::feed(const Address& to, Subscriber&, const std::string& name, Topic& topic, const MapVersion& known) {
+  if (map_.version == MapVersion{}) return;
+  auto cut = rows_.find(name);
+  if (cut == rows_.end()) cut = rows_.emplace(name, slice_rows(map_, name)).first;
+  const auto& rows = cut->second;
+  SliceNews news;
+  news.topic = name;
+  news.version = map_.version;
+  news.config_revision = map_.config_revision;
+  // A subscriber that is further than this home is left alone: versions never go back.
+  if (map_.version < known) return;
+  news.whole = !(known == topic.sent) || known == MapVersion{};
+  news.base = known;
+  for (const auto& [key, body] : rows) {
+    auto old = topic.rows.find(key);
+    if (news.whole || old == topic.rows.end() || old->second != body) news.rows.push_back({key, {body}});
+  }
+  if (!news.whole)
+    for (const auto& [key, body] : topic.rows)
+      if (rows.count(key) == 0) news.gone.push_back(key);
+  rows_sent_ += static_cast<std::int64_t>(news.rows.size());
+  topic.sent = map_.version;
+  topic.rows = rows;
+  out_.push_back({to, std::move(news)});
+}
+
+void SlicePublisher::on_subscribe(const Address& from, const Subscribe& subscribe, Moment now) {
+  auto& subscriber = subscribers_[from];
+  subscriber.heard = now;
+  subscriber.report = InForce{subscribe.sender, subscribe.version, subscribe.config_revision, subscribe.granted, 0};
+  std::map<std::string, Topic> topics;
+  for (const auto& known : subscribe.topics) {
+    auto& topic = topics[known.topic] = std::move(subscriber.topics[known.topic]);
+    feed(from, subscriber, known.topic, topic, known.version);
+  }
+  subscriber.topics = std::move(topics);
+}
+
+std::vector<InForce> SlicePublisher::in_force(Moment now) const {
+  std::vector<InForce> reports;
+  for (const auto& [address, subscriber] : subscribers_) {
+    reports.push_back(subscriber.report);
+    reports.back().age = (now - subscriber.heard).value;
+  }
+  return reports;
+}
+
+void SlicePublisher::forget_silent(Moment now, Span silence) {
+  for (auto entry = subscribers_.begin(); entry != subscribers_.end();) {
+    if (now - entry->second.heard > silence) entry = subscribers_.erase(entry);
+    else ++entry;
+  }
+}
+
+std::vector<Sending> SlicePublisher::take_out() { return std::exchange(out_, {}); }
+
+bool SliceHolder::apply(const SliceNews& news) {
+  if (news.version < version_) return false;
+  if (news.whole) {
+    if (news.version == version_) return false;
+    rows_.clear();
+  } else {
+    if (!(news.base == version_)) return false;
+    if (news.version == version_ && news.rows.empty() && news.gone.empty()) return false;
+  }
+  for (const auto& row : news.rows) rows_[row.key] = row.body.data;
+  for (const auto& key : news.gone) rows_.erase(key);
+  version_ = news.version;
+  config_revision_ = news.config_revision;
+  return true;
+}
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/runner-seal/tests/runner_seal_test.cpp
@@ -0,0 +1,46 @@
+#include "emberdale/runner_seal.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace emberdale;
+using Step = StreamCheck::Step;
+
+TEST(RunnerSeal, IsBoundToCallRunnerIncarnationAndBody) {
+  std::string seal = seal_of("k", "c", "r", 1, "body");
+  EXPECT_EQ(seal, seal_of("k", "c", "r", 1, "body"));
+  EXPECT_NE(seal, seal_of("x", "c", "r", 1, "body"));
+  EXPECT_NE(seal, seal_of("k", "x", "r", 1, "body"));
+  EXPECT_NE(seal, seal_of("k", "c", "x", 1, "body"));
+  EXPECT_NE(seal, seal_of("k", "c", "r", 2, "body"));
+  EXPECT_NE(seal, seal_of("k", "c", "r", 1, "bodx"));
+}
+
+TEST(RunnerSeal, AStreamThatSkipsRepeatsSplicesOrEndsFalselyIsBroken) {
+  auto seal = [](const std::string& text) { return seal_of("k", "c", "r", 1, text); };
+  auto run = [](std::vector<StreamEvent> events) {
+    StreamCheck check("k", "c", "r", 1);
+    Step last = Step::broken;
+    for (const auto& event : events)
+      if ((last = check.take(event)) == Step::broken) return last;
+    return last;
+  };
+  StreamEvent one{"", "1", "a"}, two{"", "2", "b"}, three{"", "3", "c"};
+  EXPECT_EQ(run({one, two, {"sealed", "3", seal("a\nb\n")}}), Step::sealed);
+  EXPECT_EQ(run({one, three}), Step::broken);                                    // skips
+  EXPECT_EQ(run({one, one}), Step::broken);                                      // repeats
+  EXPECT_EQ(run({one, {"", "2", "x"}, {"sealed", "3", seal("a\nb\n")}}), Step::broken);  // splices
+  EXPECT_EQ(run({one, {"sealed", "2", seal("a\nb\n")}}), Step::broken);          // ends early
+  EXPECT_EQ(run({one, {"error", "", "gone"}}), Step::broken);
+}
+
+TEST(RunnerSeal, EventsAreCutWhereverTheBytesAreSplit) {
+  std::string text = event_text({"", "1", "a"}) + event_text({"sealed", "2", "s"});
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    EventCutter cutter;
+    auto events = cutter.feed(text.substr(0, cut));
+    for (auto& event : cutter.feed(text.substr(cut))) events.push_back(event);
+    ASSERT_EQ(events.size(), 2u) << cut;
+    EXPECT_EQ(events[1].event, "sealed");
+    EXPECT_EQ(cutter.waiting(), 0u);
+  }
+}
--- /dev/null
+++ b/packages/segmented-log/tests/segmented_log_test.cpp
@@ -0,0 +1,117 @@
+#include "emberdale/segmented_log.hpp"
+
+#include <gtest/gtest.h>
+#include <stdlib.h>
+
+using namespace emberdale;
+
+namespace {
+using Fault = MemoryFileSystem::Fault;
+
+// Writes numbered records, snapshots now and then, and returns the last number known to be durable.
+std::int64_t write_until_fault(SegmentedLog& log, std::int64_t first, std::int64_t last) {
+  std::int64_t durable = first - 1;
+  for (std::int64_t number = first; number <= last; ++number) {
+    if (!log.append({std::to_string(number) + std::string(40, 'x')}) || !log.sync()) return durable;
+    durable = number;
+    if (log.wants_snapshot() && !log.snapshot(std::to_string(number) + std::string(40, 'x'))) return durable;
+  }
+  return durable;
+}
+
+std::int64_t newest(const LogOpening& opening) {
+  return opening.records.empty() ? 0 : std::stoll(opening.records.back());
+}
+}  // namespace
+
+TEST(SegmentedLog, EveryNumberedPointKeepsWhatWasSynced) {
+  for (Fault fault : {Fault::power_cut, Fault::error, Fault::full, Fault::torn_error}) {
+    std::int64_t points_hit = 0;
+    for (std::int64_t point = 1; point < 400; ++point) {
+      auto disk = std::make_shared<MemoryFileSystem>();
+      disk->fault_at = point;
+      disk->fault = fault;
+      Dice dice(static_cast<std::uint64_t>(point));
+      std::int64_t durable = 0;
+      StoreId store;
+      {
+        SegmentedLog log(disk, 300);
+        auto opening = log.open("first");
+        if (opening) {
+          store = opening->store;
+          durable = write_until_fault(log, 1, 40);
+        }
+      }
+      if (disk->last_act.empty()) break;  // past the last point
+      ++points_hit;
+      disk->power_on(dice);
+      SegmentedLog again(disk, 300);
+      auto opening = again.open("second");
+      ASSERT_TRUE(opening) << disk->last_act << ": " << opening.reason;
+      EXPECT_FALSE(opening->was_corrupt) << disk->last_act << ": " << opening->finding;
+      EXPECT_GE(newest(*opening), durable) << "lost after " << disk->last_act;
+      if (durable > 0) {
+        EXPECT_EQ(opening->store, store) << disk->last_act;
+      }
+    }
+    EXPECT_GT(points_hit, 100);
+  }
+}
+
+TEST(SegmentedLog, AnyFlippedBitIsSeenAndGivesANewStore) {
+  int seen = 0;
+  for (std::size_t position = 0; position < 150; ++position) {
+    auto disk = std::make_shared<MemoryFileSystem>();
+    {
+      SegmentedLog log(disk, 100000);
+      ASSERT_TRUE(log.open("first"));
+      ASSERT_EQ(write_until_fault(log, 1, 3), 3);
+    }
+    disk->flip_bit("segment-1", position);
+    SegmentedLog again(disk, 100000);
+    auto opening = again.open("second");
+    ASSERT_TRUE(opening);
+    EXPECT_TRUE(opening->was_corrupt) << position;
+    EXPECT_EQ(opening->store.text, "second");
+    EXPECT_TRUE(opening->records.empty());
+    ++seen;
+  }
+  EXPECT_EQ(seen, 150);
+}
+
+TEST(SegmentedLog, AMissingIdentityNeverReadsAsEmpty) {
+  auto disk = std::make_shared<MemoryFileSystem>();
+  {
+    SegmentedLog log(disk, 100000);
+    ASSERT_TRUE(log.open("first"));
+    write_until_fault(log, 1, 3);
+  }
+  disk->remove("identity");
+  SegmentedLog again(disk, 100000);
+  auto opening = again.open("second");
+  ASSERT_TRUE(opening);
+  EXPECT_TRUE(opening->was_corrupt);
+}
+
+TEST(SegmentedLog, WorksOnARealFolderAndHoldsItAlone) {
+  char folder[] = "/tmp/emberdale-log-XXXXXX";
+  ASSERT_NE(mkdtemp(folder), nullptr);
+  {
+    auto files = open_disk_folder(folder);
+    ASSERT_TRUE(files) << files.reason;
+    EXPECT_FALSE(open_disk_folder(folder));
+    SegmentedLog log(*files, 300);
+    ASSERT_TRUE(log.open("first"));
+    EXPECT_EQ(write_until_fault(log, 1, 40), 40);
+    EXPECT_GT(log.segment(), 3);
+  }
+  auto files = open_disk_folder(folder);
+  ASSERT_TRUE(files);
+  SegmentedLog log(*files, 300);
+  auto opening = log.open("second");
+  ASSERT_TRUE(opening);
+  EXPECT_EQ(newest(*opening), 40);
+  EXPECT_EQ(opening->store.text, "first");
+  std::string removal = std::string("rm -r ") + folder;
+  EXPECT_EQ(system(removal.c_str()), 0);
+}
--- /dev/null
+++ b/packages/serving-plans/include/emberdale/serving_plans.hpp
@@ -0,0 +1,100 @@
+// Serving plans, zone orders and runners as operators declare them: reading, checking, matching.
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+// One thing that is wrong (or looks wrong) in a document, with its place.
+struct Finding {
+  std::string severity;  // "error" or "warning"
+  std::string document;  // e.g. "serving-plans/manifest-check"
+  std::string place;     // a JSON pointer, e.g. "/spill/limit_percent"
+  int line = 0, column = 0;
+  std::string message;
+};
+
+// Example: {"severity":"error","document":"zone-orders/a","place":"/state","line":1,"column":11,...}
+std::string findings_json(const std::vector<Finding>& findings);
+bool has_errors(const std::vector<Finding>& findings);
+
+struct ServingPlan {
+  PlanName name;
+  std::string service;
+  std::string path, method;
+  std::map<std::string, std::string> headers;
+  PoolName pool;
+  RegionName home;          // work with a home region; empty: free, or by header
+  std::string home_header;  // the header that names the home region of one call
+  bool may_spill = false;
+  std::int64_t spill_percent = 0;
+  bool is_repeatable = false;
+  bool is_streaming = false;
+  std::int64_t horizon_ms = 10000;
+  std::int64_t prefix_bytes = 0;
+  std::int64_t max_body_bytes = 1 << 20;
+};
+
+struct ZoneOrder {
+  ZoneName zone;
+  bool is_emptied = false;
+};
+
+struct RunnerEntry {
+  RunnerName name;
+  std::string http;
+  PoolName pool;
+  ZoneName zone;
+  RegionName region;
+  bool is_leaving = false;
+  std::string seal_key;
+};
+
+inline constexpr const char* plans_kind = "serving-plans";
+inline constexpr const char* orders_kind = "zone-orders";
+inline constexpr const char* runners_kind = "runners";
+
+// Each reads one document and adds all its findings; gives a value only without errors.
+// Example: auto plan = read_plan("p", R"({"service":"s",...})", findings);
+std::optional<ServingPlan> read_plan(const std::string& name, const std::string& body, std::vector<Finding>& findings);
+std::optional<ZoneOrder> read_order(const std::string& name, const std::string& body, std::vector<Finding>& findings);
+std::optional<RunnerEntry> read_runner(const std::string& name, const std::string& body, std::vector<Finding>& findings);
+
+// All documents of a state read into aggregates. Example: read_configuration(state.resources, findings).plans
+struct Configuration {
+  std::vector<ServingPlan> plans;
+  std::vector<ZoneOrder> orders;
+  std::vector<RunnerEntry> runners;
+};
+Configuration read_configuration(const std::vector<Resource>& resources, std::vector<Finding>& findings);
+
+// The rules between documents. Example: cross_check(configuration, findings)
+void cross_check(const Configuration& configuration, std::vector<Finding>& findings);
+
+// JSON merge patch (RFC 7396). Example: *merge_patch(R"({"a":1})", R"({"a":null})") == "{}"
+Outcome<std::string> merge_patch(const std::string& body, const std::string& patch);
+
+// One declared change worked out on a state: the resources after it, or why not.
+struct EditResult {
+  int code = 200;  // 200, 201, 400, 404, 412, 422
+  Integer version = 0;
+  std::vector<Resource> resources;
+  std::vector<Finding> findings;
+  std::string reason;
+};
+// Example: apply_edit(state, edit, state.config_revision + 1).code == 412 for a stale version
+EditResult apply_edit(const FleetState& state, const EditAsk& edit, Integer revision);
+
+// Which plan claims a call. Example: match_plan(plans, "POST", "/v1/chats", headers)
+struct PlanMatch {
+  const ServingPlan* plan = nullptr;
+  bool is_path_known = false;  // some plan has the path, with another method or headers
+};
+PlanMatch match_plan(const std::vector<ServingPlan>& plans, const std::string& method, const std::string& path,
+                     const std::map<std::string, std::string>& headers);
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/serving-plans/tests/serving_plans_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/packages/sibling-links/include/emberdale/sibling_links.hpp
@@ -0,0 +1,68 @@
+// Links between the system's own processes: framed Avro over TCP, one way a link, best effort.
+#pragma once
+#include <boost/asio.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "emberdale/messages.hpp"
+
+namespace emberdale {
+
+// What a test does to the links of one process (only under --allow-link-faults).
+struct LinkFault {
+  bool is_cut_out = false;  // frames to that sibling vanish
+  bool is_cut_in = false;   // frames from that sibling vanish
+  Span delay{0};            // frames to that sibling wait this long
+};
+
+struct LinkCounts {
+  std::int64_t frames_out = 0, frames_in = 0, frames_dropped = 0, bytes_out = 0, refused_frames = 0;
+};
+
+// All calls on the one control thread that runs the io_context.
+// Example: SiblingLinks links(context, {"127.0.0.1:7000"}, on_message); links.listen(); links.send(to, message);
+class SiblingLinks {
+ public:
+  using OnMessage = std::function<void(const Address& from, Message message)>;
+  SiblingLinks(boost::asio::io_context& context, Address self, OnMessage on_message);
+  ~SiblingLinks();
+
+  // Example: auto listens = links.listen(); if (!listens) LOG(ERROR) << listens.reason;
+  Outcome<bool> listen();
+
+  // Never blocks; a frame that can't leave is dropped and counted. Example: links.send(sibling, Ping{});
+  void send(const Address& to, const Message& message);
+
+  // Example: links.set_fault({"127.0.0.1:7001"}, {true, false, Span{0}});
+  void set_fault(const Address& sibling, LinkFault fault);
+  void clear_faults();
+
+  const LinkCounts& counts() const { return counts_; }
+
+ private:
+  struct OutLink;
+  struct InLink;
+  void accept_next();
+  void dial(const std::shared_ptr<OutLink>& link);
+  void write_next(const std::shared_ptr<OutLink>& link);
+  void drop(const std::shared_ptr<OutLink>& link);
+  void read_next(const std::shared_ptr<InLink>& link);
+  void queue_frame(const Address& to, std::shared_ptr<std::string> frame);
+
+  boost::asio::io_context& context_;
+  Address self_;
+  OnMessage on_message_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::map<Address, std::shared_ptr<OutLink>> out_links_;
+  std::map<Address, LinkFault> faults_;
+  LinkCounts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+// Example: split_address("127.0.0.1:80")->second == 80
+Outcome<std::pair<std::string, int>> split_address(const std::string& text);
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/sibling-links/src/sibling_links.cpp
@@ -0,0 +1,237 @@
+#include "emberdale/sibling_links.hpp"
+
+#include <glog/logging.h>
+
+#include <cstring>
+
+#include "emberdale/avro_codec.hpp"
+
+namespace emberdale {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+constexpr std::size_t max_frame = 8u << 20;
+constexpr std::size_t max_pending_frames = 512;
+constexpr std::uint32_t hello_mark = 0x454d4244;  // "EMBD"
+
+template <class T>
+void put(std::string& out, T number) {
+  for (std::size_t i = 0; i < sizeof(T); ++i) out.push_back(static_cast<char>(number >> (8 * i)));
+}
+template <class T>
+T get(const char* start) {
+  T number = 0;
+  for (std::size_t i = 0; i < sizeof(T); ++i)
+    number |= static_cast<T>(static_cast<unsigned char>(start[i])) << (8 * i);
+  return number;
+}
+}  // namespace
+
+Outcome<std::pair<std::string, int>> split_address(const std::string& text) {
+  auto colon = text.rfind(':');
+  if (colon == std::string::npos) return failure("'" + text + "' is not IP:PORT");
+  boost::system::error_code fault;
+  asio::ip::make_address(text.substr(0, colon), fault);
+  if (fault) return failure("'" + text + "' does not start with an IP number");
+  int port = 0;
+  for (char digit : text.substr(colon + 1)) {
+    if (digit < '0' || digit > '9') return failure("'" + text + "' has no port number");
+    port = port * 10 + (digit - '0');
+    if (port > 65535) return failure("'" + text + "' has a port above 65535");
+  }
+  if (port == 0) return failure("'" + text + "' has no port number");
+  return std::make_pair(text.substr(0, colon), port);
+}
+
+struct SiblingLinks::OutLink {
+  explicit OutLink(asio::io_context& context) : socket(context) {}
+  Address to;
+  tcp::socket socket;
+  std::deque<std::shared_ptr<std::string>> pending;
+  bool is_up = false, is_dialling = false, is_writing = false;
+};
+
+struct SiblingLinks::InLink {
+  explicit InLink(tcp::socket accepted) : socket(std::move(accepted)) {}
+  tcp::socket socket;
+  Address from;
+  char head[4];
+  std::string body;
+};
+
+SiblingLinks::SiblingLinks(asio::io_context& context, Address self, OnMessage on_message)
+    : context_(context), self_(std::move(self)), on_message_(std::move(on_message)), acceptor_(context) {}
+
+SiblingLinks::~SiblingLinks() {
+  *alive_ = false;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (auto& [to, link] : out_links_) link->socket.close(ignored);
+}
+
+Outcome<bool> SiblingLinks::listen() {
+  auto place = split_address(self_.text);
+  if (!place) return failure(place.reason);
+  boost::system::error_code fault;
+  tcp::endpoint endpoint(asio::ip::make_address(place->first, fault), static_cast<unsigned short>(place->second));
+  acceptor_.open(endpoint.protocol(), fault);
+  acceptor_.set_option(tcp::acceptor::reuse_address(true), fault);
+  acceptor_.bind(endpoint, fault);
+  if (!fault) acceptor_.listen(256, fault);
+  if (fault) return failure("can't listen on " + self_.text + ": " + fault.message());
+  accept_next();
+  return true;
+}
+
+void SiblingLinks::accept_next() {
+  acceptor_.async_accept([this, alive = alive_](boost::system::error_code fault, tcp::socket socket) {
+    if (!*alive) return;
+    if (!fault) {
+      boost::system::error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      read_next(std::make_shared<InLink>(std::move(socket)));
+    }
+    if (fault != asio::error::operation_aborted) accept_next();
+  });
+}
+
+void SiblingLinks::read_next(const std::shared_ptr<InLink>& link) {
+  asio::async_read(link->socket, asio::buffer(link->head, 4),
+                   [this, link, alive = alive_](boost::system::error_code fault, std::size_t) {
+    if (fault || !*alive) return;
+    auto size = get<std::uint32_t>(link->head);
+    if (size > max_frame) {
+      ++counts_.refused_frames;
+      return;  // the link closes as its last owner goes
+    }
+    link->body.resize(size);
+    asio::async_read(link->socket, asio::buffer(link->body.data(), size),
+                     [this, link, alive](boost::system::error_code broken, std::size_t) {
+      if (broken || !*alive) return;
+      if (link->from.empty()) {  // the first frame says who speaks, and in which protocol
+        if (link->body.size() < 12 || get<std::uint32_t>(link->body.data()) != hello_mark ||
+            get<std::uint64_t>(link->body.data() + 4) != protocol_fingerprint()) {
+          ++counts_.refused_frames;
+          LOG(WARNING) << "link refused: other protocol";
+          return;
+        }
+        link->from.text = link->body.substr(12);
+        return read_next(link);
+      }
+      ++counts_.frames_in;
+      auto fault_entry = faults_.find(link->from);
+      if (fault_entry == faults_.end() || !fault_entry->second.is_cut_in) {
+        auto message = decode_message(link->body);
+        if (!message) {
+          ++counts_.refused_frames;
+          return;
+        }
+        on_message_(link->from, std::move(*message));
+      }
+      read_next(link);
+    });
+  });
+}
+
+void SiblingLinks::send(const Address& to, const Message& message) {
+  std::string body = encode_message(message);
+  auto frame = std::make_shared<std::string>();
+  put<std::uint32_t>(*frame, static_cast<std::uint32_t>(body.size()));
+  *frame += body;
+  auto fault = faults_.find(to);
+  if (fault != faults_.end()) {
+    if (fault->second.is_cut_out) {
+      ++counts_.frames_dropped;
+      return;
+    }
+    if (fault->second.delay.value > 0) {
+      auto alarm = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(fault->second.delay.value));
+      alarm->async_wait([this, alarm, to, frame, alive = alive_](boost::system::error_code) {
+        if (*alive) queue_frame(to, frame);
+      });
+      return;
+    }
+  }
+  queue_frame(to, std::move(frame));
+}
+
+void SiblingLinks::queue_frame(const Address& to, std::shared_ptr<std::string> frame) {
+  auto& link = out_links_[to];
+  if (!link) {
+    link = std::make_shared<OutLink>(context_);
+    link->to = to;
+  }
+  if (link->pending.size() >= max_pending_frames) {
+    ++counts_.frames_dropped;
+    return;
+  }
+  link->pending.push_back(std::move(frame));
+  if (!link->is_up) {
+    if (!link->is_dialling) dial(link);
+  } else if (!link->is_writing) {
+    write_next(link);
+  }
+}
+
+void SiblingLinks::dial(const std::shared_ptr<OutLink>& link) {
+  auto place = split_address(link->to.text);
+  if (!place) return drop(link);
+  link->is_dialling = true;
+  boost::system::error_code ignored;
+  tcp::endpoint endpoint(asio::ip::make_address(place->first, ignored), static_cast<unsigned short>(place->second));
+  link->socket.async_connect(endpoint, [this, link, alive = alive_](boost::system::error_code fault) {
+    if (!*alive) return;
+    link->is_dialling = false;
+    if (fault) return drop(link);
+    boost::system::error_code ignored_fault;
+    link->socket.set_option(tcp::no_delay(true), ignored_fault);
+    link->is_up = true;
+    std::string hello;
+    put<std::uint32_t>(hello, hello_mark);
+    put<std::uint64_t>(hello, protocol_fingerprint());
+    hello += self_.text;
+    auto frame = std::make_shared<std::string>();
+    put<std::uint32_t>(*frame, static_cast<std::uint32_t>(hello.size()));
+    *frame += hello;
+    link->pending.push_front(frame);
+    // Nothing is ever read on this side: an end of file tells that the sibling has gone.
+    auto byte = std::make_shared<char>();
+    asio::async_read(link->socket, asio::buffer(byte.get(), 1),
+                     [this, link, byte, alive](boost::system::error_code, std::size_t) {
+      if (*alive) drop(link);
+    });
+    write_next(link);
+  });
+}
+
+void SiblingLinks::write_next(const std::shared_ptr<OutLink>& link) {
+  if (!link->is_up || link->pending.empty()) return;
+  link->is_writing = true;
+  auto frame = link->pending.front();
+  asio::async_write(link->socket, asio::buffer(*frame),
+                    [this, link, frame, alive = alive_](boost::system::error_code fault, std::size_t size) {
+    if (!*alive) return;
+    link->is_writing = false;
+    if (fault) return drop(link);
+    ++counts_.frames_out;
+    counts_.bytes_out += static_cast<std::int64_t>(size);
+    if (!link->pending.empty() && link->pending.front() == frame) link->pending.pop_front();
+    write_next(link);
+  });
+}
+
+void SiblingLinks::drop(const std::shared_ptr<OutLink>& link) {
+  auto entry = out_links_.find(link->to);
+  if (entry == out_links_.end() || entry->second != link) return;
+  counts_.frames_dropped += static_cast<std::int64_t>(link->pending.size());
+  boost::system::error_code ignored;
+  link->socket.close(ignored);
+  out_links_.erase(entry);
+}
+
+void SiblingLinks::set_fault(const Address& sibling, LinkFault fault) { faults_[sibling] = fault; }
+void SiblingLinks::clear_faults() { faults_.clear(); }
+
+}  // namespace emberdale
