--- a/packages/call-matching/include/emberdale/traffic_view.hpp
+++ b/packages/call-matching/include/emberdale/traffic_view.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
  private:
   void fold();
   std::map<std::string, SliceHolder> holders_;
+  std::set<std::string> topics_{plans_topic};
   std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
 };
 
--- a/packages/call-matching/src/traffic_view.cpp
+++ b/packages/call-matching/src/traffic_view.cpp
@@ -14,9 +14,7 @@
 }
 
 std::vector<std::string> SliceBook::topics() const {
-  std::set<std::string> names{plans_topic};
-  for (const auto& plan : view_->plans) names.insert(pool_topic(plan.pool));
-  return {names.begin(), names.end()};
+  return {topics_.begin(), topics_.end()};
 }
 
 std::vector<TopicKnown> SliceBook::known() const {
@@ -45,11 +43,20 @@
       view->regions[{row->pool, row->region}] = *row;
     }
   }
-  std::set<std::string> wanted{plans_topic};
+  topics_ = {plans_topic};
+  for (const auto& plan : view->plans) topics_.insert(pool_topic(plan.pool));
+  for (auto entry = holders_.begin(); entry != holders_.end();) {
+    if (topics_.count(entry->first) == 0) entry = holders_.erase(entry);
+    else ++entry;
+  }
+  // A plan that names a new pool is not looked at before the pool is here: until then the old view
+  // serves, as long as its grant lasts. (Folding it at once sent every daemon back to version 0.)
+  for (const auto& topic : topics_)
+    if (holders_[topic].version() == MapVersion{}) return;
+  std::set<PoolName> folded;
   for (const auto& plan : view->plans) {
-    std::string topic = pool_topic(plan.pool);
-    if (!wanted.insert(topic).second) continue;
-    const auto& holder = holders_[topic];
+    if (!folded.insert(plan.pool).second) continue;
+    const auto& holder = holders_[pool_topic(plan.pool)];
     view->version = std::min(view->version, holder.version());
     view->config_revision = std::min(view->config_revision, holder.config_revision());
     auto& pool = view->pools[plan.pool];
@@ -60,10 +67,8 @@
       view->runners[row->name] = std::move(*row);
     }
   }
-  for (auto entry = holders_.begin(); entry != holders_.end();) {
-    if (wanted.count(entry->first) == 0) entry = holders_.erase(entry);
-    else ++entry;
-  }
+  // A pool that has just come in from a home that lags would take the whole back.
+  if (view->version < view_->version) return;
   view_ = std::move(view);
 }
 
