--- a/packages/fleet-simulator/src/fleet_simulation.cpp
+++ b/packages/fleet-simulator/src/fleet_simulation.cpp
@@ -262,7 +262,6 @@
   at(now_ + wait, [this, name, life, last, is_refused] {
     Node& woken = node(name);
     if (!woken.is_up || woken.life != life) return;
-    woken.is_writing = false;
     if (is_refused) {
       woken.to_write.clear();  // all of it was thought out on top of the refused write
       woken.control->write_refused(last);
@@ -278,6 +277,7 @@
       });
       if (!woken.is_frozen && woken.log->wants_snapshot()) woken.log->snapshot(woken.control->acceptor()->picture());
     }
+    woken.is_writing = false;
     start_writing(woken);
   });
 }
