--- a/packages/call-matching/include/emberdale/call_desk.hpp
+++ b/packages/call-matching/include/emberdale/call_desk.hpp
@@ -124,10 +124,12 @@
     bool is_cold = false, has_report = false;
     MapVersion shunned_at;  // not used until the map moves past this version...
     Moment shunned_until;   // ...or this moment is past
+    bool is_reachable = true;  // false: no link came up; else it is the last resort while shunned
   };
   const ServingPlan* plan_of(const Call& call) const;
   std::optional<RunnerName> match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const;
-  std::optional<RunnerName> match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now) const;
+  std::optional<RunnerName> match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now,
+                                     bool is_last_resort) const;
   Integer burden_of(const RunnerRow& row, const Link& link) const;
   Integer bound_of(const RunnerRow& row, const Link& link) const;
   bool try_send(CallIndex index, Call& call, Moment now);
--- a/packages/call-matching/src/call_desk.cpp
+++ b/packages/call-matching/src/call_desk.cpp
@@ -122,7 +122,8 @@
   return row.capacity;
 }
 
-std::optional<RunnerName> CallDesk::match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now) const {
+std::optional<RunnerName> CallDesk::match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now,
+                                             bool is_last_resort) const {
   auto pool = view_->pools.find(plan.pool);
   if (pool == view_->pools.end()) return std::nullopt;
   struct Choice {
@@ -140,7 +141,8 @@
     if (std::find(call.tried.begin(), call.tried.end(), name) != call.tried.end()) continue;
     auto entry = links_.find(name);
     const Link& link = entry == links_.end() ? blank : entry->second;
-    if (now < link.shunned_until && !(link.shunned_at < view_->version && link.incarnation != row.incarnation)) continue;
+    bool is_shunned = now < link.shunned_until && !(link.shunned_at < view_->version && link.incarnation != row.incarnation);
+    if (is_shunned && !(is_last_resort && link.is_reachable)) continue;
     bool is_cold = row.status == "cold" || (link.is_cold && link.incarnation == row.incarnation);
     Integer bound = bound_of(row, link);
     // A cold runner is bounded by this daemon's own grant; a warm one by its whole burden.
@@ -162,23 +164,24 @@
 
 std::optional<RunnerName> CallDesk::match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const {
   is_spill = false;
-  if (auto runner = match_in(call, plan, settings_.region, now)) return runner;
-  if (!call.home.empty() || !plan.may_spill) return std::nullopt;
+  if (auto runner = match_in(call, plan, settings_.region, now, false)) return runner;
+  if (!call.home.empty() || !plan.may_spill) return match_in(call, plan, settings_.region, now, true);
   // Nothing is free at home: what may, spills, up to the plan's share of what is in flight.
   auto counts = in_flight_.find(plan.name);
   Integer all = counts == in_flight_.end() ? 0 : counts->second.first;
   Integer spilled = counts == in_flight_.end() ? 0 : counts->second.second;
   auto home_row = view_->regions.find({plan.pool, settings_.region});
   bool is_home_dead = home_row == view_->regions.end() || home_row->second.capacity == 0;
-  if (!is_home_dead && (spilled + 1) * 100 > std::max<Integer>(all + 1, 4) * plan.spill_percent) return std::nullopt;
+  if (!is_home_dead && (spilled + 1) * 100 > std::max<Integer>(all + 1, 4) * plan.spill_percent)
+    return match_in(call, plan, settings_.region, now, true);
   for (const auto& [where, row] : view_->regions) {
     if (where.first != plan.pool || where.second == settings_.region || row.capacity == 0) continue;
-    if (auto runner = match_in(call, plan, where.second, now)) {
+    if (auto runner = match_in(call, plan, where.second, now, false)) {
       is_spill = true;
       return runner;
     }
   }
-  return std::nullopt;
+  return match_in(call, plan, settings_.region, now, true);
 }
 
 bool CallDesk::try_send(CallIndex index, Call& call, Moment now) {
@@ -239,6 +242,7 @@
   if (end.reason == "no link" || end.reason == "link broke") {
     link.shunned_at = view_->version;
     link.shunned_until = now + shun_time;
+    link.is_reachable = end.reason != "no link";
     auto row = view_->runners.find(call.runner);
     link.incarnation = row == view_->runners.end() ? 0 : row->second.incarnation;
   }
@@ -248,6 +252,7 @@
     if (row != view_->runners.end() && row->second.incarnation != end.incarnation) {
       link.shunned_at = view_->version;
       link.shunned_until = now + shun_time;
+      link.is_reachable = false;
       link.incarnation = row->second.incarnation;
     }
   }
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -244,6 +244,8 @@
 std::shared_ptr<web::http::client::http_client> CallRelay::client_for(const SendAct& act) {
   web::http::client::http_client_config config;
   config.set_timeout(std::chrono::seconds(600));  // the horizon is kept by the alarm
+  // A call that must not run twice never goes over a link that was used before: the library would
+  // send it again by itself when such a link turns out closed (HttpClientBehaviour shows it).
   if (!act.is_repeatable) return std::make_shared<web::http::client::http_client>("http://" + act.http, config);
   auto& client = clients_[act.http];
   if (!client) client = std::make_shared<web::http::client::http_client>("http://" + act.http, config);
@@ -265,9 +267,6 @@
   if (!handle->caller_id.empty()) request.headers().add("X-Call-Id", handle->caller_id);
   request.headers().add("X-Emberdale-Incarnation", std::to_string(act.incarnation));
   request.headers().add("X-Emberdale-Horizon-Ms", std::to_string((act.horizon - now).value));
-  // A call that must not run twice never goes over a link that was used before: the client would
-  // send it again by itself when such a link turns out closed.
-  if (!act.is_repeatable) request.headers().add("Connection", "close");
   if (act.method != "GET") {
     request.set_body(handle->body);
     request.headers().set_content_type("application/json");
--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -233,7 +233,6 @@
     web::http::client::http_client client("http://" + http, config);
     web::http::http_request request("GET");
     request.set_request_uri(path);
-    request.headers().add("Connection", "close");
     return client.request(request).get().extract_string(true).get();
   } catch (const std::exception&) {
     return std::nullopt;
--- a/packages/fleet-starter/src/trial_main.cpp
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -127,7 +127,7 @@
     fleet.end(master, SIGKILL);
     std::string next;
     while ((next = fleet.master_name()).empty() && since(killed) < 30000) std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    events.push_back({{"event", "master killed"}, {"was", master}, {"next", next}, {"new_master_after_ms", since(killed)}});
+    events.push_back({{"at_ms", since(start)}, {"event", "master killed"}, {"was", master}, {"next", next}, {"new_master_after_ms", since(killed)}});
     fleet.begin(master);
   }
   if (is_wanted("runner")) {
@@ -135,19 +135,19 @@
     fleet.end("model-2", SIGKILL);
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
     fleet.begin("model-2");
-    events.push_back({{"event", "runner model-2 killed and started again cold"}});
+    events.push_back({{"at_ms", since(start)}, {"event", "runner model-2 killed and started again cold"}});
   }
   if (is_wanted("zone")) {
     wait_until(0.6);
     auto ordered = Clock::now();
     auto ended = fleet.client({"evacuate", emptied_zone, "--wait"});
     emptied_at = wall_ms();
-    events.push_back({{"event", "zone emptied"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+    events.push_back({{"at_ms", since(start)}, {"event", "zone emptied"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
     wait_until(0.85);
     taken_back_at = wall_ms();
     ordered = Clock::now();
     ended = fleet.client({"take-back", emptied_zone, "--wait"});
-    events.push_back({{"event", "zone taken back"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+    events.push_back({{"at_ms", since(start)}, {"event", "zone taken back"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
   }
   int callers_status = fleet.wait_program(callers);
 
@@ -164,7 +164,13 @@
   std::map<std::string, std::string> outcome_of;
   std::ifstream outcomes(fleet.folder() + "/outcomes");
   std::string id, kind, outcome;
-  while (outcomes >> id >> kind >> outcome) outcome_of[id] = outcome;
+  std::int64_t asked_at = 0;
+  std::map<std::int64_t, std::map<std::string, int>> not_served;  // by second of the load
+  while (outcomes >> id >> kind >> outcome >> asked_at) {
+    outcome_of[id] = outcome;
+    if (outcome != "served") ++not_served[asked_at / 1000][outcome];
+  }
+  for (const auto& [second, kinds] : not_served) result["not_served_by_second"].push_back({{"second", second}, {"calls", kinds}});
   std::int64_t twice = 0, after_refusal = 0, abroad = 0, in_emptied = 0;
   for (const auto& run : ledgers.runs) {
     bool is_repeatable = run.call.rfind("slot-confirmation", 0) == 0 || run.call.rfind("receipt-lookup", 0) == 0;
--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -78,7 +78,6 @@
         web::http::client::http_client client("http://" + address, config);
         http_request request(method);
         request.set_request_uri(path);
-        request.headers().add("Connection", "close");
         if (if_match == "0") request.headers().add("If-None-Match", "*");
         else if (!if_match.empty()) request.headers().add("If-Match", "\"" + if_match + "\"");
         if (!body.empty()) request.set_body(body, "application/json");
--- a/packages/stand-ins/src/caller_stand_in.cpp
+++ b/packages/stand-ins/src/caller_stand_in.cpp
@@ -33,7 +33,7 @@
   --seed N           Seed of the mix [default: 1].
   --moving SHARE     Share of callers that ask at the wrong region [default: 0.05].
   --report FILE      Write the counts here as JSON as well.
-  --outcomes FILE    Write one line a call: id, kind, outcome.
+  --outcomes FILE    Write one line a call: id, kind, outcome, ms from the start.
   -h --help          Show this.
 )";
 
@@ -61,7 +61,7 @@
   std::ofstream outcomes;
 
   void run(double rate, double seconds) {
-    auto start = std::chrono::steady_clock::now();
+    auto start = start_ = std::chrono::steady_clock::now();
     auto total = static_cast<std::int64_t>(rate * seconds);
     for (std::int64_t i = 0; i < total; ++i) {
       std::this_thread::sleep_until(start + std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(i) * 1e6 / rate)));
@@ -140,7 +140,6 @@
     request.set_request_uri(call->kind->path);
     request.headers().add("X-Call-Id", call->id);
     if (call->kind->is_homed) request.headers().add("X-Home-Region", call->home);
-    request.headers().add("Connection", "close");
     request.set_body(call->body, "application/json");
     client->request(request).then([this, call, client](pplx::task<http_response> asking) {
       try {
@@ -272,7 +271,7 @@
       ++counts_[call->kind->name + " " + outcome];
       if (!why.empty()) ++counts_["why: " + outcome + ": " + why.substr(0, 80)];
       if (outcome == "served") times_[call->kind->name].push_back(ms);
-      if (outcomes.is_open()) outcomes << call->id << ' ' << call->kind->name << ' ' << outcome << '\n';
+      if (outcomes.is_open()) outcomes << call->id << ' ' << call->kind->name << ' ' << outcome << ' ' << std::chrono::duration_cast<std::chrono::milliseconds>(call->begun - start_).count() << '\n';
     }
     --in_hand_;
   }
@@ -282,6 +281,7 @@
   std::vector<std::string> regions_;
   Dice dice_;
   double moving_;
+  std::chrono::steady_clock::time_point start_;
   std::atomic<std::int64_t> in_hand_{0};
   std::mutex mutex_;
   std::map<std::string, std::int64_t> counts_;
