--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -1,1 +1,223 @@
 #include <gtest/gtest.h>
+
+#include <set>
+
+#include "emberdale/call_desk.hpp"
+
+using namespace emberdale;
+
+namespace {
+
+const std::vector<AcceptorEntry> cores{{StoreId{"s1"}, Address{"c1"}}, {StoreId{"s2"}, Address{"c2"}}, {StoreId{"s3"}, Address{"c3"}}};
+
+ReadAnswer answer(Integer ask, const std::string& store, MapVersion floor, Integer ballot = 5) {
+  ReadAnswer made;
+  made.ask = ask;
+  made.store.text = store;
+  made.accepted = {ballot, Address{"p"}};
+  made.floor = floor;
+  made.acceptors = cores;
+  return made;
+}
+
+std::shared_ptr<TrafficView> view_with(int warm, const std::string& plan_extra, MapVersion version = {1, 1}) {
+  auto view = std::make_shared<TrafficView>();
+  view->version = version;
+  std::vector<Finding> findings;
+  view->plans.push_back(*read_plan("plan", R"({"service":"s","match":{"path":"/x"},"pool":"p")" + plan_extra + "}", findings));
+  for (int i = 0; i < warm; ++i) {
+    RunnerRow row;
+    row.name.text = "r" + std::to_string(i);
+    row.pool.text = "p";
+    row.region.text = i % 2 == 0 ? "here" : "there";
+    row.status = "warm";
+    row.capacity = 4;
+    row.incarnation = 1;
+    view->runners[row.name] = row;
+    view->pools[row.pool].push_back(row.name);
+    auto& region = view->regions[{row.pool, row.region}];
+    region = {row.pool, row.region, region.capacity + row.capacity, 0, false};
+  }
+  return view;
+}
+
+DeskSettings here() {
+  DeskSettings settings;
+  settings.self.text = "d1";
+  settings.region.text = "here";
+  return settings;
+}
+
+ArrivingCall call(const std::string& id, const std::string& prefix = "") {
+  ArrivingCall made;
+  made.id.text = id;
+  made.method = "POST";
+  made.path = "/x";
+  made.prefix = prefix;
+  return made;
+}
+
+const Grant always{Moment{1000000}, {1, 1}};
+
+}  // namespace
+
+TEST(GrantKeeper, CountsFromBeforeTheAskAndNeedsAMajorityThatShowsNoNewerFloor) {
+  GrantKeeper keeper;
+  keeper.learn_acceptors(cores);
+  keeper.ask(Moment{100});
+  EXPECT_EQ(keeper.take_out().size(), 3u);
+  keeper.on_answer(answer(1, "s1", {1, 4}), {1, 4}, Moment{900});
+  keeper.on_answer(answer(1, "s1", {1, 4}), {1, 4}, Moment{900});  // the same copy twice is one
+  EXPECT_LT(keeper.grant().until.value, 0);
+  keeper.on_answer(answer(1, "s2", {1, 4}), {1, 4}, Moment{1500});
+  EXPECT_EQ(keeper.grant().until.value, 100 + grant_length.value);
+  // One copy of the majority shows a newer floor: no grant for the old map ...
+  keeper.ask(Moment{2000});
+  keeper.on_answer(answer(2, "s1", {1, 4}), {1, 4}, Moment{2010});
+  keeper.on_answer(answer(2, "s3", {1, 5}, 6), {1, 4}, Moment{2020});
+  EXPECT_EQ(keeper.grant().until.value, 100 + grant_length.value);
+  // ... until the newer map is here; the time still counts from before the ask.
+  keeper.on_version({1, 5});
+  EXPECT_EQ(keeper.grant().until.value, 2000 + grant_length.value);
+  EXPECT_EQ(keeper.grant().floor, (MapVersion{1, 5}));
+}
+
+TEST(GrantKeeper, AStoreThatIsNotOfTheSetGivesNoProof) {
+  GrantKeeper keeper;
+  keeper.learn_acceptors(cores);
+  keeper.ask(Moment{100});
+  keeper.on_answer(answer(1, "s1", {1, 4}), {1, 4}, Moment{110});
+  keeper.on_answer(answer(1, "wiped", {1, 4}), {1, 4}, Moment{110});
+  EXPECT_LT(keeper.grant().until.value, 0);
+}
+
+TEST(CallDesk, SendsOnlyUnderAGrantThatCoversItsMap) {
+  CallDesk desk(here());
+  desk.see(view_with(2, ""), Moment{0});
+  EXPECT_EQ(desk.arrive(call("a"), Moment{0}, 1)->code, 503);
+  desk.set_grant({Moment{1000}, {1, 2}});  // proven for a newer map only
+  EXPECT_EQ(desk.arrive(call("b"), Moment{0}, 2)->code, 503);
+  desk.set_grant({Moment{1000}, {1, 1}});
+  EXPECT_FALSE(desk.arrive(call("c"), Moment{0}, 3));
+  EXPECT_EQ(desk.arrive(call("d"), Moment{1000}, 4)->code, 503);  // run out
+  auto sends = desk.take_sends();
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_EQ(sends[0].call, 3);
+}
+
+TEST(CallDesk, TheSamePrefixGoesToTheSameRunnerUntilThatOneIsLoaded) {
+  CallDesk desk(here());
+  desk.set_grant(always);
+  desk.see(view_with(12, R"(,"prefix_bytes":8)"), Moment{0});
+  std::map<std::string, int> by_runner;
+  for (CallIndex i = 1; i <= 2; ++i) desk.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
+  for (auto& act : desk.take_sends()) ++by_runner[act.runner.text];
+  EXPECT_EQ(by_runner.size(), 1u);
+  for (CallIndex i = 3; i <= 14; ++i) desk.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
+  for (auto& act : desk.take_sends()) ++by_runner[act.runner.text];
+  EXPECT_GT(by_runner.size(), 2u);  // a crowd with one opening is spread
+  for (auto& [runner, count] : by_runner) EXPECT_LE(count, 4) << runner;
+}
+
+TEST(CallDesk, AColdRunnerGetsNoMoreThanThisDaemonsGrant) {
+  CallDesk desk(here());
+  desk.set_grant(always);
+  auto view = view_with(1, "");
+  auto& row = view->runners.begin()->second;
+  row.status = "cold";
+  row.allowance = 3;
+  row.grants = {{Address{"d1"}, 2}, {Address{"d2"}, 1}};
+  desk.see(view, Moment{0});
+  for (CallIndex i = 1; i <= 6; ++i) desk.arrive(call("c" + std::to_string(i)), Moment{0}, i);
+  EXPECT_EQ(desk.take_sends().size(), 2u);
+}
+
+TEST(CallDesk, HomedWorkIsNeverMatchedAbroadAndFreeWorkSpillsWithinItsLimit) {
+  CallDesk homed(here());
+  homed.set_grant(always);
+  homed.see(view_with(4, R"(,"home":{"header":"x-home"})"), Moment{0});
+  auto abroad = call("a");
+  abroad.headers["x-home"] = "there";
+  EXPECT_EQ(homed.arrive(abroad, Moment{0}, 1)->code, 421);
+  EXPECT_EQ(homed.arrive(call("b"), Moment{0}, 2)->code, 400);  // names no home
+  for (CallIndex i = 3; i <= 30; ++i) {
+    auto at_home = call("c" + std::to_string(i));
+    at_home.headers["x-home"] = "here";
+    homed.arrive(at_home, Moment{0}, i);
+  }
+  for (auto& act : homed.take_sends()) EXPECT_TRUE(act.runner.text == "r0" || act.runner.text == "r2") << act.runner.text;
+
+  CallDesk free_desk(here());
+  free_desk.set_grant(always);
+  free_desk.see(view_with(4, R"(,"spill":{"allowed":true,"limit_percent":25})"), Moment{0});
+  int spilled = 0, sent = 0;
+  for (CallIndex i = 1; i <= 30; ++i) free_desk.arrive(call("s" + std::to_string(i)), Moment{0}, i);
+  for (auto& act : free_desk.take_sends()) {
+    ++sent;
+    spilled += act.runner.text == "r1" || act.runner.text == "r3";
+  }
+  EXPECT_GT(spilled, 0);
+  EXPECT_LE(spilled * 100, sent * 25 + 100);
+}
+
+TEST(CallDesk, RetriesStayWithinAFifthOfTheSendsAndASmallAllowance) {
+  CallDesk desk(here());
+  desk.set_grant(always);
+  desk.see(view_with(8, R"(,"repeatable":true)"), Moment{0});
+  CallIndex index = 0;
+  std::int64_t sends = 0;
+  for (int round = 0; round < 300; ++round) {
+    Moment now{round * 100};
+    desk.arrive(call("c" + std::to_string(round)), now, ++index);
+    for (int hop = 0; hop < 6; ++hop)
+      for (auto& act : desk.take_sends()) {  // every runner loses every call
+        ++sends;
+        desk.end_send({act.call, SendEndKind::lost, "no answer within the horizon", false, 0, 0, 0, false}, now);
+      }
+    desk.on_alarm(now);
+  }
+  EXPECT_GT(desk.counts().retries, 10);
+  EXPECT_LE(desk.counts().retries * 5, (sends - desk.counts().retries) + 5 * 12);
+}
+
+TEST(CallDesk, WhatIsGivenUpIsAnsweredAtOnceAndNeverSentAfterwards) {
+  DeskSettings settings = here();
+  settings.pending_bound = 3;
+  CallDesk desk(settings);
+  desk.set_grant(always);
+  desk.see(view_with(1, ""), Moment{0});
+  int at_once = 0;
+  for (CallIndex i = 1; i <= 10; ++i)
+    if (auto refusal = desk.arrive(call("c" + std::to_string(i)), Moment{0}, i)) {
+      ++at_once;
+      EXPECT_GT(refusal->retry_after.value, 0);
+    }
+  EXPECT_EQ(at_once, 3);  // four run, three pend
+  EXPECT_EQ(desk.take_sends().size(), 4u);
+  desk.on_alarm(Moment{700});
+  std::set<CallIndex> finals;
+  for (auto& act : desk.take_finals()) {
+    EXPECT_FALSE(act.may_have_run);
+    finals.insert(act.call);
+  }
+  EXPECT_EQ(finals.size(), 3u);
+  desk.end_send({1, SendEndKind::answered, "", false, 0, 0, 0, false}, Moment{710});
+  EXPECT_TRUE(desk.take_sends().empty());
+}
+
+TEST(CallDesk, ACallLostAfterItsSendIsUnknownAndNotSentAgainUnlessRepeatable) {
+  for (bool is_repeatable : {false, true}) {
+    CallDesk desk(here());
+    desk.set_grant(always);
+    desk.see(view_with(6, is_repeatable ? R"(,"repeatable":true)" : ""), Moment{0});
+    desk.arrive(call("c"), Moment{0}, 1);
+    ASSERT_EQ(desk.take_sends().size(), 1u);
+    desk.end_send({1, SendEndKind::lost, "link broke", false, 0, 0, 0, false}, Moment{5});
+    EXPECT_EQ(desk.take_sends().size(), is_repeatable ? 1u : 0u);
+    auto finals = desk.take_finals();
+    if (!is_repeatable) {
+      ASSERT_EQ(finals.size(), 1u);
+      EXPECT_TRUE(finals[0].may_have_run);
+    }
+  }
+}
--- a/packages/master-election/tests/master_election_test.cpp
+++ b/packages/master-election/tests/master_election_test.cpp
@@ -1,1 +1,191 @@
+// The election's rules one by one, with the answers of siblings written by hand.
+#include "emberdale/master_election.hpp"
+
 #include <gtest/gtest.h>
+
+using namespace emberdale;
+
+namespace {
+
+DaemonEntry entry(const std::string& name) { return DaemonEntry{Address{name}, name, "edge", ZoneName{"z"}, RegionName{"r"}, 1}; }
+
+// One daemon "b" of a roster a..e, driven by hand.
+class Bench {
+ public:
+  explicit Bench(const std::string& self = "b") : election(entry(self), Dice(3)) {
+    for (const char* name : {"a", "b", "c", "d", "e"}) roster.push_back(entry(name));
+    election.set_roster(roster, 4, Address{}, now);
+    election.start(now);
+  }
+  // The pings (or joins) sent since the last look, by receiver.
+  template <class T>
+  std::map<std::string, T> sent() {
+    std::map<std::string, T> found;
+    for (auto& sending : election.take_out())
+      if (auto* message = std::get_if<T>(&sending.message)) found[sending.to.text] = *message;
+    return found;
+  }
+  void answer(const std::string& from, Integer ask, const std::string& master = "", MapVersion version = {}) {
+    PingAnswer answer;
+    answer.ask = ask;
+    answer.sender = entry(from);
+    answer.master.text = master;
+    answer.version = version;
+    election.on_message(Address{from}, answer, now);
+  }
+  void pass(std::int64_t ms) {
+    for (std::int64_t end = now.value + ms; now.value < end; now.value += 25) election.on_alarm(now);
+  }
+  Moment now{1000};
+  std::vector<DaemonEntry> roster;
+  MasterElection election;
+};
+
+using Phase = MasterElection::Phase;
+
+}  // namespace
+
+TEST(MasterElection, PingsAllKnownAtOnceAndEndsEarlyOnceAllAnswered) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  ASSERT_EQ(pings.size(), 4u);
+  for (const char* name : {"a", "c", "d"}) bench.answer(name, pings[name].ask);
+  EXPECT_EQ(bench.election.phase(), Phase::pinging);
+  bench.answer("e", pings["e"].ask);
+  EXPECT_EQ(bench.election.phase(), Phase::joining);  // "a" is ranked first
+  EXPECT_EQ(bench.sent<Join>().count("a"), 1u);
+}
+
+TEST(MasterElection, TheRoundIsBoundedWhenSomeNeverAnswer) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  bench.answer("c", pings["c"].ask);
+  bench.answer("d", pings["d"].ask);
+  bench.pass(2950);
+  EXPECT_EQ(bench.election.phase(), Phase::pinging);
+  bench.pass(100);
+  EXPECT_EQ(bench.election.phase(), Phase::awaiting_joins);  // three of five answered, b is smallest
+}
+
+TEST(MasterElection, RanksHighestStateVersionFirstAndSmallestIdNext) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  bench.election.set_version({2, 5});
+  bench.answer("a", pings["a"].ask, "", {2, 4});
+  bench.answer("c", pings["c"].ask, "", {2, 9});
+  bench.answer("d", pings["d"].ask, "", {3, 1});
+  bench.answer("e", pings["e"].ask, "", {3, 1});
+  EXPECT_EQ(bench.sent<Join>().count("d"), 1u);
+}
+
+TEST(MasterElection, NothingIsRankedWithFewerAnswersThanTheQuorum) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  bench.answer("c", pings["c"].ask);
+  bench.pass(3100);
+  EXPECT_EQ(bench.election.phase(), Phase::pausing);
+  EXPECT_EQ(bench.election.starved_rounds(), 1);
+  bench.pass(600);
+  EXPECT_EQ(bench.election.phase(), Phase::pinging);  // the round repeats
+  EXPECT_FALSE(bench.election.take_claim());
+}
+
+TEST(MasterElection, JoinsAReportedMasterByDefaultTheSmallestIdAmongThem) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  bench.answer("a", pings["a"].ask, "", {9, 9});  // would win the ranking
+  bench.answer("c", pings["c"].ask, "e");
+  bench.answer("d", pings["d"].ask, "d");
+  bench.answer("e", pings["e"].ask, "e");
+  auto joins = bench.sent<Join>();
+  ASSERT_EQ(joins.size(), 1u);
+  EXPECT_EQ(joins.begin()->first, "d");
+  bench.election.on_message(Address{"d"}, JoinAnswer{joins["d"].ask, true, 4, ""}, bench.now);
+  EXPECT_EQ(bench.election.phase(), Phase::following);
+  EXPECT_EQ(bench.election.master().text, "d");
+}
+
+TEST(MasterElection, ClaimsAReignOnlyAfterQuorumMinusOneJoins) {
+  Bench bench("a");
+  auto pings = bench.sent<Ping>();
+  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
+  ASSERT_EQ(bench.election.phase(), Phase::awaiting_joins);
+  bench.election.on_message(Address{"b"}, Join{1, entry("b"), {}}, bench.now);
+  EXPECT_FALSE(bench.election.take_claim());
+  bench.election.on_message(Address{"x"}, Join{1, entry("x"), {}}, bench.now);  // not of the roster
+  EXPECT_FALSE(bench.election.take_claim());
+  bench.election.on_message(Address{"c"}, Join{1, entry("c"), {}}, bench.now);
+  auto claim = bench.election.take_claim();
+  ASSERT_TRUE(claim);
+  EXPECT_EQ(claim->expected_reign, 4);
+  EXPECT_FALSE(bench.election.is_master());  // the register has the last word
+  bench.election.claim_ended(true, 5, bench.now);
+  EXPECT_TRUE(bench.election.is_master());
+  EXPECT_EQ(bench.sent<JoinAnswer>().size(), 3u);
+}
+
+TEST(MasterElection, TooFewJoinsInTimeOrALostClaimStartsAnew) {
+  Bench bench("a");
+  auto pings = bench.sent<Ping>();
+  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
+  bench.election.on_message(Address{"b"}, Join{1, entry("b"), {}}, bench.now);
+  bench.pass(1600);
+  EXPECT_EQ(bench.election.phase(), Phase::pausing);
+  auto answers = bench.sent<JoinAnswer>();
+  ASSERT_EQ(answers.count("b"), 1u);
+  EXPECT_FALSE(answers["b"].granted);
+}
+
+TEST(MasterElection, AFalseDeathSeenByAMinorityUnseatsNoOne) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  // "a" is master for the others; only this daemon does not reach it.
+  for (const char* name : {"c", "d", "e"}) bench.answer(name, pings[name].ask, "a");
+  bench.pass(3100);
+  EXPECT_EQ(bench.sent<Join>().count("a"), 1u);  // asked to join it, not to replace it
+  EXPECT_FALSE(bench.election.take_claim());
+}
+
+TEST(MasterElection, MoreThanHalfThatFindTheMasterDownUnseatIt) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  bench.answer("c", pings["c"].ask, "");   // finds it down too
+  bench.answer("d", pings["d"].ask, "");   // finds it down too
+  bench.answer("e", pings["e"].ask, "a");  // has not noticed yet
+  bench.pass(3100);
+  EXPECT_EQ(bench.election.phase(), Phase::awaiting_joins);  // ranked: "a" did not answer, b is next
+}
+
+TEST(MasterElection, AMasterWithoutItsQuorumOrWithAnotherReignStepsDown) {
+  Bench bench("a");
+  auto pings = bench.sent<Ping>();
+  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
+  for (const char* name : {"b", "c"}) bench.election.on_message(Address{name}, Join{1, entry(name), {}}, bench.now);
+  ASSERT_TRUE(bench.election.take_claim());
+  bench.election.claim_ended(true, 5, bench.now);
+  for (int i = 0; i < 20; ++i) {
+    bench.pass(400);
+    for (const char* name : {"b", "c"}) bench.election.on_message(Address{name}, Follow{entry(name), 5, {}, {}, {}}, bench.now);
+  }
+  EXPECT_TRUE(bench.election.is_master());
+  Bench other = bench;
+  bench.pass(4500);  // no follower is heard any more
+  EXPECT_FALSE(bench.election.is_master());
+  other.election.set_roster(other.roster, 6, Address{"c"}, other.now);
+  EXPECT_FALSE(other.election.is_master());
+}
+
+TEST(MasterElection, AFollowerLooksAnewWhenItsMasterFallsSilentOrLeaves) {
+  Bench bench;
+  auto pings = bench.sent<Ping>();
+  for (const char* name : {"a", "c", "d", "e"}) bench.answer(name, pings[name].ask, "a");
+  auto joins = bench.sent<Join>();
+  bench.election.on_message(Address{"a"}, JoinAnswer{joins["a"].ask, true, 5, ""}, bench.now);
+  ASSERT_EQ(bench.election.phase(), Phase::following);
+  Bench leaving = bench;
+  bench.pass(1700);
+  EXPECT_EQ(bench.election.phase(), Phase::pinging);
+  EXPECT_TRUE(bench.election.master().empty());  // its answers now say that it finds the master down
+  leaving.election.on_message(Address{"a"}, Leave{entry("a")}, leaving.now);
+  EXPECT_EQ(leaving.election.phase(), Phase::pinging);
+}
--- a/packages/placement-map/tests/placement_map_test.cpp
+++ b/packages/placement-map/tests/placement_map_test.cpp
@@ -1,1 +1,108 @@
+#include "emberdale/placement_map.hpp"
+
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "emberdale/map_slices.hpp"
+
+using namespace emberdale;
+
+TEST(PlacementMap, TheSharesOfAColdRunnerNeverExceedWhatItBears) {
+  EXPECT_TRUE(rc::check([](const std::string& name) {
+    auto allowance = *rc::gen::inRange<Integer>(0, 20);
+    auto count = *rc::gen::inRange(0, 12);
+    std::vector<std::string> daemons;
+    for (int i = 0; i < count; ++i) daemons.push_back("d" + std::to_string(i));
+    Integer sum = 0;
+    for (const auto& grant : split_allowance(name, allowance, daemons)) sum += grant.calls;
+    RC_ASSERT(sum == (count == 0 ? 0 : allowance));
+  }));
+}
+
+TEST(PlacementMap, LosingOneNameMovesOnlyItsOwnShare) {
+  std::vector<std::string> names{"a", "b", "c", "d", "e"};
+  for (int i = 0; i < 200; ++i) {
+    std::string key = "key " + std::to_string(i), first = rendezvous_rank(key, names).front();
+    std::string after = rendezvous_rank(key, {"a", "b", "d", "e"}).front();
+    if (first != "c") {
+      EXPECT_EQ(after, first);
+    }
+  }
+}
+
+namespace {
+PlacementMap some_map(Integer number, Dice& dice) {
+  PlacementMap map;
+  map.version = {1, number};
+  map.config_revision = number;
+  for (int i = 0; i < 6; ++i) {
+    if (dice.chance(0.3)) continue;
+    RunnerRow row;
+    row.name.text = "r" + std::to_string(i);
+    row.pool.text = "p";
+    row.burden = dice.below(3);
+    map.runners.push_back(row);
+  }
+  return map;
+}
+}  // namespace
+
+TEST(MapSlices, ASubscriberEndsWithTheHomesRowsThroughLossAndNeverGoesBack) {
+  EXPECT_TRUE(rc::check([](std::uint64_t seed) {
+    Dice dice(seed);
+    SlicePublisher homes[2];
+    SliceHolder holder;
+    Address self{"d"};
+    PlacementMap newest;
+    MapVersion last;
+    auto subscribe = [&](int home) {
+      Subscribe ask;
+      ask.topics.push_back({"pool:p", holder.version()});
+      homes[home].on_subscribe(self, ask, Moment{0});
+    };
+    auto bring = [&](double loss) {
+      for (auto& home : homes)
+        for (auto& sending : home.take_out())
+          if (!dice.chance(loss)) holder.apply(std::get<SliceNews>(sending.message));
+      RC_ASSERT(!(holder.version() < last));
+      last = holder.version();
+    };
+    for (Integer number = 1; number <= 30; ++number) {
+      newest = some_map(number, dice);
+      homes[0].on_map(newest, Moment{0});
+      if (dice.chance(0.6)) homes[1].on_map(newest, Moment{0});  // the other home lags now and then
+      if (dice.chance(0.5)) subscribe(static_cast<int>(dice.below(2)));
+      bring(0.4);
+    }
+    for (int i = 0; i < 2; ++i) {
+      subscribe(0);
+      bring(0);
+    }
+    RC_ASSERT(holder.version() == newest.version);
+    RC_ASSERT(holder.rows() == slice_rows(newest, "pool:p"));
+  }));
+}
+
+TEST(MapSlices, OnlyWhatChangedIsSentAgain) {
+  SlicePublisher home;
+  Dice dice(1);
+  PlacementMap map = some_map(1, dice);
+  map.runners.clear();
+  for (int i = 0; i < 50; ++i) {
+    RunnerRow row;
+    row.name.text = "r" + std::to_string(i);
+    row.pool.text = "p";
+    map.runners.push_back(row);
+  }
+  home.on_map(map, Moment{0});
+  Subscribe ask;
+  ask.topics.push_back({"pool:p", {}});
+  home.on_subscribe(Address{"d"}, ask, Moment{0});
+  EXPECT_EQ(home.rows_sent(), 50);
+  map.version = {1, 2};
+  map.runners[7].burden = 5;
+  home.on_map(map, Moment{0});
+  EXPECT_EQ(home.rows_sent(), 51);
+}
--- a/packages/serving-plans/tests/serving_plans_test.cpp
+++ b/packages/serving-plans/tests/serving_plans_test.cpp
@@ -1,1 +1,106 @@
+#include "emberdale/serving_plans.hpp"
+
 #include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace emberdale;
+
+namespace {
+
+const char* const good_plan = R"({"service":"s","match":{"path":"/x"},"pool":"p"})";
+std::string runner(const std::string& address, const std::string& zone = "a", const std::string& region = "n") {
+  return R"({"address":")" + address + R"(","pool":"p","zone":")" + zone + R"(","region":")" + region + R"(","seal_key":"k"})";
+}
+FleetState state_with(const std::vector<Resource>& resources) {
+  FleetState state;
+  state.resources = resources;
+  return state;
+}
+EditAsk edit(const std::string& act, const std::string& kind, const std::string& name, const std::string& body, Integer expected = -1) {
+  return EditAsk{1, "change", act, kind, name, expected, body};
+}
+bool has(const std::vector<Finding>& findings, const std::string& place) {
+  return std::any_of(findings.begin(), findings.end(), [&](const Finding& f) { return f.place == place; });
+}
+
+}  // namespace
+
+TEST(ServingPlans, AllFindingsComeTogetherEachWithItsPlace) {
+  std::vector<Finding> findings;
+  auto plan = read_plan("p", "{\n  \"service\": 5,\n  \"match\": {\"path\": \"x\"},\n  \"pool\": \"p\",\n  \"horizon_ms\": 1,\n  \"extra\": true\n}", findings);
+  EXPECT_FALSE(plan);
+  EXPECT_TRUE(has(findings, "/service") && has(findings, "/match/path") && has(findings, "/horizon_ms") && has(findings, "/extra"));
+  for (const auto& finding : findings)
+    if (finding.place == "/horizon_ms") {
+      EXPECT_EQ(finding.line, 5);
+      EXPECT_EQ(finding.column, 17);
+    }
+}
+
+TEST(ServingPlans, WhatIsNoJsonNamesLineAndColumn) {
+  std::vector<Finding> findings;
+  EXPECT_FALSE(read_plan("p", "{\"service\":\n  oops}", findings));
+  ASSERT_EQ(findings.size(), 1u);
+  EXPECT_EQ(findings[0].line, 2);
+  EXPECT_EQ(apply_edit(state_with({}), edit("put", plans_kind, "p", "nonsense"), 1).code, 400);
+}
+
+TEST(ServingPlans, SpillNeverContradictsHomeAndStreamsAreNeverRepeated) {
+  std::vector<Finding> findings;
+  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","home":{"region":"n"},"spill":{"allowed":true}})", findings));
+  EXPECT_TRUE(has(findings, "/spill/allowed"));
+  findings.clear();
+  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","home":{"header":"H"},"spill":{"allowed":true}})", findings));
+  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","streaming":true,"repeatable":true})", findings));
+  EXPECT_TRUE(has(findings, "/streaming"));
+}
+
+TEST(ServingPlans, CrossChecksPoolsHomesZonesAndRivalClaims) {
+  std::vector<Resource> base{{runners_kind, "r1", 1, 1, runner("127.0.0.1:1")}, {plans_kind, "p1", 1, 2, good_plan}};
+  auto rival = apply_edit(state_with(base), edit("put", plans_kind, "p2", good_plan), 3);
+  EXPECT_EQ(rival.code, 422);
+  EXPECT_TRUE(has(rival.findings, "/match"));
+  EXPECT_EQ(apply_edit(state_with(base), edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/y"},"pool":"none"})"), 3).code, 422);
+  EXPECT_EQ(apply_edit(state_with(base), edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/y"},"pool":"p","home":{"region":"mars"}})"), 3).code, 422);
+  EXPECT_EQ(apply_edit(state_with(base), edit("put", runners_kind, "r2", runner("127.0.0.1:2", "a", "other")), 3).code, 422);
+  EXPECT_EQ(apply_edit(state_with(base), edit("put", runners_kind, "r2", runner("127.0.0.1:1")), 3).code, 422);
+  EXPECT_EQ(apply_edit(state_with(base), edit("delete", runners_kind, "r1", ""), 3).code, 422);  // a plan needs it
+  EXPECT_EQ(apply_edit(state_with(base), edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/x","headers":{"k":"v"}},"pool":"p"})"), 3).code, 422);
+}
+
+TEST(ServingPlans, AStaleVersionIsRefusedAndARefusalLeavesNoTrace) {
+  std::vector<Resource> base{{runners_kind, "r1", 1, 1, runner("127.0.0.1:1")}, {plans_kind, "p1", 7, 2, good_plan}};
+  FleetState state = state_with(base);
+  auto stale = apply_edit(state, edit("put", plans_kind, "p1", good_plan, 6), 3);
+  EXPECT_EQ(stale.code, 412);
+  EXPECT_EQ(stale.version, 7);
+  EXPECT_EQ(apply_edit(state, edit("put", plans_kind, "p1", good_plan, 0), 3).code, 412);
+  auto wrong = apply_edit(state, edit("patch", plans_kind, "p1", R"({"pool":"none"})", 7), 3);
+  EXPECT_EQ(wrong.code, 422);
+  EXPECT_EQ(wrong.version, 7);
+  auto good = apply_edit(state, edit("patch", plans_kind, "p1", R"({"horizon_ms":500,"service":"t"})", 7), 3);
+  EXPECT_EQ(good.code, 200);
+  EXPECT_EQ(good.version, 8);
+  EXPECT_EQ(apply_edit(state, edit("patch", plans_kind, "p9", "{}"), 3).code, 404);
+}
+
+TEST(ServingPlans, EmptyingWhatTheRestCanNotBearSaysSo) {
+  std::vector<Resource> base{{runners_kind, "r1", 1, 1, runner("127.0.0.1:1", "a")}, {runners_kind, "r2", 1, 1, runner("127.0.0.1:2", "a")},
+                             {runners_kind, "r3", 1, 1, runner("127.0.0.1:3", "b")}, {plans_kind, "p1", 1, 2, good_plan}};
+  auto emptied = apply_edit(state_with(base), edit("put", orders_kind, "a", R"({"state":"emptied"})"), 3);
+  EXPECT_EQ(emptied.code, 201);  // taken, with a warning
+  ASSERT_EQ(emptied.findings.size(), 1u);
+  EXPECT_EQ(emptied.findings[0].severity, "warning");
+  EXPECT_NE(emptied.findings[0].message.find("keeps 1 of 3"), std::string::npos);
+}
+
+TEST(ServingPlans, TheNearerPlanClaimsACall) {
+  std::vector<Finding> findings;
+  std::vector<ServingPlan> plans{*read_plan("one", R"({"service":"s","match":{"path":"/x","headers":{"K":"1"}},"pool":"p"})", findings),
+                                 *read_plan("two", R"({"service":"s","match":{"path":"/x","headers":{"K":"2"}},"pool":"p"})", findings)};
+  EXPECT_EQ(match_plan(plans, "POST", "/x", {{"k", "2"}}).plan->name.text, "two");
+  EXPECT_EQ(match_plan(plans, "POST", "/x", {}).plan, nullptr);
+  EXPECT_TRUE(match_plan(plans, "GET", "/x", {}).is_path_known);
+  EXPECT_FALSE(match_plan(plans, "POST", "/y", {}).is_path_known);
+}
