Match: the load bound leaves a prefix its runner while the fleet is idle

Cause: the fair share was rounded down, so one call in hand already sent the next one with the same opening elsewhere. Ruled out: the ranking itself (losing one name moves only its share).

--- a/packages/call-matching/src/call_desk.cpp
+++ b/packages/call-matching/src/call_desk.cpp
@@ -154,7 +154,8 @@
   }
   if (choices.empty()) return std::nullopt;
   // Prefix-affine within a load bound: the first in rank that is not above its fair share.
-  Integer fair = (total + 1) * 5 / (4 * static_cast<Integer>(choices.size())) + 1;
+  auto count = static_cast<Integer>(choices.size());
+  Integer fair = ((total + 1) * 5 + 4 * count - 1) / (4 * count) + 1;
   auto ranked = rendezvous_rank(call.key, names);
   for (const auto& name : ranked)
     for (const auto& choice : choices)
--- a/packages/fleet-starter/src/trial_main.cpp
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -192,6 +192,18 @@
   result["control_maps_published"] = control["emberdale_control_maps_published"];
   result["breaks"] = {{"wrong answers", report["wrong"]}, {"run twice", twice}, {"run after refusal", after_refusal}, {"homed work abroad", abroad},
                       {"new work in the emptied zone once in force", in_emptied}, {"cold runner asked above its allowance", cold_over}};
+  std::int64_t hits = 0, misses = 0, cold_peak = 0;
+  for (const auto& [name, process] : fleet.processes()) {
+    if (process.role != "model") continue;
+    auto text = fleet.page(process.http, "/counts");
+    Json counts = text ? Json::parse(*text, nullptr, false) : Json();
+    if (!counts.is_object()) continue;
+    hits += counts.value("prefix_hits", 0);
+    misses += counts.value("prefix_misses", 0);
+    cold_peak = std::max<std::int64_t>(cold_peak, counts.value("cold_peak", 0));
+  }
+  result["prefix"] = {{"hits", hits}, {"misses", misses}};
+  result["cold_peak_of_any_runner"] = cold_peak;
   auto late = fleet.stop();
   result["not_stopped_cleanly"] = late;
   std::ofstream(fleet.folder() + "/trial.json") << result.dump(2) << "\n";
