Scale: liveness by the master's word, enrolment in batches; a clean stop unseats at once

Cause: every edge and data daemon pinged its whole zone, so messages grew with the square of the fleet; and a master that stopped cleanly still answered pings, was ranked first and joined in vain. Change: the map names the living control daemons (followers the master hears), homes are picked from it; whoever enrols brings along siblings it just heard; a leaving daemon answers no ping.

--- a/packages/call-matching/include/emberdale/traffic_view.hpp
+++ b/packages/call-matching/include/emberdale/traffic_view.hpp
@@ -19,6 +19,7 @@
   std::map<PoolName, std::vector<RunnerName>> pools;
   std::map<std::pair<PoolName, RegionName>, RegionRow> regions;
   std::vector<GatewayRow> gateways;
+  std::vector<GatewayRow> edges;  // the control daemons that live, by the master's word
 };
 
 // The slices of one data daemon, and the view folded from them.
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -145,6 +145,7 @@
   void probe_runners(Moment now);
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
+  std::vector<GatewayRow> followers_alive(Moment now) const;
   void collect(Moment now);
   void note(Moment now, const std::string& kind, const std::string& detail) { journal_.append(now, kind, detail); }
 
@@ -161,7 +162,7 @@
   Configuration configuration_;
   Integer configuration_of_ = -1;
   PlacementMap map_;
-  bool was_master_ = false;
+  bool was_master_ = false, is_stopping_ = false;
   std::map<RunnerName, StatusView> statuses_;
   std::map<Address, std::pair<InForce, Moment>> in_force_;
   std::map<Address, MapVersion> follower_versions_;
@@ -174,7 +175,7 @@
   std::optional<Founding> founding_;
   std::optional<Replacing> replacing_;
   Integer last_ask_ = 0;
-  bool is_enrolling_ = false, is_evicting_ = false, is_mending_ = false, is_claiming_ = false;
+  bool is_enrolling_ = false, has_waited_to_enrol_ = false, is_evicting_ = false, is_mending_ = false, is_claiming_ = false;
   Moment poll_next_, gossip_next_, follow_next_, enrol_next_, probe_sweep_next_, mend_next_, evict_next_;
   std::map<RunnerName, Moment> probe_next_;
   std::map<RunnerName, RunnerStatus> own_probes_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -48,6 +48,7 @@
 }
 
 void ControlDaemon::stop(Moment now) {
+  is_stopping_ = true;  // answers no ping any more: a leaving daemon must not be ranked
   if (is_edge()) election_.leave();
   note(now, "stopping", settings_.self.address.text);
   collect(now);
@@ -63,6 +64,12 @@
 std::vector<std::string> ControlDaemon::live_edges(const ZoneName& zone, Moment now) const {
   std::vector<std::string> names;
   if (is_edge() && settings_.self.zone == zone) names.push_back(settings_.self.address.text);
+  // Under a master the map says who lives; else whoever answered the last pings.
+  if (!election_.master().empty() && map_.version.reign == election_.reign()) {
+    for (const auto& edge : map_.edges)
+      if (edge.zone == zone && edge.daemon != settings_.self.address) names.push_back(edge.daemon.text);
+    return names;
+  }
   for (const auto& [address, known] : known_)
     if (known.entry.role == "edge" && known.entry.zone == zone && now - known.heard <= alive_span) names.push_back(address.text);
   return names;
@@ -92,6 +99,17 @@
   return list;
 }
 
+// The edge daemons that follow now, with this master among them.
+std::vector<GatewayRow> ControlDaemon::followers_alive(Moment now) const {
+  std::vector<GatewayRow> rows;
+  for (const auto& entry : proposer_.state().roster) {
+    auto heard = election_.followers().find(entry.address);
+    bool is_alive = entry.address == settings_.self.address || (heard != election_.followers().end() && now - heard->second <= alive_span);
+    if (is_alive) rows.push_back({entry.address, entry.http, entry.zone, entry.region});
+  }
+  return rows;
+}
+
 // --- messages ----------------------------------------------------------------------------------
 
 void ControlDaemon::answer_ping(const Address& from, const Ping& ping) {
@@ -130,7 +148,7 @@
       known.heard = now;
       known.master = ping->master;
     }
-    answer_ping(from, *ping);
+    if (!is_stopping_) answer_ping(from, *ping);
   }
   if (const auto* answer = std::get_if<PingAnswer>(&message)) {
     auto& known = known_[from];
@@ -351,14 +369,32 @@
     return entry.address == self.address && entry.zone == self.zone && entry.region == self.region && entry.http == self.http;
   };
   const auto& roster = proposer_.state().roster;
-  if (std::any_of(roster.begin(), roster.end(), is_same)) return;
+  if (std::any_of(roster.begin(), roster.end(), is_same)) {
+    has_waited_to_enrol_ = false;
+    return;
+  }
+  if (!has_waited_to_enrol_) {
+    // In a crowd one daemon goes first and brings the others along.
+    has_waited_to_enrol_ = true;
+    enrol_next_ = now + Span{dice_.below(60 + 12 * static_cast<std::int64_t>(known_.size()))};
+    return;
+  }
   is_enrolling_ = true;
+  // Siblings that were just heard and are not enrolled either come along: a fleet that starts at once
+  // needs a few changes, not one for each daemon.
+  std::vector<DaemonEntry> newcomers{self};
+  for (const auto& [address, known] : known_)
+    if (known.entry.role == "edge" && now - known.heard <= alive_span && !has_daemon(roster, address)) newcomers.push_back(known.entry);
   proposer_.change(
-      [self, is_same](const FleetState& state) -> Verdict {
+      [newcomers, is_same](const FleetState& state) -> Verdict {
         if (std::any_of(state.roster.begin(), state.roster.end(), is_same)) return {Verdict::Kind::already_there, {}, ""};
         FleetState next = state;
-        next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(), [&](const auto& e) { return e.address == self.address; }), next.roster.end());
-        next.roster.push_back(self);
+        for (const auto& entry : newcomers) {
+          bool is_self = entry.address == newcomers.front().address;
+          if (!is_self && has_daemon(next.roster, entry.address)) continue;
+          next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(), [&](const auto& e) { return e.address == entry.address; }), next.roster.end());
+          next.roster.push_back(entry);
+        }
         std::sort(next.roster.begin(), next.roster.end(), [](const auto& a, const auto& b) { return a.address < b.address; });
         return {Verdict::Kind::apply, next, ""};
       },
@@ -509,7 +545,7 @@
   MapVersion version{state.reign, must_cover ? state.floor.number : last + 1};
   std::map<RunnerName, RunnerStatus> statuses;
   for (const auto& [name, view] : statuses_) statuses[name] = view.status;
-  PlacementMap fresh = compute_map(state, configuration_, statuses, gateways(now), version);
+  PlacementMap fresh = compute_map(state, configuration_, statuses, gateways(now), followers_alive(now), version);
   if (!must_cover) {
     MapChange change = compare_maps(map_, fresh);
     if (change == MapChange::none) return;
@@ -799,9 +835,8 @@
     for (const auto& [address, known] : known_) {
       if (now - known.heard > Span{60000} && known.heard.value >= 0 &&
           std::find(settings_.seeds.begin(), settings_.seeds.end(), address) == settings_.seeds.end()) continue;
-      bool is_near = known.entry.role == "edge" && known.entry.zone == settings_.self.zone;
       bool is_seed = std::find(settings_.seeds.begin(), settings_.seeds.end(), address) != settings_.seeds.end();
-      if (is_near || (is_seed && !proposer_.has_state())) targets.insert(address);
+      if (is_seed && !proposer_.has_state()) targets.insert(address);
       else others.push_back(address);
     }
     for (int i = 0; i < 2 && !others.empty(); ++i) targets.insert(others[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(others.size())))]);
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -18,6 +18,14 @@
 
 std::vector<std::string> DataDaemon::live_edges(Moment now) const {
   std::vector<std::string> near, all;
+  // Who lives is the master's word, in the map; before there is a map, whoever answered a ping.
+  for (const auto& edge : view()->edges) {
+    auto shunned = shunned_.find(edge.daemon);
+    if (shunned != shunned_.end() && now < shunned->second) continue;
+    all.push_back(edge.daemon.text);
+    if (edge.zone == self_.zone) near.push_back(edge.daemon.text);
+  }
+  if (!near.empty()) return near;
   for (const auto& [address, known] : known_) {
     if (known.entry.role != "edge" || now - known.heard > alive_span) continue;
     auto shunned = shunned_.find(address);
@@ -87,7 +95,7 @@
     ping_next_ = now + ping_pace;
     std::vector<Address> others;
     for (const auto& [address, known] : known_) {
-      bool is_near = known.entry.role == "edge" && known.entry.zone == self_.zone;
+      bool is_near = view()->edges.empty() && known.entry.role == "edge" && known.entry.zone == self_.zone;
       bool is_seed = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
       if (is_near || (is_seed && now - known.heard > alive_span)) out_.push_back({address, Ping{0, self_, {}, book_.version()}});
       else others.push_back(address);
--- a/packages/fleet-simulator/src/main.cpp
+++ b/packages/fleet-simulator/src/main.cpp
@@ -6,14 +6,19 @@
 #include <mutex>
 #include <thread>
 
-#include "emberdale/fleet_simulation.hpp"
+#include "scenarios.hpp"
 
 using namespace emberdale;
+using namespace emberdale::scenarios;
 
 static const char usage[] = R"(emberdale-fleet-simulator: seeded days of failure, with the brief's rules checked at every step.
 
 Usage:
   emberdale-fleet-simulator [options]
+  emberdale-fleet-simulator measure [options]
+  emberdale-fleet-simulator scale [options]
+
+measure: times and counts of named failures over the seeds; scale: control work as the fleet grows.
 
 Options:
   --first N     First seed [default: 1].
@@ -24,11 +29,155 @@
   -h --help     Show this.
 )";
 
+namespace {
+
+void print(const Figure& figure) {
+  std::cout << figure.what << ": median " << figure.median() << ", from " << figure.best() << " to " << figure.worst() << " (" << figure.values.size() << " seeds)" << std::endl;
+}
+
+// One value from each seed, the seeds run side by side.
+Figure over_seeds(const std::string& what, std::uint64_t first, std::uint64_t seeds, long threads, const std::function<std::int64_t(std::uint64_t)>& measure) {
+  Figure figure{what, std::vector<std::int64_t>(seeds, -1)};
+  std::atomic<std::uint64_t> next{0};
+  std::vector<std::thread> running;
+  for (long i = 0; i < threads; ++i)
+    running.emplace_back([&] {
+      for (std::uint64_t index = next++; index < seeds; index = next++) figure.values[index] = measure(first + index);
+    });
+  for (auto& thread : running) thread.join();
+  print(figure);
+  return figure;
+}
+
+int measure(std::uint64_t first, std::uint64_t seeds, long threads) {
+  auto run = [&](const std::string& what, const std::function<std::int64_t(std::uint64_t)>& act) { over_seeds(what, first, seeds, threads, act); };
+  std::cout << "-- from the fault to a map of a new master, ms\n";
+  for (const std::string way : {"killed", "frozen", "isolated", "stopped cleanly"})
+    run("master " + way, [way](std::uint64_t seed) {
+      auto fleet = serving_fleet(seed);
+      std::string was = fleet->master();
+      if (way == "killed") fleet->kill(was);
+      if (way == "frozen") fleet->freeze(was);
+      if (way == "isolated") fleet->isolate(was);
+      if (way == "stopped cleanly") {
+        fleet->control(was)->stop(Moment{fleet->now()});
+        fleet->run(Span{30});
+        fleet->kill(was);
+      }
+      return until_new_map(*fleet, was);
+    });
+  run("all edge daemons restarted at once", [](std::uint64_t seed) {
+    auto fleet = serving_fleet(seed);
+    for (const auto& name : fleet->names("edge")) fleet->kill(name);
+    fleet->run(Span{500});
+    for (const auto& name : fleet->names("edge")) fleet->start(name);
+    return until_new_map(*fleet, "");
+  });
+  run("zone of the master lost", [](std::uint64_t seed) {
+    auto fleet = serving_fleet(seed);
+    std::string was = fleet->master();
+    for (const char* role : {"edge", "data", "core"})
+      for (const auto& name : fleet->names(role))
+        if (name[0] == was[0]) fleet->power_cut(name);
+    return until_new_map(*fleet, was);
+  });
+  std::cout << "-- total loss: from power to every data daemon serving, ms\n";
+  run("at the same addresses", [](std::uint64_t seed) { return total_loss(*serving_fleet(seed), false); });
+  run("edge daemons at new addresses", [](std::uint64_t seed) { return total_loss(*serving_fleet(seed), true); });
+  std::cout << "-- calls turned away for want of a grant, per thousand asked in 10 s of the fault\n";
+  auto refused = [&](const std::string& what, const std::function<void(FleetSimulation&)>& fault) {
+    run(what, [fault](std::uint64_t seed) {
+      auto fleet = serving_fleet(seed);
+      fault(*fleet);
+      fleet->reset_tally();
+      fleet->run(Span{10000});
+      return fleet->tally().refused_no_grant * 1000 / std::max<std::int64_t>(1, fleet->tally().asked - fleet->tally().no_daemon);
+    });
+  };
+  refused("nothing fails", [](FleetSimulation&) {});
+  refused("master killed", [](FleetSimulation& fleet) { fleet.kill(fleet.master()); });
+  refused("one core machine lost", [](FleetSimulation& fleet) { fleet.power_cut("a0"); });
+  refused("one core machine isolated", [](FleetSimulation& fleet) { fleet.isolate("b0"); });
+  refused("a zone lost", [](FleetSimulation& fleet) {
+    for (const char* role : {"edge", "data", "core"})
+      for (const auto& name : fleet.names(role))
+        if (name[0] == 'b') fleet.power_cut(name);
+  });
+  refused("core split into single machines", [](FleetSimulation& fleet) {
+    fleet.cut_both("a0", "b0");
+    fleet.cut_both("a0", "c0");
+    fleet.cut_both("b0", "c0");
+  });
+  refused("core cut off from every edge machine", [](FleetSimulation& fleet) {
+    for (const auto& core : fleet.names("core"))
+      for (const char* role : {"edge", "data"})
+        for (const auto& name : fleet.names(role)) fleet.cut_both(core, name);
+  });
+  refused("an edit each second", [](FleetSimulation& fleet) {
+    for (int i = 0; i < 9; ++i)
+      fleet.later(1000 * i, [&fleet] { fleet.edit(fleet.master(), "patch", plans_kind, "check", R"({"horizon_ms":4000})"); });
+  });
+  std::cout << "-- from an edit to its acknowledgement, ms, and the oldest plan sent by after it\n";
+  run("edit acknowledged", [](std::uint64_t seed) {
+    auto fleet = serving_fleet(seed);
+    std::int64_t begun = fleet->now();
+    fleet->edit_until_done("patch", plans_kind, "check", R"({"horizon_ms":4000})", Span{8000});
+    return fleet->now() - begun;
+  });
+  run("worst old plan, a data daemon cut off from the news", [](std::uint64_t seed) {
+    auto fleet = serving_fleet(seed);
+    for (const auto& edge : fleet->names("edge")) fleet->cut_both("a1-data", edge);
+    fleet->edit_until_done("patch", plans_kind, "check", R"({"horizon_ms":4000})", Span{8000});
+    fleet->run(Span{5000});
+    return fleet->figures().worst_old_plan_ms;
+  });
+  run("worst new work for a leaving runner", [](std::uint64_t seed) {
+    auto fleet = serving_fleet(seed);
+    for (const auto& edge : fleet->names("edge")) fleet->cut_both("a1-data", edge);
+    fleet->edit_until_done("patch", runners_kind, "model-a1", R"({"leaving":true})", Span{8000});
+    fleet->run(Span{7000});
+    return fleet->figures().worst_leaving_ms;
+  });
+  return 0;
+}
+
+int scale() {
+  std::cout << "machines  messages/s  per daemon/s  busiest daemon/s  at a core/s  at the master/s  rounds to found and declare\n";
+  for (int edges : {3, 15, 63}) {
+    SimulationShape shape;
+    shape.edges_per_zone = edges;
+    shape.calls_per_second = 0;
+    FleetSimulation fleet(1, shape);
+    if (!fleet.found() || !fleet.declare()) {
+      std::cout << (edges + 1) * 3 << " did not come up\n" << fleet.why_silent();
+      return 1;
+    }
+    auto rounds = fleet.figures().register_rounds;
+    fleet.run(Span{20000});
+    auto before = fleet.figures();
+    fleet.run(Span{10000});
+    auto after = fleet.figures();
+    std::int64_t busiest = 0, at_core = 0;
+    for (const auto& [name, number] : after.messages_to) busiest = std::max(busiest, number - before.messages_to[name]);
+    for (const auto& core : fleet.names("core")) at_core = std::max(at_core, after.messages_to[core] - before.messages_to[core]);
+    auto all = after.messages - before.messages;
+    std::int64_t daemons = static_cast<std::int64_t>(after.messages_to.size());
+    std::string master = fleet.master();
+    std::cout << (edges + 1) * 3 << "  " << all / 10 << "  " << all / 10 / daemons << "  " << busiest / 10 << "  " << at_core / 10 << "  "
+              << (after.messages_to[master] - before.messages_to[master]) / 10 << "  " << rounds << std::endl;
+  }
+  return 0;
+}
+
+}  // namespace
+
 int main(int count, char** words) {
   auto arguments = docopt::docopt(usage, {words + 1, words + count}, true, "emberdale-fleet-simulator 0.1");
   auto first = static_cast<std::uint64_t>(arguments["--first"].asLong());
   auto seeds = static_cast<std::uint64_t>(arguments["--count"].asLong());
   Span length{arguments["--seconds"].asLong() * 1000};
+  if (arguments["measure"].asBool()) return measure(first, seeds, arguments["--threads"].asLong());
+  if (arguments["scale"].asBool()) return scale();
   bool has_story = arguments["--story"].asBool();
   std::atomic<std::uint64_t> next{0};
   std::atomic<int> broken{0};
--- a/packages/master-election/include/emberdale/master_election.hpp
+++ b/packages/master-election/include/emberdale/master_election.hpp
@@ -96,6 +96,7 @@
   std::map<Address, Answer> answers_;
   std::map<Address, std::pair<Moment, Integer>> joins_;  // recent joins: when, and their ask
   std::map<Address, Moment> followers_;
+  std::set<Address> left_;  // stopped cleanly: not waited for until they speak again
   Integer ask_ = 0;
   Moment phase_end_, ping_next_, follow_next_, master_heard_, quorum_heard_;
   Address joining_;
--- a/packages/master-election/src/master_election.cpp
+++ b/packages/master-election/src/master_election.cpp
@@ -35,7 +35,7 @@
 
 void MasterElection::ping_everyone() {
   for (const auto& sibling : siblings_)
-    out_.push_back({sibling, Ping{ask_, self_, master_, version_}});
+    if (left_.count(sibling) == 0) out_.push_back({sibling, Ping{ask_, self_, master_, version_}});
 }
 
 void MasterElection::begin_round(Moment now) {
@@ -55,6 +55,7 @@
 
 // More than half of the eligible daemons find that master down: they answer, and name it no more.
 bool MasterElection::is_found_down(const Address& master) const {
+  if (left_.count(master) != 0) return true;  // it said so itself
   if (answers_.count(master) != 0) return false;
   std::size_t find_it_down = 1;  // this daemon, which is in a round
   for (const auto& [daemon, answer] : answers_)
@@ -152,6 +153,7 @@
 bool MasterElection::on_message(const Address& from, const Message& message, Moment now) {
   if (const auto* ping = std::get_if<Ping>(&message)) {
     if (ping->sender.role == "edge") learn(from);
+    left_.erase(from);
     return false;  // the daemon answers with all it knows
   }
   if (const auto* answer = std::get_if<PingAnswer>(&message)) {
@@ -164,7 +166,7 @@
       }
     if (phase_ == Phase::pinging && answer->ask == ask_) {
       answers_[from] = {answer->master, answer->version};
-      bool has_all = std::all_of(siblings_.begin(), siblings_.end(), [&](const auto& s) { return answers_.count(s) != 0; });
+      bool has_all = std::all_of(siblings_.begin(), siblings_.end(), [&](const auto& s) { return answers_.count(s) != 0 || left_.count(s) != 0; });
       // Not sooner than all known have answered, nor while the roster is still unread.
       if (has_all && !roster_.empty()) end_round(now);
     }
@@ -200,12 +202,15 @@
     return true;
   }
   if (const auto* leave = std::get_if<Leave>(&message)) {
+    left_.insert(from);
     answers_.erase(leave->sender.address);
     siblings_.erase(leave->sender.address);
     followers_.erase(from);
     if (from == master_) {
       master_ = Address{};
       begin_round(now);
+    } else if (phase_ == Phase::pinging) {
+      begin_round(now);  // answers so far may still name it
     }
     return true;
   }
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -79,7 +79,8 @@
 #define EMBERDALE_PLACEMENT_MAP(F)                                                  \
   F(MapVersion, version) F(Integer, config_revision) F(std::vector<PlanRow>, plans) \
   F(std::vector<RunnerRow>, runners) F(std::vector<RegionRow>, regions)             \
-  F(std::vector<GatewayRow>, gateways) F(std::vector<ZoneName>, emptied)
+  F(std::vector<GatewayRow>, gateways) F(std::vector<GatewayRow>, edges)            \
+  F(std::vector<ZoneName>, emptied)
 EMBERDALE_RECORD(PlacementMap, EMBERDALE_PLACEMENT_MAP)
 
 #define EMBERDALE_SLICE_ROW(F) F(Text, key) F(Bytes, body)
--- a/packages/placement-map/src/placement_map.cpp
+++ b/packages/placement-map/src/placement_map.cpp
@@ -29,8 +29,10 @@
 
 PlacementMap compute_map(const FleetState& state, const Configuration& configuration,
                          const std::map<RunnerName, RunnerStatus>& statuses,
-                         const std::vector<GatewayRow>& gateways, const MapVersion& version) {
+                         const std::vector<GatewayRow>& gateways, const std::vector<GatewayRow>& edges,
+                         const MapVersion& version) {
   PlacementMap map;
+  map.edges = edges;
   map.version = version;
   map.config_revision = state.config_revision;
   std::set<ZoneName> emptied;
