--- a/packages/segmented-log/src/segmented_log.cpp
+++ b/packages/segmented-log/src/segmented_log.cpp
@@ -65,7 +65,8 @@
     }
     const char* payload = bytes.data() + scan.good + head_size;
     if (checksum(payload, size) != get32(bytes, scan.good + 8)) {
-      bool has_zero_end = size > 0 && bytes.back() == '\0' && left - head_size == size;
+      // Zeros from within this record to the end of the file: a write that never ended.
+      bool has_zero_end = size > 0 && bytes.find_first_not_of('\0', scan.good + head_size + size - 1) == std::string::npos;
       (has_zero_end ? scan.is_torn : scan.is_corrupt) = true;
       return scan;
     }
--- a/packages/segmented-log/tests/segmented_log_test.cpp
+++ b/packages/segmented-log/tests/segmented_log_test.cpp
@@ -115,3 +115,29 @@
   std::string removal = std::string("rm -r ") + folder;
   EXPECT_EQ(system(removal.c_str()), 0);
 }
+
+TEST(SegmentedLog, ABatchTornAnywhereAndFilledWithZerosIsATornTailNotCorruption) {
+  // Found by seed 5018: of a batch of records the first was torn, and zeros stood where the others were due.
+  auto whole = std::make_shared<MemoryFileSystem>();
+  std::string start, batch;
+  {
+    SegmentedLog log(whole, 100000);
+    ASSERT_TRUE(log.open("first"));
+    ASSERT_EQ(write_until_fault(log, 1, 3), 3);
+    start = *whole->read("segment-1");
+    ASSERT_TRUE(log.append({"4" + std::string(30, 'y'), "5" + std::string(30, 'z'), "6"}));
+    batch = whole->read("segment-1")->substr(start.size());
+  }
+  for (std::size_t cut = 0; cut < batch.size(); ++cut) {
+    auto disk = std::make_shared<MemoryFileSystem>();
+    disk->append("identity", *whole->read("identity"));
+    std::string torn = start + batch.substr(0, cut);
+    torn.resize(start.size() + batch.size(), '\0');
+    disk->append("segment-1", torn);
+    SegmentedLog again(disk, 100000);
+    auto opening = again.open("second");
+    ASSERT_TRUE(opening);
+    EXPECT_FALSE(opening->was_corrupt) << "cut at " << cut << ": " << opening->finding;
+    EXPECT_GE(newest(*opening), 3);
+  }
+}
