--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -51,6 +51,9 @@
   std::vector<WriteWish> take_writes();
   std::vector<ProbeWish> take_probes();
 
+  // The wall clock, for maintenance windows alone. Example: daemon.set_wall_clock(time(nullptr));
+  void set_wall_clock(std::int64_t seconds) { wall_seconds_ = seconds; }
+
   // --- operators' acts; each callback comes exactly once -----------------------------------------
   // Done by the master, wherever it is asked. Example: daemon.edit(ask, [](const EditAnswer& a) {...}, now);
   void edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now);
@@ -143,6 +146,7 @@
   void settle_edits(Moment now);
   void answer_edit(PendingEdit& edit, EditAnswer answer);
   void probe_runners(Moment now);
+  void keep_windows(Moment now);
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
@@ -175,6 +179,8 @@
   std::optional<Founding> founding_;
   std::optional<Replacing> replacing_;
   Integer last_ask_ = 0;
+  std::int64_t wall_seconds_ = 0;
+  Moment window_next_;
   bool is_enrolling_ = false, has_waited_to_enrol_ = false, is_evicting_ = false, is_mending_ = false, is_claiming_ = false;
   Moment poll_next_, gossip_next_, follow_next_, enrol_next_, probe_sweep_next_, mend_next_, evict_next_;
   std::map<RunnerName, Moment> probe_next_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -819,6 +819,28 @@
   collect(now);
 }
 
+// The master opens and closes the maintenance windows of zone orders: each time an edit like any other,
+// durable, covered by a map and barred against older ones. A clock that jumps can flip a zone once in
+// ten seconds, no oftener.
+void ControlDaemon::keep_windows(Moment now) {
+  if (wall_seconds_ == 0 || now < window_next_ || !edits_.empty()) return;
+  for (const auto& order : configuration_.orders) {
+    bool is_wanted = order.wants_window(wall_seconds_);
+    if (is_wanted == order.is_window_open) continue;
+    window_next_ = now + Span{10000};
+    EditAsk ask;
+    ask.change = "window-" + order.zone.text + "-" + std::to_string(proposer_.state().version) + "-" + std::to_string(wall_seconds_);
+    ask.act = "patch";
+    ask.kind = orders_kind;
+    ask.name = order.zone.text;
+    ask.expected = -1;
+    ask.body = is_wanted ? R"({"window_open":true})" : R"({"window_open":false})";
+    note(now, "window", order.zone.text + (is_wanted ? " opens" : " closes"));
+    edit(ask, [](const EditAnswer&) {}, now);
+    return;
+  }
+}
+
 // --- time -----------------------------------------------------------------------------------------
 
 void ControlDaemon::on_alarm(Moment now) {
@@ -868,6 +890,7 @@
                        now, Span{2000});
     }
     publish(now, false);
+    keep_windows(now);
     run_edit(now);
   }
   settle_edits(now);
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -115,6 +115,7 @@
     alarm_.expires_after(std::chrono::milliseconds(25));
     alarm_.async_wait([this](boost::system::error_code fault) {
       if (fault) return;
+      daemon_->set_wall_clock(static_cast<std::int64_t>(::time(nullptr)));
       daemon_->on_alarm(steady_now());
       flush();
       tick();
--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 #include <thread>
 
+#include "emberdale/maintenance_windows.hpp"
 #include "emberdale/serving_plans.hpp"
 #include "emberdale/sibling_links.hpp"
 
@@ -31,6 +32,7 @@
   emberdale-client [options] take-back ZONE
   emberdale-client [options] mark-leaving RUNNER
   emberdale-client [options] mark-staying RUNNER
+  emberdale-client [options] import-windows FILE [--days N]
   emberdale-client [options] replace-core OLD NEW
   emberdale-client [options] fleet
   emberdale-client [options] master
@@ -39,7 +41,8 @@
   emberdale-client (-h | --help)
 
 KIND is serving-plans, zone-orders or runners. FILE is a JSON document, or '-' for standard input;
-patch takes a JSON merge patch. CORE, OLD and NEW are IP:PORT link addresses of core daemons.
+patch takes a JSON merge patch. import-windows reads an iCalendar file whose events name a zone as
+their LOCATION, and writes their windows into the zone orders. CORE, OLD and NEW are IP:PORT link addresses of core daemons.
 
 Options:
   --control LIST   IP:PORT of the control daemons' HTTP interfaces, tried in turn
@@ -47,6 +50,7 @@
   --if-match V     Only if the version is V; 0: only if it does not exist yet.
   --wait           Return only once the change is in force everywhere.
   --timeout S      Give up waiting after S seconds [default: 30].
+  --days N         Windows of so many days to come [default: 30].
   -h --help        Show this.
 
 Exit status: 0 done; 1 refused, nothing changed; 2 wrong usage; 3 outcome unknown, read it back;
@@ -227,6 +231,31 @@
     Json done = Json::parse(answer.body, nullptr, false);
     return client.watch(kind, name, true, done.value("version", 0), seconds);
   }
+  if (flag("import-windows")) {
+    auto content = read_file(text("FILE"));
+    if (!content) {
+      std::cerr << text("FILE") << " can't be read\n";
+      return 2;
+    }
+    std::vector<emberdale::Finding> findings;
+    std::int64_t now = std::time(nullptr);
+    auto windows = emberdale::read_calendar(text("FILE"), *content, now, now + 86400 * std::max(1, std::atoi(text("--days").c_str())), findings);
+    if (emberdale::has_errors(findings))
+      return show({422, Json{{"reason", "the calendar is wrong; nothing was changed"}, {"findings", Json::parse(emberdale::findings_json(findings))}}.dump()});
+    int status = 0;
+    for (const auto& [zone, list] : windows) {
+      Json body{{"windows", Json::array()}};
+      for (const auto& window : list) body["windows"].push_back({{"from", emberdale::show_utc(window.from)}, {"until", emberdale::show_utc(window.until)}});
+      Answer answer = client.ask("PATCH", std::string("/v1/") + emberdale::orders_kind + "/" + zone, body.dump());
+      if (answer.code == 404) {
+        body["state"] = "serving";
+        answer = client.ask("PUT", std::string("/v1/") + emberdale::orders_kind + "/" + zone, body.dump(), "0");
+      }
+      std::cout << "zone " << zone << ", " << list.size() << " windows: ";
+      status = std::max(status, show(answer));
+    }
+    return status;
+  }
   if (flag("get")) return show(client.ask("GET", "/v1/" + kind + (name.empty() ? "" : "/" + name)));
   if (flag("watch")) return client.watch(kind, name, flag("--until-in-force"), 0, flag("--until-in-force") ? seconds : 1 << 30);
   if (flag("found")) return show(client.ask("POST", "/v1/fleet/found", Json{{"fleet", text("FLEET")}, {"cores", arguments["CORE"].asStringList()}}.dump()));
--- a/packages/serving-plans/include/emberdale/serving_plans.hpp
+++ b/packages/serving-plans/include/emberdale/serving_plans.hpp
@@ -39,11 +39,33 @@
   std::int64_t max_body_bytes = 1 << 20;
 };
 
+// A span of wall-clock time, seconds since 1970 in UTC.
+struct MaintenanceWindow {
+  std::int64_t from = 0, until = 0;
+};
+
 struct ZoneOrder {
   ZoneName zone;
-  bool is_emptied = false;
+  bool is_emptied = false;      // by its state, or by a window that the master has opened
+  bool is_window_open = false;  // what the master wrote last
+  std::vector<MaintenanceWindow> windows;
+  // Example: order.wants_window(1764633600)
+  bool wants_window(std::int64_t wall_seconds) const {
+    for (const auto& window : windows)
+      if (window.from <= wall_seconds && wall_seconds < window.until) return true;
+    return false;
+  }
 };
 
+// Example: read_utc("2026-12-02T01:00:00Z") == 1796173200; anything else is refused with a reason
+Outcome<std::int64_t> read_utc(const std::string& text);
+// Example: show_utc(1796173200) == "2026-12-02T01:00:00Z"
+std::string show_utc(std::int64_t seconds);
+
+// Line and column, from 1, of what a JSON pointer names in a text; {0, 0} if the text has none.
+// Example: place_in_text("{\n \"a\": 1}", "/a") == std::pair(2, 7)
+std::pair<int, int> place_in_text(const std::string& text, const std::string& pointer);
+
 struct RunnerEntry {
   RunnerName name;
   std::string http;
--- a/packages/serving-plans/src/serving_plans.cpp
+++ b/packages/serving-plans/src/serving_plans.cpp
@@ -1,6 +1,9 @@
 #include "emberdale/serving_plans.hpp"
 
+#include <time.h>
+
 #include <algorithm>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -202,6 +205,30 @@
 
 }  // namespace
 
+Outcome<std::int64_t> read_utc(const std::string& text) {
+  std::tm parts{};
+  int used = 0;
+  if (std::sscanf(text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2dZ%n", &parts.tm_year, &parts.tm_mon, &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &used) != 6 ||
+      used != 20 || text.size() != 20)
+    return failure("must be a UTC time like 2026-12-02T01:00:00Z");
+  parts.tm_year -= 1900;
+  parts.tm_mon -= 1;
+  std::int64_t seconds = ::timegm(&parts);
+  if (show_utc(seconds) != text) return failure("there is no such day or time");
+  return seconds;
+}
+
+std::string show_utc(std::int64_t seconds) {
+  std::time_t time = static_cast<std::time_t>(seconds);
+  std::tm parts{};
+  ::gmtime_r(&time, &parts);
+  char text[32];
+  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text;
+}
+
+std::pair<int, int> place_in_text(const std::string& text, const std::string& pointer) { return TextPlaces(text).of(pointer); }
+
 std::string findings_json(const std::vector<Finding>& findings) {
   Json list = Json::array();
   for (const auto& finding : findings)
@@ -273,8 +300,28 @@
   order.zone.text = name;
   std::string state = reader.text("/state", true);
   if (!state.empty() && state != "emptied" && state != "serving") reader.error("/state", "must be 'emptied' or 'serving'");
-  order.is_emptied = state == "emptied";
+  order.is_window_open = reader.answer("/window_open", false);
+  order.is_emptied = state == "emptied" || order.is_window_open;
   reader.text("/note", false);
+  if (const Json* windows = reader.find("/windows")) {
+    if (!windows->is_array() || windows->size() > 400) {
+      reader.error("/windows", "must be a list of at most 400 windows");
+    } else {
+      for (std::size_t i = 0; i < windows->size(); ++i) {
+        const Json& item = (*windows)[i];
+        std::string place = "/windows/" + std::to_string(i);
+        if (!item.is_object() || item.size() != 2 || !item.contains("from") || !item.contains("until") || !item["from"].is_string() || !item["until"].is_string()) {
+          reader.error(place, "must have 'from' and 'until', and nothing else");
+          continue;
+        }
+        auto from = read_utc(item["from"].get<std::string>()), until = read_utc(item["until"].get<std::string>());
+        if (!from) reader.error(place + "/from", from.reason);
+        if (!until) reader.error(place + "/until", until.reason);
+        if (from && until && *until <= *from) reader.error(place + "/until", "must be after 'from'");
+        if (from && until) order.windows.push_back({*from, *until});
+      }
+    }
+  }
   reader.refuse_unknown();
   if (!reader.is_sound()) return std::nullopt;
   return order;
@@ -461,8 +508,13 @@
       return known.document == finding.document && known.place == finding.place && known.message == finding.message;
     });
   };
-  for (const auto& finding : after)
-    if (!is_old(finding)) result.findings.push_back(finding);
+  for (auto finding : after) {
+    if (is_old(finding)) continue;
+    // What a rule between documents finds in the one at hand gets its place in the text as well.
+    if (finding.line == 0 && finding.document == edit.kind + "/" + edit.name)
+      std::tie(finding.line, finding.column) = place_in_text(body, finding.place);
+    result.findings.push_back(finding);
+  }
   if (has_errors(result.findings)) {
     result.code = 422;
     result.reason = "the document or its fit with the others is wrong";
