Desk on a pool with intrusive pending lists; trial with the full list of faults

Cause: house style asks for pools and intrusive lists; the desk kept calls in ordered maps. The trial can now freeze, wipe, cut and stop everything.

--- a/packages/call-matching/include/emberdale/call_desk.hpp
+++ b/packages/call-matching/include/emberdale/call_desk.hpp
@@ -1,7 +1,8 @@
 // The stages of a call that need no I/O: gate, match, pending, retry, end.
 // Deterministic: the daemon and the simulator run the same desk.
 #pragma once
-#include <list>
+#include <absl/container/flat_hash_map.h>
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "emberdale/grant_keeper.hpp"
+#include "emberdale/pool.hpp"
 #include "emberdale/traffic_view.hpp"
 
 namespace emberdale {
@@ -107,6 +109,8 @@
 
  private:
   struct Call {
+    ListHook hook;  // in the pending list of its plan
+    CallIndex index = 0;
     CallId id;
     PlanName plan;
     std::string method, path;
@@ -132,7 +136,9 @@
                                      bool is_last_resort) const;
   Integer burden_of(const RunnerRow& row, const Link& link) const;
   Integer bound_of(const RunnerRow& row, const Link& link) const;
-  bool try_send(CallIndex index, Call& call, Moment now);
+  bool try_send(Call& call, Moment now);
+  void pend(PoolIndex at);
+  void forget(PoolIndex at);
   void finish(CallIndex index, FinalAct act);
   void pump(Moment now);
   FinalAct refusal(CallIndex index, const std::string& reason, Span retry_after);
@@ -141,8 +147,9 @@
   std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
   Grant grant_;
   bool is_closed_ = false;
-  std::map<CallIndex, Call> calls_;
-  std::map<PlanName, std::list<CallIndex>> pending_;
+  Pool<Call> pool_;
+  absl::flat_hash_map<CallIndex, PoolIndex> calls_;
+  std::map<PlanName, IntrusiveList<Call>> pending_;
   std::map<RunnerName, Link> links_;
   std::map<PlanName, std::pair<Integer, Integer>> in_flight_;  // all, spilled
   double retry_tokens_;
--- a/packages/call-matching/src/call_desk.cpp
+++ b/packages/call-matching/src/call_desk.cpp
@@ -93,20 +93,32 @@
   if (arriving.horizon.value > 0 && arriving.horizon < length) length = arriving.horizon;
   call.horizon = now + length;
   call.pending_until = now + Span{std::min(settings_.pending_patience.value, length.value / 3)};
-  auto& taken = calls_[index] = std::move(call);
-  if (try_send(index, taken, now)) return std::nullopt;
-  auto& queue = pending_[plan.name];
-  if (queue.size() >= settings_.pending_bound) {
-    calls_.erase(index);
+  call.index = index;
+  PoolIndex at = pool_.take(std::move(call));
+  calls_[index] = at;
+  if (try_send(pool_[at], now)) return std::nullopt;
+  if (pending_[plan.name].size() >= settings_.pending_bound) {
+    forget(at);
     ++counts_.refused_full;
     return refuse(503, "every runner for it is full, and so is the pending queue", Span{1000});
   }
   ++counts_.pended;
-  taken.is_pending = true;
-  queue.push_back(index);
+  pend(at);
   return std::nullopt;
 }
 
+void CallDesk::pend(PoolIndex at) {
+  pool_[at].is_pending = true;
+  pending_[pool_[at].plan].push_back(pool_, at);
+}
+
+void CallDesk::forget(PoolIndex at) {
+  Call& call = pool_[at];
+  if (call.hook.is_linked) pending_[call.plan].remove(pool_, at);
+  calls_.erase(call.index);
+  pool_.give_back(at);
+}
+
 Integer CallDesk::burden_of(const RunnerRow& row, const Link& link) const {
   Integer reported = link.has_report && link.incarnation == row.incarnation ? link.reported_burden - link.own_at_report : 0;
   if (reported < 0) reported = 0;
@@ -185,7 +197,7 @@
   return match_in(call, plan, settings_.region, now, true);
 }
 
-bool CallDesk::try_send(CallIndex index, Call& call, Moment now) {
+bool CallDesk::try_send(Call& call, Moment now) {
   const ServingPlan* plan = plan_of(call);
   if (plan == nullptr || !is_granted(now)) return false;
   bool is_spill = false;
@@ -206,26 +218,27 @@
   call.is_pending = false;
   ++counts_.sends;
   if (!call.is_retry) retry_tokens_ = std::min(settings_.retry_bound, retry_tokens_ + settings_.retry_share);
-  sends_.push_back({index, call.id, row.name, row.http, call.path, call.method, row.seal_key, row.incarnation,
+  sends_.push_back({call.index, call.id, row.name, row.http, call.path, call.method, row.seal_key, row.incarnation,
                     plan->is_repeatable, plan->is_streaming, call.horizon});
   return true;
 }
 
 void CallDesk::first_piece(CallIndex index) {
   auto entry = calls_.find(index);
-  if (entry != calls_.end()) entry->second.has_piece = true;
+  if (entry != calls_.end()) pool_[entry->second].has_piece = true;
 }
 
 void CallDesk::finish(CallIndex index, FinalAct act) {
   act.call = index;
   finals_.push_back(std::move(act));
-  calls_.erase(index);
+  forget(calls_.at(index));
 }
 
 void CallDesk::end_send(const SendEnd& end, Moment now) {
   auto entry = calls_.find(end.call);
   if (entry == calls_.end()) return;
-  Call& call = entry->second;
+  PoolIndex at = entry->second;
+  Call& call = pool_[at];
   Link& link = links_[call.runner];
   if (link.in_flight > 0) --link.in_flight;
   auto& counts = in_flight_[call.plan];
@@ -260,10 +273,10 @@
   switch (end.kind) {
     case SendEndKind::answered:
       ++counts_.answered;
-      calls_.erase(entry);
+      forget(at);
       break;
     case SendEndKind::caller_gone:
-      calls_.erase(entry);
+      forget(at);
       break;
     case SendEndKind::refused:
     case SendEndKind::unsent:
@@ -273,16 +286,14 @@
       call.tried.push_back(call.runner);
       if (may_retry && retry_tokens_ >= 1) {
         call.is_retry = true;
-        if (try_send(end.call, call, now)) {
+        if (try_send(call, now)) {
           retry_tokens_ -= 1;
           ++counts_.retries;
           break;
         }
-        auto& queue = pending_[call.plan];
-        if (queue.size() < settings_.pending_bound && now < call.pending_until) {
+        if (pending_[call.plan].size() < settings_.pending_bound && now < call.pending_until) {
           call.tried.clear();
-          call.is_pending = true;
-          queue.push_back(end.call);
+          pend(at);
           break;
         }
       } else if (may_retry) {
@@ -304,42 +315,38 @@
 
 void CallDesk::caller_gone(CallIndex index, Moment now) {
   auto entry = calls_.find(index);
-  if (entry == calls_.end() || !entry->second.is_pending) return;  // a send in hand ends on its own
-  pending_[entry->second.plan].remove(index);
-  calls_.erase(entry);
+  if (entry == calls_.end() || !pool_[entry->second].is_pending) return;  // a send in hand ends on its own
+  forget(entry->second);
   pump(now);
 }
 
 void CallDesk::pump(Moment now) {
   for (auto& [name, queue] : pending_) {
-    while (!queue.empty()) {
-      CallIndex index = queue.front();
-      Call& call = calls_.at(index);
+    while (queue.front() != no_index) {
+      PoolIndex at = queue.front();
+      Call& call = pool_[at];
       if (call.pending_until <= now || call.horizon <= now || is_closed_) {
-        queue.pop_front();
         ++counts_.refused_full;
-        finish(index, refusal(index, is_closed_ ? "this daemon is stopping" : "no runner came free for it", Span{1000}));
+        finish(call.index, refusal(call.index, is_closed_ ? "this daemon is stopping" : "no runner came free for it", Span{1000}));
         continue;
       }
       if (plan_of(call) == nullptr) {
-        queue.pop_front();
         ++counts_.refused_gate;
-        finish(index, FinalAct{index, 404, "its plan was taken away", false, Span{0}, {}});
+        finish(call.index, FinalAct{call.index, 404, "its plan was taken away", false, Span{0}, {}});
         continue;
       }
       if (call.is_retry && retry_tokens_ < 1) {
-        queue.pop_front();
         ++counts_.retry_denied;
-        finish(index, refusal(index, "no retry is left for it", Span{1000}));
+        finish(call.index, refusal(call.index, "no retry is left for it", Span{1000}));
         continue;
       }
       bool is_retry = call.is_retry;
-      if (!try_send(index, call, now)) break;
+      if (!try_send(call, now)) break;
       if (is_retry) {
         retry_tokens_ -= 1;
         ++counts_.retries;
       }
-      queue.pop_front();
+      queue.remove(pool_, at);
     }
   }
 }
@@ -347,16 +354,14 @@
 void CallDesk::on_alarm(Moment now) {
   // Those further back may run out before the front does.
   for (auto& [name, queue] : pending_) {
-    for (auto entry = queue.begin(); entry != queue.end();) {
-      Call& call = calls_.at(*entry);
+    for (PoolIndex at = queue.front(); at != no_index;) {
+      PoolIndex next = queue.next(pool_, at);
+      Call& call = pool_[at];
       if (call.pending_until <= now || call.horizon <= now) {
         ++counts_.refused_full;
-        CallIndex index = *entry;
-        entry = queue.erase(entry);
-        finish(index, refusal(index, "no runner came free for it", Span{1000}));
-      } else {
-        ++entry;
+        finish(call.index, refusal(call.index, "no runner came free for it", Span{1000}));
       }
+      at = next;
     }
   }
   pump(now);
--- a/packages/fleet-starter/src/trial_main.cpp
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <set>
 #include <sstream>
@@ -30,7 +31,7 @@
   --seconds N         Length of the load [default: 40].
   --rate N            Calls each second; else the brief's.
   --seed N            Seed of the mix [default: 1].
-  --faults LIST       Any of master,runner,zone, or none [default: master,runner,zone].
+  --faults LIST       Any of master,runner,zone,freeze,core,cut,total; or all, or none [default: master,runner,zone].
   -h --help           Show this.
 )";
 
@@ -124,34 +125,112 @@
 
   std::int64_t emptied_at = 0, taken_back_at = 0;
   std::string emptied_zone = "b";
-  if (is_wanted("master")) {
-    wait_until(0.15);
+  auto note = [&](Json event) {
+    event["at_ms"] = since(start);
+    events.push_back(std::move(event));
+  };
+  auto pause = [](int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); };
+  auto new_master_after = [&](const std::string& was, Clock::time_point from) {
+    std::string next;
+    while (((next = fleet.master_name()).empty() || next == was) && since(from) < 30000) pause(20);
+    return std::make_pair(next, since(from));
+  };
+  auto serving = [&] {
+    int count = 0;
+    for (const auto& [name, process] : fleet.processes()) {
+      if (process.role != "data" || process.id <= 0) continue;
+      auto health = fleet.page(process.http, "/emberdale/health");
+      if (health && health->find("\"serving\"") != std::string::npos) ++count;
+    }
+    return count;
+  };
+  std::vector<std::pair<std::string, std::function<void()>>> acts;
+  acts.push_back({"master", [&] {
     std::string master = fleet.master_name();
     auto killed = Clock::now();
     fleet.end(master, SIGKILL);
-    std::string next;
-    while ((next = fleet.master_name()).empty() && since(killed) < 30000) std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    events.push_back({{"at_ms", since(start)}, {"event", "master killed"}, {"was", master}, {"next", next}, {"new_master_after_ms", since(killed)}});
+    auto [next, took] = new_master_after(master, killed);
+    note({{"event", "master killed"}, {"was", master}, {"next", next}, {"new_master_after_ms", took}});
     fleet.begin(master);
-  }
-  if (is_wanted("runner")) {
-    wait_until(0.4);
+  }});
+  acts.push_back({"runner", [&] {
     fleet.end("model-2", SIGKILL);
-    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    pause(500);
     fleet.begin("model-2");
-    events.push_back({{"at_ms", since(start)}, {"event", "runner model-2 killed and started again cold"}});
-  }
-  if (is_wanted("zone")) {
-    wait_until(0.6);
+    note({{"event", "runner model-2 killed and started again cold"}});
+  }});
+  acts.push_back({"zone", [&] {
     auto ordered = Clock::now();
     auto ended = fleet.client({"evacuate", emptied_zone, "--wait"});
     emptied_at = wall_ms();
-    events.push_back({{"at_ms", since(start)}, {"event", "zone emptied"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
-    wait_until(0.85);
+    note({{"event", "zone emptied"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+    pause(static_cast<int>(seconds * 60));
     taken_back_at = wall_ms();
     ordered = Clock::now();
     ended = fleet.client({"take-back", emptied_zone, "--wait"});
-    events.push_back({{"at_ms", since(start)}, {"event", "zone taken back"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+    note({{"event", "zone taken back"}, {"client_status", ended.status}, {"in_force_after_ms", since(ordered)}});
+  }});
+  acts.push_back({"freeze", [&] {
+    std::string master = fleet.master_name();
+    auto frozen = Clock::now();
+    fleet.signal(master, SIGSTOP);
+    fleet.signal("a1-data", SIGSTOP);
+    auto [next, took] = new_master_after(master, frozen);
+    note({{"event", "master and a1-data frozen"}, {"was", master}, {"next", next}, {"new_master_after_ms", took}});
+    auto ended = fleet.client({"get", "serving-plans"});
+    fleet.signal("a1-data", SIGCONT);
+    fleet.signal(master, SIGCONT);
+    pause(1500);
+    note({{"event", "both woken"}, {"master", fleet.master_name()}, {"read_status", ended.status}});
+  }});
+  acts.push_back({"core", [&] {
+    auto lost = Clock::now();
+    fleet.end("b0-core", SIGKILL);
+    std::filesystem::remove_all(fleet.folder() + "/data-b0-core");
+    pause(1000);
+    fleet.begin("b0-core");
+    bool is_admitted = false;
+    while (!is_admitted && since(lost) < 20000) {
+      pause(100);
+      auto text = fleet.page(fleet.at("a0-core").http, "/v1/fleet");
+      Json fleet_picture = text ? Json::parse(*text, nullptr, false) : Json();
+      auto log = fleet.page(fleet.at("b0-core").http, "/health");
+      if (!fleet_picture.is_object() || !log) continue;
+      std::ifstream identity(fleet.folder() + "/data-b0-core/identity");
+      std::string bytes((std::istreambuf_iterator<char>(identity)), {});
+      for (const auto& entry : fleet_picture["acceptors"])
+        if (!bytes.empty() && bytes.find(entry["store"].get<std::string>()) != std::string::npos) is_admitted = true;
+    }
+    note({{"event", "core machine b0 killed, wiped and started"}, {"admitted_again", is_admitted}, {"after_ms", since(lost)}});
+  }});
+  acts.push_back({"cut", [&] {
+    // The master's words reach no one, though it hears all: a one-way cut.
+    std::string master = fleet.master_name();
+    Json all = Json::array();
+    for (const auto& [name, process] : fleet.processes())
+      if (!process.link.empty() && name != master) all.push_back(process.link);
+    auto cut = Clock::now();
+    fleet.post(fleet.at(master).http, "/v1/faults", Json{{"siblings", all}, {"cut_out", true}}.dump());
+    auto [next, took] = new_master_after(master, cut);
+    fleet.post(fleet.at(master).http, "/v1/faults", R"({"clear":true})");
+    note({{"event", "master's links cut one way"}, {"was", master}, {"next", next}, {"new_master_after_ms", took}});
+  }});
+  acts.push_back({"total", [&] {
+    auto lost = Clock::now();
+    for (const auto& [name, process] : fleet.processes())
+      if (process.role == "core" || process.role == "edge" || process.role == "data") fleet.end(name, SIGKILL);
+    pause(500);
+    auto back = Clock::now();
+    for (const auto& [name, process] : fleet.processes()) fleet.begin(name);
+    while (serving() < 9 && since(back) < 30000) pause(50);
+    note({{"event", "every daemon killed and started again"}, {"all_serving_after_ms", since(back)}, {"down_ms", since(lost) - since(back)}});
+  }});
+  std::vector<std::function<void()>> wanted;
+  for (const auto& [name, act] : acts)
+    if (is_wanted(name) || faults == "all") wanted.push_back(act);
+  for (std::size_t i = 0; i < wanted.size(); ++i) {
+    wait_until(0.1 + 0.85 * static_cast<double>(i) / static_cast<double>(wanted.size()));
+    wanted[i]();
   }
   int callers_status = fleet.wait_program(callers);
 
