The relay waits for nothing on the threads that serve all links

Cause: a daemon that woke from a freeze (or a stalled machine) hung for good: each ending stream waited for its own close on one of the library's few threads, and the close needs another one. Seen first on a fleet of processes under a heavy load: 2490 of 20000 calls hung until their callers gave up. Ruled out: descriptors, the grant, the accept loop.

--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -283,7 +283,7 @@
         .then([this, bytes, watch, wait_and_step](pplx::task<std::size_t> put) {
           try {
             put.get();
-            watch->buffer.sync().wait();
+            watch->buffer.sync();
           } catch (const std::exception&) {
           }
           boost::asio::post(context_, wait_and_step);
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -398,7 +398,7 @@
       size = reading.get();
       if (size == 1) {
         std::size_t more = std::min(relay->source.in_avail(), relay->bytes.size() - 1);
-        if (more > 0) size += relay->source.getn(relay->bytes.data() + 1, more).get();
+        for (; more > 0; --more) relay->bytes[size++] = static_cast<std::uint8_t>(relay->source.sbumpc());  // there already
       }
     } catch (const std::exception&) {
       is_broken = true;
@@ -464,12 +464,13 @@
       is_sealed = false;
     }
     if (!out.empty()) {
-      // A copy is put: the buffer keeps it until the caller has read it.
-      handle->pieces.putn_nocopy(reinterpret_cast<const std::uint8_t*>(out.data()), out.size()).wait();
-      handle->pieces.sync().wait();
+      // The buffer takes a copy at once. Nothing is waited for here: this is one of the few threads that
+      // serve all links, and a wait needs another of them.
+      handle->pieces.putn_nocopy(reinterpret_cast<const std::uint8_t*>(out.data()), out.size());
+      handle->pieces.sync();
     }
     if (is_sealed || !trouble.empty()) {
-      handle->pieces.close(std::ios_base::out).wait();
+      handle->pieces.close(std::ios_base::out);
       if (!is_sealed) {
         ++relay_counts_.streams_broken;
         relay->stop.cancel();
--- a/packages/data-plane/tests/call_relay_test.cpp
+++ b/packages/data-plane/tests/call_relay_test.cpp
@@ -301,3 +301,20 @@
     EXPECT_EQ(bench.ask("/once").code, 200);  // it is not shunned for good
   }
 }
+
+TEST(CallRelay, ManyStreamsThatEndAtOnceDoNotHoldEachOtherUp) {
+  // Four threads serve all links here. A relay that waits for its own close on one of them needs
+  // another to be free: a daemon that woke from a freeze hung for good, with all threads waiting so.
+  std::atomic<int> asked{0};
+  CountingServer runner([&](const Asked& asked_call) {
+    ++asked;
+    return std::make_pair(stream_bytes(asked_call, "r1"), true);
+  });
+  Bench bench({runner.place()}, 64);
+  for (int round = 0; round < 8; ++round) {
+    std::vector<pplx::task<Told>> calls;
+    for (int i = 0; i < 40; ++i) calls.push_back(bench.ask_later("/stream"));
+    for (auto& call : calls) EXPECT_NE(call.get().body.find("event: sealed"), std::string::npos);
+  }
+  EXPECT_EQ(asked, 320);
+}
--- a/packages/stand-ins/src/caller_stand_in.cpp
+++ b/packages/stand-ins/src/caller_stand_in.cpp
@@ -219,7 +219,7 @@
         size = got.get();
         if (size == 1) {
           std::size_t more = std::min(reading->source.in_avail(), reading->bytes.size() - 1);
-          if (more > 0) size += reading->source.getn(reading->bytes.data() + 1, more).get();
+          for (; more > 0; --more) reading->bytes[size++] = static_cast<std::uint8_t>(reading->source.sbumpc());
         }
       } catch (const std::exception&) {
         size = 0;
--- a/packages/stand-ins/src/runner_stand_in.cpp
+++ b/packages/stand-ins/src/runner_stand_in.cpp
@@ -218,8 +218,8 @@
       if (fault == "cut") {
         response.headers().set_content_length(text.size() + 100);
         concurrency::streams::producer_consumer_buffer<std::uint8_t> half;
-        half.putn_nocopy(reinterpret_cast<const std::uint8_t*>(text.data()), text.size() / 2).wait();
-        half.close(std::ios_base::out).wait();
+        half.putn_nocopy(reinterpret_cast<const std::uint8_t*>(text.data()), text.size() / 2);
+        half.close(std::ios_base::out);
         response.set_body(half.create_istream(), text.size() + 100, "application/json");
       } else {
         response.set_body(text, "application/json");
@@ -258,15 +258,15 @@
   }
 
   void put(const std::shared_ptr<Stream>& stream, const std::string& text) {
-    stream->out.putn_nocopy(reinterpret_cast<const std::uint8_t*>(text.data()), text.size()).wait();
-    stream->out.sync().wait();
+    stream->out.putn_nocopy(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+    stream->out.sync();
   }
 
   void step(const std::shared_ptr<Stream>& stream) {
     bool is_middle = stream->next > stream->last / 2;
     if (stream->is_gone || (stream->fault == "cut_stream" && is_middle)) {
       if (stream->is_gone) write_ledger("caller-gone", stream->request);
-      stream->out.close(std::ios_base::out).wait();
+      stream->out.close(std::ios_base::out);
       --running_;
       return;
     }
@@ -275,7 +275,7 @@
     if (stream->next > stream->last || is_false_end) {
       std::string seal = seal_of(key_, stream->call, name_, incarnation_, stream->text + (is_false_end ? "and more\n" : ""));
       put(stream, event_text({"sealed", std::to_string(stream->next), seal}));
-      stream->out.close(std::ios_base::out).wait();
+      stream->out.close(std::ios_base::out);
       --running_;
       return;
     }
