Dead state out of the proposer and the simulated fleet; one shape for two figures

Cause: a second reading of the change. A flag that nothing read, a port that nothing used, and two measurements that differed in an edit and a figure.

--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -96,7 +96,6 @@
     std::map<StoreId, std::map<Address, Span>> heard;
     std::map<StoreId, Span> awake;
     bool wants_heard = false;
-    bool was_settled = false;
   };
   void start_next(Moment now);
   void begin_prepare(Moment now);
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -218,9 +218,6 @@
   } else {
     return;
   }
-  if (!read.was_settled) {
-    read.was_settled = true;
-  }
   for (const auto& [store, ballot] : read.answers) {  // a read mends the copies that it finds old
     if (!(ballot < read.highest)) continue;
     bool is_member = false;
--- a/packages/fleet-simulator/src/fleet_simulation.cpp
+++ b/packages/fleet-simulator/src/fleet_simulation.cpp
@@ -20,7 +20,6 @@
 }  // namespace
 
 FleetSimulation::FleetSimulation(std::uint64_t seed, SimulationShape shape) : seed_(seed), shape_(std::move(shape)), dice_(seed) {
-  int port = 10000;
   std::size_t zone_index = 0;
   for (const std::string zone : {"a", "b", "c"}) {
     std::string region = zone == "c" ? "south" : "north";
@@ -60,7 +59,6 @@
     runners_[record.name] = record;
     ++zone_index;
   }
-  (void)port;
   for (auto& [name, made] : nodes_) start(name);
 }
 
--- a/packages/fleet-simulator/src/main.cpp
+++ b/packages/fleet-simulator/src/main.cpp
@@ -124,19 +124,19 @@
     fleet->edit_until_done("patch", plans_kind, "check", R"({"horizon_ms":4000})", Span{8000});
     return fleet->now() - begun;
   });
-  run("worst old plan, a data daemon cut off from the news", [](std::uint64_t seed) {
+  // One data daemon no longer hears the news; then the edit is acknowledged, and it is watched for a while.
+  auto edited_while_cut_off = [](std::uint64_t seed, const char* kind, const char* name, const char* patch, Span watched) {
     auto fleet = serving_fleet(seed);
     for (const auto& edge : fleet->names("edge")) fleet->cut_both("a1-data", edge);
-    fleet->edit_until_done("patch", plans_kind, "check", R"({"horizon_ms":4000})", Span{8000});
-    fleet->run(Span{5000});
-    return fleet->figures().worst_old_plan_ms;
+    fleet->edit_until_done("patch", kind, name, patch, Span{8000});
+    fleet->run(watched);
+    return fleet->figures();
+  };
+  run("worst old plan, a data daemon cut off from the news", [&](std::uint64_t seed) {
+    return edited_while_cut_off(seed, plans_kind, "check", R"({"horizon_ms":4000})", Span{5000}).worst_old_plan_ms;
   });
-  run("worst new work for a leaving runner", [](std::uint64_t seed) {
-    auto fleet = serving_fleet(seed);
-    for (const auto& edge : fleet->names("edge")) fleet->cut_both("a1-data", edge);
-    fleet->edit_until_done("patch", runners_kind, "model-a1", R"({"leaving":true})", Span{8000});
-    fleet->run(Span{7000});
-    return fleet->figures().worst_leaving_ms;
+  run("worst new work for a leaving runner", [&](std::uint64_t seed) {
+    return edited_while_cut_off(seed, runners_kind, "model-a1", R"({"leaving":true})", Span{7000}).worst_leaving_ms;
   });
   return 0;
 }
