--- a/packages/call-matching/include/emberdale/grant_keeper.hpp
+++ b/packages/call-matching/include/emberdale/grant_keeper.hpp
@@ -1,6 +1,7 @@
 // The grant under which a data daemon may send: proof by a register majority that its map is current.
 #pragma once
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
   const Grant& grant() const { return grant_; }
   void set_cold_until(Moment until) { grant_.cold_until = until; }
   std::vector<Sending> take_out();
+  // Since when a register majority shows a floor above this daemon's map; nothing if it shows none.
+  // Example: if (auto since = keeper.behind_since()) look_for_another_home();
+  const std::optional<Moment>& behind_since() const { return behind_since_; }
   std::int64_t renewed() const { return renewed_; }
   std::int64_t behind() const { return behind_; }
   std::int64_t vouched() const { return vouched_; }
@@ -57,6 +61,7 @@
   Grant grant_;
   std::vector<Sending> out_;
   std::int64_t renewed_ = 0, behind_ = 0, vouched_ = 0;
+  std::optional<Moment> behind_since_;
 };
 
 }  // namespace emberdale
--- a/packages/call-matching/include/emberdale/traffic_view.hpp
+++ b/packages/call-matching/include/emberdale/traffic_view.hpp
@@ -8,6 +8,7 @@
 
 #include "emberdale/map_slices.hpp"
 #include "emberdale/serving_plans.hpp"
+#include "emberdale/traffic_table.hpp"
 
 namespace emberdale {
 
@@ -22,6 +23,11 @@
   std::map<std::pair<PoolName, RegionName>, RegionRow> regions;
   std::vector<GatewayRow> gateways;
   std::vector<GatewayRow> edges;  // the control daemons that live, by the master's word
+  bool has_traffic = false;       // a traffic table is in force
+  Integer traffic_revision = 0;
+  std::vector<TrafficRoute> routes;
+  std::map<PoolName, TrafficPool> traffic_pools;
+  TrafficLimits limits;
 };
 
 // The slices of one data daemon, and the view folded from them.
@@ -37,8 +43,10 @@
 
  private:
   void fold();
+  void fold_traffic(const std::string& key, const std::string& body, TrafficView& view);
   std::map<std::string, SliceHolder> holders_;
   std::set<std::string> topics_{plans_topic};
+  std::map<std::string, std::pair<std::string, TrafficRoute>> read_routes_;  // by key: the row's text, and what it says
   std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
 };
 
--- a/packages/call-matching/src/grant_keeper.cpp
+++ b/packages/call-matching/src/grant_keeper.cpp
@@ -53,9 +53,11 @@
   if (asked.is_proven || !has_majority(asked.acceptors, asked.next, asked.answered)) return;
   if (mine < asked.floor || asked.floor == MapVersion{}) {
     ++behind_;
+    if (!behind_since_ && mine < asked.floor) behind_since_ = asked.begun;
     return;
   }
   asked.is_proven = true;
+  behind_since_.reset();
   ++renewed_;
   Moment until = asked.begun + grant_length;
   if (grant_.until < until) grant_.until = until;
--- a/packages/call-matching/src/traffic_view.cpp
+++ b/packages/call-matching/src/traffic_view.cpp
@@ -26,6 +26,26 @@
   return known;
 }
 
+// Rows that have not changed are not read anew: a table may have thousands of routes.
+void SliceBook::fold_traffic(const std::string& key, const std::string& body, TrafficView& view) {
+  if (key.rfind("route/", 0) == 0) {
+    auto& known = read_routes_[key];
+    if (known.first != body) {
+      auto route = read_traffic_route(body);
+      if (!route) return;
+      known = {body, std::move(*route)};
+    }
+    view.routes.push_back(known.second);
+  } else if (key.rfind("pool/", 0) == 0) {
+    if (auto pool = read_traffic_pool(body)) view.traffic_pools[pool->name] = std::move(*pool);
+  } else if (key == "limits") {
+    view.limits = read_traffic_limits(body);
+  } else if (key == "revision") {
+    view.has_traffic = true;
+    view.traffic_revision = std::strtoll(body.c_str(), nullptr, 10);
+  }
+}
+
 void SliceBook::fold() {
   auto view = std::make_shared<TrafficView>();
   const auto& plans = holders_[plans_topic];
@@ -46,12 +66,21 @@
       if (auto row = decode_gateway_row(body)) view->master = row->daemon;
     } else if (key.rfind("edge/", 0) == 0) {
       if (auto row = decode_gateway_row(body)) view->edges.push_back(std::move(*row));
+    } else if (key.rfind("traffic/", 0) == 0) {
+      fold_traffic(key.substr(8), body, *view);
     } else if (auto row = decode_region_row(body)) {
       view->regions[{row->pool, row->region}] = *row;
     }
   }
   topics_ = {plans_topic};
-  for (const auto& plan : view->plans) topics_.insert(pool_topic(plan.pool));
+  std::set<PoolName> pools;
+  for (const auto& plan : view->plans) pools.insert(plan.pool);
+  for (const auto& [name, pool] : view->traffic_pools) pools.insert(name);
+  for (const auto& pool : pools) topics_.insert(pool_topic(pool));
+  for (auto entry = read_routes_.begin(); entry != read_routes_.end();) {
+    if (plans.rows().count("traffic/" + entry->first) == 0) entry = read_routes_.erase(entry);
+    else ++entry;
+  }
   for (auto entry = holders_.begin(); entry != holders_.end();) {
     if (topics_.count(entry->first) == 0) entry = holders_.erase(entry);
     else ++entry;
@@ -60,13 +89,11 @@
   // serves, as long as its grant lasts. (Folding it at once sent every daemon back to version 0.)
   for (const auto& topic : topics_)
     if (holders_[topic].version() == MapVersion{}) return;
-  std::set<PoolName> folded;
-  for (const auto& plan : view->plans) {
-    if (!folded.insert(plan.pool).second) continue;
-    const auto& holder = holders_[pool_topic(plan.pool)];
+  for (const auto& name : pools) {
+    const auto& holder = holders_[pool_topic(name)];
     view->version = std::min(view->version, holder.version());
     view->config_revision = std::min(view->config_revision, holder.config_revision());
-    auto& pool = view->pools[plan.pool];
+    auto& pool = view->pools[name];
     for (const auto& [key, body] : holder.rows()) {
       auto row = decode_runner_row(body);
       if (!row) continue;
--- /dev/null
+++ b/packages/call-routing/include/emberdale/route_desk.hpp
@@ -0,0 +1,181 @@
+// The stages of a routed call that need no I/O: gate, match, pending, resend, resume, end.
+// Deterministic: the daemon and the tests run the same desk.
+#pragma once
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emberdale/call_desk.hpp"
+#include "emberdale/traffic_view.hpp"
+
+namespace emberdale {
+
+// One part of a prompt: which, and how many tokens it has.
+struct PromptPart {
+  std::uint64_t id = 0;
+  Integer tokens = 0;
+};
+
+struct RoutedCall {
+  CallId id;
+  std::string host, path;  // the path without its query
+  Span horizon{0};         // the caller's; 0: as the route says
+  std::vector<PromptPart> prompt;
+  Integer tokens_in = 0, tokens_out = 0;
+  std::string resume_after;  // the caller continues a stream after this event; empty: from the start
+};
+
+// Send this call to that runner now. A send is known by call and turn together.
+struct RoutedSend {
+  CallIndex call = 0;
+  int turn = 0;  // 1, 2, ..: the how-manieth send of this call
+  RunnerName runner;
+  std::string http;
+  bool is_repeatable = false, is_streaming = false;
+  Integer rank = 5;
+  Moment horizon;
+  std::string resume_after;  // continue after this event; empty: from the start
+};
+
+// Give this send up: close its link, hand nothing of it on. The desk forgets it at once and expects no end of it.
+struct StopSend {
+  CallIndex call = 0;
+  int turn = 0;
+};
+
+enum class RoutedEndKind {
+  answered,     // a whole sound answer went to the caller
+  refused,      // the runner says that it did not run it (full, draining, ..)
+  wrong_life,   // another runner has that address now: it did not run it
+  unsent,       // the link never came up, or was closed before anything was written: nothing left this daemon
+  lost,         // sent, and no sound answer came; may have run
+  broken,       // a stream broke after events went to the caller
+  caller_gone,  // the caller left; the send was given up
+};
+
+struct RoutedEnd {
+  CallIndex call = 0;
+  int turn = 0;
+  RoutedEndKind kind = RoutedEndKind::lost;
+  std::string reason;
+  std::string last_event;            // broken: the id of the last event that went to the caller
+  bool has_report = false;           // the runner told its burden along
+  Integer running = 0, waiting = 0, slots = 0;
+  bool was_link_refused = false;     // a definite word: no one listens there
+  bool was_slow_to_connect = false;  // the link did not come up in time: silent machine
+};
+
+struct RouteDeskSettings {
+  Address self;
+  RegionName region;
+  ZoneName zone;
+  std::size_t pending_bound = 256;   // calls that wait for a free runner, all together
+  double resend_share = 0.08;        // resends earned by each first send
+  double resend_start = 1, resend_bound = 3;
+  Integer region_ms = 60;            // what a call to another region costs more than one nearby, in waiting
+};
+
+// Example:
+//   RouteDesk desk(settings); desk.see(view, now); desk.set_cold_until(until);
+//   auto refusal = desk.arrive(call, now, index);        // refused at once, or taken in
+//   for (auto& act : desk.take_sends()) send(act);  for (auto& act : desk.take_stops()) stop(act);
+//   desk.first_piece(index, turn, now); desk.end_send(end, now); desk.on_alarm(now);
+//   for (auto& act : desk.take_finals()) answer(act);    // FinalAct.call is never in hand any more afterwards
+//   timer(desk.alarm_next());                            // nothing is due before
+class RouteDesk {
+ public:
+  explicit RouteDesk(RouteDeskSettings settings);
+
+  void see(std::shared_ptr<const TrafficView> view, Moment now);
+  // Shares of cold runners may be used until then. Example: desk.set_cold_until(grant.cold_until)
+  void set_cold_until(Moment until) { cold_until_ = until; }
+
+  std::optional<FinalAct> arrive(const RoutedCall& call, Moment now, CallIndex index);
+  // The head of an answer has come, the first event has gone to the caller, a later event has come.
+  void answer_begun(CallIndex index, int turn, Moment now);
+  void first_piece(CallIndex index, int turn, Moment now);
+  void end_send(const RoutedEnd& end, Moment now);
+  // The caller left: what is pending is forgotten, what is sent is stopped.
+  void caller_gone(CallIndex index, Moment now);
+  void on_alarm(Moment now);
+  Moment alarm_next(Moment now) const;
+
+  std::vector<RoutedSend> take_sends() { return std::exchange(sends_, {}); }
+  std::vector<StopSend> take_stops() { return std::exchange(stops_, {}); }
+  // A final act with may_have_run after a first piece means: break the caller's stream off visibly.
+  std::vector<FinalAct> take_finals() { return std::exchange(finals_, {}); }
+  std::size_t in_hand() const { return calls_.size(); }
+
+  struct Counts {
+    std::int64_t arrived = 0, sends = 0, resends = 0, resumed = 0, answered = 0, refused_route = 0, refused_full = 0,
+                 refused_no_view = 0, unknown = 0, pended = 0, cold_sends = 0, resend_denied = 0, stopped = 0, far_sends = 0,
+                 kept_tokens = 0, read_tokens = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Call {
+    CallIndex index = 0;
+    CallId id;
+    const TrafficRoute* route = nullptr;  // in view_held
+    std::shared_ptr<const TrafficView> view_held;
+    PoolName pool;
+    std::vector<PromptPart> prompt;
+    std::uint64_t key = 0;  // of the opening
+    Integer tokens_in = 0, tokens_out = 0;
+    std::string resume_after;
+    Moment arrived, horizon, pending_until, sent_at, heard_at;
+    Integer unread = 0;  // of its prompt, at the runner it was sent to
+    int turn = 0, unsent = 0;
+    RunnerName runner;
+    std::set<RunnerName> tried;
+    bool is_pending = false, is_sent = false, has_answer = false, has_piece = false;
+    bool has_piece_here = false;     // of the send in hand
+    bool has_ended_silence = false;  // its runner's silence was seen and told already
+    bool may_have_run = false;
+  };
+  // What this daemon itself knows of one runner.
+  struct Link {
+    Integer in_flight = 0;
+    Integer prompt_tokens = 0;     // of sends without a first piece yet
+    Integer reported = 0, own_at_report = 0;
+    Moment reported_at{-100000};
+    Moment shunned_until{-100000}; // it refused, reset or kept silent
+    int troubles = 0;              // in a row
+    Moment heard{-100000};         // anything came from it
+    std::deque<Moment> sent;       // the sends of the last second, for cold runners
+    std::map<std::uint64_t, Moment> kept;  // parts that it was sent before, and when last
+  };
+  std::optional<RunnerName> match(Call& call, Moment now);
+  bool try_send(Call& call, Moment now);
+  void pend(Call& call, Moment now);
+  void pump(Moment now);
+  void unlink(Call& call);
+  void finish(CallIndex index, FinalAct act);
+  bool may_resend(Call& call, Moment now);
+  void resend_or_end(Call& call, bool surely_not_run, const std::string& reason, Moment now);
+  static Span unread_patience(const Call& call);
+  FinalAct refusal(CallIndex index, const std::string& reason, Span retry_after) const;
+  Integer cold_share(const RunnerRow& row) const;
+  Integer unread_tokens(const Call& call, const Link& link, Moment now) const;
+
+  RouteDeskSettings settings_;
+  std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
+  Moment cold_until_{-1};
+  absl::flat_hash_map<CallIndex, Call> calls_;
+  std::map<RunnerName, Link> links_;
+  std::map<std::pair<Integer, CallIndex>, CallIndex> pending_;  // by rank, then arrival
+  std::map<PoolName, double> resend_tokens_;
+  std::vector<RoutedSend> sends_;
+  std::vector<StopSend> stops_;
+  std::vector<FinalAct> finals_;
+  Counts counts_;
+};
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/call-routing/src/route_desk.cpp
@@ -0,0 +1,435 @@
+#include "emberdale/route_desk.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "emberdale/placement_map.hpp"
+
+namespace emberdale {
+namespace {
+
+constexpr Span second{1000};
+constexpr Integer opening_tokens = 500;      // a shared opening shorter than that ties a call to no runner
+constexpr Integer tokens_a_ms = 60;          // read of a prompt, until something better is known
+constexpr Span report_life{700};             // a runner's word on its burden counts that long
+constexpr Span kept_life{60000};             // parts that a runner was sent are taken for kept that long
+constexpr Span silent_shun{1500}, refused_shun{700}, reset_shun{250}, wrong_life_shun{4000}, full_shun{60};
+
+std::uint64_t mix(std::uint64_t a, std::uint64_t b) { return Dice(a * 0x9E3779B97F4A7C15ull ^ b).next(); }
+
+Span silence_of(const TrafficRoute& route) { return Span{std::max<std::int64_t>(250, route.target_ms / 2)}; }
+Span gap_silence_of(const TrafficRoute& route) { return Span{std::max<std::int64_t>(250, (route.gap_ms > 0 ? route.gap_ms : 1000) * 3 / 4)}; }
+// Held for less than a quarter of its target: the caller, told at once, still has time for another try.
+Span patience_of(const TrafficRoute& route) { return Span{route.target_ms * 22 / 100}; }
+
+}  // namespace
+
+RouteDesk::RouteDesk(RouteDeskSettings settings) : settings_(std::move(settings)) {}
+
+void RouteDesk::see(std::shared_ptr<const TrafficView> view, Moment now) {
+  view_ = std::move(view);
+  for (auto entry = links_.begin(); entry != links_.end();) {
+    if (view_->runners.count(entry->first) == 0 && entry->second.in_flight == 0) entry = links_.erase(entry);
+    else ++entry;
+  }
+  pump(now);
+}
+
+FinalAct RouteDesk::refusal(CallIndex index, const std::string& reason, Span retry_after) const {
+  return FinalAct{index, 503, reason, false, retry_after, {}};
+}
+
+std::optional<FinalAct> RouteDesk::arrive(const RoutedCall& arriving, Moment now, CallIndex index) {
+  ++counts_.arrived;
+  if (!view_->has_traffic) {
+    ++counts_.refused_no_view;
+    return refusal(index, "this daemon knows no map yet", Span{300});
+  }
+  const TrafficRoute* route = find_route(view_->routes, arriving.host, arriving.path);
+  if (route == nullptr) {
+    ++counts_.refused_route;
+    return FinalAct{index, 404, "no route takes this host and path", false, Span{0}, {}};
+  }
+  Call call;
+  call.index = index;
+  call.id = arriving.id;
+  call.route = route;
+  call.view_held = view_;
+  call.pool = choose_pool(*route, arriving.id.text);
+  call.prompt = arriving.prompt;
+  call.tokens_in = arriving.tokens_in;
+  call.tokens_out = arriving.tokens_out;
+  call.resume_after = arriving.resume_after;
+  if (!call.prompt.empty() && call.prompt.front().tokens >= opening_tokens) call.key = call.prompt.front().id | 1;
+  call.arrived = now;
+  Span horizon{route->horizon_ms};
+  if (arriving.horizon.value > 0) horizon = std::min(horizon, arriving.horizon);
+  call.horizon = now + horizon;
+  call.pending_until = now + std::min(patience_of(*route), Span{horizon.value / 3});
+  auto entry = calls_.insert_or_assign(index, std::move(call)).first;
+  if (try_send(entry->second, now)) return std::nullopt;
+  if (pending_.size() >= settings_.pending_bound) {
+    calls_.erase(entry);
+    ++counts_.refused_full;
+    return refusal(index, "too many calls wait here", Span{250});
+  }
+  pend(entry->second, now);
+  return std::nullopt;
+}
+
+void RouteDesk::pend(Call& call, Moment) {
+  ++counts_.pended;
+  call.is_pending = true;
+  pending_[{call.route->rank, call.index}] = call.index;
+}
+
+Integer RouteDesk::cold_share(const RunnerRow& row) const {
+  for (const auto& grant : row.grants)
+    if (grant.daemon == settings_.self) return grant.calls;
+  return 0;
+}
+
+// How much of the prompt the runner would have to read: all after the first part that it was not sent before.
+Integer RouteDesk::unread_tokens(const Call& call, const Link& link, Moment now) const {
+  Integer unread = 0;
+  bool is_kept = true;
+  for (const auto& part : call.prompt) {
+    auto kept = link.kept.find(part.id);
+    is_kept = is_kept && kept != link.kept.end() && now - kept->second < kept_life;
+    if (!is_kept) unread += part.tokens;
+  }
+  return unread;
+}
+
+std::optional<RunnerName> RouteDesk::match(Call& call, Moment now) {
+  auto pool = view_->pools.find(call.pool);
+  if (pool == view_->pools.end()) return std::nullopt;
+  const Link blank;
+  struct Choice {
+    const RunnerRow* row = nullptr;
+    double cost = 0;
+  };
+  std::optional<Choice> best;
+  std::uint64_t call_seed = stable_hash(call.id.text);
+  // Who keeps this opening in this region, by a ranking that is the same at every daemon here.
+  const RunnerRow* keeper = nullptr;
+  std::uint64_t keeper_weight = 0;
+  if (call.key != 0)
+    for (const auto& name : pool->second) {
+      const RunnerRow& row = view_->runners.at(name);
+      bool is_far = row.region != settings_.region;
+      if (row.status != "warm" || (is_far && call.route->homes.empty())) continue;
+      auto link = links_.find(name);
+      if (link != links_.end() && now < link->second.shunned_until) continue;
+      std::uint64_t weight = mix(stable_hash(name.text), call.key);
+      if (keeper == nullptr || weight > keeper_weight) {
+        keeper = &row;
+        keeper_weight = weight;
+      }
+    }
+  for (const auto& name : pool->second) {
+    const RunnerRow& row = view_->runners.at(name);
+    bool is_cold = row.status == "cold";
+    if (row.status != "warm" && !is_cold) continue;
+    if (!call.route->homes.empty() && std::find(call.route->homes.begin(), call.route->homes.end(), row.region) == call.route->homes.end()) continue;
+    if (call.tried.count(name) != 0) continue;
+    auto entry = links_.find(name);
+    const Link& link = entry == links_.end() ? blank : entry->second;
+    if (now < link.shunned_until) continue;
+    if (link.troubles > 0 && link.in_flight > 0) continue;  // one at a time, until it has answered
+    if (is_cold) {
+      if (!(now < cold_until_)) continue;
+      auto recent = std::count_if(link.sent.begin(), link.sent.end(), [&](Moment at) { return now - at < second; });
+      if (recent >= cold_share(row)) continue;
+    }
+    Integer slots = row.capacity > 0 ? row.capacity : 8;
+    Integer burden = link.in_flight;
+    if (now - link.reported_at < report_life) burden = std::max(burden, link.reported + link.in_flight - link.own_at_report);
+    if (burden >= slots + slots / 2 + 2) continue;  // full, with a queue
+    double cost = 0;
+    if (row.region != settings_.region) cost += 2.0 * static_cast<double>(settings_.region_ms);
+    else if (row.zone != settings_.zone) cost += 2.0;
+    if (burden >= slots) cost += 300.0 * static_cast<double>(burden - slots + 1) / static_cast<double>(slots);
+    cost += 60.0 * static_cast<double>(burden) / static_cast<double>(slots);
+    cost += static_cast<double>(link.prompt_tokens) / tokens_a_ms;
+    if (is_cold) cost += 40;
+    if (!call.prompt.empty()) {
+      Integer unread = unread_tokens(call, link, now);
+      if (keeper == &row && !call.prompt.empty()) unread = std::min(unread, std::max<Integer>(0, call.tokens_in - call.prompt.front().tokens));
+      cost += static_cast<double>(unread) / tokens_a_ms;
+    }
+    cost += static_cast<double>(mix(call_seed, stable_hash(name.text)) % 1000) / 250.0;
+    if (!best || cost < best->cost) best = Choice{&row, cost};
+  }
+  if (!best) return std::nullopt;
+  return best->row->name;
+}
+
+bool RouteDesk::try_send(Call& call, Moment now) {
+  auto runner = match(call, now);
+  if (!runner && !call.tried.empty() && call.turn == call.unsent) {
+    call.tried.clear();
+    runner = match(call, now);
+  }
+  if (!runner) return false;
+  const RunnerRow& row = view_->runners.at(*runner);
+  Link& link = links_[*runner];
+  while (!link.sent.empty() && now - link.sent.front() >= Span{1200}) link.sent.pop_front();
+  link.sent.push_back(now);
+  ++link.in_flight;
+  Integer unread = unread_tokens(call, link, now);
+  link.prompt_tokens += unread;
+  counts_.read_tokens += unread;
+  counts_.kept_tokens += call.tokens_in - std::min(call.tokens_in, unread);
+  for (const auto& part : call.prompt) link.kept[part.id] = now;
+  if (link.kept.size() > 4096)
+    for (auto part = link.kept.begin(); part != link.kept.end();) part = now - part->second > Span{kept_life.value / 4} ? link.kept.erase(part) : std::next(part);
+  if (row.status == "cold") ++counts_.cold_sends;
+  if (row.region != settings_.region) ++counts_.far_sends;
+  call.unread = unread;
+  call.runner = *runner;
+  call.is_pending = false;
+  call.is_sent = true;
+  call.has_answer = false;
+  call.sent_at = call.heard_at = now;
+  ++call.turn;
+  ++counts_.sends;
+  if (call.turn == 1) {
+    double& tokens = resend_tokens_.try_emplace(call.pool, settings_.resend_start).first->second;
+    tokens = std::min(settings_.resend_bound, tokens + settings_.resend_share);
+  }
+  sends_.push_back({call.index, call.turn, row.name, row.http, call.route->is_repeatable, call.route->is_streaming, call.route->rank, call.horizon, call.resume_after});
+  return true;
+}
+
+void RouteDesk::unlink(Call& call) {
+  if (!call.is_sent) return;
+  call.is_sent = false;
+  Link& link = links_[call.runner];
+  if (link.in_flight > 0) --link.in_flight;
+  if (!call.has_piece_here) link.prompt_tokens = std::max<Integer>(0, link.prompt_tokens - call.unread);
+  call.has_piece_here = false;
+}
+
+void RouteDesk::answer_begun(CallIndex index, int turn, Moment now) {
+  auto entry = calls_.find(index);
+  if (entry == calls_.end() || entry->second.turn != turn) return;
+  Call& call = entry->second;
+  call.has_answer = true;
+  call.heard_at = now;
+  Link& link = links_[call.runner];
+  link.heard = now;
+  link.troubles = 0;
+}
+
+void RouteDesk::first_piece(CallIndex index, int turn, Moment now) {
+  answer_begun(index, turn, now);
+  auto entry = calls_.find(index);
+  if (entry == calls_.end() || entry->second.turn != turn) return;
+  Call& call = entry->second;
+  call.has_piece = true;
+  if (call.has_piece_here) return;
+  call.has_piece_here = true;
+  Link& link = links_[call.runner];
+  link.prompt_tokens = std::max<Integer>(0, link.prompt_tokens - call.unread);
+}
+
+void RouteDesk::finish(CallIndex index, FinalAct act) {
+  auto entry = calls_.find(index);
+  act.call = index;
+  finals_.push_back(std::move(act));
+  pending_.erase({entry->second.route->rank, index});
+  calls_.erase(entry);
+}
+
+// May this call be sent once more, and is it paid for?
+bool RouteDesk::may_resend(Call& call, Moment now) {
+  if (call.turn - call.unsent >= std::max<Integer>(1, call.route->max_sends) || now >= call.horizon) return false;
+  double& tokens = resend_tokens_.try_emplace(call.pool, settings_.resend_start).first->second;
+  if (tokens < 1) {
+    ++counts_.resend_denied;
+    return false;
+  }
+  return true;
+}
+
+void RouteDesk::resend_or_end(Call& call, bool surely_not_run, const std::string& reason, Moment now) {
+  CallIndex index = call.index;
+  bool may_repeat = call.route->is_repeatable || (surely_not_run && !call.has_piece);
+  if (may_repeat && may_resend(call, now)) {
+    if (try_send(call, now)) {
+      resend_tokens_[call.pool] -= 1;
+      ++counts_.resends;
+      if (call.has_piece) ++counts_.resumed;
+      return;
+    }
+    if (!call.has_piece && now < call.pending_until) {
+      pend(call, now);
+      return;
+    }
+  }
+  if (surely_not_run && !call.has_piece && !call.may_have_run) {
+    ++counts_.refused_full;
+    finish(index, refusal(index, "no runner could take it: " + reason, Span{250}));
+    return;
+  }
+  ++counts_.unknown;
+  finish(index, FinalAct{index, 502, "the runner gave no sound answer: " + reason, true, Span{0}, {}});
+}
+
+void RouteDesk::end_send(const RoutedEnd& end, Moment now) {
+  auto entry = calls_.find(end.call);
+  if (entry == calls_.end() || entry->second.turn != end.turn || !entry->second.is_sent) return;
+  Call& call = entry->second;
+  unlink(call);
+  Link& link = links_[call.runner];
+  if (end.has_report) {
+    link.reported = end.running + end.waiting;
+    link.own_at_report = link.in_flight;
+    link.reported_at = now;
+  }
+  auto shun = [&](Span span) { link.shunned_until = std::max(link.shunned_until, now + span); };
+  auto trouble = [&](Span span) {
+    ++link.troubles;
+    shun(Span{span.value * std::min(link.troubles, 4)});
+  };
+  if (end.kind != RoutedEndKind::unsent && end.kind != RoutedEndKind::caller_gone) call.tried.insert(call.runner);
+  switch (end.kind) {
+    case RoutedEndKind::answered:
+      ++counts_.answered;
+      link.heard = now;
+      link.troubles = 0;
+      calls_.erase(entry);
+      break;
+    case RoutedEndKind::caller_gone:
+      calls_.erase(entry);
+      break;
+    case RoutedEndKind::refused:
+      link.heard = now;
+      shun(full_shun);
+      resend_or_end(call, true, end.reason, now);
+      break;
+    case RoutedEndKind::wrong_life:
+      shun(wrong_life_shun);
+      resend_or_end(call, true, end.reason, now);
+      break;
+    case RoutedEndKind::unsent: {
+      trouble(end.was_slow_to_connect ? silent_shun : refused_shun);
+      ++call.unsent;  // nothing left this daemon: another runner costs no resend
+      bool is_sent_again = call.unsent <= 3 && now < call.horizon && try_send(call, now);
+      if (!is_sent_again) {
+        if (now < call.pending_until && !call.has_piece) pend(call, now);
+        else resend_or_end(call, true, end.reason, now);
+      }
+      break;
+    }
+    case RoutedEndKind::lost:
+    case RoutedEndKind::broken:
+      trouble(reset_shun);
+      call.may_have_run = true;
+      if (!end.last_event.empty()) call.resume_after = end.last_event;
+      resend_or_end(call, false, end.reason, now);
+      break;
+  }
+  pump(now);
+}
+
+void RouteDesk::caller_gone(CallIndex index, Moment now) {
+  auto entry = calls_.find(index);
+  if (entry == calls_.end()) return;
+  Call& call = entry->second;
+  if (call.is_sent) {
+    stops_.push_back({index, call.turn});
+    unlink(call);
+  }
+  pending_.erase({call.route->rank, index});
+  calls_.erase(entry);
+  pump(now);
+}
+
+void RouteDesk::pump(Moment now) {
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    CallIndex index = entry->second;
+    Call& call = calls_.at(index);
+    ++entry;  // what follows may take this one out
+    bool is_resend = call.turn > call.unsent;
+    if (call.pending_until <= now || call.horizon <= now) {
+      ++counts_.refused_full;
+      if (call.may_have_run) finish(index, FinalAct{index, 502, "no runner came free to repeat it", true, Span{0}, {}});
+      else finish(index, refusal(index, "no runner came free for it", view_->pools.count(call.pool) == 0 || view_->pools.at(call.pool).empty() ? Span{800} : Span{250}));
+      continue;
+    }
+    if (is_resend && !may_resend(call, now)) continue;
+    if (!try_send(call, now)) continue;
+    if (is_resend) {
+      resend_tokens_[call.pool] -= 1;
+      ++counts_.resends;
+    }
+    pending_.erase({call.route->rank, index});
+  }
+}
+
+void RouteDesk::on_alarm(Moment now) {
+  // A runner from which nothing at all has come since a call went there, for longer than that call bears:
+  // it is taken for dead. What may be repeated goes elsewhere; the rest waits for it.
+  std::vector<CallIndex> silent;
+  for (auto& [index, call] : calls_) {
+    if (!call.is_sent) continue;
+    if (call.horizon <= now) {
+      silent.push_back(index);
+      continue;
+    }
+    Span patience = call.has_piece_here ? gap_silence_of(*call.route) : silence_of(*call.route);
+    patience.value += unread_patience(call).value;
+    const Link& link = links_[call.runner];
+    if (now - call.heard_at < patience || now - link.heard < patience || call.has_ended_silence) continue;
+    silent.push_back(index);
+  }
+  for (CallIndex index : silent) {
+    auto entry = calls_.find(index);
+    if (entry == calls_.end() || !entry->second.is_sent) continue;
+    Call& call = entry->second;
+    Link& link = links_[call.runner];
+    if (call.horizon <= now) {
+      stops_.push_back({index, call.turn});
+      unlink(call);
+      ++counts_.unknown;
+      finish(index, FinalAct{index, 504, "no answer within the horizon", true, Span{0}, {}});
+      continue;
+    }
+    if (now >= link.shunned_until) {
+      ++link.troubles;
+      link.shunned_until = now + silent_shun;
+    }
+    call.has_ended_silence = true;  // once: what can't be repeated goes on waiting
+    if (!call.route->is_repeatable || !may_resend(call, now)) continue;
+    call.tried.insert(call.runner);
+    RunnerName before = call.runner;
+    int turn = call.turn;
+    auto other = match(call, now);
+    if (!other) continue;  // no one else is there: it may yet answer
+    stops_.push_back({index, turn});
+    unlink(call);
+    ++counts_.stopped;
+    call.may_have_run = true;
+    call.has_ended_silence = false;
+    if (try_send(call, now)) {
+      resend_tokens_[call.pool] -= 1;
+      ++counts_.resends;
+      if (call.has_piece) ++counts_.resumed;
+    } else {
+      ++counts_.unknown;
+      finish(index, FinalAct{index, 502, "the runner fell silent", true, Span{0}, {}});
+    }
+  }
+  pump(now);
+}
+
+Span RouteDesk::unread_patience(const Call& call) { return Span{call.has_piece_here ? 0 : call.unread / tokens_a_ms * 2}; }
+
+Moment RouteDesk::alarm_next(Moment now) const {
+  if (!pending_.empty()) return now + Span{15};
+  return now + (calls_.empty() ? Span{500} : Span{60});
+}
+
+}  // namespace emberdale
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -43,6 +43,8 @@
  public:
   RegisterProposer(Address self, Dice dice) : self_(std::move(self)), dice_(dice), last_ask_(first_ask(dice_)) {}
 
+  // The set as others tell of it: taken while none is known, else asked as well when the known one has not
+  // answered for a while (it may have been replaced whole). Example: proposer.learn_acceptors(answer.acceptors)
   void learn_acceptors(const std::vector<AcceptorEntry>& acceptors);
   void change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience);
   void poll(Moment now, const std::string& role, bool wants_heard);
@@ -110,6 +112,7 @@
   Address self_;
   Dice dice_;
   std::vector<AcceptorEntry> acceptors_, next_acceptors_;
+  std::set<Address> hints_;  // where others say copies are
   Ballot highest_seen_;
   bool has_state_ = false;
   FleetState state_;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -7,6 +7,8 @@
 namespace emberdale {
 namespace {
 constexpr Span phase_patience{400};
+constexpr Span hint_patience{2000};
+constexpr std::size_t hint_bound = 24;
 
 bool holds_majority(const std::vector<AcceptorEntry>& set, const std::set<StoreId>& answered) {
   std::size_t count = 0;
@@ -32,6 +34,8 @@
 
 void RegisterProposer::learn_acceptors(const std::vector<AcceptorEntry>& acceptors) {
   if (!has_state_ && acceptors_.empty() && !acceptors.empty()) acceptors_ = acceptors;
+  if (hints_.size() > hint_bound) hints_.clear();
+  for (const auto& entry : acceptors) hints_.insert(entry.address);
 }
 
 std::vector<AcceptorEntry> RegisterProposer::everyone() const {
@@ -159,7 +163,12 @@
   read_->begun = now;
   read_->wants_heard = wants_heard;
   read_values_.clear();
-  send_each(everyone(), [&](const StoreId&) { return ReadAsk{read_->ask, role, state_ballot_, wants_heard}; });
+  ReadAsk ask{read_->ask, role, state_ballot_, wants_heard};
+  std::set<Address> hints;
+  if (!has_state_ || now - confirmed_at_ > hint_patience) hints = hints_;
+  for (const auto& entry : everyone()) hints.erase(entry.address);
+  send_each(everyone(), [&](const StoreId&) { return ask; });
+  for (const auto& hint : hints) out_.push_back({hint, ask});
 }
 
 void RegisterProposer::settle_read(Moment now) {
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "emberdale/cold_shares.hpp"
+#include "emberdale/core_founder.hpp"
+#include "emberdale/core_minder.hpp"
 #include "emberdale/core_set.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
@@ -20,8 +22,10 @@
 #include "emberdale/register_acceptor.hpp"
 #include "emberdale/register_proposer.hpp"
 #include "emberdale/roster_keeper.hpp"
+#include "emberdale/runner_list.hpp"
 #include "emberdale/runner_watch.hpp"
 #include "emberdale/serving_plans.hpp"
+#include "emberdale/traffic_edits.hpp"
 
 namespace emberdale {
 
@@ -30,6 +34,12 @@
   std::vector<Address> seeds;
   std::uint64_t dice_seed = 1;
   ElectionTimes election;
+  // For deployments of one process a machine (docs/design.md): role "edge" with an acceptor.
+  bool founds_itself = false;          // true only on the very first start of the whole system, on empty disks
+  bool minds_core_set = false;         // newcomers replace silent core machines, or are added, by themselves
+  bool acknowledges_at_once = false;   // data daemons serve on without grants: no elder's word is waited for
+  bool reads_runner_list = false;  // runners come from an outside list, not from operators' documents
+  Span probe_pace{400};            // between two probes of one runner
 };
 
 // Example:
@@ -54,6 +64,17 @@
   std::vector<WriteWish> take_writes();
   std::vector<ProbeWish> take_probes();
 
+  // True when the outside list of runners is to be read now: at the master, if it reads one at all.
+  // Example: if (daemon.takes_list(now)) read_list([&](auto runners) { daemon.on_runner_list(runners, begun, now); });
+  bool takes_list(Moment now) { return settings_.reads_runner_list && election_.is_master() && runner_list_.is_read_due(now); }
+  // The list as read from `begun` on; nothing: it could not be read. Example: daemon.on_runner_list(std::nullopt, begun, now)
+  void on_runner_list(std::optional<std::vector<ListedRunner>> runners, Moment begun, Moment now);
+  // Where callers near that place should go: the ready data daemons of their zone, else of their region, else all.
+  // Example: daemon.front_addresses({"north"}, {"north-1"}, 64, now)
+  std::vector<std::string> front_addresses(const RegionName& region, const ZoneName& zone, std::size_t most, Moment now);
+  // What the traffic table says of a pool; nothing if it isn't in force here. Example: daemon.traffic_pool({"m"})->health_path
+  const TrafficPool* traffic_pool(const PoolName& pool) const;
+
   // The wall clock, for maintenance windows alone. Example: daemon.set_wall_clock(time(nullptr));
   void set_wall_clock(std::int64_t seconds) { wall_seconds_ = seconds; }
 
@@ -111,6 +132,7 @@
   bool is_edge() const { return settings_.self.role == "edge"; }
   void see_state(Moment now);
   void keep_roster(Moment now);
+  void mind_core_set(Moment now);
   void answer_ping(const Address& from, const Ping& ping, Moment now);
   void claim_reign(const ReignClaim& claim, Moment now);
   void begin_leading(Moment now);
@@ -132,6 +154,8 @@
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
+  Configuration placed_configuration() const;
+  void see_traffic();
   void collect(Moment now);
   void note(Moment now, const std::string& kind, const std::string& detail) { journal_.append(now, kind, detail); }
 
@@ -145,9 +169,16 @@
   MastersWord word_;
   MasterEdits edits_;
   EditForwarder forwarder_;
+  CoreMinder minder_;
+  CoreFounder founder_;
   CoreSet core_set_;
   RosterKeeper roster_keeper_;
   RunnerWatch runner_watch_;
+  RunnerList runner_list_;
+  std::vector<SliceRow> traffic_rows_;  // the table in force, cut into rows, and of which configuration
+  Integer traffic_rows_of_ = -1;
+  std::map<PoolName, TrafficPool> traffic_pools_;
+  Integer traffic_pools_of_ = -1;
   SlicePublisher slices_;
   ColdShares cold_shares_;
 
--- /dev/null
+++ b/packages/control-plane/include/emberdale/core_minder.hpp
@@ -0,0 +1,66 @@
+// Minds the set of core machines without an operator: watches when each copy last answered here, finds
+// newcomers, and says which change of the set is due. CoreSet carries it out. Without I/O, clock or threads.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emberdale/register_proposer.hpp"
+
+namespace emberdale {
+
+// A change of the set that is due, with words for the journal.
+struct SetChange {
+  Change change;
+  std::string kind, detail;
+};
+
+// Example:
+//   CoreMinder minder(proposer, self, Dice(1)); minder.start(now);
+//   minder.see_daemons(heard, now); minder.on_message(from, message, now); minder.on_alarm(now);
+//   if (auto due = minder.due_change(now)) proposer.change(due->change, ...);
+class CoreMinder {
+ public:
+  CoreMinder(const RegisterProposer& proposer, Address self, Dice dice) : proposer_(proposer), self_(std::move(self)), dice_(dice), ask_(first_ask(dice_)) {}
+
+  void start(Moment now) { alarm_at_ = awake_since_ = now; }
+  // Daemons that were heard of: those outside the set are asked for their stores, at most once a second each.
+  void see_daemons(const std::vector<DaemonEntry>& daemons, Moment now);
+  void on_message(const Address& from, const Message& message, Moment now);
+  // After a pause (a frozen process, a machine that slept) silences are counted anew. Example: minder.on_alarm(now)
+  void on_alarm(Moment now);
+  // This daemon has just founded the fleet: who is there by now is added without the usual wait.
+  void on_founded(Moment now) { founded_at_ = now; }
+  // What the set needs now, if anything: a newcomer for a silent copy, one more copy, or a ghost less.
+  std::optional<SetChange> due_change(Moment now);
+  std::vector<Sending> take_out() { return std::exchange(out_, {}); }
+
+ private:
+  struct Newcomer {
+    StoreId store;
+    Moment since, heard;
+    bool may_join = false;
+  };
+  struct Answered {
+    StoreId store;
+    Moment at;
+  };
+  Span silence(const AcceptorEntry& entry, Moment now) const;
+  bool is_in_set(const Address& address) const;
+
+  const RegisterProposer& proposer_;
+  Address self_;
+  Dice dice_;
+  Integer ask_;
+  Moment alarm_at_, awake_since_, founded_at_{-100000};
+  std::map<Address, Answered> answered_;
+  std::map<Address, Moment> member_since_;  // as seen here: before that, nobody was asked regularly
+  std::map<Address, Newcomer> newcomers_;
+  std::map<Address, Moment> asked_;
+  std::map<Address, ZoneName> zones_;
+  std::vector<Sending> out_;
+};
+
+}  // namespace emberdale
--- a/packages/control-plane/include/emberdale/core_set.hpp
+++ b/packages/control-plane/include/emberdale/core_set.hpp
@@ -1,5 +1,5 @@
 // The set of core machines that keep the register: founded once, mended when a machine comes back wiped,
-// changed by one command when one is replaced. Without I/O, clock or threads.
+// changed by one command when one is replaced, or by itself as its minder says. Without I/O, clock or threads.
 #pragma once
 #include <functional>
 #include <map>
@@ -8,21 +8,24 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/core_minder.hpp"
 #include "emberdale/event_journal.hpp"
 #include "emberdale/register_proposer.hpp"
 
 namespace emberdale {
 
 // Example:
-//   CoreSet cores(proposer, journal, "core", Dice(1)); cores.found("caspian", addresses, done, now);
+//   CoreSet cores(proposer, journal, "core", true, Dice(1)); cores.found("caspian", addresses, done, now);
 //   cores.on_message(from, message, now); cores.on_alarm(now); for (auto& s : cores.take_out()) send(s);
 class CoreSet {
  public:
   using Done = std::function<void(int code, const std::string& reason)>;
-  CoreSet(RegisterProposer& proposer, EventJournal& journal, std::string role, Dice dice)
-      : proposer_(proposer), journal_(journal), role_(std::move(role)), dice_(dice), last_ask_(first_ask(dice_)) {}
+  CoreSet(RegisterProposer& proposer, EventJournal& journal, std::string role, bool has_acceptor, Dice dice)
+      : proposer_(proposer), journal_(journal), role_(std::move(role)), has_acceptor_(has_acceptor), dice_(dice), last_ask_(first_ask(dice_)) {}
 
-  void start(Moment now) { mend_next_ = now + Span{1000 + dice_.below(1000)}; }
+  void start(Moment now) { mend_next_ = now + (minder_ == nullptr ? Span{1000 + dice_.below(1000)} : Span{dice_.below(200)}); }
+  // From now on the set minds itself, and is looked after several times a second. Example: cores.set_minder(minder)
+  void set_minder(CoreMinder& minder) { minder_ = &minder; }
   // Founds a fleet on blank core machines, once. Example: cores.found("caspian", addresses, done, now)
   void found(const std::string& fleet, const std::vector<Address>& cores, Done done, Moment now);
   // Puts an empty core machine in the place of another. Example: cores.replace(old, fresh, done, now)
@@ -65,6 +68,8 @@
   RegisterProposer& proposer_;
   EventJournal& journal_;
   std::string role_;
+  bool has_acceptor_;
+  CoreMinder* minder_ = nullptr;  // lives as long as the daemon
   Dice dice_;
   Integer last_ask_;
   std::optional<Founding> founding_;
--- a/packages/control-plane/include/emberdale/masters_word.hpp
+++ b/packages/control-plane/include/emberdale/masters_word.hpp
@@ -19,8 +19,9 @@
       : proposer_(proposer), election_(election), self_(std::move(self)) {}
 
   // What a claim makes of the state: the next reign, how long it must wait, and whose echoes bind its own
-  // word. Example: MastersWord::claimed(state, claim, self, false).reign == state.reign + 1
-  static FleetState claimed(const FleetState& state, const ReignClaim& claim, const Address& self, bool is_promise_off);
+  // word. `is_at_once`: no grants hang on an elder's word, so no reign waits.
+  // Example: MastersWord::claimed(state, claim, self, false, false).reign == state.reign + 1
+  static FleetState claimed(const FleetState& state, const ReignClaim& claim, const Address& self, bool is_promise_off, bool is_at_once);
 
   void begin(Moment now);
   Moment leading_since() const { return leading_since_; }
@@ -33,7 +34,8 @@
   // Keeps the word's roster at the fleet's, and ends a long wait that is over. Example: word.keep(now)
   void keep(Moment now);
 
-  bool is_wait_off = false;  // guard that a test takes out
+  // No edit waits: for deployments whose data daemons serve on without grants (and a guard that a test takes out).
+  bool is_wait_off = false;
 
  private:
   bool is_in_force() const {
--- a/packages/control-plane/include/emberdale/runner_watch.hpp
+++ b/packages/control-plane/include/emberdale/runner_watch.hpp
@@ -13,6 +13,7 @@
 struct ProbeWish {
   RunnerName runner;
   std::string http;
+  PoolName pool;
 };
 
 // Example:
@@ -21,7 +22,7 @@
 class RunnerWatch {
  public:
   static constexpr Span status_span{1500};  // a status older than this is nobody's word any more
-  explicit RunnerWatch(DaemonEntry self) : self_(std::move(self)) {}
+  explicit RunnerWatch(DaemonEntry self, Span probe_pace = Span{400}) : self_(std::move(self)), probe_pace_(probe_pace) {}
 
   // Each service's home in a zone is the first of its living edge daemons by rendezvous; it probes the service's
   // runners there. A master looks itself where no home reports.
@@ -45,6 +46,7 @@
     Moment at;
   };
   DaemonEntry self_;
+  Span probe_pace_;
   std::map<RunnerName, View> known_, own_;
   std::map<RunnerName, Moment> next_;
   std::vector<ProbeWish> probes_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -9,6 +9,7 @@
 constexpr Span alive_span{2000};
 constexpr Span burden_pace{500}, placement_pace{40};
 constexpr Span gateway_memory{600000};
+constexpr Span front_silence{1300};
 
 bool has_daemon(const std::vector<DaemonEntry>& roster, const Address& address) {
   return std::any_of(roster.begin(), roster.end(), [&](const auto& entry) { return entry.address == address; });
@@ -25,16 +26,23 @@
       election_(settings_.self, Dice(settings_.dice_seed + 2), settings_.election),
       word_(proposer_, election_, settings_.self.address),
       edits_(proposer_, election_, word_, journal_, settings_.self.address),
-      core_set_(proposer_, journal_, settings_.self.role, Dice(settings_.dice_seed + 3)),
+      minder_(proposer_, settings_.self.address, Dice(settings_.dice_seed + 5)),
+      founder_(proposer_, journal_, settings_.self.address, settings_.seeds, Dice(settings_.dice_seed + 6)),
+      core_set_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr, Dice(settings_.dice_seed + 3)),
       roster_keeper_(proposer_, journal_, settings_.self, Dice(settings_.dice_seed + 4)),
-      runner_watch_(settings_.self) {}
+      runner_watch_(settings_.self, settings_.probe_pace) {
+  word_.is_wait_off = settings_.acknowledges_at_once;
+  if (settings_.minds_core_set && acceptor_) core_set_.set_minder(minder_);
+}
 
 void ControlDaemon::start(Moment now) {
   for (const auto& seed : settings_.seeds)
     if (seed != settings_.self.address) known_[seed].entry.address = seed;
   if (acceptor_ && !acceptor_->is_blank()) proposer_.learn_acceptors(acceptor_->state().acceptors);
   poll_next_ = gossip_next_ = follow_next_ = now;
+  minder_.start(now);
   core_set_.start(now);
+  if (settings_.founds_itself && acceptor_ && acceptor_->is_blank()) founder_.start(now);
   roster_keeper_.start(now);
   if (is_edge()) {
     for (const auto& seed : settings_.seeds) election_.learn(seed);
@@ -97,7 +105,8 @@
     for (const auto& row : map_.gateways) rows[row.daemon] = row;
   for (const auto& [address, entry] : in_force_) {
     const DaemonEntry& daemon = entry.first.daemon;
-    if (now - entry.second <= Span{3000}) rows[address] = {address, daemon.http, daemon.zone, daemon.region};
+    bool is_gone = entry.first.leaving || (settings_.reads_runner_list && entry.first.version == MapVersion{});
+    if (now - entry.second <= Span{3000} && !is_gone) rows[address] = {address, daemon.http, daemon.zone, daemon.region};
     else rows.erase(address);
   }
   std::vector<GatewayRow> list;
@@ -167,8 +176,14 @@
       if (entry.address != settings_.self.address && known_[entry.address].entry.role.empty()) known_[entry.address].entry = entry;
     proposer_.learn_acceptors(answer->acceptors);
   }
+  minder_.on_message(from, message, now);
+  founder_.on_message(from, message, now);
   core_set_.on_message(from, message, now);
   if (core_set_.take_founded()) poll_next_ = now;
+  if (founder_.take_founded()) {
+    poll_next_ = now;
+    minder_.on_founded(now);
+  }
   if (const auto* follow = std::get_if<Follow>(&message)) {
     if (election_.is_master()) {
       follower_versions_[from] = follow->version;
@@ -242,6 +257,17 @@
   for (const auto& ghost : roster_keeper_.take_evicted()) known_.erase(ghost);
 }
 
+// Who was heard lately, or is enrolled, may keep a store that belongs into the set of core machines.
+void ControlDaemon::mind_core_set(Moment now) {
+  minder_.on_alarm(now);
+  std::vector<DaemonEntry> daemons;
+  for (const auto& [address, known] : known_) {
+    bool is_near = now - known.heard <= Span{3000} || (proposer_.has_state() && has_daemon(proposer_.state().roster, address));
+    if (is_near && !known.entry.role.empty() && known.entry.role != "data") daemons.push_back(known.entry);
+  }
+  minder_.see_daemons(daemons, now);
+}
+
 void ControlDaemon::hear_master(Moment now) {
   if (election_.is_master()) slices_.hear_master(now);
   else if (election_.phase() == MasterElection::Phase::following) slices_.hear_master(election_.master_heard());
@@ -267,6 +293,7 @@
       std::vector<Finding> findings;
       configuration_ = read_configuration(state.resources, findings);
       configuration_of_ = state.config_revision;
+      see_traffic();
     }
     if (is_edge()) {
       election_.set_roster(state.roster, state.reign, state.master, now);
@@ -291,7 +318,7 @@
   is_claiming_ = true;
   Address self = settings_.self.address;
   proposer_.change(
-      [claim, self, is_promise_off = is_promise_off](const FleetState& state) -> Verdict {
+      [claim, self, is_promise_off = is_promise_off, is_at_once = settings_.acknowledges_at_once](const FleetState& state) -> Verdict {
         if (state.reign == claim.expected_reign + 1 && state.master == self) return {Verdict::Kind::already_there, {}, ""};
         if (state.reign != claim.expected_reign) return {Verdict::Kind::refuse, {}, "another reign has begun"};
         if (!has_daemon(state.roster, self)) return {Verdict::Kind::refuse, {}, "not enrolled"};
@@ -299,7 +326,7 @@
         for (const auto& entry : state.roster)
           if (entry.address != self && claim.joined.count(entry.address) != 0) ++joined;
         if (joined < state.roster.size() / 2 + 1) return {Verdict::Kind::refuse, {}, "the roster has grown past the joins"};
-        return {Verdict::Kind::apply, MastersWord::claimed(state, claim, self, is_promise_off), ""};
+        return {Verdict::Kind::apply, MastersWord::claimed(state, claim, self, is_promise_off, is_at_once), ""};
       },
       [this, now](const ChangeEnd& end) {
         is_claiming_ = false;
@@ -318,6 +345,7 @@
   follower_versions_.clear();
   map_resent_.clear();
   runner_watch_.inherit(map_, now);
+  runner_list_.begin(now);
   publish(now, true);
 }
 
@@ -337,10 +365,22 @@
   // A number that an edit has tried for stands for that edit alone, in force or not.
   if (edits_.attempted_floor().reign == state.reign && !must_cover) last = std::max(last, edits_.attempted_floor().number);
   MapVersion version{state.reign, must_cover ? state.floor.number : last + 1};
-  PlacementMap fresh = compute_map(state, configuration_, runner_watch_.statuses(), gateways(now), followers_alive(now), version,
+  auto statuses = runner_watch_.statuses();
+  if (settings_.reads_runner_list) {
+    // Until the list has been read in this reign, what the last map said stands.
+    if (!runner_list_.is_known() && !map_.runners.empty() && !must_cover) return;
+    for (const auto& zone : map_.emptied) {
+      bool is_emptied = std::any_of(configuration_.orders.begin(), configuration_.orders.end(), [&](const auto& order) { return order.zone == zone && order.is_emptied; });
+      if (!is_emptied) runner_list_.zone_taken_back(zone, now);
+    }
+    runner_list_.fill(statuses, traffic_pools_, now);
+  }
+  PlacementMap fresh = compute_map(state, placed_configuration(), statuses, gateways(now), followers_alive(now), version,
                                    [this, now](const RunnerRow& row, const std::vector<std::string>& near, const std::vector<std::string>& all) {
-                                     return cold_shares_.share(row, near, all, now);
+                                     // Work that is bound to a region is brought there by daemons of all regions.
+                                     return cold_shares_.share(row, settings_.reads_runner_list ? all : near, all, now);
                                    });
+  fresh.traffic = traffic_rows_;
   for (const auto& row : fresh.runners)
     if (row.status == "warm") cold_shares_.forget(row.name);
   if (!must_cover) {
@@ -384,6 +424,77 @@
   out_.push_back({election_.master(), std::move(follow)});
 }
 
+// The table's rows are cut once for each configuration.
+void ControlDaemon::see_traffic() {
+  traffic_rows_.clear();
+  traffic_pools_.clear();
+  std::string document = traffic_document_of(proposer_.state());
+  if (document.empty()) return;
+  for (auto& [key, body] : split_traffic_table(document)) {
+    if (key.rfind("pool/", 0) == 0)
+      if (auto pool = read_traffic_pool(body)) traffic_pools_[pool->name] = *pool;
+    traffic_rows_.push_back({key, {std::move(body)}});
+  }
+}
+
+const TrafficPool* ControlDaemon::traffic_pool(const PoolName& pool) const {
+  auto found = traffic_pools_.find(pool);
+  return found == traffic_pools_.end() ? nullptr : &found->second;
+}
+
+// The configuration with the runners of the outside list: at the master from the list, elsewhere from its map.
+Configuration ControlDaemon::placed_configuration() const {
+  Configuration placed = configuration_;
+  if (!settings_.reads_runner_list) return placed;
+  if (election_.is_master() && runner_list_.is_known()) {
+    placed.runners = runner_list_.entries();
+    return placed;
+  }
+  placed.runners.clear();
+  for (const auto& row : map_.runners) {
+    RunnerEntry entry;
+    entry.name = row.name;
+    entry.http = row.http;
+    entry.pool = row.pool;
+    entry.zone = row.zone;
+    entry.region = row.region;
+    entry.is_leaving = row.status == "leaving";
+    placed.runners.push_back(std::move(entry));
+  }
+  return placed;
+}
+
+void ControlDaemon::on_runner_list(std::optional<std::vector<ListedRunner>> runners, Moment begun, Moment now) {
+  if (!runners) return runner_list_.failed();
+  if (!election_.is_master()) return;
+  runner_list_.take(std::move(*runners), begun, now);
+  publish(now, false);
+  collect(now);
+}
+
+std::vector<std::string> ControlDaemon::front_addresses(const RegionName& region, const ZoneName& zone, std::size_t most, Moment now) {
+  // Who subscribes here is known at first hand; of the others the map tells.
+  std::map<Address, GatewayRow> rows;
+  for (const auto& row : map_.gateways) rows[row.daemon] = row;
+  for (const auto& report : slices_.in_force(now)) {
+    const DaemonEntry& daemon = report.daemon;
+    bool is_ready = !report.leaving && report.version != MapVersion{} && report.age <= front_silence.value;
+    if (is_ready) rows[daemon.address] = {daemon.address, daemon.http, daemon.zone, daemon.region};
+    else if (report.leaving || report.age <= 10 * front_silence.value) rows.erase(daemon.address);
+  }
+  std::vector<std::string> near, around, all;
+  for (const auto& [address, row] : rows) {
+    if (row.http.empty()) continue;
+    (row.zone == zone ? near : row.region == region ? around : all).push_back(row.http);
+  }
+  // One daemon alone would have nobody to stand in for it.
+  if (near.size() < 2) near.insert(near.end(), around.begin(), around.end());
+  if (near.size() < 2) near.insert(near.end(), all.begin(), all.end());
+  for (std::size_t i = near.size(); i > 1; --i) std::swap(near[i - 1], near[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(i)))]);
+  if (near.size() > most) near.resize(most);
+  return near;
+}
+
 // --- operators' acts -----------------------------------------------------------------------------
 
 void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
@@ -600,11 +711,13 @@
   if (acceptor_ && !acceptor_->is_blank() && proposer_.acceptors().empty()) proposer_.learn_acceptors(acceptor_->state().acceptors);
   see_state(now);
   if (is_edge()) keep_roster(now);
+  founder_.on_alarm(now);
+  if (settings_.minds_core_set && acceptor_) mind_core_set(now);
   core_set_.on_alarm(now);
   if (is_edge() && follow_next_ <= now) send_follow(now);
   hear_master(now);
   slices_.forget_silent(now, Span{10000});
-  if (is_edge()) runner_watch_.wish_probes(configuration_, live_edges(settings_.self.zone, now), election_.is_master(), now);
+  if (is_edge()) runner_watch_.wish_probes(placed_configuration(), live_edges(settings_.self.zone, now), election_.is_master(), now);
   if (election_.is_master()) {
     for (const auto& report : slices_.in_force(now)) {
       Moment at{now.value - report.age};
@@ -661,6 +774,8 @@
   take(proposer_.take_out());
   take(election_.take_out());
   take(slices_.take_out());
+  take(minder_.take_out());
+  take(founder_.take_out());
   take(core_set_.take_out());
 }
 
--- /dev/null
+++ b/packages/control-plane/src/control_process.cpp
@@ -0,0 +1,145 @@
+#include "control_process.hpp"
+
+#include <glog/logging.h>
+
+#include <future>
+
+#include "emberdale/program_settings.hpp"
+
+namespace emberdale {
+
+ControlProcess::ControlProcess(ControlProcessSettings settings) : settings_(std::move(settings)) {}
+
+Outcome<bool> ControlProcess::open() {
+  std::unique_ptr<RegisterAcceptor> acceptor;
+  if (!settings_.data_folder.empty()) {
+    auto files = open_disk_folder(settings_.data_folder);
+    if (!files) return failure(files.reason);
+    std::shared_ptr<FileSystem> disk = *files;
+    if (settings_.may_fault_links) disk = faulty_disk_ = std::make_shared<FaultyFileSystem>(disk);
+    log_ = std::make_unique<SegmentedLog>(disk, 1 << 20);
+    auto opening = log_->open(random_id());
+    if (!opening) return failure(opening.reason);
+    if (!opening->finding.empty()) LOG(WARNING) << opening->finding;
+    LOG(INFO) << "store " << opening->store << (opening->is_new ? " (new)" : "") << ", " << opening->records.size() << " records";
+    acceptor = std::make_unique<RegisterAcceptor>(opening->store);
+    auto restored = acceptor->restore(opening->records);
+    if (!restored) return failure("the log can't be replayed: " + restored.reason);
+  }
+  const Address self = settings_.daemon.self.address;
+  daemon_ = std::make_unique<ControlDaemon>(settings_.daemon, std::move(acceptor));
+  daemon_->journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
+  links_ = std::make_unique<SiblingLinks>(context_, self, [this](const Address& from, Message message) {
+    daemon_->on_message(from, message, steady_now());
+    flush();
+  });
+  links_->on_refused = [this](const Address& sibling) {
+    daemon_->on_refused(sibling, steady_now());
+    flush();
+  };
+  return links_->listen();
+}
+
+void ControlProcess::start() {
+  if (log_) disk_ = std::thread([this] { run_disk(); });
+  control_ = std::thread([this] {
+    daemon_->start(steady_now());
+    flush();
+    tick();
+    context_.run();
+  });
+}
+
+void ControlProcess::stop(Span patience, std::function<void()> before_end) {
+  post([](ControlDaemon& daemon) { daemon.stop(steady_now()); });
+  // Edits in hand get their answer before the links go.
+  std::this_thread::sleep_for(std::chrono::milliseconds(patience.value));
+  before_end();
+  boost::asio::post(context_, [this] { context_.stop(); });
+  control_.join();
+  jobs_.close();
+  if (disk_.joinable()) disk_.join();
+}
+
+void ControlProcess::post(std::function<void(ControlDaemon&)> act) {
+  boost::asio::post(context_, [this, act = std::move(act)] {
+    act(*daemon_);
+    flush();
+  });
+}
+
+void ControlProcess::tick() {
+  alarm_.expires_after(std::chrono::milliseconds(settings_.alarm_pace.value));
+  alarm_.async_wait([this](boost::system::error_code fault) {
+    if (fault) return;
+    daemon_->set_wall_clock(static_cast<std::int64_t>(::time(nullptr)));
+    daemon_->on_alarm(steady_now());
+    flush();
+    if (on_alarm) on_alarm();
+    tick();
+  });
+}
+
+// Everything the state machine wishes for is carried out here, on the control thread.
+void ControlProcess::flush() {
+  const Address self = settings_.daemon.self.address;
+  for (int round = 0; round < 64; ++round) {
+    bool was_quiet = true;
+    auto writes = daemon_->take_writes();
+    if (!writes.empty()) {
+      was_quiet = false;
+      if (!jobs_.offer({std::move(writes), epoch_})) LOG(FATAL) << "the disk is " << 4096 << " writes behind";
+    }
+    for (auto& sending : daemon_->take_out()) {
+      was_quiet = false;
+      if (sending.to == self) {
+        boost::asio::post(context_, [this, self, message = std::move(sending.message)] {
+          daemon_->on_message(self, message, steady_now());
+          flush();
+        });
+      } else {
+        links_->send(sending.to, sending.message);
+      }
+    }
+    for (auto& wish : daemon_->take_probes())
+      if (on_probe_wish) on_probe_wish(wish);
+    if (was_quiet) return;
+  }
+}
+
+// The disk thread: what has gathered is written and synced together.
+void ControlProcess::run_disk() {
+  while (auto job = jobs_.take()) {
+    std::vector<std::string> records;
+    for (auto& write : job->writes) records.push_back(std::move(write.record));
+    std::int64_t last = job->writes.back().token;
+    if (job->epoch <= refused_epoch_) continue;
+    auto written = log_->append(records);
+    if (written) {
+      auto synced = log_->sync();
+      if (!synced) LOG(FATAL) << "the data folder can't be synced, nothing is known of it: " << synced.reason;
+      disk_writes_ += static_cast<std::int64_t>(records.size());
+      post([last](ControlDaemon& daemon) { daemon.synced(last, steady_now()); });
+      if (log_->wants_snapshot()) {
+        // The picture was taken before this job: it is taken anew once the job is settled.
+        auto fresh = std::make_shared<std::promise<std::string>>();
+        auto result = fresh->get_future();
+        boost::asio::post(context_, [this, fresh] { fresh->set_value(daemon_->acceptor()->picture()); });
+        if (result.wait_for(std::chrono::seconds(5)) != std::future_status::ready) continue;
+        auto taken = log_->snapshot(result.get());
+        if (!taken) LOG(WARNING) << "no snapshot: " << taken.reason;
+      }
+    } else {
+      ++disk_refused_;
+      LOG_EVERY_N(WARNING, 100) << "the data folder refuses writes: " << written.reason;
+      refused_epoch_ = job->epoch;
+      boost::asio::post(context_, [this, last] {
+        daemon_->write_refused(last);
+        ++epoch_;
+      });
+    }
+    if (log_->must_stop()) LOG(FATAL) << "the data folder can't be trusted any more: stopping";
+  }
+}
+
+}  // namespace emberdale
--- a/packages/control-plane/src/core_set.cpp
+++ b/packages/control-plane/src/core_set.cpp
@@ -51,7 +51,7 @@
   // A core machine's address that answers as another, blank store: the old one is gone.
   for (const auto& entry : proposer_.acceptors())
     if (entry.address == from) {
-      if (answer.blank && entry.store != answer.store) blank_stores_[from] = answer.store;
+      if ((answer.blank || (minder_ != nullptr && answer.accepted < proposer_.ballot())) && entry.store != answer.store) blank_stores_[from] = answer.store;
       else blank_stores_.erase(from);
     }
 }
@@ -120,11 +120,11 @@
   done(200, "replaced");
 }
 
-// The core daemons finish a joint change that was left half-way, and admit a wiped machine's new store.
+// The daemons with an acceptor finish a joint change that was left half-way, and admit a wiped machine's new store.
 void CoreSet::mend(Moment now) {
-  if (role_ != "core" && !replacing_) return;
+  if (!has_acceptor_ && !replacing_) return;
   if (is_mending_ || now < mend_next_ || !proposer_.has_state()) return;
-  mend_next_ = now + Span{1000 + dice_.below(1500)};
+  mend_next_ = now + (minder_ == nullptr ? Span{1000 + dice_.below(1500)} : Span{100 + dice_.below(200)});
   const FleetState& state = proposer_.state();
   Change change;
   if (!state.next_acceptors.empty()) {
@@ -152,6 +152,11 @@
       journal_.append(now, "admitting", fresh->second.text + " at " + entry.address.text);
       break;
     }
+    if (!change && minder_ != nullptr)
+      if (auto due = minder_->due_change(now)) {
+        change = std::move(due->change);
+        journal_.append(now, due->kind, due->detail);
+      }
   }
   if (!change) return;
   is_mending_ = true;
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -4,18 +4,12 @@
 #include <glog/logging.h>
 #include <pplx/threadpool.h>
 
-#include <atomic>
-#include <boost/asio.hpp>
-#include <future>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 #include "control_interface.hpp"
-#include "emberdale/bounded_pending.hpp"
-#include "emberdale/faulty_file_system.hpp"
+#include "control_process.hpp"
 #include "emberdale/program_settings.hpp"
-#include "emberdale/segmented_log.hpp"
 
 using namespace emberdale;
 using Json = nlohmann::json;
@@ -43,156 +37,46 @@
 
 namespace {
 
-struct DiskJob {
-  std::vector<WriteWish> writes;
-  std::int64_t epoch = 0;  // what was thought out on top of a refused write is refused as well
-};
-
 class Program {
  public:
-  Program(ProgramSettings settings) : settings_(std::move(settings)) {}
+  Program(ProgramSettings settings) : settings_(std::move(settings)), process_(process_settings(settings_)) {}
 
   int run() {
-    ControlDaemonSettings wish;
-    wish.self = settings_.self;
-    wish.seeds = settings_.seeds;
-    wish.dice_seed = static_cast<std::uint64_t>(settings_.self.incarnation) ^ stable_hash(settings_.self.address.text);
-    std::unique_ptr<RegisterAcceptor> acceptor;
-    if (!settings_.data_folder.empty()) {
-      auto files = open_disk_folder(settings_.data_folder);
-      if (!files) return refuse(files.reason);
-      std::shared_ptr<FileSystem> disk = *files;
-      if (settings_.may_fault_links) disk = faulty_disk_ = std::make_shared<FaultyFileSystem>(disk);
-      log_ = std::make_unique<SegmentedLog>(disk, 1 << 20);
-      auto opening = log_->open(random_id());
-      if (!opening) return refuse(opening.reason);
-      if (!opening->finding.empty()) LOG(WARNING) << opening->finding;
-      LOG(INFO) << "store " << opening->store << (opening->is_new ? " (new)" : "") << ", " << opening->records.size() << " records";
-      acceptor = std::make_unique<RegisterAcceptor>(opening->store);
-      auto restored = acceptor->restore(opening->records);
-      if (!restored) return refuse("the log can't be replayed: " + restored.reason);
-    }
-    daemon_ = std::make_unique<ControlDaemon>(wish, std::move(acceptor));
-    daemon_->journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
-    links_ = std::make_unique<SiblingLinks>(context_, settings_.self.address, [this](const Address& from, Message message) {
-      daemon_->on_message(from, message, steady_now());
-      flush();
-    });
-    links_->on_refused = [this](const Address& sibling) {
-      daemon_->on_refused(sibling, steady_now());
-      flush();
+    auto opened = process_.open();
+    if (!opened) return refuse(opened.reason);
+    interface_ = std::make_unique<ControlInterface>(process_.context(), process_.daemon(), process_.links(), settings_.self.http,
+                                                    settings_.may_fault_links, [this] { process_.flush(); });
+    interface_->more_counters = [this] {
+      return std::map<std::string, std::int64_t>{{"disk_writes", process_.disk_writes()}, {"disk_refused", process_.disk_refused()}};
     };
-    auto listens = links_->listen();
+    interface_->set_disk_fault = [this](const std::string& fault, std::int64_t ms) { return process_.set_disk_fault(fault, ms); };
+    process_.on_probe_wish = [this](const ProbeWish& wish) { probe(wish); };
+    auto listens = interface_->open();
     if (!listens) return refuse(listens.reason);
-    interface_ = std::make_unique<ControlInterface>(context_, *daemon_, *links_, settings_.self.http, settings_.may_fault_links, [this] { flush(); });
-    interface_->more_counters = [this] { return std::map<std::string, std::int64_t>{{"disk_writes", disk_writes_}, {"disk_refused", disk_refused_}}; };
-    interface_->set_disk_fault = [this](const std::string& fault, std::int64_t ms) { return faulty_disk_ && faulty_disk_->set_fault(fault, ms); };
-    auto opened = interface_->open();
-    if (!opened) return refuse(opened.reason);
-    if (log_) disk_ = std::thread([this] { run_disk(); });
-    std::thread control([this] {
-      daemon_->start(steady_now());
-      flush();
-      tick();
-      context_.run();
-    });
+    process_.start();
     LOG(INFO) << "serving as " << settings_.self.role << " " << settings_.self.address << ", http " << settings_.self.http;
     int signal = wait_for_stop();
     LOG(INFO) << "stopping on signal " << signal;
-    boost::asio::post(context_, [this] {
-      daemon_->stop(steady_now());
-      flush();
-    });
-    // Edits in hand get their answer before the links go.
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
-    interface_->close();
-    boost::asio::post(context_, [this] { context_.stop(); });
-    control.join();
-    jobs_.close();
-    if (disk_.joinable()) disk_.join();
+    process_.stop(Span{300}, [this] { interface_->close(); });
     return 0;
   }
 
  private:
+  static ControlProcessSettings process_settings(const ProgramSettings& settings) {
+    ControlProcessSettings wish;
+    wish.daemon.self = settings.self;
+    wish.daemon.seeds = settings.seeds;
+    wish.daemon.dice_seed = static_cast<std::uint64_t>(settings.self.incarnation) ^ stable_hash(settings.self.address.text);
+    wish.data_folder = settings.data_folder;
+    wish.may_fault_links = settings.may_fault_links;
+    return wish;
+  }
+
   int refuse(const std::string& reason) {
     LOG(ERROR) << reason;
     return 1;
   }
 
-  void tick() {
-    alarm_.expires_after(std::chrono::milliseconds(25));
-    alarm_.async_wait([this](boost::system::error_code fault) {
-      if (fault) return;
-      daemon_->set_wall_clock(static_cast<std::int64_t>(::time(nullptr)));
-      daemon_->on_alarm(steady_now());
-      flush();
-      tick();
-    });
-  }
-
-  // Everything the state machine wishes for is carried out here, on the control thread.
-  void flush() {
-    for (int round = 0; round < 64; ++round) {
-      bool was_quiet = true;
-      auto writes = daemon_->take_writes();
-      if (!writes.empty()) {
-        was_quiet = false;
-        if (!jobs_.offer({std::move(writes), epoch_})) LOG(FATAL) << "the disk is " << 4096 << " writes behind";
-      }
-      for (auto& sending : daemon_->take_out()) {
-        was_quiet = false;
-        if (sending.to == settings_.self.address) {
-          boost::asio::post(context_, [this, message = std::move(sending.message)] {
-            daemon_->on_message(settings_.self.address, message, steady_now());
-            flush();
-          });
-        } else {
-          links_->send(sending.to, sending.message);
-        }
-      }
-      for (auto& wish : daemon_->take_probes()) probe(wish);
-      if (was_quiet) return;
-    }
-  }
-
-  // The disk thread: what has gathered is written and synced together.
-  void run_disk() {
-    while (auto job = jobs_.take()) {
-      std::vector<std::string> records;
-      for (auto& write : job->writes) records.push_back(std::move(write.record));
-      std::int64_t last = job->writes.back().token;
-      if (job->epoch <= refused_epoch_) continue;
-      auto written = log_->append(records);
-      if (written) {
-        auto synced = log_->sync();
-        if (!synced) LOG(FATAL) << "the data folder can't be synced, nothing is known of it: " << synced.reason;
-        disk_writes_ += static_cast<std::int64_t>(records.size());
-        boost::asio::post(context_, [this, last] {
-          daemon_->synced(last, steady_now());
-          flush();
-        });
-        if (log_->wants_snapshot()) {
-          // The picture was taken before this job: it is taken anew once the job is settled.
-          auto fresh = std::make_shared<std::promise<std::string>>();
-          auto result = fresh->get_future();
-          boost::asio::post(context_, [this, fresh] { fresh->set_value(daemon_->acceptor()->picture()); });
-          if (result.wait_for(std::chrono::seconds(5)) != std::future_status::ready) continue;
-          auto taken = log_->snapshot(result.get());
-          if (!taken) LOG(WARNING) << "no snapshot: " << taken.reason;
-        }
-      } else {
-        ++disk_refused_;
-        LOG_EVERY_N(WARNING, 100) << "the data folder refuses writes: " << written.reason;
-        refused_epoch_ = job->epoch;
-        boost::asio::post(context_, [this, last] {
-          daemon_->write_refused(last);
-          ++epoch_;
-        });
-      }
-      if (log_->must_stop()) LOG(FATAL) << "the data folder can't be trusted any more: stopping";
-    }
-  }
-
   void probe(const ProbeWish& wish) {
     auto& client = clients_[wish.http];
     if (!client) {
@@ -218,27 +102,14 @@
             }
           } catch (const std::exception&) {
           }
-          boost::asio::post(context_, [this, status] {
-            daemon_->on_probe(status, steady_now());
-            flush();
-          });
+          process_.post([status](ControlDaemon& daemon) { daemon.on_probe(status, steady_now()); });
         });
   }
 
   ProgramSettings settings_;
-  boost::asio::io_context context_{1};
-  boost::asio::steady_timer alarm_{context_};
-  std::shared_ptr<FaultyFileSystem> faulty_disk_;  // tests only
-  std::unique_ptr<SegmentedLog> log_;
-  std::unique_ptr<ControlDaemon> daemon_;
-  std::unique_ptr<SiblingLinks> links_;
+  ControlProcess process_;
   std::unique_ptr<ControlInterface> interface_;
   std::map<std::string, std::unique_ptr<web::http::client::http_client>> clients_;
-  BoundedPending<DiskJob> jobs_{4096};
-  std::thread disk_;
-  std::int64_t epoch_ = 1;          // of the control thread
-  std::int64_t refused_epoch_ = 0;  // of the disk thread
-  std::atomic<std::int64_t> disk_writes_{0}, disk_refused_{0};
 };
 
 }  // namespace
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -1,5 +1,6 @@
 #include "emberdale/master_edits.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/traffic_edits.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -78,7 +79,13 @@
           result->reason = "this daemon is master no more";
           return {Verdict::Kind::refuse, {}, result->reason};
         }
-        *result = apply_edit(state, ask, state.config_revision + 1);
+        if (ask.kind == traffic_kind) {
+          auto traffic = apply_traffic_edit(state, ask, state.config_revision + 1);
+          *result = std::move(traffic.edit);
+          if (traffic.is_repeat) return {Verdict::Kind::already_there, {}, ""};
+        } else {
+          *result = apply_edit(state, ask, state.config_revision + 1);
+        }
         if (result->code >= 300) return {Verdict::Kind::refuse, {}, result->reason};
         FleetState changed = state;
         changed.resources = result->resources;
--- a/packages/control-plane/src/masters_word.cpp
+++ b/packages/control-plane/src/masters_word.cpp
@@ -9,7 +9,7 @@
 }
 }  // namespace
 
-FleetState MastersWord::claimed(const FleetState& state, const ReignClaim& claim, const Address& self, bool is_promise_off) {
+FleetState MastersWord::claimed(const FleetState& state, const ReignClaim& claim, const Address& self, bool is_promise_off, bool is_at_once) {
   FleetState next = state;
   next.reign = claim.expected_reign + 1;
   next.master = self;
@@ -22,6 +22,7 @@
   bool is_bound = promised > state.word_roster.size() / 2 || is_promise_off;
   bool was_laid_down = state.master.empty() || state.master == self;
   if (state.ack_wait <= quick_ack_wait.value) next.ack_wait = was_laid_down ? 0 : is_bound ? quick_ack_wait.value : late_ack_wait.value;
+  if (is_at_once) next.ack_wait = 0;
   next.word_roster = addresses(state.roster);
   return next;
 }
--- a/packages/control-plane/src/runner_watch.cpp
+++ b/packages/control-plane/src/runner_watch.cpp
@@ -4,9 +4,6 @@
 #include "emberdale/placement_map.hpp"
 
 namespace emberdale {
-namespace {
-constexpr Span probe_pace{400};
-}
 
 void RunnerWatch::wish_probes(const Configuration& configuration, const std::vector<std::string>& live_edges, bool is_master, Moment now) {
   std::map<PoolName, bool> homes;
@@ -23,9 +20,9 @@
     if (!is_mine && is_master) is_mine = now - known_[runner.name].at > status_span;
     Moment& next = next_[runner.name];
     if (!is_mine || now < next) continue;
-    next = now + probe_pace;
+    next = now + probe_pace_;
     ++probes_made_;
-    probes_.push_back({runner.name, runner.http});
+    probes_.push_back({runner.name, runner.http, runner.pool});
   }
 }
 
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -23,6 +23,8 @@
       : self_(std::move(self)), seeds_(std::move(seeds)), dice_(dice_seed), keeper_(first_ask(dice_)) {}
 
   void start(Moment now);
+  // It leaves: the homes are told at once, so that no one is sent here any more. Example: daemon.leave(now);
+  void leave(Moment now);
   void on_message(const Address& from, const Message& message, Moment now);
   void on_alarm(Moment now);
   // No one listens at a sibling's address. Example: daemon.on_refused(sibling, now);
@@ -36,7 +38,7 @@
   EventJournal& journal() { return journal_; }
   const DaemonEntry& self() const { return self_; }
   struct Counts {
-    std::int64_t news = 0, news_used = 0, homes_left = 0, bars_held = 0;
+    std::int64_t news = 0, news_used = 0, homes_left = 0, homes_outdated = 0, bars_held = 0;
   };
   const Counts& counts() const { return counts_; }
 
@@ -55,6 +57,7 @@
   void take_bar(const Bar& bar, Moment now);
   void fold_view(Moment now);
   void keep_cold_shares();
+  void leave_outdated_homes(Moment now);
 
   DaemonEntry self_;
   std::vector<Address> seeds_;
@@ -72,7 +75,7 @@
   GrantKeeper keeper_;
   EventJournal journal_{256};
   Moment ping_next_, ask_next_, hurried_next_, subscribe_next_;
-  bool was_granted_ = false;
+  bool was_granted_ = false, is_leaving_ = false;
   std::vector<Sending> out_;
   Counts counts_;
 };
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -8,7 +8,7 @@
 namespace emberdale {
 namespace {
 constexpr Span ping_pace{500}, ask_pace{500}, hurried_pace{100}, subscribe_pace{400};
-constexpr Span alive_span{2000}, silent_home{1300}, shun_span{3000};
+constexpr Span alive_span{2000}, silent_home{1300}, shun_span{3000}, outdated_span{700};
 }  // namespace
 
 void DataDaemon::start(Moment now) {
@@ -17,6 +17,24 @@
   on_alarm(now);
 }
 
+void DataDaemon::leave(Moment now) {
+  is_leaving_ = true;
+  subscribe(now);
+}
+
+// The register shows a floor above this map and no home has brought it: they may follow a master that is cut off
+// with them. Others are asked.
+void DataDaemon::leave_outdated_homes(Moment now) {
+  const auto& since = keeper_.behind_since();
+  if (!since || now - *since < outdated_span) return;
+  for (auto& [topic, home] : homes_) {
+    if (home.address.empty() || now - home.since < outdated_span) continue;
+    shunned_[home.address] = now + shun_span;
+    ++counts_.homes_outdated;
+    journal_.append(now, "home_outdated", topic + " at " + home.address.text);
+  }
+}
+
 std::vector<std::string> DataDaemon::live_edges(Moment now) const {
   std::vector<std::string> near, all;
   // Who lives is the master's word, in the map; before there is a map, whoever answered a ping.
@@ -34,6 +52,10 @@
     all.push_back(address.text);
     if (known.entry.zone == self_.zone) near.push_back(address.text);
   }
+  if (near.empty() && all.empty()) {
+    // All of them were shunned: one that is slow is still better than none.
+    for (const auto& edge : view()->edges) all.push_back(edge.daemon.text);
+  }
   return near.empty() ? all : near;
 }
 
@@ -60,7 +82,7 @@
   keep_cold_shares();
   bool is_granted = now < grant().until && grant().floor <= book_.version();
   for (auto& [home, topics] : by_home)
-    out_.push_back({home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted}});
+    out_.push_back({home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted, is_leaving_}});
 }
 
 void DataDaemon::on_message(const Address& from, const Message& message, Moment now) {
@@ -183,6 +205,7 @@
   }
   if (subscribe_next_ <= now) {
     subscribe_next_ = now + subscribe_pace;
+    leave_outdated_homes(now);
     subscribe(now);
   }
   if (std::any_of(bars_.begin(), bars_.end(), [&](const auto& entry) { return entry.second.until <= now; })) fold_view(now);
--- /dev/null
+++ b/packages/data-plane/src/data_process.cpp
@@ -0,0 +1,63 @@
+#include "data_process.hpp"
+
+#include <glog/logging.h>
+
+#include "emberdale/program_settings.hpp"
+
+namespace emberdale {
+
+DataProcess::DataProcess(DaemonEntry self, std::vector<Address> seeds, Span alarm_pace)
+    : self_(self), alarm_pace_(alarm_pace), daemon_(self, std::move(seeds), static_cast<std::uint64_t>(self.incarnation)) {
+  daemon_.journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
+  links_ = std::make_unique<SiblingLinks>(context_, self_.address, [this](const Address& from, Message message) {
+    daemon_.on_message(from, message, steady_now());
+    flush();
+  });
+  links_->on_refused = [this](const Address& sibling) {
+    daemon_.on_refused(sibling, steady_now());
+    flush();
+  };
+}
+
+Outcome<bool> DataProcess::open() { return links_->listen(); }
+
+void DataProcess::start() {
+  control_ = std::thread([this] {
+    daemon_.start(steady_now());
+    flush();
+    tick();
+    context_.run();
+  });
+}
+
+void DataProcess::stop() {
+  boost::asio::post(context_, [this] { context_.stop(); });
+  control_.join();
+}
+
+void DataProcess::post(std::function<void(DataDaemon&)> act) {
+  boost::asio::post(context_, [this, act = std::move(act)] {
+    act(daemon_);
+    flush();
+  });
+}
+
+void DataProcess::flush() {
+  word_.put(daemon_.view(), daemon_.grant());
+  bool is_new = seen_ != daemon_.view();
+  seen_ = daemon_.view();
+  if (is_new && on_change) on_change();
+  for (auto& sending : daemon_.take_out()) links_->send(sending.to, sending.message);
+}
+
+void DataProcess::tick() {
+  alarm_.expires_after(std::chrono::milliseconds(alarm_pace_.value));
+  alarm_.async_wait([this](boost::system::error_code fault) {
+    if (fault) return;
+    daemon_.on_alarm(steady_now());
+    flush();
+    tick();
+  });
+}
+
+}  // namespace emberdale
--- /dev/null
+++ b/packages/data-plane/src/data_process.hpp
@@ -0,0 +1,48 @@
+// What every program around a data daemon needs: its one control thread and its links.
+#pragma once
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include "call_relay.hpp"
+#include "emberdale/data_daemon.hpp"
+#include "emberdale/sibling_links.hpp"
+
+namespace emberdale {
+
+// Example:
+//   DataProcess process(settings.self, settings.seeds, Span{25}); auto listens = process.open();
+//   CallRelay relay(desk, process.word(), http); process.start(); ... process.stop();
+class DataProcess {
+ public:
+  DataProcess(DaemonEntry self, std::vector<Address> seeds, Span alarm_pace);
+  // Example: auto listens = process.open(); if (!listens) LOG(ERROR) << listens.reason;
+  Outcome<bool> open();
+  void start();
+  void stop();
+  // Does something with the daemon on the control thread. Example: process.post([](DataDaemon& daemon) { daemon.leave(steady_now()); });
+  void post(std::function<void(DataDaemon&)> act);
+
+  // The view and the grant for the traffic thread; on_change is called (on the control thread) when they differ.
+  const ControlWord& word() const { return word_; }
+  std::function<void()> on_change;
+  SiblingLinks& links() { return *links_; }
+  boost::asio::io_context& context() { return context_; }
+
+ private:
+  void flush();
+  void tick();
+
+  DaemonEntry self_;
+  Span alarm_pace_;
+  boost::asio::io_context context_{1};
+  boost::asio::steady_timer alarm_{context_};
+  ControlWord word_;
+  std::shared_ptr<const TrafficView> seen_;
+  DataDaemon daemon_;
+  std::unique_ptr<SiblingLinks> links_;
+  std::thread control_;
+};
+
+}  // namespace emberdale
--- a/packages/data-plane/src/main.cpp
+++ b/packages/data-plane/src/main.cpp
@@ -3,15 +3,12 @@
 #include <glog/logging.h>
 #include <pplx/threadpool.h>
 
-#include <boost/asio.hpp>
-#include <future>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "call_relay.hpp"
-#include "emberdale/data_daemon.hpp"
+#include "data_process.hpp"
 #include "emberdale/program_settings.hpp"
-#include "emberdale/sibling_links.hpp"
 #include "emberdale/json_text.hpp"
 
 using namespace emberdale;
@@ -45,24 +42,10 @@
   start_program("emberdale-data-plane");
   crossplat::threadpool::initialize_with_threads(5);
 
-  boost::asio::io_context context(1);
-  ControlWord word;
-  DataDaemon daemon(settings.self, settings.seeds, static_cast<std::uint64_t>(settings.self.incarnation));
-  daemon.journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
-  std::unique_ptr<SiblingLinks> links;
-  auto flush = [&] {
-    word.put(daemon.view(), daemon.grant());
-    for (auto& sending : daemon.take_out()) links->send(sending.to, sending.message);
-  };
-  links = std::make_unique<SiblingLinks>(context, settings.self.address, [&](const Address& from, Message message) {
-    daemon.on_message(from, message, steady_now());
-    flush();
-  });
-  links->on_refused = [&](const Address& sibling) {
-    daemon.on_refused(sibling, steady_now());
-    flush();
-  };
-  auto listens = links->listen();
+  DataProcess process(settings.self, settings.seeds, Span{25});
+  auto& context = process.context();
+  const ControlWord& word = process.word();
+  auto listens = process.open();
   if (!listens) {
     LOG(ERROR) << listens.reason;
     return 1;
@@ -111,9 +94,9 @@
           LinkFault fault{wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}};
           auto siblings = wish.value("siblings", std::vector<std::string>{});
           bool is_clear = wish.value("clear", false);
-          boost::asio::post(context, [&links, siblings, fault, is_clear] {
-            if (is_clear) links->clear_faults();
-            for (const auto& sibling : siblings) links->set_fault({sibling}, fault);
+          boost::asio::post(context, [&process, siblings, fault, is_clear] {
+            if (is_clear) process.links().clear_faults();
+            for (const auto& sibling : siblings) process.links().set_fault({sibling}, fault);
           });
         } catch (const Json::exception&) {
           return reply(request, 400, R"({"reason":"a field of the body is of the wrong kind"})", "application/json");
@@ -129,27 +112,11 @@
     LOG(ERROR) << opened.reason;
     return 1;
   }
-  boost::asio::steady_timer alarm(context);
-  std::function<void()> tick = [&] {
-    alarm.expires_after(std::chrono::milliseconds(25));
-    alarm.async_wait([&](boost::system::error_code fault) {
-      if (fault) return;
-      daemon.on_alarm(steady_now());
-      flush();
-      tick();
-    });
-  };
-  std::thread control([&] {
-    daemon.start(steady_now());
-    flush();
-    tick();
-    context.run();
-  });
+  process.start();
   LOG(INFO) << "serving in zone " << settings.self.zone << ", region " << settings.self.region << ", callers at " << settings.self.http;
   int signal = wait_for_stop();
   LOG(INFO) << "stopping on signal " << signal << ": what is in hand is finished or refused";
   relay.stop(Span{8000});
-  boost::asio::post(context, [&] { context.stop(); });
-  control.join();
+  process.stop();
   return 0;
 }
--- /dev/null
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -0,0 +1,2 @@
+#include <gtest/gtest.h>
+#include "routed_relay.hpp"
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -78,16 +78,16 @@
 #define EMBERDALE_GATEWAY_ROW(F) F(Address, daemon) F(Text, http) F(ZoneName, zone) F(RegionName, region)
 EMBERDALE_RECORD(GatewayRow, EMBERDALE_GATEWAY_ROW)
 
+#define EMBERDALE_SLICE_ROW(F) F(Text, key) F(Bytes, body)
+EMBERDALE_RECORD(SliceRow, EMBERDALE_SLICE_ROW)
+
 #define EMBERDALE_PLACEMENT_MAP(F)                                                  \
   F(MapVersion, version) F(Integer, config_revision) F(Address, master)             \
-  F(std::vector<PlanRow>, plans)                                                    \
+  F(std::vector<PlanRow>, plans) F(std::vector<SliceRow>, traffic)                  \
   F(std::vector<RunnerRow>, runners) F(std::vector<RegionRow>, regions)             \
   F(std::vector<GatewayRow>, gateways) F(std::vector<GatewayRow>, edges)            \
   F(std::vector<ZoneName>, emptied)
-EMBERDALE_RECORD(PlacementMap, EMBERDALE_PLACEMENT_MAP)
-
-#define EMBERDALE_SLICE_ROW(F) F(Text, key) F(Bytes, body)
-EMBERDALE_RECORD(SliceRow, EMBERDALE_SLICE_ROW)
+EMBERDALE_RECORD(PlacementMap, EMBERDALE_PLACEMENT_MAP)  // traffic: the traffic table, cut into rows
 
 // --- the register's two rounds ---------------------------------------------------------------
 #define EMBERDALE_PREPARE(F) F(Integer, ask) F(StoreId, store) F(Ballot, ballot)
@@ -138,7 +138,7 @@
   F(Integer, capacity) F(Integer, burden) F(Integer, allowance) F(Integer, age)
 EMBERDALE_RECORD(RunnerStatus, EMBERDALE_RUNNER_STATUS)
 #define EMBERDALE_IN_FORCE(F) \
-  F(DaemonEntry, daemon) F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(Integer, age)
+  F(DaemonEntry, daemon) F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving) F(Integer, age)
 EMBERDALE_RECORD(InForce, EMBERDALE_IN_FORCE)
 #define EMBERDALE_FOLLOW(F)                                                             \
   F(DaemonEntry, sender) F(Integer, reign) F(Integer, echo) F(MapVersion, version)      \
@@ -152,7 +152,7 @@
 EMBERDALE_RECORD(TopicKnown, EMBERDALE_TOPIC_KNOWN)
 #define EMBERDALE_SUBSCRIBE(F) \
   F(DaemonEntry, sender) F(std::vector<TopicKnown>, topics) F(MapVersion, version) \
-  F(Integer, config_revision) F(bool, granted)
+  F(Integer, config_revision) F(bool, granted) F(bool, leaving)
 EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)
 #define EMBERDALE_SLICE_NEWS(F)                                                              \
   F(Text, topic) F(MapVersion, version) F(Integer, config_revision) F(bool, whole) F(MapVersion, base) \
--- a/packages/placement-map/src/map_slices.cpp
+++ b/packages/placement-map/src/map_slices.cpp
@@ -11,6 +11,7 @@
   if (topic == plans_topic) {
     for (const auto& plan : map.plans) rows["plan/" + plan.name.text] = encode_plan_row(plan);
     for (const auto& gateway : map.gateways) rows["gateway/" + gateway.daemon.text] = encode_gateway_row(gateway);
+    for (const auto& row : map.traffic) rows["traffic/" + row.key] = row.body.data;
     rows["master"] = encode_gateway_row({map.master, "", {}, {}});
     for (const auto& edge : map.edges) rows["edge/" + edge.daemon.text] = encode_gateway_row(edge);
     for (const auto& region : map.regions) rows["region/" + region.pool.text + "/" + region.region.text] = encode_region_row(region);
@@ -58,7 +59,7 @@
 void SlicePublisher::on_subscribe(const Address& from, const Subscribe& subscribe, Moment now) {
   auto& subscriber = subscribers_[from];
   subscriber.heard = now;
-  subscriber.report = InForce{subscribe.sender, subscribe.version, subscribe.config_revision, subscribe.granted, 0};
+  subscriber.report = InForce{subscribe.sender, subscribe.version, subscribe.config_revision, subscribe.granted, subscribe.leaving, 0};
   std::map<std::string, Topic> topics;
   for (const auto& known : subscribe.topics) {
     auto& topic = topics[known.topic] = std::move(subscriber.topics[known.topic]);
--- a/packages/serving-plans/include/emberdale/serving_plans.hpp
+++ b/packages/serving-plans/include/emberdale/serving_plans.hpp
@@ -100,6 +100,10 @@
 // The rules between documents. Example: cross_check(configuration, findings)
 void cross_check(const Configuration& configuration, std::vector<Finding>& findings);
 
+// Documents are a few levels deep: what is nested without end would use up the stack of whoever walks it.
+// Example: is_too_deep("[[1]]") == false
+bool is_too_deep(const std::string& text);
+
 // JSON merge patch (RFC 7396). Example: *merge_patch(R"({"a":1})", R"({"a":null})") == "{}"
 Outcome<std::string> merge_patch(const std::string& body, const std::string& patch);
 
--- a/packages/serving-plans/src/serving_plans.cpp
+++ b/packages/serving-plans/src/serving_plans.cpp
@@ -98,27 +98,6 @@
   std::map<std::string, std::size_t> places_;
 };
 
-// Documents are a few levels deep. What is nested without end would use up the stack of whoever walks it.
-constexpr int deepest = 32;
-bool is_too_deep(const std::string& text) {
-  int depth = 0;
-  bool is_string = false;
-  for (std::size_t at = 0; at < text.size(); ++at) {
-    char letter = text[at];
-    if (is_string) {
-      if (letter == '\\') ++at;
-      else if (letter == '"') is_string = false;
-    } else if (letter == '"') {
-      is_string = true;
-    } else if (letter == '{' || letter == '[') {
-      if (++depth > deepest) return true;
-    } else if (letter == '}' || letter == ']') {
-      --depth;
-    }
-  }
-  return false;
-}
-
 // Reads fields of one document and collects what is wrong with each.
 class DocumentReader {
  public:
@@ -241,6 +220,26 @@
 
 }  // namespace
 
+constexpr int deepest = 32;
+bool is_too_deep(const std::string& text) {
+  int depth = 0;
+  bool is_string = false;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    char letter = text[at];
+    if (is_string) {
+      if (letter == '\\') ++at;
+      else if (letter == '"') is_string = false;
+    } else if (letter == '"') {
+      is_string = true;
+    } else if (letter == '{' || letter == '[') {
+      if (++depth > deepest) return true;
+    } else if (letter == '}' || letter == ']') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 Outcome<std::int64_t> read_utc(const std::string& text) {
   std::tm parts{};
   int used = 0;
--- /dev/null
+++ b/packages/traffic-table/include/emberdale/traffic_table.hpp
@@ -0,0 +1,111 @@
+// The traffic table: routes by host and path prefix, the pools they name, and limits. One document that is
+// replaced whole or amended by name; its versions are the operator's own revisions, which rise unevenly.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emberdale/messages.hpp"
+#include "emberdale/serving_plans.hpp"
+
+namespace emberdale {
+
+inline constexpr const char* traffic_kind = "traffic-table";  // kind of its resource in the register
+inline constexpr const char* traffic_name = "current";
+
+struct PoolShare {
+  PoolName pool;
+  std::int64_t share = 1;
+};
+
+struct TrafficRoute {
+  std::string name, host, path_prefix;  // the prefix begins and ends with a slash
+  bool is_repeatable = false;           // kind "retry_safe", or "streaming" that may be resumed
+  bool is_streaming = false, is_resumable = false, is_sticky = false;
+  std::int64_t horizon_ms = 10000;  // the longest a call is held
+  std::int64_t target_ms = 1000;    // within which an answer earns its full worth
+  std::int64_t gap_ms = 0;          // longest pause between events that is still in time; 0: none stated
+  std::int64_t rank = 5;            // 0 is first
+  std::int64_t max_sends = 1;       // runners that one call may be sent to
+  std::vector<PoolShare> pools;     // never empty; shares sum above 0
+  std::vector<RegionName> homes;    // empty: free
+};
+
+struct TrafficPool {
+  PoolName name;
+  std::string health_path = "/health";
+  std::int64_t max_links = 0;        // connections a runner takes from all daemons together; 0: not stated
+  double warmup_s = 0, cold_per_s = 0;  // 0: never cold
+  std::int64_t slots = 0, memory_tokens = 0;  // of a model runner; 0: not stated
+};
+
+struct TrafficLimits {
+  std::int64_t max_header_bytes = 16384, max_body_bytes = 4 << 20, header_timeout_ms = 3000, idle_timeout_ms = 15000;
+};
+
+struct TrafficTable {
+  Integer revision = 0;
+  std::vector<TrafficRoute> routes;
+  std::vector<TrafficPool> pools;
+  TrafficLimits limits;
+};
+
+// Reads one document in our words, e.g.
+//   {"revision":7,
+//    "routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","horizon_ms":8000,"target_ms":1000,
+//      "rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],"max_sends":1,"sticky":true,
+//      "resumable":false,"gap_ms":400,"home_regions":["north"]},
+//     {"name":"r2", ..., "pool":"m"}],
+//    "pools":[{"name":"m","health_path":"/health","max_links":390,"warmup_s":3.0,"cold_per_s":45.0,
+//      "runtime":{"slots":64,"memory_tokens":319818}}],
+//    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
+// Fields that are not known are kept in the document and passed over here. All findings come together, each
+// with its place; a value comes only without errors. An error is: not readable as JSON (or nested too deep),
+// a field missing or of the wrong kind, a route that names an unknown pool, two routes with the same host and
+// prefix, two items of one name, shares that sum to 0, a horizon of 0, a revision that is no positive integer.
+// Example: auto table = read_traffic_table(body, findings); if (!table) report(findings);
+std::optional<TrafficTable> read_traffic_table(const std::string& body, std::vector<Finding>& findings);
+
+// One route or pool alone, as it travels in a row of the map; nothing if it can't be read.
+// Example: read_traffic_route(R"({"name":"r1",...})")->horizon_ms == 8000
+std::optional<TrafficRoute> read_traffic_route(const std::string& body);
+std::optional<TrafficPool> read_traffic_pool(const std::string& body);
+TrafficLimits read_traffic_limits(const std::string& body);  // what can't be read keeps its default
+
+// The document cut into rows for the map, keyed "route/NAME", "pool/NAME", "limits", "revision".
+// Example: split_traffic_table(body).front().first == "limits"
+std::vector<std::pair<std::string, std::string>> split_traffic_table(const std::string& body);
+
+// A change worked out on the newest document (empty: none yet), which builds on `base` (0 for the first).
+//   act "replace": `body` is the whole next document.
+//   act "amend": {"revision":9,"upsert":{"routes":[..],"pools":[..]},"remove":{"routes":["r-old"]}}: items are added or
+//   replaced by name; removing a name that is not there is an error; "limits" may stand in upsert as an object.
+// Codes: 200 taken; 412 another version is current; 400 invalid, also a revision not above the current one.
+// The result keeps (in the resource's text, beside the document) what was taken lately, so that the same change
+// sent again is answered 200 without effect, also after others were built on it.
+struct TrafficChange {
+  int code = 200;
+  bool is_repeat = false;        // taken before: nothing changes
+  std::string stored;            // the resource's next text (code 200 and not a repeat)
+  Integer revision = 0;          // the current one after this change
+  std::vector<Finding> findings;
+  std::string reason;
+};
+// Example: change_traffic_table(stored, "replace", 0, body).code == 200
+TrafficChange change_traffic_table(const std::string& stored, const std::string& act, Integer base, const std::string& body);
+
+// The operator's document within the resource's text, exactly as it stands in force; "" if there is none.
+// Example: traffic_document(stored)
+std::string traffic_document(const std::string& stored);
+
+// The route of the host whose prefix begins the path and is longest; null if there is none. The host is compared
+// without case and without a port. Example: find_route(routes, "a.example:80", "/x/y")->name == "r1"
+const TrafficRoute* find_route(const std::vector<TrafficRoute>& routes, const std::string& host, const std::string& path);
+
+// The pool of one call by the shares: the same for the same key in every daemon.
+// Example: choose_pool(route, "9c41d07be2a35f68")
+const PoolName& choose_pool(const TrafficRoute& route, const std::string& key);
+
+}  // namespace emberdale
