--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -40,6 +40,7 @@
   bool acknowledges_at_once = false;   // data daemons serve on without grants: no elder's word is waited for
   bool reads_runner_list = false;  // runners come from an outside list, not from operators' documents
   Span probe_pace{400};            // between two probes of one runner
+  Span ghost_span{30000};          // who is silent for so long leaves the roster by the master's hand
 };
 
 // Example:
--- a/packages/control-plane/include/emberdale/core_minder.hpp
+++ b/packages/control-plane/include/emberdale/core_minder.hpp
@@ -42,6 +42,7 @@
     StoreId store;
     Moment since, heard;
     bool may_join = false;
+    int overtaken = 0;  // how often a write was made to get past its data
   };
   struct Answered {
     StoreId store;
--- a/packages/control-plane/include/emberdale/roster_keeper.hpp
+++ b/packages/control-plane/include/emberdale/roster_keeper.hpp
@@ -14,8 +14,9 @@
 //   keeper.evict_ghosts(election.starved_rounds(), election.is_master(), now);
 class RosterKeeper {
  public:
-  RosterKeeper(RegisterProposer& proposer, EventJournal& journal, DaemonEntry self, Dice dice)
-      : proposer_(proposer), journal_(journal), self_(std::move(self)), dice_(dice) {}
+  // ghost_span: a daemon silent for so long leaves the roster by the master's hand.
+  RosterKeeper(RegisterProposer& proposer, EventJournal& journal, DaemonEntry self, Dice dice, Span ghost_span = Span{30000})
+      : proposer_(proposer), journal_(journal), self_(std::move(self)), dice_(dice), ghost_span_(ghost_span) {}
 
   void start(Moment now) { enrol_next_ = evict_next_ = now; }
   // Enrols this daemon, and along with it siblings that were just heard and are not enrolled either: a fleet
@@ -35,6 +36,7 @@
   EventJournal& journal_;
   DaemonEntry self_;
   Dice dice_;
+  Span ghost_span_;
   bool is_enrolling_ = false, has_waited_ = false, is_evicting_ = false;
   Moment enrol_next_, evict_next_;
   std::set<Address> evicted_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -29,7 +29,7 @@
       minder_(proposer_, settings_.self.address, Dice(settings_.dice_seed + 5)),
       founder_(proposer_, journal_, settings_.self.address, settings_.seeds, Dice(settings_.dice_seed + 6)),
       core_set_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr, Dice(settings_.dice_seed + 3)),
-      roster_keeper_(proposer_, journal_, settings_.self, Dice(settings_.dice_seed + 4)),
+      roster_keeper_(proposer_, journal_, settings_.self, Dice(settings_.dice_seed + 4), settings_.ghost_span),
       runner_watch_(settings_.self, settings_.probe_pace) {
   word_.is_wait_off = settings_.acknowledges_at_once;
   if (settings_.minds_core_set && acceptor_) core_set_.set_minder(minder_);
@@ -501,9 +501,20 @@
     if (is_ready) rows[daemon.address] = {daemon.address, daemon.http, daemon.zone, daemon.region};
     else if (report.leaving || report.age <= 10 * front_silence.value) rows.erase(daemon.address);
   }
+  // Where a zone's own control daemons are silent, its data daemons subscribe elsewhere: if some do so here, all that
+  // live do, and the map's word on the others is old.
+  std::set<ZoneName> heard_zones, homed_zones{settings_.self.zone};
+  for (const auto& report : slices_.in_force(now))
+    if (report.age <= front_silence.value) heard_zones.insert(report.daemon.zone);
+  for (const auto& [address, known] : known_)
+    if (known.entry.role == "edge" && now - known.heard <= front_silence) homed_zones.insert(known.entry.zone);
+  std::set<Address> heard;
+  for (const auto& report : slices_.in_force(now))
+    if (report.age <= front_silence.value) heard.insert(report.daemon.address);
   std::vector<std::string> near, around, all;
   for (const auto& [address, row] : rows) {
-    if (row.http.empty()) continue;
+    bool is_unheard = heard_zones.count(row.zone) != 0 && homed_zones.count(row.zone) == 0 && heard.count(address) == 0;
+    if (row.http.empty() || is_unheard) continue;
     (row.zone == zone ? near : row.region == region ? around : all).push_back(row.http);
   }
   // One daemon alone would have nobody to stand in for it.
--- a/packages/control-plane/src/core_minder.cpp
+++ b/packages/control-plane/src/core_minder.cpp
@@ -15,6 +15,7 @@
 constexpr Span even_ghost_span{8000};    // (sooner where that makes the majority smaller: a set of even size)
 constexpr std::size_t least_copies = 3, most_copies = 9;  // ...when so many living ones remain
 constexpr Span longest_pause{1000};
+constexpr int most_overtaken = 2;
 
 bool holds(const std::vector<AcceptorEntry>& set, const StoreId& store, const Address& address) {
   return std::any_of(set.begin(), set.end(), [&](const auto& entry) { return entry.store == store || entry.address == address; });
@@ -61,13 +62,13 @@
   if (answer == nullptr) return;
   answered_[from] = {answer->store, now};
   if (answer->ask != ask_) return;
-  auto [entry, is_new] = newcomers_.insert({from, {answer->store, now, now, false}});
+  auto [entry, is_new] = newcomers_.insert({from, {answer->store, now, now, false, 0}});
   Newcomer& newcomer = entry->second;
-  if (newcomer.store != answer->store) newcomer = {answer->store, now, now, false};
+  if (newcomer.store != answer->store) newcomer = {answer->store, now, now, false, 0};
   newcomer.heard = now;
-  // Old data of this register is always below what is chosen now, so it can't win against it. Data above it
-  // would be of another register, and is kept out.
-  newcomer.may_join = answer->blank || answer->accepted < proposer_.ballot();
+  // Old data of this register is never above what is chosen now, or will be with the next write: it can't win
+  // against it. Data that stays above is of another register, and is kept out.
+  newcomer.may_join = answer->blank || !(proposer_.ballot() < answer->accepted);
 }
 
 void CoreMinder::on_alarm(Moment now) {
@@ -132,6 +133,11 @@
     if (is_each_heard && set.size() < most_copies && newcomer.may_join && !holds(set, newcomer.store, address) &&
         ((was_just_founded && newcomer.since <= founded_at_ + first_arrival) || now - newcomer.since >= growth_wait))
       return SetChange{exchange_copies(std::nullopt, AcceptorEntry{newcomer.store, address}), "adding", address.text};
+  for (auto& [address, newcomer] : newcomers_)
+    if (!newcomer.may_join && newcomer.overtaken < most_overtaken && now - newcomer.since >= Span{growth_wait.value * (newcomer.overtaken + 1)}) {
+      ++newcomer.overtaken;
+      return SetChange{[](const FleetState& state) { return Verdict{Verdict::Kind::apply, state, ""}; }, "overtaking", address.text};
+    }
   if (longest >= (set.size() % 2 == 0 ? even_ghost_span : ghost_span) && living >= least_copies && set.size() > least_copies)
     return SetChange{exchange_copies(*most_silent, std::nullopt), "dropping", most_silent->address.text};
   return std::nullopt;
--- a/packages/control-plane/src/core_set.cpp
+++ b/packages/control-plane/src/core_set.cpp
@@ -51,7 +51,7 @@
   // A core machine's address that answers as another, blank store: the old one is gone.
   for (const auto& entry : proposer_.acceptors())
     if (entry.address == from) {
-      if ((answer.blank || (minder_ != nullptr && answer.accepted < proposer_.ballot())) && entry.store != answer.store) blank_stores_[from] = answer.store;
+      if ((answer.blank || (minder_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < answer.accepted))) && entry.store != answer.store) blank_stores_[from] = answer.store;
       else blank_stores_.erase(from);
     }
 }
--- a/packages/control-plane/src/roster_keeper.cpp
+++ b/packages/control-plane/src/roster_keeper.cpp
@@ -4,7 +4,7 @@
 
 namespace emberdale {
 namespace {
-constexpr Span ghost_span_starved{3500}, ghost_span_ordinary{30000};
+constexpr Span ghost_span_starved{3500};
 
 bool has_daemon(const std::vector<DaemonEntry>& roster, const Address& address) {
   return std::any_of(roster.begin(), roster.end(), [&](const auto& entry) { return entry.address == address; });
@@ -59,7 +59,7 @@
   bool is_starved = starved_rounds >= 1;
   if (!is_starved && !is_master) return;
   evict_next_ = now + Span{500 + dice_.below(500)};
-  Span span = is_starved ? ghost_span_starved : ghost_span_ordinary;
+  Span span = is_starved ? std::min(ghost_span_starved, ghost_span_) : ghost_span_;
   const auto& silences = *proposer_.silences();
   auto watched = silences.find(Address{});
   if (watched == silences.end() || watched->second < span) return;
