--- a/packages/call-routing/tests/route_desk_test.cpp
+++ b/packages/call-routing/tests/route_desk_test.cpp
@@ -651,6 +651,21 @@
   EXPECT_TRUE(bench.desk.take_finals().empty());
 }
 
+TEST(RouteDesk, AnEndToldTwiceCountsOnceWhileTheCallIsPendingAgain) {
+  Bench bench;
+  bench.see({runner_of("n1", "north")});
+  bench.arrive("once", 1);
+  auto first = bench.sent();
+  ASSERT_TRUE(first);
+  bench.end(*first, RoutedEndKind::refused);
+  bench.end(*first, RoutedEndKind::lost);
+  bench.end(*first, RoutedEndKind::answered);
+  EXPECT_EQ(bench.desk.in_hand(), 1u);
+  EXPECT_TRUE(bench.desk.take_finals().empty());
+  bench.see(two_north);
+  EXPECT_TRUE(bench.sent());
+}
+
 TEST(RouteDesk, APieceOfASendThatEndedSaysNothingOfTheNext) {
   Bench bench;
   bench.see({runner_of("n1", "north")});
