--- a/packages/sibling-links/src/sibling_links.cpp
+++ b/packages/sibling-links/src/sibling_links.cpp
@@ -1,5 +1,7 @@
 #include "emberdale/sibling_links.hpp"
 
+#include <zlib.h>
+
 #include <glog/logging.h>
 #include <netinet/tcp.h>
 
@@ -19,6 +21,8 @@
 // the way is open again, a link must not wait for the last of them.
 constexpr std::chrono::milliseconds dial_patience{500};
 constexpr int unanswered_ms = 3000;
+constexpr std::size_t large_frame = 8192;              // from here on a frame is packed, if that makes it smaller
+constexpr std::uint32_t packed_mark = 0x80000000;      // in the size that goes before a frame
 constexpr std::uint32_t hello_mark = 0x454d4244;  // "EMBD"
 
 template <class T>
@@ -32,6 +36,28 @@
     number |= static_cast<T>(static_cast<unsigned char>(start[i])) << (8 * i);
   return number;
 }
+// zlib's format, with the full size before it. Nothing if it would not be smaller.
+std::optional<std::string> pack(const std::string& body) {
+  std::string packed(4 + compressBound(body.size()), 0);
+  uLongf size = packed.size() - 4;
+  int code = compress2(reinterpret_cast<Bytef*>(&packed[4]), &size, reinterpret_cast<const Bytef*>(body.data()), body.size(), 1);
+  if (code != Z_OK || size + 4 >= body.size()) return std::nullopt;
+  std::string head;
+  put<std::uint32_t>(head, static_cast<std::uint32_t>(body.size()));
+  packed.replace(0, 4, head);
+  packed.resize(4 + size);
+  return packed;
+}
+std::optional<std::string> unpack(const std::string& packed) {
+  if (packed.size() < 4) return std::nullopt;
+  auto wanted = get<std::uint32_t>(packed.data());
+  if (wanted > max_frame) return std::nullopt;
+  std::string body(wanted, 0);
+  uLongf size = wanted;
+  int code = uncompress(reinterpret_cast<Bytef*>(body.data()), &size, reinterpret_cast<const Bytef*>(packed.data() + 4), packed.size() - 4);
+  if (code != Z_OK || size != wanted) return std::nullopt;
+  return body;
+}
 }  // namespace
 
 Outcome<std::pair<std::string, int>> split_address(const std::string& text) {
@@ -108,14 +134,24 @@
                    [this, link, alive = alive_](boost::system::error_code fault, std::size_t) {
     if (fault || !*alive) return;
     auto size = get<std::uint32_t>(link->head);
+    bool is_packed = (size & packed_mark) != 0;
+    size &= ~packed_mark;
     if (size > max_frame) {
       ++counts_.refused_frames;
       return;  // the link closes as its last owner goes
     }
     link->body.resize(size);
     asio::async_read(link->socket, asio::buffer(link->body.data(), size),
-                     [this, link, alive](boost::system::error_code broken, std::size_t) {
+                     [this, link, alive, is_packed](boost::system::error_code broken, std::size_t) {
       if (broken || !*alive) return;
+      if (is_packed) {
+        auto body = unpack(link->body);
+        if (!body) {
+          ++counts_.refused_frames;
+          return;
+        }
+        link->body = std::move(*body);
+      }
       if (link->from.empty()) {  // the first frame says who speaks, and in which protocol
         if (link->body.size() < 12 || get<std::uint32_t>(link->body.data()) != hello_mark ||
             get<std::uint64_t>(link->body.data() + 4) != protocol_fingerprint()) {
@@ -158,8 +194,11 @@
 void SiblingLinks::send(const Address& to, const Message& message) {
   std::string body = encode_message(message);
   auto frame = std::make_shared<std::string>();
-  put<std::uint32_t>(*frame, static_cast<std::uint32_t>(body.size()));
-  *frame += body;
+  std::optional<std::string> packed;
+  if (body.size() >= large_frame) packed = pack(body);
+  if (packed) put<std::uint32_t>(*frame, static_cast<std::uint32_t>(packed->size()) | packed_mark);
+  else put<std::uint32_t>(*frame, static_cast<std::uint32_t>(body.size()));
+  *frame += packed ? *packed : body;
   auto fault = faults_.find(to);
   if (fault != faults_.end()) {
     if (fault->second.is_cut_out) {
--- a/packages/sibling-links/tests/sibling_links_test.cpp
+++ b/packages/sibling-links/tests/sibling_links_test.cpp
@@ -83,3 +83,41 @@
   ASSERT_TRUE(run_until(context, [&] { return links.counts().frames_dropped == 1; }));  // given up: the next is dialled anew
   EXPECT_FALSE(is_refused);
 }
+
+// A whole table of routes in one message: on a narrow link it would take longer than a round of the register lasts.
+TEST(SiblingLinks, ALargeMessageArrivesWholeAndGoesPacked) {
+  asio::io_context context;
+  Address here = free_address(context), there = free_address(context);
+  std::vector<EditAsk> heard;
+  SiblingLinks mine(context, here, [](const Address&, Message) {});
+  ASSERT_TRUE(mine.listen());
+  SiblingLinks theirs(context, there, [&](const Address&, Message message) { heard.push_back(std::get<EditAsk>(message)); });
+  ASSERT_TRUE(theirs.listen());
+  EditAsk ask;
+  for (int i = 0; i < 5000; ++i) ask.body += "{\"name\":\"route-" + std::to_string(i) + "\",\"host\":\"a.example\",\"kind\":\"streaming\"},";
+  mine.send(there, Message{ask});
+  EditAsk small;
+  small.body = "{}";
+  mine.send(there, Message{small});
+  ASSERT_TRUE(run_until(context, [&] { return heard.size() == 2; }));
+  EXPECT_EQ(heard[0].body, ask.body);
+  EXPECT_EQ(heard[1].body, "{}");
+  EXPECT_LT(mine.counts().bytes_out * 4, static_cast<std::int64_t>(ask.body.size()));
+}
+
+TEST(SiblingLinks, APackedFrameThatIsSpoiltEndsItsLinkAlone) {
+  asio::io_context context;
+  Address there = free_address(context);
+  int heard = 0;
+  SiblingLinks theirs(context, there, [&](const Address&, Message) { ++heard; });
+  ASSERT_TRUE(theirs.listen());
+  auto place = split_address(there.text);
+  for (const std::string& spoilt : {std::string("\x05\0\0\x80\xff\xff\xff\x7fz", 9), std::string("\x06\0\0\x80\x10\0\0\0zz", 10), std::string("\x01\0\0\x80z", 5)}) {
+    tcp::socket socket(context);
+    socket.connect(tcp::endpoint(asio::ip::make_address(place->first), static_cast<unsigned short>(place->second)));
+    std::int64_t before = theirs.counts().refused_frames;
+    asio::write(socket, asio::buffer(spoilt));
+    ASSERT_TRUE(run_until(context, [&] { return theirs.counts().refused_frames > before; }));
+  }
+  EXPECT_EQ(heard, 0);
+}
