--- a/packages/call-routing/src/route_desk.cpp
+++ b/packages/call-routing/src/route_desk.cpp
@@ -157,7 +157,7 @@
     if (has_short) ranked[row.region].emplace_back(mix(stable_hash(name.text), 0x10a9), name);
     else quiet.insert(name);
   }
-  if (quiet.size() * 4 >= warm) return quiet;
+  if (quiet.size() * 3 >= warm * 2) return quiet;
   std::set<RunnerName> apart = std::move(quiet);
   for (auto& [region, runners] : ranked) {
     if (runners.size() < 2) continue;
