What is read again weighs more: an opening stays with its keeper

Ruled out: leaving a keeper that others fill, known by its home's probes (worth less than the reading).

--- a/packages/call-routing/src/route_desk.cpp
+++ b/packages/call-routing/src/route_desk.cpp
@@ -13,7 +13,7 @@
 constexpr Integer long_prompt = 2000;        // calls with more tokens hold the others up at a runner
 constexpr double apart_cost = 40, mixed_cost = 250;  // a short call among long ones, a long one among short ones; ms
 constexpr Span short_memory{10000};
-constexpr double read_weight = 2;            // what is read again is paid for as well
+constexpr double read_weight = 5;            // what is read again is paid for as well
 constexpr Integer tokens_a_ms = 60;          // read of a prompt, until something better is known
 constexpr Span report_life{700};             // a runner's word on its burden counts that long
 constexpr Span kept_life{60000};             // parts that a runner was sent are taken for kept that long
