--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -31,6 +31,9 @@
   void on_refused(const Address& sibling, Moment now);
   std::vector<Sending> take_out();
 
+  // A guard that a test takes out: stay with a home although the register shows that its map is outdated.
+  bool keeps_outdated_homes = false;
+
   const Grant& grant() const { return keeper_.grant(); }
   const GrantKeeper& keeper() const { return keeper_; }
   // The map as it is followed, less what a bar has taken away ahead of it.
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -27,7 +27,7 @@
 // with them. Others are asked.
 void DataDaemon::leave_outdated_homes(Moment now) {
   const auto& since = keeper_.behind_since();
-  if (!since || now - *since < outdated_span) return;
+  if (keeps_outdated_homes || !since || now - *since < outdated_span) return;
   for (auto& [topic, home] : homes_) {
     if (home.address.empty() || now - home.since < outdated_span) continue;
     shunned_[home.address] = now + shun_span;
--- a/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
+++ b/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
@@ -139,7 +139,7 @@
   std::int64_t wall_seconds = 0;
 
   // Guards that a test takes out, to see the rule break.
-  bool is_grant_check_off = false;        // data daemons send by whatever map they have
+  bool is_grant_check_off = false;        // data daemons send by whatever map they have, and keep homes that are outdated
   bool is_incarnation_check_off = false;  // runners take calls meant for their former life
   bool is_sync_off = false;               // core machines answer before their disk has it
   bool is_home_misread = false;           // data daemons take every home for their own region
--- a/packages/fleet-simulator/src/fleet_simulation.cpp
+++ b/packages/fleet-simulator/src/fleet_simulation.cpp
@@ -116,6 +116,8 @@
 }
 
 void FleetSimulation::refresh_desk(Node& target) {
+  // Two guards keep an old map from serving: the grant, and leaving homes that are outdated.
+  target.data->keeps_outdated_homes = is_grant_check_off;
   target.desk->set_grant(is_grant_check_off ? Grant{clock(target) + Span{60000}, {}} : target.data->grant());
   auto view = target.data->view();
   if (is_mark_ignored) {
