A success that does not name its call is no answer to it

Ruled out: answers with another id (checked already). Now a success without the id is lost, and its link is used no more.

--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -764,6 +764,12 @@
     return discard(RoutedEndKind::lost, "the answer is of another runner");
   }
   bool is_good = status >= 200 && status < 300;
+  // Runners repeat the call's id. A success without it may be an answer too many to an earlier call on this link.
+  if (is_good && id.empty()) {
+    ++relay_counts_.foreign_answers;
+    send->link->is_spoilt = true;
+    return discard(RoutedEndKind::lost, "the answer does not name its call");
+  }
   if (is_good && !words_.seal.empty() && !headers.has(words_.seal)) {
     ++relay_counts_.unsealed;
     return discard(RoutedEndKind::lost, "the answer lacks the runner's seal");
