--- a/packages/call-matching/include/emberdale/call_desk.hpp
+++ b/packages/call-matching/include/emberdale/call_dispatcher.hpp
@@ -1,5 +1,5 @@
 // The stages of a call that need no I/O: gate, match, pending, retry, end.
-// Deterministic: the daemon and the simulator run the same desk.
+// Deterministic: the daemon and the simulator run the same dispatcher.
 #pragma once
 #include <absl/container/flat_hash_map.h>
 
@@ -24,7 +24,7 @@
   std::map<std::string, std::string> headers;  // lower-case names
   std::string prefix;                          // the start of the body, as long as any plan asks
   std::int64_t body_bytes = 0;
-  Span horizon{0};  // 0: as the plan says
+  Span deadline{0};  // 0: as the plan says
 };
 
 // Send this call to that runner now.
@@ -35,7 +35,7 @@
   std::string http, path, method, seal_key;
   Integer incarnation = 0;
   bool is_repeatable = false, is_streaming = false;
-  Moment horizon;
+  Moment deadline;
   bool is_retry = false;
   Integer config_revision = 0;  // of the plan it is sent by
 };
@@ -62,52 +62,52 @@
   CallIndex call = 0;
   SendEndKind kind = SendEndKind::lost;
   std::string reason;
-  bool has_report = false;  // the runner told its burden along
-  Integer incarnation = 0, burden = 0, capacity = 0;
+  bool has_report = false;  // the runner told its load along
+  Integer incarnation = 0, load = 0, capacity = 0;
   bool is_cold = false;
 };
 
-struct DeskSettings {
+struct DispatcherSettings {
   Address self;
   RegionName region;
-  std::size_t pending_bound = 128;       // per plan
-  Span pending_patience{600};            // no call waits longer for a free runner, or for the grant
-  int gate_step = 2;                     // of those that waited for the grant, so many are let in...
-  Span gate_pace{25};                    // ...in each of these
+  std::size_t queue_bound = 128;       // per plan
+  Span queue_patience{600};            // no call waits longer for a free runner, or for the grant
+  int admission_step = 2;                     // of those that waited for the grant, so many are let in...
+  Span admission_interval{25};                    // ...in each of these
   Span grant_hope{1000};                 // so long after start or wake the grant is waited for
   double retry_share = 0.12;             // retries earned by each first send
   double retry_start = 2, retry_bound = 5;
 };
 
 // Example:
-//   CallDesk desk(settings); desk.see(view, now); desk.set_grant(grant);
-//   auto refusal = desk.arrive(call, now, index);      // refused at once, or taken in
-//   for (auto& act : desk.take_sends()) send(act);     // checked against the grant this instant
-//   desk.end_send(end, now); desk.on_alarm(now); for (auto& act : desk.take_finals()) answer(act);
-class CallDesk {
+//   CallDispatcher dispatcher(settings); dispatcher.see(view, now); dispatcher.set_grant(grant);
+//   auto refusal = dispatcher.arrive(call, now, index);      // refused at once, or taken in
+//   for (auto& act : dispatcher.take_sends()) send(act);     // checked against the grant this instant
+//   dispatcher.end_send(end, now); dispatcher.on_timer(now); for (auto& act : dispatcher.take_finals()) answer(act);
+class CallDispatcher {
  public:
-  explicit CallDesk(DeskSettings settings) : settings_(std::move(settings)), retry_tokens_(settings_.retry_start) {}
+  explicit CallDispatcher(DispatcherSettings settings) : settings_(std::move(settings)), retry_tokens_(settings_.retry_start) {}
 
   void see(std::shared_ptr<const TrafficView> view, Moment now);
   void set_grant(const Grant& grant) { grant_ = grant; }
-  // Stop taking calls: what is in hand is finished. Example: desk.close();
+  // Stop taking calls: what is in hand is finished. Example: dispatcher.close();
   void close() { is_closed_ = true; }
 
   std::optional<FinalAct> arrive(const ArrivingCall& call, Moment now, CallIndex index);
   void first_piece(CallIndex index);  // from here on no other runner may continue the call
   void end_send(const SendEnd& end, Moment now);
   void caller_gone(CallIndex index, Moment now);
-  void on_alarm(Moment now);
+  void on_timer(Moment now);
 
   std::vector<SendAct> take_sends();
   std::vector<FinalAct> take_finals();
   std::size_t in_hand() const { return calls_.size() + ungated_.size(); }
   bool is_granted(Moment now) const;
-  // How many bytes of the body the gate wants as prefix. Example: desk.widest_prefix()
+  // How many bytes of the body the gate wants as prefix. Example: dispatcher.widest_prefix()
   std::int64_t widest_prefix() const;
 
   struct Counts {
-    std::int64_t arrived = 0, sends = 0, retries = 0, answered = 0, refused_gate = 0, refused_full = 0,
+    std::int64_t arrived = 0, sends = 0, retries = 0, answered = 0, refused_admission = 0, refused_full = 0,
                  refused_no_grant = 0, refused_other = 0, unknown = 0, spilled = 0, misdirected = 0, pended = 0,
                  cold_sends = 0, retry_denied = 0, grant_awaited = 0;
   };
@@ -122,14 +122,14 @@
     std::string method, path;
     RegionName home;  // empty: free
     std::string key;  // affinity
-    Moment horizon, pending_until;
+    Moment deadline, queued_until;
     RunnerName runner;
     std::vector<RunnerName> tried;
-    bool is_pending = false, is_spilled = false, is_retry = false, has_piece = false;
+    bool is_queued = false, is_spilled = false, is_retry = false, has_piece = false;
   };
   struct Link {  // what this daemon itself knows of one runner
     Integer in_flight = 0;
-    Integer reported_burden = 0, own_at_report = 0, capacity = 0;
+    Integer reported_load = 0, own_at_report = 0, capacity = 0;
     Integer incarnation = 0;
     bool has_report = false;
     MapVersion shunned_at;  // not used until the map moves past this version...
@@ -143,13 +143,13 @@
     Moment since, until;
   };
   bool may_hope(Moment now);
-  std::optional<FinalAct> gate(const ArrivingCall& call, Moment arrived, Moment now, CallIndex index);
-  void open_gate(Moment now);
+  std::optional<FinalAct> admission(const ArrivingCall& call, Moment arrived, Moment now, CallIndex index);
+  void open_admission(Moment now);
   const ServingPlan* plan_of(const Call& call) const;
   std::optional<RunnerName> match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const;
   std::optional<RunnerName> match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now,
                                      bool is_last_resort) const;
-  Integer burden_of(const RunnerRow& row, const Link& link) const;
+  Integer load_of(const RunnerRow& row, const Link& link) const;
   Integer bound_of(const RunnerRow& row, Moment now) const;
   bool try_send(Call& call, Moment now);
   void pend(PoolIndex at);
@@ -158,18 +158,18 @@
   void pump(Moment now);
   FinalAct refusal(CallIndex index, const std::string& reason, Span retry_after);
 
-  DeskSettings settings_;
+  DispatcherSettings settings_;
   std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
   Grant grant_;
   bool is_closed_ = false;
   Pool<Call> pool_;
   absl::flat_hash_map<CallIndex, PoolIndex> calls_;
-  std::map<PlanName, IntrusiveList<Call>> pending_;
+  std::map<PlanName, IntrusiveList<Call>> queue_;
   std::map<RunnerName, Link> links_;
   std::map<PlanName, std::pair<Integer, Integer>> in_flight_;  // all, spilled
   std::deque<Ungated> ungated_;
-  Moment gate_next_;
-  std::optional<Moment> lacking_since_, last_alarm_;
+  Moment admission_next_;
+  std::optional<Moment> lacking_since_, last_timer_;
   double retry_tokens_;
   std::vector<SendAct> sends_;
   std::vector<FinalAct> finals_;
--- a/packages/call-matching/include/emberdale/grant_keeper.hpp
+++ b/packages/call-matching/include/emberdale/grant_keeper.hpp
@@ -14,7 +14,7 @@
 // What the traffic thread checks at the gate and again at the moment of send.
 struct Grant {
   Moment until{-1};
-  MapVersion floor;
+  MapVersion minimum_version;
   Moment cold_until{INT64_MAX};  // until then its shares of cold runners may be used
 };
 
@@ -23,12 +23,12 @@
 //   keeper.on_answer(from, answer, my_version, now); keeper.grant().until > now
 class GrantKeeper {
  public:
-  // Asks are numbered from there. Example: GrantKeeper keeper(first_ask(dice));
+  // Asks are numbered from there. Example: GrantKeeper keeper(first_ask(random generator));
   explicit GrantKeeper(Integer first = 0) : last_ask_(first) {}
   void learn_acceptors(const std::vector<AcceptorEntry>& acceptors);
   // Asks the master as well while the register has not answered for a while.
   void ask(Moment now, const Address& master = {});
-  void on_vouch(const Vouch& vouch, const MapVersion& mine);
+  void on_lease_grant(const LeaseGrant& lease_grant, const MapVersion& mine);
   // The time of the grant counts from before the ask, on the steady clock.
   void on_answer(const ReadAnswer& answer, const MapVersion& mine, Moment now);
   // A newer map may be all that was missing. Example: keeper.on_version(mine)
@@ -36,12 +36,12 @@
   const Grant& grant() const { return grant_; }
   void set_cold_until(Moment until) { grant_.cold_until = until; }
   std::vector<Sending> take_out();
-  // Since when a register majority shows a floor above this daemon's map; nothing if it shows none.
+  // Since when a register majority shows a minimum version above this daemon's map; nothing if it shows none.
   // Example: if (auto since = keeper.behind_since()) look_for_another_home();
   const std::optional<Moment>& behind_since() const { return behind_since_; }
   std::int64_t renewed() const { return renewed_; }
   std::int64_t behind() const { return behind_; }
-  std::int64_t vouched() const { return vouched_; }
+  std::int64_t lease_granted() const { return lease_granted_; }
 
  private:
   struct Asked {
@@ -50,7 +50,7 @@
     std::set<StoreId> answered;
     Ballot highest;
     std::vector<AcceptorEntry> acceptors, next;
-    MapVersion floor;
+    MapVersion minimum_version;
     bool is_proven = false;
   };
   void settle(Asked& asked, const MapVersion& mine);
@@ -60,7 +60,7 @@
   Integer last_ask_;
   Grant grant_;
   std::vector<Sending> out_;
-  std::int64_t renewed_ = 0, behind_ = 0, vouched_ = 0;
+  std::int64_t renewed_ = 0, behind_ = 0, lease_granted_ = 0;
   std::optional<Moment> behind_since_;
 };
 
--- a/packages/call-matching/include/emberdale/traffic_view.hpp
+++ b/packages/call-matching/include/emberdale/traffic_view.hpp
@@ -22,7 +22,7 @@
   std::map<PoolName, std::vector<RunnerName>> pools;
   std::map<std::pair<PoolName, RegionName>, RegionRow> regions;
   std::vector<GatewayRow> gateways;
-  std::vector<GatewayRow> edges;  // the control daemons that live, by the master's word
+  std::vector<GatewayRow> edges;  // the control daemons that live, by the leader lease
   bool has_traffic = false;       // a traffic table is in force
   Integer traffic_revision = 0;
   std::vector<TrafficRoute> routes;
--- a/packages/call-matching/src/call_desk.cpp
+++ b/packages/call-matching/src/call_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "emberdale/call_desk.hpp"
+#include "emberdale/call_dispatcher.hpp"
 
 #include <algorithm>
 
@@ -9,38 +9,38 @@
 constexpr Span shun_time{1500};
 }
 
-void CallDesk::see(std::shared_ptr<const TrafficView> view, Moment now) {
+void CallDispatcher::see(std::shared_ptr<const TrafficView> view, Moment now) {
   view_ = std::move(view);
   for (auto entry = links_.begin(); entry != links_.end();) {
     if (view_->runners.count(entry->first) == 0 && entry->second.in_flight == 0) entry = links_.erase(entry);
     else ++entry;
   }
-  open_gate(now);
+  open_admission(now);
   pump(now);
 }
 
 // A daemon that has just started or woken has its grant within a moment, and calls may wait for it. One that
 // has been awake without it for longer says so at once. Only time that it was awake counts.
-bool CallDesk::may_hope(Moment now) {
-  bool was_asleep = last_alarm_ && now - *last_alarm_ > Span{250};
+bool CallDispatcher::may_hope(Moment now) {
+  bool was_asleep = last_timer_ && now - *last_timer_ > Span{250};
   if (!lacking_since_ || was_asleep) lacking_since_ = now;
-  last_alarm_ = now;
+  last_timer_ = now;
   return now - *lacking_since_ < settings_.grant_hope;
 }
 
-void CallDesk::open_gate(Moment now) {
+void CallDispatcher::open_admission(Moment now) {
   bool is_open = is_granted(now) && !is_closed_;
   if (is_open) lacking_since_.reset();
   // Those that waited are let in a few at a time: all daemons may have got their grants at the same moment, and
   // none knows yet what the others send.
-  int few = now < gate_next_ ? 0 : settings_.gate_step;
+  int few = now < admission_next_ ? 0 : settings_.admission_step;
   while (!ungated_.empty() && ((is_open && few-- > 0) || is_closed_ || ungated_.front().until <= now)) {
-    gate_next_ = now + settings_.gate_pace;
+    admission_next_ = now + settings_.admission_interval;
     Ungated waiting = std::move(ungated_.front());
     ungated_.pop_front();
     std::optional<FinalAct> act;
     if (is_open) {
-      act = gate(waiting.call, waiting.since, now, waiting.index);
+      act = admission(waiting.call, waiting.since, now, waiting.index);
     } else {
       ++(is_closed_ ? counts_.refused_other : counts_.refused_no_grant);
       act = refusal(waiting.index, is_closed_ ? "this daemon is stopping" : "the map is not proven current here", Span{1000});
@@ -49,25 +49,25 @@
   }
 }
 
-bool CallDesk::is_granted(Moment now) const { return now < grant_.until && grant_.floor <= view_->version; }
+bool CallDispatcher::is_granted(Moment now) const { return now < grant_.until && grant_.minimum_version <= view_->version; }
 
-std::int64_t CallDesk::widest_prefix() const {
+std::int64_t CallDispatcher::widest_prefix() const {
   std::int64_t widest = 0;
   for (const auto& plan : view_->plans) widest = std::max(widest, plan.prefix_bytes);
   return widest;
 }
 
-const ServingPlan* CallDesk::plan_of(const Call& call) const {
+const ServingPlan* CallDispatcher::plan_of(const Call& call) const {
   for (const auto& plan : view_->plans)
     if (plan.name == call.plan) return &plan;
   return nullptr;
 }
 
-FinalAct CallDesk::refusal(CallIndex index, const std::string& reason, Span retry_after) {
+FinalAct CallDispatcher::refusal(CallIndex index, const std::string& reason, Span retry_after) {
   return FinalAct{index, 503, reason, false, retry_after, {}};
 }
 
-std::optional<FinalAct> CallDesk::arrive(const ArrivingCall& arriving, Moment now, CallIndex index) {
+std::optional<FinalAct> CallDispatcher::arrive(const ArrivingCall& arriving, Moment now, CallIndex index) {
   ++counts_.arrived;
   auto refuse = [&](int code, const std::string& reason, Span retry_after) {
     return FinalAct{index, code, reason, false, retry_after, {}};
@@ -77,32 +77,32 @@
     return refuse(503, "this daemon is stopping", Span{1000});
   }
   if (!is_granted(now)) {
-    if (!may_hope(now) || ungated_.size() >= settings_.pending_bound) {
+    if (!may_hope(now) || ungated_.size() >= settings_.queue_bound) {
       ++counts_.refused_no_grant;
       return refuse(503, "the map is not proven current here", Span{1000});
     }
     ++counts_.grant_awaited;
-    Span patience = settings_.pending_patience;
-    if (arriving.horizon.value > 0) patience = std::min(patience, Span{arriving.horizon.value / 3});
+    Span patience = settings_.queue_patience;
+    if (arriving.deadline.value > 0) patience = std::min(patience, Span{arriving.deadline.value / 3});
     ungated_.push_back({arriving, index, now, now + patience});
     return std::nullopt;
   }
-  return gate(arriving, now, now, index);
+  return admission(arriving, now, now, index);
 }
 
-std::optional<FinalAct> CallDesk::gate(const ArrivingCall& arriving, Moment arrived, Moment now, CallIndex index) {
+std::optional<FinalAct> CallDispatcher::admission(const ArrivingCall& arriving, Moment arrived, Moment now, CallIndex index) {
   auto refuse = [&](int code, const std::string& reason, Span retry_after) {
     return FinalAct{index, code, reason, false, retry_after, {}};
   };
   PlanMatch matched = match_plan(view_->plans, arriving.method, arriving.path, arriving.headers);
   if (matched.plan == nullptr) {
-    ++counts_.refused_gate;
+    ++counts_.refused_admission;
     return matched.is_path_known ? refuse(405, "no plan takes this method or these headers here", Span{0})
                                  : refuse(404, "no plan takes this path", Span{0});
   }
   const ServingPlan& plan = *matched.plan;
   if (arriving.body_bytes > plan.max_body_bytes) {
-    ++counts_.refused_gate;
+    ++counts_.refused_admission;
     return refuse(413, "the body is larger than plan '" + plan.name.text + "' takes", Span{0});
   }
   Call call;
@@ -114,7 +114,7 @@
   if (!plan.home_header.empty()) {
     auto header = arriving.headers.find(plan.home_header);
     if (header == arriving.headers.end()) {
-      ++counts_.refused_gate;
+      ++counts_.refused_admission;
       return refuse(400, "header '" + plan.home_header + "' must name the home region", Span{0});
     }
     call.home.text = header->second;
@@ -122,7 +122,7 @@
       return entry.first.first == plan.pool && entry.first.second == call.home;
     });
     if (!is_region) {
-      ++counts_.refused_gate;
+      ++counts_.refused_admission;
       return refuse(400, "'" + call.home.text + "' is no region of pool '" + plan.pool.text + "'", Span{0});
     }
   }
@@ -134,15 +134,15 @@
     return act;
   }
   call.key = plan.prefix_bytes > 0 ? arriving.prefix.substr(0, static_cast<std::size_t>(plan.prefix_bytes)) : arriving.id.text;
-  Span length{plan.horizon_ms};
-  if (arriving.horizon.value > 0 && arriving.horizon < length) length = arriving.horizon;
-  call.horizon = arrived + length;
-  call.pending_until = now + Span{std::min(settings_.pending_patience.value, length.value / 3)};
+  Span length{plan.deadline_ms};
+  if (arriving.deadline.value > 0 && arriving.deadline < length) length = arriving.deadline;
+  call.deadline = arrived + length;
+  call.queued_until = now + Span{std::min(settings_.queue_patience.value, length.value / 3)};
   call.index = index;
   PoolIndex at = pool_.take(std::move(call));
   calls_[index] = at;
   if (try_send(pool_[at], now)) return std::nullopt;
-  if (pending_[plan.name].size() >= settings_.pending_bound) {
+  if (queue_[plan.name].size() >= settings_.queue_bound) {
     forget(at);
     ++counts_.refused_full;
     return refuse(503, "every runner for it is full, and so is the pending queue", Span{1000});
@@ -152,25 +152,25 @@
   return std::nullopt;
 }
 
-void CallDesk::pend(PoolIndex at) {
-  pool_[at].is_pending = true;
-  pending_[pool_[at].plan].push_back(pool_, at);
+void CallDispatcher::pend(PoolIndex at) {
+  pool_[at].is_queued = true;
+  queue_[pool_[at].plan].push_back(pool_, at);
 }
 
-void CallDesk::forget(PoolIndex at) {
+void CallDispatcher::forget(PoolIndex at) {
   Call& call = pool_[at];
-  if (call.hook.is_linked) pending_[call.plan].remove(pool_, at);
+  if (call.hook.is_linked) queue_[call.plan].remove(pool_, at);
   calls_.erase(call.index);
   pool_.give_back(at);
 }
 
-Integer CallDesk::burden_of(const RunnerRow& row, const Link& link) const {
-  Integer reported = link.has_report && link.incarnation == row.incarnation ? link.reported_burden - link.own_at_report : 0;
+Integer CallDispatcher::load_of(const RunnerRow& row, const Link& link) const {
+  Integer reported = link.has_report && link.incarnation == row.incarnation ? link.reported_load - link.own_at_report : 0;
   if (reported < 0) reported = 0;
   return reported + link.in_flight;
 }
 
-Integer CallDesk::bound_of(const RunnerRow& row, Moment now) const {
+Integer CallDispatcher::bound_of(const RunnerRow& row, Moment now) const {
   if (row.status == "cold") {
     if (grant_.cold_until <= now) return 0;  // the share may have been given to another by now
     for (const auto& grant : row.grants)
@@ -180,13 +180,13 @@
   return row.capacity;
 }
 
-std::optional<RunnerName> CallDesk::match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now,
+std::optional<RunnerName> CallDispatcher::match_in(const Call& call, const ServingPlan& plan, const RegionName& region, Moment now,
                                              bool is_last_resort) const {
   auto pool = view_->pools.find(plan.pool);
   if (pool == view_->pools.end()) return std::nullopt;
   struct Choice {
     const RunnerRow* row;
-    Integer burden, bound;
+    Integer load, bound;
   };
   std::vector<Choice> choices;
   Integer total = 0;
@@ -203,11 +203,11 @@
     // A runner warms once in a life: a map that calls this life warm is right, whatever an older answer said.
     bool is_cold = row.status == "cold";
     Integer bound = bound_of(row, now);
-    // A cold runner is bounded by this daemon's own grant; a warm one by its whole burden.
-    Integer burden = is_cold ? link.in_flight : burden_of(row, link);
-    if (burden >= bound) continue;
-    choices.push_back({&row, burden, bound});
-    total += burden;
+    // A cold runner is bounded by this daemon's own grant; a warm one by its whole load.
+    Integer load = is_cold ? link.in_flight : load_of(row, link);
+    if (load >= bound) continue;
+    choices.push_back({&row, load, bound});
+    total += load;
     names.push_back(name.text);
   }
   if (choices.empty()) return std::nullopt;
@@ -217,11 +217,11 @@
   auto ranked = rendezvous_rank(call.key, names);
   for (const auto& name : ranked)
     for (const auto& choice : choices)
-      if (choice.row->name.text == name && choice.burden < fair) return choice.row->name;
-  return std::min_element(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.burden < b.burden; })->row->name;
+      if (choice.row->name.text == name && choice.load < fair) return choice.row->name;
+  return std::min_element(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.load < b.load; })->row->name;
 }
 
-std::optional<RunnerName> CallDesk::match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const {
+std::optional<RunnerName> CallDispatcher::match(const Call& call, const ServingPlan& plan, Moment now, bool& is_spill) const {
   is_spill = false;
   if (auto runner = match_in(call, plan, settings_.region, now, false)) return runner;
   if (!call.home.empty() || !plan.may_spill) return match_in(call, plan, settings_.region, now, true);
@@ -243,7 +243,7 @@
   return match_in(call, plan, settings_.region, now, true);
 }
 
-bool CallDesk::try_send(Call& call, Moment now) {
+bool CallDispatcher::try_send(Call& call, Moment now) {
   const ServingPlan* plan = plan_of(call);
   if (plan == nullptr || !is_granted(now)) return false;
   bool is_spill = false;
@@ -261,26 +261,26 @@
   if (row.status == "cold") ++counts_.cold_sends;
   call.runner = *runner;
   call.is_spilled = is_spill;
-  call.is_pending = false;
+  call.is_queued = false;
   ++counts_.sends;
   if (!call.is_retry) retry_tokens_ = std::min(settings_.retry_bound, retry_tokens_ + settings_.retry_share);
   sends_.push_back({call.index, call.id, row.name, row.http, call.path, call.method, row.seal_key, row.incarnation,
-                    plan->is_repeatable, plan->is_streaming, call.horizon, call.is_retry, view_->config_revision});
+                    plan->is_repeatable, plan->is_streaming, call.deadline, call.is_retry, view_->config_revision});
   return true;
 }
 
-void CallDesk::first_piece(CallIndex index) {
+void CallDispatcher::first_piece(CallIndex index) {
   auto entry = calls_.find(index);
   if (entry != calls_.end()) pool_[entry->second].has_piece = true;
 }
 
-void CallDesk::finish(CallIndex index, FinalAct act) {
+void CallDispatcher::finish(CallIndex index, FinalAct act) {
   act.call = index;
   finals_.push_back(std::move(act));
   forget(calls_.at(index));
 }
 
-void CallDesk::end_send(const SendEnd& end, Moment now) {
+void CallDispatcher::end_send(const SendEnd& end, Moment now) {
   auto entry = calls_.find(end.call);
   if (entry == calls_.end()) return;
   PoolIndex at = entry->second;
@@ -293,7 +293,7 @@
   if (end.has_report) {
     link.has_report = true;
     link.incarnation = end.incarnation;
-    link.reported_burden = end.burden;
+    link.reported_load = end.load;
     link.own_at_report = link.in_flight;
     link.capacity = end.capacity;
   }
@@ -327,7 +327,7 @@
     case SendEndKind::unsent:
     case SendEndKind::lost: {
       bool surely_not_run = end.kind != SendEndKind::lost;
-      bool may_retry = plan != nullptr && !call.has_piece && (surely_not_run || plan->is_repeatable) && now < call.horizon;
+      bool may_retry = plan != nullptr && !call.has_piece && (surely_not_run || plan->is_repeatable) && now < call.deadline;
       call.tried.push_back(call.runner);
       if (may_retry && retry_tokens_ >= 1) {
         call.is_retry = true;
@@ -336,7 +336,7 @@
           ++counts_.retries;
           break;
         }
-        if (pending_[call.plan].size() < settings_.pending_bound && now < call.pending_until) {
+        if (queue_[call.plan].size() < settings_.queue_bound && now < call.queued_until) {
           call.tried.clear();
           pend(at);
           break;
@@ -358,26 +358,26 @@
   pump(now);
 }
 
-void CallDesk::caller_gone(CallIndex index, Moment now) {
+void CallDispatcher::caller_gone(CallIndex index, Moment now) {
   ungated_.erase(std::remove_if(ungated_.begin(), ungated_.end(), [&](const auto& waiting) { return waiting.index == index; }), ungated_.end());
   auto entry = calls_.find(index);
-  if (entry == calls_.end() || !pool_[entry->second].is_pending) return;  // a send in hand ends on its own
+  if (entry == calls_.end() || !pool_[entry->second].is_queued) return;  // a send in hand ends on its own
   forget(entry->second);
   pump(now);
 }
 
-void CallDesk::pump(Moment now) {
-  for (auto& [name, queue] : pending_) {
+void CallDispatcher::pump(Moment now) {
+  for (auto& [name, queue] : queue_) {
     while (queue.front() != no_index) {
       PoolIndex at = queue.front();
       Call& call = pool_[at];
-      if (call.pending_until <= now || call.horizon <= now || is_closed_) {
+      if (call.queued_until <= now || call.deadline <= now || is_closed_) {
         ++counts_.refused_full;
         finish(call.index, refusal(call.index, is_closed_ ? "this daemon is stopping" : "no runner came free for it", Span{1000}));
         continue;
       }
       if (plan_of(call) == nullptr) {
-        ++counts_.refused_gate;
+        ++counts_.refused_admission;
         finish(call.index, FinalAct{call.index, 404, "its plan was taken away", false, Span{0}, {}});
         continue;
       }
@@ -397,16 +397,16 @@
   }
 }
 
-void CallDesk::on_alarm(Moment now) {
+void CallDispatcher::on_timer(Moment now) {
   if (!is_granted(now)) may_hope(now);
-  last_alarm_ = now;
-  open_gate(now);
+  last_timer_ = now;
+  open_admission(now);
   // Those further back may run out before the front does.
-  for (auto& [name, queue] : pending_) {
+  for (auto& [name, queue] : queue_) {
     for (PoolIndex at = queue.front(); at != no_index;) {
       PoolIndex next = queue.next(pool_, at);
       Call& call = pool_[at];
-      if (call.pending_until <= now || call.horizon <= now) {
+      if (call.queued_until <= now || call.deadline <= now) {
         ++counts_.refused_full;
         finish(call.index, refusal(call.index, "no runner came free for it", Span{1000}));
       }
@@ -416,7 +416,7 @@
   pump(now);
 }
 
-std::vector<SendAct> CallDesk::take_sends() { return std::exchange(sends_, {}); }
-std::vector<FinalAct> CallDesk::take_finals() { return std::exchange(finals_, {}); }
+std::vector<SendAct> CallDispatcher::take_sends() { return std::exchange(sends_, {}); }
+std::vector<FinalAct> CallDispatcher::take_finals() { return std::exchange(finals_, {}); }
 
 }  // namespace emberdale
--- a/packages/call-matching/src/grant_keeper.cpp
+++ b/packages/call-matching/src/grant_keeper.cpp
@@ -20,17 +20,17 @@
   for (const auto& entry : next_) places.insert(entry.address);
   for (const auto& place : places) out_.push_back({place, ReadAsk{ask, "data", Ballot{}, false, false}});
   bool is_register_silent = grant_.until - now < Span{grant_length.value - 700};
-  if (is_register_silent && !master.empty()) out_.push_back({master, VouchAsk{ask}});
+  if (is_register_silent && !master.empty()) out_.push_back({master, LeaseAsk{ask}});
 }
 
-// The master's word counts for maps of its own reign alone: of a newer one it knows nothing.
-void GrantKeeper::on_vouch(const Vouch& vouch, const MapVersion& mine) {
-  auto entry = asked_.find(vouch.ask);
-  if (entry == asked_.end() || mine.reign != vouch.floor.reign || mine < vouch.floor) return;
-  ++vouched_;
+// The leader lease counts for maps of its own term alone: of a newer one it knows nothing.
+void GrantKeeper::on_lease_grant(const LeaseGrant& lease_grant, const MapVersion& mine) {
+  auto entry = asked_.find(lease_grant.ask);
+  if (entry == asked_.end() || mine.term != lease_grant.minimum_version.term || mine < lease_grant.minimum_version) return;
+  ++lease_granted_;
   Moment until = entry->second.begun + grant_length;
   if (grant_.until < until) grant_.until = until;
-  if (grant_.floor < vouch.floor) grant_.floor = vouch.floor;
+  if (grant_.minimum_version < lease_grant.minimum_version) grant_.minimum_version = lease_grant.minimum_version;
 }
 
 void GrantKeeper::on_answer(const ReadAnswer& answer, const MapVersion& mine, Moment) {
@@ -38,7 +38,7 @@
   if (entry == asked_.end() || answer.blank) return;
   Asked& asked = entry->second;
   asked.answered.insert(answer.store);
-  if (asked.floor < answer.floor) asked.floor = answer.floor;
+  if (asked.minimum_version < answer.minimum_version) asked.minimum_version = answer.minimum_version;
   if (asked.highest < answer.accepted) {
     asked.highest = answer.accepted;
     asked.acceptors = answer.acceptors;
@@ -51,9 +51,9 @@
 
 void GrantKeeper::settle(Asked& asked, const MapVersion& mine) {
   if (asked.is_proven || !has_majority(asked.acceptors, asked.next, asked.answered)) return;
-  if (mine < asked.floor || asked.floor == MapVersion{}) {
+  if (mine < asked.minimum_version || asked.minimum_version == MapVersion{}) {
     ++behind_;
-    if (!behind_since_ && mine < asked.floor) behind_since_ = asked.begun;
+    if (!behind_since_ && mine < asked.minimum_version) behind_since_ = asked.begun;
     return;
   }
   asked.is_proven = true;
@@ -61,7 +61,7 @@
   ++renewed_;
   Moment until = asked.begun + grant_length;
   if (grant_.until < until) grant_.until = until;
-  if (grant_.floor < asked.floor) grant_.floor = asked.floor;
+  if (grant_.minimum_version < asked.minimum_version) grant_.minimum_version = asked.minimum_version;
 }
 
 void GrantKeeper::on_version(const MapVersion& mine) {
--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "emberdale/call_desk.hpp"
+#include "emberdale/call_dispatcher.hpp"
 
 using namespace emberdale;
 
@@ -10,12 +10,12 @@
 
 const std::vector<AcceptorEntry> cores{{StoreId{"s1"}, Address{"c1"}}, {StoreId{"s2"}, Address{"c2"}}, {StoreId{"s3"}, Address{"c3"}}};
 
-ReadAnswer answer(Integer ask, const std::string& store, MapVersion floor, Integer ballot = 5) {
+ReadAnswer answer(Integer ask, const std::string& store, MapVersion minimum_version, Integer ballot = 5) {
   ReadAnswer made;
   made.ask = ask;
   made.store.text = store;
   made.accepted = {ballot, Address{"p"}};
-  made.floor = floor;
+  made.minimum_version = minimum_version;
   made.acceptors = cores;
   return made;
 }
@@ -41,8 +41,8 @@
   return view;
 }
 
-DeskSettings here() {
-  DeskSettings settings;
+DispatcherSettings here() {
+  DispatcherSettings settings;
   settings.self.text = "d1";
   settings.region.text = "here";
   return settings;
@@ -71,7 +71,7 @@
   EXPECT_LT(keeper.grant().until.value, 0);
   keeper.on_answer(answer(1, "s2", {1, 4}), {1, 4}, Moment{1500});
   EXPECT_EQ(keeper.grant().until.value, 100 + grant_length.value);
-  // One copy of the majority shows a newer floor: no grant for the old map ...
+  // One copy of the majority shows a newer minimum version: no grant for the old map ...
   keeper.ask(Moment{2000});
   keeper.on_answer(answer(2, "s1", {1, 4}), {1, 4}, Moment{2010});
   keeper.on_answer(answer(2, "s3", {1, 5}, 6), {1, 4}, Moment{2020});
@@ -79,7 +79,7 @@
   // ... until the newer map is here; the time still counts from before the ask.
   keeper.on_version({1, 5});
   EXPECT_EQ(keeper.grant().until.value, 2000 + grant_length.value);
-  EXPECT_EQ(keeper.grant().floor, (MapVersion{1, 5}));
+  EXPECT_EQ(keeper.grant().minimum_version, (MapVersion{1, 5}));
 }
 
 TEST(GrantKeeper, AStoreThatIsNotOfTheSetGivesNoProof) {
@@ -91,40 +91,40 @@
   EXPECT_LT(keeper.grant().until.value, 0);
 }
 
-TEST(CallDesk, SendsOnlyUnderAGrantThatCoversItsMap) {
-  CallDesk desk(here());
-  desk.see(view_with(2, ""), Moment{0});
+TEST(CallDispatcher, SendsOnlyUnderAGrantThatCoversItsMap) {
+  CallDispatcher dispatcher(here());
+  dispatcher.see(view_with(2, ""), Moment{0});
   auto step = [&](std::int64_t from, std::int64_t to) {
-    for (std::int64_t ms = from; ms <= to; ms += 100) desk.on_alarm(Moment{ms});
+    for (std::int64_t ms = from; ms <= to; ms += 100) dispatcher.on_timer(Moment{ms});
   };
   step(0, 1000);  // awake for a second without a grant
-  EXPECT_EQ(desk.arrive(call("a"), Moment{1000}, 1)->code, 503);
-  desk.set_grant({Moment{2000}, {1, 2}});  // proven for a newer map only
-  EXPECT_EQ(desk.arrive(call("b"), Moment{1000}, 2)->code, 503);
-  desk.set_grant({Moment{2000}, {1, 1}});
-  EXPECT_FALSE(desk.arrive(call("c"), Moment{1000}, 3));
+  EXPECT_EQ(dispatcher.arrive(call("a"), Moment{1000}, 1)->code, 503);
+  dispatcher.set_grant({Moment{2000}, {1, 2}});  // proven for a newer map only
+  EXPECT_EQ(dispatcher.arrive(call("b"), Moment{1000}, 2)->code, 503);
+  dispatcher.set_grant({Moment{2000}, {1, 1}});
+  EXPECT_FALSE(dispatcher.arrive(call("c"), Moment{1000}, 3));
   step(1100, 3100);
-  EXPECT_EQ(desk.arrive(call("d"), Moment{3100}, 4)->code, 503);  // run out a second ago
-  auto sends = desk.take_sends();
+  EXPECT_EQ(dispatcher.arrive(call("d"), Moment{3100}, 4)->code, 503);  // run out a second ago
+  auto sends = dispatcher.take_sends();
   ASSERT_EQ(sends.size(), 1u);
   EXPECT_EQ(sends[0].call, 3);
 }
 
-TEST(CallDesk, ACallWaitsForTheGrantOnlyWhereOneIsBeingAskedFor) {
-  CallDesk desk(here());
-  desk.see(view_with(2, ""), Moment{0});
-  EXPECT_FALSE(desk.arrive(call("a"), Moment{0}, 1));  // it has just started
-  EXPECT_TRUE(desk.take_sends().empty());              // and sends nothing without a grant
-  desk.set_grant({Moment{2100}, {1, 1}});
-  desk.see(view_with(2, ""), Moment{100});
-  EXPECT_EQ(desk.take_sends().size(), 1u);
+TEST(CallDispatcher, ACallWaitsForTheGrantOnlyWhereOneIsBeingAskedFor) {
+  CallDispatcher dispatcher(here());
+  dispatcher.see(view_with(2, ""), Moment{0});
+  EXPECT_FALSE(dispatcher.arrive(call("a"), Moment{0}, 1));  // it has just started
+  EXPECT_TRUE(dispatcher.take_sends().empty());              // and sends nothing without a grant
+  dispatcher.set_grant({Moment{2100}, {1, 1}});
+  dispatcher.see(view_with(2, ""), Moment{100});
+  EXPECT_EQ(dispatcher.take_sends().size(), 1u);
   // Nine seconds asleep: the grant has run out, and is asked for anew.
-  EXPECT_FALSE(desk.arrive(call("b"), Moment{9100}, 2));
-  EXPECT_TRUE(desk.take_sends().empty());
-  for (std::int64_t ms = 9100; ms < 9700; ms += 50) desk.on_alarm(Moment{ms});
-  EXPECT_TRUE(desk.take_finals().empty());
-  desk.on_alarm(Moment{9700});  // its patience is over: the final answer comes now, not at its horizon
-  auto finals = desk.take_finals();
+  EXPECT_FALSE(dispatcher.arrive(call("b"), Moment{9100}, 2));
+  EXPECT_TRUE(dispatcher.take_sends().empty());
+  for (std::int64_t ms = 9100; ms < 9700; ms += 50) dispatcher.on_timer(Moment{ms});
+  EXPECT_TRUE(dispatcher.take_finals().empty());
+  dispatcher.on_timer(Moment{9700});  // its patience is over: the final answer comes now, not at its deadline
+  auto finals = dispatcher.take_finals();
   ASSERT_EQ(finals.size(), 1u);
   EXPECT_EQ(finals[0].call, 2);
   EXPECT_EQ(finals[0].code, 503);
@@ -132,35 +132,35 @@
   EXPECT_GT(finals[0].retry_after.value, 0);
 }
 
-TEST(CallDesk, TheSamePrefixGoesToTheSameRunnerUntilThatOneIsLoaded) {
-  CallDesk desk(here());
-  desk.set_grant(always);
-  desk.see(view_with(12, R"(,"prefix_bytes":8)"), Moment{0});
+TEST(CallDispatcher, TheSamePrefixGoesToTheSameRunnerUntilThatOneIsLoaded) {
+  CallDispatcher dispatcher(here());
+  dispatcher.set_grant(always);
+  dispatcher.see(view_with(12, R"(,"prefix_bytes":8)"), Moment{0});
   std::map<std::string, int> by_runner;
-  for (CallIndex i = 1; i <= 2; ++i) desk.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
-  for (auto& act : desk.take_sends()) ++by_runner[act.runner.text];
+  for (CallIndex i = 1; i <= 2; ++i) dispatcher.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
+  for (auto& act : dispatcher.take_sends()) ++by_runner[act.runner.text];
   EXPECT_EQ(by_runner.size(), 1u);
-  for (CallIndex i = 3; i <= 14; ++i) desk.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
-  for (auto& act : desk.take_sends()) ++by_runner[act.runner.text];
+  for (CallIndex i = 3; i <= 14; ++i) dispatcher.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
+  for (auto& act : dispatcher.take_sends()) ++by_runner[act.runner.text];
   EXPECT_GT(by_runner.size(), 2u);  // a crowd with one opening is spread
   for (auto& [runner, count] : by_runner) EXPECT_LE(count, 4) << runner;
 }
 
-TEST(CallDesk, AColdRunnerGetsNoMoreThanThisDaemonsGrant) {
-  CallDesk desk(here());
-  desk.set_grant(always);
+TEST(CallDispatcher, AColdRunnerGetsNoMoreThanThisDaemonsGrant) {
+  CallDispatcher dispatcher(here());
+  dispatcher.set_grant(always);
   auto view = view_with(1, "");
   auto& row = view->runners.begin()->second;
   row.status = "cold";
   row.allowance = 3;
   row.grants = {{Address{"d1"}, 2}, {Address{"d2"}, 1}};
-  desk.see(view, Moment{0});
-  for (CallIndex i = 1; i <= 6; ++i) desk.arrive(call("c" + std::to_string(i)), Moment{0}, i);
-  EXPECT_EQ(desk.take_sends().size(), 2u);
+  dispatcher.see(view, Moment{0});
+  for (CallIndex i = 1; i <= 6; ++i) dispatcher.arrive(call("c" + std::to_string(i)), Moment{0}, i);
+  EXPECT_EQ(dispatcher.take_sends().size(), 2u);
 }
 
-TEST(CallDesk, HomedWorkIsNeverMatchedAbroadAndFreeWorkSpillsWithinItsLimit) {
-  CallDesk homed(here());
+TEST(CallDispatcher, HomedWorkIsNeverMatchedAbroadAndFreeWorkSpillsWithinItsLimit) {
+  CallDispatcher homed(here());
   homed.set_grant(always);
   homed.see(view_with(4, R"(,"home":{"header":"x-home"})"), Moment{0});
   auto abroad = call("a");
@@ -174,12 +174,12 @@
   }
   for (auto& act : homed.take_sends()) EXPECT_TRUE(act.runner.text == "r0" || act.runner.text == "r2") << act.runner.text;
 
-  CallDesk free_desk(here());
-  free_desk.set_grant(always);
-  free_desk.see(view_with(4, R"(,"spill":{"allowed":true,"limit_percent":25})"), Moment{0});
+  CallDispatcher free_dispatcher(here());
+  free_dispatcher.set_grant(always);
+  free_dispatcher.see(view_with(4, R"(,"spill":{"allowed":true,"limit_percent":25})"), Moment{0});
   int spilled = 0, sent = 0;
-  for (CallIndex i = 1; i <= 30; ++i) free_desk.arrive(call("s" + std::to_string(i)), Moment{0}, i);
-  for (auto& act : free_desk.take_sends()) {
+  for (CallIndex i = 1; i <= 30; ++i) free_dispatcher.arrive(call("s" + std::to_string(i)), Moment{0}, i);
+  for (auto& act : free_dispatcher.take_sends()) {
     ++sent;
     spilled += act.runner.text == "r1" || act.runner.text == "r3";
   }
@@ -187,61 +187,61 @@
   EXPECT_LE(spilled * 100, sent * 25 + 100);
 }
 
-TEST(CallDesk, RetriesStayWithinAFifthOfTheSendsAndASmallAllowance) {
-  CallDesk desk(here());
-  desk.set_grant(always);
-  desk.see(view_with(8, R"(,"repeatable":true)"), Moment{0});
+TEST(CallDispatcher, RetriesStayWithinAFifthOfTheSendsAndASmallAllowance) {
+  CallDispatcher dispatcher(here());
+  dispatcher.set_grant(always);
+  dispatcher.see(view_with(8, R"(,"repeatable":true)"), Moment{0});
   CallIndex index = 0;
   std::int64_t sends = 0;
   for (int round = 0; round < 300; ++round) {
     Moment now{round * 100};
-    desk.arrive(call("c" + std::to_string(round)), now, ++index);
+    dispatcher.arrive(call("c" + std::to_string(round)), now, ++index);
     for (int hop = 0; hop < 6; ++hop)
-      for (auto& act : desk.take_sends()) {  // every runner loses every call
+      for (auto& act : dispatcher.take_sends()) {  // every runner loses every call
         ++sends;
-        desk.end_send({act.call, SendEndKind::lost, "no answer within the horizon", false, 0, 0, 0, false}, now);
+        dispatcher.end_send({act.call, SendEndKind::lost, "no answer within the deadline", false, 0, 0, 0, false}, now);
       }
-    desk.on_alarm(now);
+    dispatcher.on_timer(now);
   }
-  EXPECT_GT(desk.counts().retries, 10);
-  EXPECT_LE(desk.counts().retries * 5, (sends - desk.counts().retries) + 5 * 12);
+  EXPECT_GT(dispatcher.counts().retries, 10);
+  EXPECT_LE(dispatcher.counts().retries * 5, (sends - dispatcher.counts().retries) + 5 * 12);
 }
 
-TEST(CallDesk, WhatIsGivenUpIsAnsweredAtOnceAndNeverSentAfterwards) {
-  DeskSettings settings = here();
-  settings.pending_bound = 3;
-  CallDesk desk(settings);
-  desk.set_grant(always);
-  desk.see(view_with(1, ""), Moment{0});
+TEST(CallDispatcher, WhatIsGivenUpIsAnsweredAtOnceAndNeverSentAfterwards) {
+  DispatcherSettings settings = here();
+  settings.queue_bound = 3;
+  CallDispatcher dispatcher(settings);
+  dispatcher.set_grant(always);
+  dispatcher.see(view_with(1, ""), Moment{0});
   int at_once = 0;
   for (CallIndex i = 1; i <= 10; ++i)
-    if (auto refusal = desk.arrive(call("c" + std::to_string(i)), Moment{0}, i)) {
+    if (auto refusal = dispatcher.arrive(call("c" + std::to_string(i)), Moment{0}, i)) {
       ++at_once;
       EXPECT_GT(refusal->retry_after.value, 0);
     }
   EXPECT_EQ(at_once, 3);  // four run, three pend
-  EXPECT_EQ(desk.take_sends().size(), 4u);
-  desk.on_alarm(Moment{700});
+  EXPECT_EQ(dispatcher.take_sends().size(), 4u);
+  dispatcher.on_timer(Moment{700});
   std::set<CallIndex> finals;
-  for (auto& act : desk.take_finals()) {
+  for (auto& act : dispatcher.take_finals()) {
     EXPECT_FALSE(act.may_have_run);
     finals.insert(act.call);
   }
   EXPECT_EQ(finals.size(), 3u);
-  desk.end_send({1, SendEndKind::answered, "", false, 0, 0, 0, false}, Moment{710});
-  EXPECT_TRUE(desk.take_sends().empty());
+  dispatcher.end_send({1, SendEndKind::answered, "", false, 0, 0, 0, false}, Moment{710});
+  EXPECT_TRUE(dispatcher.take_sends().empty());
 }
 
-TEST(CallDesk, ACallLostAfterItsSendIsUnknownAndNotSentAgainUnlessRepeatable) {
+TEST(CallDispatcher, ACallLostAfterItsSendIsUnknownAndNotSentAgainUnlessRepeatable) {
   for (bool is_repeatable : {false, true}) {
-    CallDesk desk(here());
-    desk.set_grant(always);
-    desk.see(view_with(6, is_repeatable ? R"(,"repeatable":true)" : ""), Moment{0});
-    desk.arrive(call("c"), Moment{0}, 1);
-    ASSERT_EQ(desk.take_sends().size(), 1u);
-    desk.end_send({1, SendEndKind::lost, "link broke", false, 0, 0, 0, false}, Moment{5});
-    EXPECT_EQ(desk.take_sends().size(), is_repeatable ? 1u : 0u);
-    auto finals = desk.take_finals();
+    CallDispatcher dispatcher(here());
+    dispatcher.set_grant(always);
+    dispatcher.see(view_with(6, is_repeatable ? R"(,"repeatable":true)" : ""), Moment{0});
+    dispatcher.arrive(call("c"), Moment{0}, 1);
+    ASSERT_EQ(dispatcher.take_sends().size(), 1u);
+    dispatcher.end_send({1, SendEndKind::lost, "link broke", false, 0, 0, 0, false}, Moment{5});
+    EXPECT_EQ(dispatcher.take_sends().size(), is_repeatable ? 1u : 0u);
+    auto finals = dispatcher.take_finals();
     if (!is_repeatable) {
       ASSERT_EQ(finals.size(), 1u);
       EXPECT_TRUE(finals[0].may_have_run);
@@ -249,15 +249,15 @@
   }
 }
 
-TEST(CallDesk, ARunnerThatWasColdInItsLastAnswerIsUsedOnceTheMapCallsItWarm) {
-  CallDesk desk(here());
-  desk.set_grant(always);
+TEST(CallDispatcher, ARunnerThatWasColdInItsLastAnswerIsUsedOnceTheMapCallsItWarm) {
+  CallDispatcher dispatcher(here());
+  dispatcher.set_grant(always);
   auto cold = view_with(1, "");
   cold->runners.begin()->second.status = "cold";
   cold->runners.begin()->second.grants = {{Address{"d1"}, 1}};
-  desk.see(cold, Moment{0});
-  EXPECT_FALSE(desk.arrive(call("a"), Moment{0}, 1));
-  ASSERT_EQ(desk.take_sends().size(), 1u);
+  dispatcher.see(cold, Moment{0});
+  EXPECT_FALSE(dispatcher.arrive(call("a"), Moment{0}, 1));
+  ASSERT_EQ(dispatcher.take_sends().size(), 1u);
   SendEnd end;
   end.call = 1;
   end.kind = SendEndKind::answered;
@@ -265,8 +265,8 @@
   end.incarnation = 1;
   end.capacity = 4;
   end.is_cold = true;
-  desk.end_send(end, Moment{10});
-  desk.see(view_with(1, "", {1, 2}), Moment{20});  // warm now: no shares are given any more
-  EXPECT_FALSE(desk.arrive(call("b"), Moment{30}, 2));
-  EXPECT_EQ(desk.take_sends().size(), 1u);
+  dispatcher.end_send(end, Moment{10});
+  dispatcher.see(view_with(1, "", {1, 2}), Moment{20});  // warm now: no shares are given any more
+  EXPECT_FALSE(dispatcher.arrive(call("b"), Moment{30}, 2));
+  EXPECT_EQ(dispatcher.take_sends().size(), 1u);
 }
--- a/packages/call-routing/include/emberdale/route_desk.hpp
+++ b/packages/call-routing/include/emberdale/route_dispatcher.hpp
@@ -1,5 +1,5 @@
 // The stages of a routed call that need no I/O: gate, match, pending, resend, resume, end.
-// Deterministic: the daemon and the tests run the same desk.
+// Deterministic: the daemon and the tests run the same dispatcher.
 #pragma once
 #include <absl/container/flat_hash_map.h>
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "emberdale/call_desk.hpp"
+#include "emberdale/call_dispatcher.hpp"
 #include "emberdale/traffic_view.hpp"
 
 namespace emberdale {
@@ -25,7 +25,7 @@
 struct RoutedCall {
   CallId id;
   std::string host, path;  // the path without its query
-  Span horizon{0};         // the caller's; 0: as the route says
+  Span deadline{0};         // the caller's; 0: as the route says
   std::vector<PromptPart> prompt;
   Integer tokens_in = 0, tokens_out = 0;
   std::string resume_after;  // the caller continues a stream after this event; empty: from the start
@@ -39,11 +39,11 @@
   std::string http;
   bool is_repeatable = false, is_streaming = false;
   Integer rank = 5;
-  Moment horizon;
+  Moment deadline;
   std::string resume_after;  // continue after this event; empty: from the start
 };
 
-// Give this send up: close its link, hand nothing of it on. The desk forgets it at once and expects no end of it.
+// Give this send up: close its link, hand nothing of it on. The dispatcher forgets it at once and expects no end of it.
 struct StopSend {
   CallIndex call = 0;
   int turn = 0;
@@ -65,35 +65,35 @@
   RoutedEndKind kind = RoutedEndKind::lost;
   std::string reason;
   std::string last_event;            // broken: the id of the last event that went to the caller
-  bool has_report = false;           // the runner told its burden along
+  bool has_report = false;           // the runner told its load along
   Integer running = 0, waiting = 0, slots = 0;
   bool was_link_refused = false;     // a definite word: no one listens there
   bool was_slow_to_connect = false;  // the link did not come up in time: silent machine
 };
 
-struct RouteDeskSettings {
+struct RouteDispatcherSettings {
   Address self;
   RegionName region;
   ZoneName zone;
-  std::size_t pending_bound = 256;   // calls that wait for a free runner, all together
+  std::size_t queue_bound = 256;   // calls that wait for a free runner, all together
   double resend_share = 0.08;        // resends earned by each first send
   double resend_start = 1, resend_bound = 3;
   Integer region_ms = 60;            // what a call to another region costs more than one nearby, in waiting
 };
 
 // Example:
-//   RouteDesk desk(settings); desk.see(view, now); desk.set_cold_until(until);
-//   auto refusal = desk.arrive(call, now, index);        // refused at once, or taken in
-//   for (auto& act : desk.take_sends()) send(act);  for (auto& act : desk.take_stops()) stop(act);
-//   desk.first_piece(index, turn, now); desk.end_send(end, now); desk.on_alarm(now);
-//   for (auto& act : desk.take_finals()) answer(act);    // FinalAct.call is never in hand any more afterwards
-//   timer(desk.alarm_next());                            // nothing is due before
-class RouteDesk {
+//   RouteDispatcher dispatcher(settings); dispatcher.see(view, now); dispatcher.set_cold_until(until);
+//   auto refusal = dispatcher.arrive(call, now, index);        // refused at once, or taken in
+//   for (auto& act : dispatcher.take_sends()) send(act);  for (auto& act : dispatcher.take_stops()) stop(act);
+//   dispatcher.first_piece(index, turn, now); dispatcher.end_send(end, now); dispatcher.on_timer(now);
+//   for (auto& act : dispatcher.take_finals()) answer(act);    // FinalAct.call is never in hand any more afterwards
+//   timer(dispatcher.timer_next());                            // nothing is due before
+class RouteDispatcher {
  public:
-  explicit RouteDesk(RouteDeskSettings settings);
+  explicit RouteDispatcher(RouteDispatcherSettings settings);
 
   void see(std::shared_ptr<const TrafficView> view, Moment now);
-  // Shares of cold runners may be used until then. Example: desk.set_cold_until(grant.cold_until)
+  // Shares of cold runners may be used until then. Example: dispatcher.set_cold_until(grant.cold_until)
   void set_cold_until(Moment until) { cold_until_ = until; }
 
   std::optional<FinalAct> arrive(const RoutedCall& call, Moment now, CallIndex index);
@@ -103,8 +103,8 @@
   void end_send(const RoutedEnd& end, Moment now);
   // The caller left: what is pending is forgotten, what is sent is stopped.
   void caller_gone(CallIndex index, Moment now);
-  void on_alarm(Moment now);
-  Moment alarm_next(Moment now) const;
+  void on_timer(Moment now);
+  Moment timer_next(Moment now) const;
 
   std::vector<RoutedSend> take_sends() { return std::exchange(sends_, {}); }
   std::vector<StopSend> take_stops() { return std::exchange(stops_, {}); }
@@ -130,12 +130,12 @@
     std::uint64_t key = 0;  // of the opening
     Integer tokens_in = 0, tokens_out = 0;
     std::string resume_after;
-    Moment arrived, horizon, pending_until, sent_at, heard_at;
+    Moment arrived, deadline, queued_until, sent_at, heard_at;
     Integer unread = 0;  // of its prompt, at the runner it was sent to
     int turn = 0, unsent = 0;
     RunnerName runner;
     std::set<RunnerName> tried;
-    bool is_pending = false, is_sent = false, has_answer = false, has_piece = false;
+    bool is_queued = false, is_sent = false, has_answer = false, has_piece = false;
     bool has_piece_here = false;     // of the send in hand
     bool has_ended_silence = false;  // its runner's silence was seen and told already
     bool may_have_run = false;
@@ -175,7 +175,7 @@
     CallIndex index = 0;
     Moment arrived;
   };
-  RouteDeskSettings settings_;
+  RouteDispatcherSettings settings_;
   std::optional<Moment> began_;  // the first call or view; no cold runner is used for a second: the last life may have
   std::deque<Unmapped> unmapped_;
   std::shared_ptr<const TrafficView> view_ = std::make_shared<TrafficView>();
@@ -183,7 +183,7 @@
   absl::flat_hash_map<CallIndex, Call> calls_;
   std::map<RunnerName, Link> links_;
   std::map<std::pair<PoolName, RegionName>, Moment> short_seen_;  // where short calls went lately
-  std::map<std::pair<Integer, CallIndex>, CallIndex> pending_;  // by rank, then arrival
+  std::map<std::pair<Integer, CallIndex>, CallIndex> queue_;  // by rank, then arrival
   std::map<PoolName, double> resend_tokens_;
   std::vector<RoutedSend> sends_;
   std::vector<StopSend> stops_;
--- a/packages/call-routing/src/route_desk.cpp
+++ b/packages/call-routing/src/route_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "emberdale/route_desk.hpp"
+#include "emberdale/route_dispatcher.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -15,11 +15,11 @@
 constexpr Span short_memory{10000};
 constexpr double read_weight = 5;            // what is read again is paid for as well
 constexpr Integer tokens_a_ms = 60;          // read of a prompt, until something better is known
-constexpr Span report_life{700};             // a runner's word on its burden counts that long
+constexpr Span report_life{700};             // a runner's word on its load counts that long
 constexpr Span kept_life{60000};             // parts that a runner was sent are taken for kept that long
 constexpr Span silent_shun{1500}, refused_shun{700}, reset_shun{250}, wrong_life_shun{4000}, full_shun{60};
 
-std::uint64_t mix(std::uint64_t a, std::uint64_t b) { return Dice(a * 0x9E3779B97F4A7C15ull ^ b).next(); }
+std::uint64_t mix(std::uint64_t a, std::uint64_t b) { return RandomGenerator(a * 0x9E3779B97F4A7C15ull ^ b).next(); }
 
 Span silence_of(const TrafficRoute& route) { return Span{std::max<std::int64_t>(250, route.target_ms / 2)}; }
 Span gap_silence_of(const TrafficRoute& route) { return Span{std::max<std::int64_t>(250, (route.gap_ms > 0 ? route.gap_ms : 1000) * 3 / 4)}; }
@@ -28,9 +28,9 @@
 
 }  // namespace
 
-RouteDesk::RouteDesk(RouteDeskSettings settings) : settings_(std::move(settings)) {}
+RouteDispatcher::RouteDispatcher(RouteDispatcherSettings settings) : settings_(std::move(settings)) {}
 
-void RouteDesk::see(std::shared_ptr<const TrafficView> view, Moment now) {
+void RouteDispatcher::see(std::shared_ptr<const TrafficView> view, Moment now) {
   view_ = std::move(view);
   if (!began_) began_ = now;
   for (auto entry = links_.begin(); entry != links_.end();) {
@@ -43,18 +43,18 @@
   pump(now);
 }
 
-FinalAct RouteDesk::refusal(CallIndex index, const std::string& reason, Span retry_after) const {
+FinalAct RouteDispatcher::refusal(CallIndex index, const std::string& reason, Span retry_after) const {
   return FinalAct{index, 503, reason, false, retry_after, {}};
 }
 
-std::optional<FinalAct> RouteDesk::arrive(const RoutedCall& arriving, Moment now, CallIndex index) {
+std::optional<FinalAct> RouteDispatcher::arrive(const RoutedCall& arriving, Moment now, CallIndex index) {
   ++counts_.arrived;
   if (!began_) began_ = now;
   if (view_->has_traffic) return take_in(arriving, now, now, index);
   // Who has just started knows its map within a moment, and the call waits for it; else it is told at once when to
   // come back.
   bool is_young = now - *began_ < young;
-  if (!is_young || unmapped_.size() >= settings_.pending_bound) {
+  if (!is_young || unmapped_.size() >= settings_.queue_bound) {
     ++counts_.refused_no_view;
     return refusal(index, "this daemon knows no map yet", Span{1200});
   }
@@ -63,7 +63,7 @@
 }
 
 // Those that wait for the map are let in with it, or told to come back.
-void RouteDesk::take_unmapped(Moment now) {
+void RouteDispatcher::take_unmapped(Moment now) {
   while (!unmapped_.empty() && (view_->has_traffic || now - unmapped_.front().arrived >= map_patience)) {
     Unmapped waiting = std::move(unmapped_.front());
     unmapped_.pop_front();
@@ -81,7 +81,7 @@
   }
 }
 
-std::optional<FinalAct> RouteDesk::take_in(const RoutedCall& arriving, Moment arrived, Moment now, CallIndex index) {
+std::optional<FinalAct> RouteDispatcher::take_in(const RoutedCall& arriving, Moment arrived, Moment now, CallIndex index) {
   const TrafficRoute* route = find_route(view_->routes, arriving.host, arriving.path);
   if (route == nullptr) {
     ++counts_.refused_route;
@@ -102,13 +102,13 @@
   if (call.tokens_in == 0)
     for (const auto& part : call.prompt) call.tokens_in += part.tokens;
   call.arrived = arrived;
-  Span horizon{route->horizon_ms};
-  if (arriving.horizon.value > 0) horizon = std::min(horizon, arriving.horizon);
-  call.horizon = arrived + horizon;
-  call.pending_until = arrived + std::min(patience_of(*route), Span{horizon.value / 3});
+  Span deadline{route->deadline_ms};
+  if (arriving.deadline.value > 0) deadline = std::min(deadline, arriving.deadline);
+  call.deadline = arrived + deadline;
+  call.queued_until = arrived + std::min(patience_of(*route), Span{deadline.value / 3});
   auto entry = calls_.insert_or_assign(index, std::move(call)).first;
   if (try_send(entry->second, now)) return std::nullopt;
-  if (pending_.size() >= settings_.pending_bound) {
+  if (queue_.size() >= settings_.queue_bound) {
     calls_.erase(entry);
     ++counts_.refused_full;
     return refusal(index, "too many calls wait here", Span{250});
@@ -117,20 +117,20 @@
   return std::nullopt;
 }
 
-void RouteDesk::pend(Call& call, Moment) {
+void RouteDispatcher::pend(Call& call, Moment) {
   ++counts_.pended;
-  call.is_pending = true;
-  pending_[{call.route->rank, call.index}] = call.index;
+  call.is_queued = true;
+  queue_[{call.route->rank, call.index}] = call.index;
 }
 
-Integer RouteDesk::cold_share(const RunnerRow& row) const {
+Integer RouteDispatcher::cold_share(const RunnerRow& row) const {
   for (const auto& grant : row.grants)
     if (grant.daemon == settings_.self) return grant.calls;
   return 0;
 }
 
 // How much of the prompt the runner would have to read: all after the first part that it was not sent before.
-Integer RouteDesk::unread_tokens(const Call& call, const Link& link, Moment now) const {
+Integer RouteDispatcher::unread_tokens(const Call& call, const Link& link, Moment now) const {
   Integer unread = 0;
   bool is_kept = true;
   for (const auto& part : call.prompt) {
@@ -144,7 +144,7 @@
 // A long prompt is read in large pieces, and every stream at that runner waits meanwhile. So long ones go to regions
 // without short calls, if there are any; else part of each region's runners is kept for them. Every daemon finds the
 // same ones, by a ranking of the living.
-std::set<RunnerName> RouteDesk::runners_for_long(const std::vector<RunnerName>& pool, Moment now) {
+std::set<RunnerName> RouteDispatcher::runners_for_long(const std::vector<RunnerName>& pool, Moment now) {
   std::map<RegionName, std::vector<std::pair<std::uint64_t, RunnerName>>> ranked;
   std::set<RunnerName> quiet;
   std::size_t warm = 0;
@@ -168,7 +168,7 @@
   return apart;
 }
 
-std::optional<RunnerName> RouteDesk::match(Call& call, Moment now) {
+std::optional<RunnerName> RouteDispatcher::match(Call& call, Moment now) {
   auto pool = view_->pools.find(call.pool);
   if (pool == view_->pools.end()) return std::nullopt;
   const Link blank;
@@ -229,16 +229,16 @@
       if (recent >= cold_share(row)) continue;
     }
     Integer slots = row.capacity > 0 ? row.capacity : 8;
-    Integer burden = link.in_flight;
-    if (now - link.reported_at < report_life) burden = std::max(burden, link.reported + link.in_flight - link.own_at_report);
-    if (burden >= slots + slots / 2 + 2) continue;  // full, with a queue
+    Integer load = link.in_flight;
+    if (now - link.reported_at < report_life) load = std::max(load, link.reported + link.in_flight - link.own_at_report);
+    if (load >= slots + slots / 2 + 2) continue;  // full, with a queue
     double cost = 0;
     if (row.region != settings_.region) cost += 2.0 * static_cast<double>(settings_.region_ms);
     else if (row.zone != settings_.zone) cost += 2.0;
-    if (burden >= slots) cost += 300.0 * static_cast<double>(burden - slots + 1) / static_cast<double>(slots);
+    if (load >= slots) cost += 300.0 * static_cast<double>(load - slots + 1) / static_cast<double>(slots);
     // A model runner bears many at once at nearly the same pace; others serve each slot by itself.
-    double crowd = static_cast<double>(burden) - static_cast<double>(slots) / 4;
-    cost += call.tokens_in > 0 ? 0.2 * static_cast<double>(burden) + 2 * std::max(0.0, crowd) : 60.0 * static_cast<double>(burden) / static_cast<double>(slots);
+    double crowd = static_cast<double>(load) - static_cast<double>(slots) / 4;
+    cost += call.tokens_in > 0 ? 0.2 * static_cast<double>(load) + 2 * std::max(0.0, crowd) : 60.0 * static_cast<double>(load) / static_cast<double>(slots);
     if (!for_long.empty() && is_long != (for_long.count(name) != 0)) cost += is_long ? mixed_cost : apart_cost;
     cost += static_cast<double>(link.prompt_tokens) / tokens_a_ms;
     if (is_cold) cost += 40;
@@ -255,7 +255,7 @@
   return best->row->name;
 }
 
-bool RouteDesk::try_send(Call& call, Moment now) {
+bool RouteDispatcher::try_send(Call& call, Moment now) {
   auto runner = match(call, now);
   if (!runner && !call.tried.empty() && call.turn == call.unsent) {
     call.tried.clear();
@@ -278,7 +278,7 @@
   if (row.region != settings_.region) ++counts_.far_sends;
   call.unread = unread;
   call.runner = *runner;
-  call.is_pending = false;
+  call.is_queued = false;
   call.is_sent = true;
   call.has_answer = false;
   call.sent_at = call.heard_at = now;
@@ -288,11 +288,11 @@
     double& tokens = resend_tokens_.try_emplace(call.pool, settings_.resend_start).first->second;
     tokens = std::min(settings_.resend_bound, tokens + settings_.resend_share);
   }
-  sends_.push_back({call.index, call.turn, row.name, row.http, call.route->is_repeatable, call.route->is_streaming, call.route->rank, call.horizon, call.resume_after});
+  sends_.push_back({call.index, call.turn, row.name, row.http, call.route->is_repeatable, call.route->is_streaming, call.route->rank, call.deadline, call.resume_after});
   return true;
 }
 
-void RouteDesk::unlink(Call& call) {
+void RouteDispatcher::unlink(Call& call) {
   if (!call.is_sent) return;
   call.is_sent = false;
   Link& link = links_[call.runner];
@@ -302,7 +302,7 @@
 }
 
 // Is there a runner that may take such calls, busy or not?
-bool RouteDesk::has_living(const Call& call) const {
+bool RouteDispatcher::has_living(const Call& call) const {
   auto pool = view_->pools.find(call.pool);
   if (pool == view_->pools.end()) return false;
   const auto& homes = call.route->homes;
@@ -312,7 +312,7 @@
   });
 }
 
-void RouteDesk::answer_begun(CallIndex index, int turn, Moment now) {
+void RouteDispatcher::answer_begun(CallIndex index, int turn, Moment now) {
   auto entry = calls_.find(index);
   if (entry == calls_.end() || entry->second.turn != turn || !entry->second.is_sent) return;
   Call& call = entry->second;
@@ -323,7 +323,7 @@
   link.troubles = 0;
 }
 
-void RouteDesk::first_piece(CallIndex index, int turn, Moment now) {
+void RouteDispatcher::first_piece(CallIndex index, int turn, Moment now) {
   answer_begun(index, turn, now);
   auto entry = calls_.find(index);
   if (entry == calls_.end() || entry->second.turn != turn || !entry->second.is_sent) return;
@@ -335,17 +335,17 @@
   link.prompt_tokens = std::max<Integer>(0, link.prompt_tokens - call.unread);
 }
 
-void RouteDesk::finish(CallIndex index, FinalAct act) {
+void RouteDispatcher::finish(CallIndex index, FinalAct act) {
   auto entry = calls_.find(index);
   act.call = index;
   finals_.push_back(std::move(act));
-  pending_.erase({entry->second.route->rank, index});
+  queue_.erase({entry->second.route->rank, index});
   calls_.erase(entry);
 }
 
 // May this call be sent once more, and is it paid for?
-bool RouteDesk::may_resend(Call& call, Moment now) {
-  if (call.turn - call.unsent >= std::max<Integer>(1, call.route->max_sends) || now >= call.horizon) return false;
+bool RouteDispatcher::may_resend(Call& call, Moment now) {
+  if (call.turn - call.unsent >= std::max<Integer>(1, call.route->max_sends) || now >= call.deadline) return false;
   double& tokens = resend_tokens_.try_emplace(call.pool, settings_.resend_start).first->second;
   if (tokens < 1) {
     ++counts_.resend_denied;
@@ -354,7 +354,7 @@
   return true;
 }
 
-void RouteDesk::resend_or_end(Call& call, bool surely_not_run, const std::string& reason, Moment now) {
+void RouteDispatcher::resend_or_end(Call& call, bool surely_not_run, const std::string& reason, Moment now) {
   CallIndex index = call.index;
   bool may_repeat = call.route->is_repeatable || (surely_not_run && !call.has_piece);
   if (may_repeat && may_resend(call, now)) {
@@ -364,7 +364,7 @@
       if (call.has_piece) ++counts_.resumed;
       return;
     }
-    if (!call.has_piece && now < call.pending_until) {
+    if (!call.has_piece && now < call.queued_until) {
       pend(call, now);
       return;
     }
@@ -378,7 +378,7 @@
   finish(index, FinalAct{index, 502, "the runner gave no sound answer: " + reason, true, Span{0}, {}});
 }
 
-void RouteDesk::end_send(const RoutedEnd& end, Moment now) {
+void RouteDispatcher::end_send(const RoutedEnd& end, Moment now) {
   auto entry = calls_.find(end.call);
   if (entry == calls_.end() || entry->second.turn != end.turn || !entry->second.is_sent) return;
   Call& call = entry->second;
@@ -417,9 +417,9 @@
     case RoutedEndKind::unsent: {
       trouble(end.was_slow_to_connect ? silent_shun : refused_shun);
       ++call.unsent;  // nothing left this daemon: another runner costs no resend
-      bool is_sent_again = call.unsent <= 3 && now < call.horizon && try_send(call, now);
+      bool is_sent_again = call.unsent <= 3 && now < call.deadline && try_send(call, now);
       if (!is_sent_again) {
-        if (now < call.pending_until && !call.has_piece) pend(call, now);
+        if (now < call.queued_until && !call.has_piece) pend(call, now);
         else resend_or_end(call, true, end.reason, now);
       }
       break;
@@ -435,7 +435,7 @@
   pump(now);
 }
 
-void RouteDesk::caller_gone(CallIndex index, Moment now) {
+void RouteDispatcher::caller_gone(CallIndex index, Moment now) {
   unmapped_.erase(std::remove_if(unmapped_.begin(), unmapped_.end(), [&](const Unmapped& waiting) { return waiting.index == index; }), unmapped_.end());
   auto entry = calls_.find(index);
   if (entry == calls_.end()) return;
@@ -444,18 +444,18 @@
     stops_.push_back({index, call.turn});
     unlink(call);
   }
-  pending_.erase({call.route->rank, index});
+  queue_.erase({call.route->rank, index});
   calls_.erase(entry);
   pump(now);
 }
 
-void RouteDesk::pump(Moment now) {
-  for (auto entry = pending_.begin(); entry != pending_.end();) {
+void RouteDispatcher::pump(Moment now) {
+  for (auto entry = queue_.begin(); entry != queue_.end();) {
     CallIndex index = entry->second;
     Call& call = calls_.at(index);
     ++entry;  // what follows may take this one out
     bool is_resend = call.turn > call.unsent;
-    if (call.pending_until <= now || call.horizon <= now) {
+    if (call.queued_until <= now || call.deadline <= now) {
       ++counts_.refused_full;
       if (call.may_have_run) finish(index, FinalAct{index, 502, "no runner came free to repeat it", true, Span{0}, {}});
       else finish(index, refusal(index, "no runner came free for it", has_living(call) ? Span{250} : Span{1000}));
@@ -467,18 +467,18 @@
       resend_tokens_[call.pool] -= 1;
       ++counts_.resends;
     }
-    pending_.erase({call.route->rank, index});
+    queue_.erase({call.route->rank, index});
   }
 }
 
-void RouteDesk::on_alarm(Moment now) {
+void RouteDispatcher::on_timer(Moment now) {
   take_unmapped(now);
   // A runner from which nothing at all has come since a call went there, for longer than that call bears:
   // it is taken for dead. What may be repeated goes elsewhere; the rest waits for it.
   std::vector<CallIndex> silent;
   for (auto& [index, call] : calls_) {
     if (!call.is_sent) continue;
-    if (call.horizon <= now) {
+    if (call.deadline <= now) {
       silent.push_back(index);
       continue;
     }
@@ -493,11 +493,11 @@
     if (entry == calls_.end() || !entry->second.is_sent) continue;
     Call& call = entry->second;
     Link& link = links_[call.runner];
-    if (call.horizon <= now) {
+    if (call.deadline <= now) {
       stops_.push_back({index, call.turn});
       unlink(call);
       ++counts_.unknown;
-      finish(index, FinalAct{index, 504, "no answer within the horizon", true, Span{0}, {}});
+      finish(index, FinalAct{index, 504, "no answer within the deadline", true, Span{0}, {}});
       continue;
     }
     if (now >= link.shunned_until) {
@@ -528,10 +528,10 @@
   pump(now);
 }
 
-Span RouteDesk::unread_patience(const Call& call) { return Span{call.has_piece_here ? 0 : call.unread / tokens_a_ms * 2}; }
+Span RouteDispatcher::unread_patience(const Call& call) { return Span{call.has_piece_here ? 0 : call.unread / tokens_a_ms * 2}; }
 
-Moment RouteDesk::alarm_next(Moment now) const {
-  if (!pending_.empty() || !unmapped_.empty()) return now + Span{15};
+Moment RouteDispatcher::timer_next(Moment now) const {
+  if (!queue_.empty() || !unmapped_.empty()) return now + Span{15};
   return now + (calls_.empty() ? Span{500} : Span{60});
 }
 
--- a/packages/call-routing/tests/route_desk_test.cpp
+++ b/packages/call-routing/tests/route_dispatcher_test.cpp
@@ -1,5 +1,5 @@
-// The route desk with views built by hand, in virtual time: single behaviours, then properties over random days.
-#include "emberdale/route_desk.hpp"
+// The route dispatcher with views built by hand, in virtual time: single behaviours, then properties over random days.
+#include "emberdale/route_dispatcher.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -21,7 +21,7 @@
   route.host = "a.example";
   route.path_prefix = "/" + name + "/";
   route.is_repeatable = is_repeatable;
-  route.horizon_ms = 10000;
+  route.deadline_ms = 10000;
   route.target_ms = 1000;
   route.max_sends = 3;
   route.pools = {{pool, 1}};
@@ -58,8 +58,8 @@
   return view;
 }
 
-RouteDeskSettings settings_of(const std::string& self, const std::string& region) {
-  RouteDeskSettings settings;
+RouteDispatcherSettings settings_of(const std::string& self, const std::string& region) {
+  RouteDispatcherSettings settings;
   settings.self.text = self;
   settings.region.text = region;
   settings.zone.text = region + "-1";
@@ -78,11 +78,11 @@
   return {route_of("free", true), route_of("once", false), homed, first, last, chat};
 }
 
-// One desk of region "north", on a clock that the test sets.
+// One dispatcher of region "north", on a clock that the test sets.
 struct Bench {
-  explicit Bench(const RouteDeskSettings& settings = settings_of("d1", "north")) : desk(settings) { desk.set_cold_until(Moment{INT64_MAX}); }
+  explicit Bench(const RouteDispatcherSettings& settings = settings_of("d1", "north")) : dispatcher(settings) { dispatcher.set_cold_until(Moment{INT64_MAX}); }
   void see(const std::vector<RunnerRow>& runners, std::vector<TrafficRoute> routes = usual_routes()) {
-    desk.see(std::make_shared<TrafficView>(view_of(runners, routes)), now);
+    dispatcher.see(std::make_shared<TrafficView>(view_of(runners, routes)), now);
   }
   std::optional<FinalAct> arrive(const std::string& route, CallIndex index, const std::vector<PromptPart>& prompt = {}) {
     RoutedCall call;
@@ -90,13 +90,13 @@
     call.host = "a.example";
     call.path = "/" + route + "/x";
     call.prompt = prompt;
-    return desk.arrive(call, now, index);
+    return dispatcher.arrive(call, now, index);
   }
-  // Runs the alarms until then.
+  // Runs the timers until then.
   void run_to(Moment end) {
     while (now < end) {
-      now = std::min(end, std::max(now + Span{1}, desk.alarm_next(now)));
-      desk.on_alarm(now);
+      now = std::min(end, std::max(now + Span{1}, dispatcher.timer_next(now)));
+      dispatcher.on_timer(now);
     }
   }
   RoutedEnd end_of(const RoutedSend& send, RoutedEndKind kind) {
@@ -107,14 +107,14 @@
     end.reason = "test";
     return end;
   }
-  void end(const RoutedSend& send, RoutedEndKind kind) { desk.end_send(end_of(send, kind), now); }
+  void end(const RoutedSend& send, RoutedEndKind kind) { dispatcher.end_send(end_of(send, kind), now); }
   std::optional<RoutedSend> sent() {
-    auto sends = desk.take_sends();
+    auto sends = dispatcher.take_sends();
     EXPECT_LE(sends.size(), 1u);
     if (sends.empty()) return std::nullopt;
     return sends.front();
   }
-  RouteDesk desk;
+  RouteDispatcher dispatcher;
   Moment now{100000};
 };
 
@@ -124,33 +124,33 @@
 
 // --- gate --------------------------------------------------------------------------------------------
 
-TEST(RouteDesk, WithoutARouteACallGets404) {
+TEST(RouteDispatcher, WithoutARouteACallGets404) {
   Bench bench;
   bench.see(two_north);
   auto refusal = bench.arrive("nowhere", 1);
   ASSERT_TRUE(refusal);
   EXPECT_EQ(refusal->code, 404);
   EXPECT_FALSE(refusal->may_have_run);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
 }
 
 // The earlier test wanted the refusal at once. A daemon that has just started knows its map within a moment, and a call
 // told to come back has one further try only: so it waits, for less than a quarter of any target, and is then refused.
-TEST(RouteDesk, BeforeAnyViewACallWaitsAMomentAndThenGets503AndATimeToComeBack) {
+TEST(RouteDispatcher, BeforeAnyViewACallWaitsAMomentAndThenGets503AndATimeToComeBack) {
   Bench bench;
   ASSERT_FALSE(bench.arrive("free", 1));
   Moment begun = bench.now;
   bench.run_to(begun + Span{149});
-  EXPECT_TRUE(bench.desk.take_finals().empty());
-  EXPECT_EQ(bench.desk.in_hand(), 1u);
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
+  EXPECT_EQ(bench.dispatcher.in_hand(), 1u);
   bench.run_to(begun + Span{170});
-  auto finals = bench.desk.take_finals();
+  auto finals = bench.dispatcher.take_finals();
   ASSERT_EQ(finals.size(), 1u);
   EXPECT_EQ(finals.front().call, 1);
   EXPECT_EQ(finals.front().code, 503);
   EXPECT_GT(finals.front().retry_after, Span{0});
   EXPECT_FALSE(finals.front().may_have_run);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
   // Later there is no such hope: at once, and to come back after longer.
   bench.run_to(begun + Span{400});
   auto refusal = bench.arrive("free", 2);
@@ -158,10 +158,10 @@
   EXPECT_EQ(refusal->code, 503);
   EXPECT_GT(refusal->retry_after, finals.front().retry_after);
   EXPECT_FALSE(refusal->may_have_run);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
 }
 
-TEST(RouteDesk, ACallThatWaitsForTheFirstMapIsSentWithIt) {
+TEST(RouteDispatcher, ACallThatWaitsForTheFirstMapIsSentWithIt) {
   Bench bench;
   ASSERT_FALSE(bench.arrive("free", 1));
   bench.run_to(bench.now + Span{100});
@@ -172,38 +172,38 @@
   // A caller that left meanwhile is forgotten.
   Bench other;
   ASSERT_FALSE(other.arrive("free", 1));
-  other.desk.caller_gone(1, other.now);
-  EXPECT_EQ(other.desk.in_hand(), 0u);
+  other.dispatcher.caller_gone(1, other.now);
+  EXPECT_EQ(other.dispatcher.in_hand(), 0u);
   other.see(two_north);
   EXPECT_FALSE(other.sent());
 }
 
 // --- match -------------------------------------------------------------------------------------------
 
-TEST(RouteDesk, HomesAreNeverLeft) {
+TEST(RouteDispatcher, HomesAreNeverLeft) {
   Bench bench;
   bench.see({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("s1", "south")});
   for (CallIndex index = 1; index <= 40; ++index) {
     bench.arrive("homed", index);
-    for (const auto& send : bench.desk.take_sends()) EXPECT_EQ(send.runner.text, "s1");
+    for (const auto& send : bench.dispatcher.take_sends()) EXPECT_EQ(send.runner.text, "s1");
   }
   bench.run_to(bench.now + Span{2000});
-  for (const auto& send : bench.desk.take_sends()) EXPECT_EQ(send.runner.text, "s1");
+  for (const auto& send : bench.dispatcher.take_sends()) EXPECT_EQ(send.runner.text, "s1");
 }
 
-TEST(RouteDesk, HomesAreNotLeftWhenTheHomeHasNoRunner) {
+TEST(RouteDispatcher, HomesAreNotLeftWhenTheHomeHasNoRunner) {
   Bench bench;
   bench.see({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("s1", "south", "down")});
   EXPECT_FALSE(bench.arrive("homed", 1));
   bench.run_to(bench.now + Span{250});
-  EXPECT_TRUE(bench.desk.take_sends().empty());
-  auto finals = bench.desk.take_finals();
+  EXPECT_TRUE(bench.dispatcher.take_sends().empty());
+  auto finals = bench.dispatcher.take_finals();
   ASSERT_EQ(finals.size(), 1u);
   EXPECT_EQ(finals[0].code, 503);
   EXPECT_FALSE(finals[0].may_have_run);
 }
 
-TEST(RouteDesk, HomesAreNotLeftAfterTheHomesRunnerFails) {
+TEST(RouteDispatcher, HomesAreNotLeftAfterTheHomesRunnerFails) {
   Bench bench;
   bench.see({runner_of("n1", "north"), runner_of("s1", "south")});
   bench.arrive("homed", 1);
@@ -211,27 +211,27 @@
   ASSERT_TRUE(send);
   bench.end(*send, RoutedEndKind::lost);
   bench.run_to(bench.now + Span{1000});
-  for (const auto& again : bench.desk.take_sends()) EXPECT_EQ(again.runner.text, "s1");
+  for (const auto& again : bench.dispatcher.take_sends()) EXPECT_EQ(again.runner.text, "s1");
 }
 
-TEST(RouteDesk, RunnersThatTheViewTakesOutGetNothingFromThatMomentOn) {
+TEST(RouteDispatcher, RunnersThatTheViewTakesOutGetNothingFromThatMomentOn) {
   for (const char* status : {"leaving", "emptied", "down"}) {
     Bench bench;
     bench.see(two_north);
     bench.see({runner_of("n1", "north", status), runner_of("n2", "north")});
     for (CallIndex index = 1; index <= 30; ++index) bench.arrive(index % 2 == 0 ? "free" : "once", index);
-    auto sends = bench.desk.take_sends();
+    auto sends = bench.dispatcher.take_sends();
     EXPECT_FALSE(sends.empty());
     for (const auto& send : sends) EXPECT_EQ(send.runner.text, "n2") << status;
     bench.see({runner_of("n1", "north", status), runner_of("n2", "north", status)});
     for (const auto& send : sends) bench.end(send, RoutedEndKind::refused);
     bench.run_to(bench.now + Span{1000});
-    EXPECT_TRUE(bench.desk.take_sends().empty()) << status;
-    EXPECT_EQ(bench.desk.in_hand(), 0u);
+    EXPECT_TRUE(bench.dispatcher.take_sends().empty()) << status;
+    EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
   }
 }
 
-TEST(RouteDesk, ManyCallsOfOneOpeningGoToOneRunnerFromTwoRegions) {
+TEST(RouteDispatcher, ManyCallsOfOneOpeningGoToOneRunnerFromTwoRegions) {
   std::vector<RunnerRow> runners;
   for (int i = 1; i <= 4; ++i) {
     runners.push_back(runner_of("n" + std::to_string(i), "north", "warm", 64));
@@ -248,7 +248,7 @@
         auto send = bench->sent();
         ASSERT_TRUE(send);
         used.insert(send->runner.text);
-        bench->desk.first_piece(index, send->turn, bench->now);
+        bench->dispatcher.first_piece(index, send->turn, bench->now);
         bench->end(*send, RoutedEndKind::answered);
         bench->now = bench->now + Span{40};
       }
@@ -257,7 +257,7 @@
   }
 }
 
-TEST(RouteDesk, LongPromptsKeepOffTheRunnersOfShortCalls) {
+TEST(RouteDispatcher, LongPromptsKeepOffTheRunnersOfShortCalls) {
   std::vector<RunnerRow> runners;
   for (int i = 1; i <= 5; ++i)
     for (const char* region : {"north", "south"}) runners.push_back(runner_of(std::string(1, *region) + std::to_string(i), region, "warm", 64));
@@ -272,7 +272,7 @@
     auto send = bench.sent();
     ASSERT_TRUE(send);
     (is_long ? for_long : for_short).insert(send->runner.text);
-    bench.desk.first_piece(index, send->turn, bench.now);
+    bench.dispatcher.first_piece(index, send->turn, bench.now);
     in_hand.push_back(*send);
     if (in_hand.size() > 6) {
       bench.end(in_hand.front(), RoutedEndKind::answered);
@@ -284,7 +284,7 @@
   for (const auto& runner : for_long) EXPECT_EQ(for_short.count(runner), 0u) << runner;
 }
 
-TEST(RouteDesk, AColdRunnerGetsNoMoreThanItsShareInAnySecondAndNothingWithoutTheMastersWord) {
+TEST(RouteDispatcher, AColdRunnerGetsNoMoreThanItsShareInAnySecondAndNothingWithoutTheMastersWord) {
   Bench bench;
   auto cold = runner_of("n1", "north", "cold");
   cold.grants = {{Address{"d1"}, 3}, {Address{"d2"}, 9}};
@@ -293,12 +293,12 @@
   std::vector<Moment> sent;
   for (CallIndex index = 1; index <= 300; ++index) {
     bench.arrive("free", index);
-    for (const auto& send : bench.desk.take_sends()) {
+    for (const auto& send : bench.dispatcher.take_sends()) {
       sent.push_back(bench.now);
       bench.end(send, RoutedEndKind::answered);
     }
     bench.run_to(bench.now + Span{17});
-    for (const auto& send : bench.desk.take_sends()) {
+    for (const auto& send : bench.dispatcher.take_sends()) {
       sent.push_back(bench.now);
       bench.end(send, RoutedEndKind::answered);
     }
@@ -306,14 +306,14 @@
   EXPECT_GT(sent.size(), 9u);
   for (std::size_t i = 3; i < sent.size(); ++i) EXPECT_GE(sent[i] - sent[i - 3], Span{1000});
   bench.run_to(bench.now + Span{1500});
-  bench.desk.set_cold_until(bench.now);
+  bench.dispatcher.set_cold_until(bench.now);
   bench.arrive("free", 1000);
   bench.run_to(bench.now + Span{1500});
-  EXPECT_TRUE(bench.desk.take_sends().empty());
+  EXPECT_TRUE(bench.dispatcher.take_sends().empty());
 }
 
-// A desk that starts anew knows nothing of what the same daemon sent a moment ago.
-TEST(RouteDesk, AfterARestartAColdRunnersShareIsNotUsedTwiceInOneSecond) {
+// A dispatcher that starts anew knows nothing of what the same daemon sent a moment ago.
+TEST(RouteDispatcher, AfterARestartAColdRunnersShareIsNotUsedTwiceInOneSecond) {
   auto cold = runner_of("n1", "north", "cold");
   cold.grants = {{Address{"d1"}, 3}};
   Bench before;
@@ -321,17 +321,17 @@
   before.run_to(before.now + Span{1500});
   std::size_t sent = 0;
   for (CallIndex index = 1; index <= 6; ++index) before.arrive("free", index);
-  sent += before.desk.take_sends().size();
+  sent += before.dispatcher.take_sends().size();
   Bench after;
   after.now = before.now + Span{200};
   after.see({cold});
   for (CallIndex index = 1; index <= 6; ++index) after.arrive("free", index);
   after.run_to(before.now + Span{999});
-  sent += after.desk.take_sends().size();
+  sent += after.dispatcher.take_sends().size();
   EXPECT_LE(sent, 3u);
 }
 
-TEST(RouteDesk, AColdRunnerThatLeavesTheViewForAMomentGetsItsShareOnce) {
+TEST(RouteDispatcher, AColdRunnerThatLeavesTheViewForAMomentGetsItsShareOnce) {
   auto cold = runner_of("n1", "north", "cold");
   cold.grants = {{Address{"d1"}, 3}};
   Bench bench;
@@ -344,7 +344,7 @@
       bench.see({cold});
     }
     bench.arrive("free", index);
-    for (const auto& send : bench.desk.take_sends()) {
+    for (const auto& send : bench.dispatcher.take_sends()) {
       ++sent;
       bench.end(send, RoutedEndKind::answered);
     }
@@ -354,43 +354,43 @@
 
 // --- pending -----------------------------------------------------------------------------------------
 
-TEST(RouteDesk, WhenNobodyIsFreeACallIsRefusedWithinAQuarterOfItsTarget) {
+TEST(RouteDispatcher, WhenNobodyIsFreeACallIsRefusedWithinAQuarterOfItsTarget) {
   Bench bench;
   bench.see({runner_of("n1", "north", "warm", 1)});
   Moment begun = bench.now;
   std::size_t sent = 0, refused = 0;
   for (CallIndex index = 1; index <= 20; ++index) bench.arrive("free", index);
-  sent = bench.desk.take_sends().size();
+  sent = bench.dispatcher.take_sends().size();
   bench.run_to(begun + Span{250});
-  for (const auto& act : bench.desk.take_finals()) {
+  for (const auto& act : bench.dispatcher.take_finals()) {
     ++refused;
     EXPECT_EQ(act.code, 503);
     EXPECT_FALSE(act.may_have_run);
     EXPECT_GT(act.retry_after, Span{0});
   }
   EXPECT_EQ(sent + refused, 20u);
-  EXPECT_EQ(bench.desk.in_hand(), sent);
+  EXPECT_EQ(bench.dispatcher.in_hand(), sent);
 }
 
-TEST(RouteDesk, NothingIsRefusedWhileARunnerThatMayTakeItIsFree) {
+TEST(RouteDispatcher, NothingIsRefusedWhileARunnerThatMayTakeItIsFree) {
   Bench bench;
   std::vector<RunnerRow> runners{runner_of("n1", "north", "warm", 4), runner_of("s1", "south", "warm", 4), runner_of("w1", "west", "warm", 4)};
   bench.see(runners);
   for (CallIndex index = 1; index <= 12; ++index) {  // as many as all have slots, whatever is nearer
     EXPECT_FALSE(bench.arrive("free", index));
-    EXPECT_EQ(bench.desk.take_sends().size(), 1u);
+    EXPECT_EQ(bench.dispatcher.take_sends().size(), 1u);
   }
-  EXPECT_EQ(bench.desk.counts().pended, 0);
+  EXPECT_EQ(bench.dispatcher.counts().pended, 0);
 }
 
-TEST(RouteDesk, WhatIsPendingIsSentTheMomentARunnerComesFree) {
+TEST(RouteDispatcher, WhatIsPendingIsSentTheMomentARunnerComesFree) {
   Bench bench;
   bench.see({runner_of("n1", "north", "warm", 1)});
   CallIndex index = 0;
   std::vector<RoutedSend> sends;
-  while (bench.desk.counts().pended == 0) {
+  while (bench.dispatcher.counts().pended == 0) {
     bench.arrive("free", ++index);
-    for (const auto& send : bench.desk.take_sends()) sends.push_back(send);
+    for (const auto& send : bench.dispatcher.take_sends()) sends.push_back(send);
   }
   bench.now = bench.now + Span{100};
   bench.end(sends.front(), RoutedEndKind::answered);
@@ -399,7 +399,7 @@
   EXPECT_EQ(next->call, index);
 }
 
-TEST(RouteDesk, ANewRunnerInTheViewTakesWhatIsPending) {
+TEST(RouteDispatcher, ANewRunnerInTheViewTakesWhatIsQueued) {
   Bench bench;
   bench.see({});
   EXPECT_FALSE(bench.arrive("free", 1));
@@ -408,20 +408,20 @@
   EXPECT_TRUE(bench.sent());
 }
 
-TEST(RouteDesk, FirstRankComesFirstOutOfPending) {
+TEST(RouteDispatcher, FirstRankComesFirstOutOfTheQueue) {
   Bench bench;
   bench.see({});
   int at = 0;
   for (const char* name : {"last", "free", "first", "last", "free", "first"}) EXPECT_FALSE(bench.arrive(name, ++at));
   bench.see({runner_of("n1", "north", "warm", 64)});
   std::vector<CallIndex> order;
-  for (const auto& send : bench.desk.take_sends()) order.push_back(send.call);
+  for (const auto& send : bench.dispatcher.take_sends()) order.push_back(send.call);
   EXPECT_EQ(order, (std::vector<CallIndex>{3, 6, 2, 5, 1, 4}));
 }
 
-TEST(RouteDesk, MoreThanTheBoundOfPendingIsRefusedAtOnce) {
+TEST(RouteDispatcher, MoreThanTheBoundOfPendingIsRefusedAtOnce) {
   auto settings = settings_of("d1", "north");
-  settings.pending_bound = 5;
+  settings.queue_bound = 5;
   Bench bench(settings);
   bench.see({});
   for (CallIndex index = 1; index <= 5; ++index) EXPECT_FALSE(bench.arrive("free", index));
@@ -429,12 +429,12 @@
   ASSERT_TRUE(refusal);
   EXPECT_EQ(refusal->code, 503);
   EXPECT_GT(refusal->retry_after, Span{0});
-  EXPECT_EQ(bench.desk.in_hand(), 5u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 5u);
 }
 
 // --- resend ------------------------------------------------------------------------------------------
 
-TEST(RouteDesk, WhatMayNotBeRepeatedIsNeverSentAgainAfterItMayHaveRun) {
+TEST(RouteDispatcher, WhatMayNotBeRepeatedIsNeverSentAgainAfterItMayHaveRun) {
   for (auto kind : {RoutedEndKind::lost, RoutedEndKind::broken}) {
     Bench bench;
     bench.see(two_north);
@@ -444,15 +444,15 @@
     EXPECT_FALSE(send->is_repeatable);
     bench.end(*send, kind);
     bench.run_to(bench.now + Span{12000});
-    EXPECT_TRUE(bench.desk.take_sends().empty());
-    auto finals = bench.desk.take_finals();
+    EXPECT_TRUE(bench.dispatcher.take_sends().empty());
+    auto finals = bench.dispatcher.take_finals();
     ASSERT_EQ(finals.size(), 1u);
     EXPECT_TRUE(finals[0].may_have_run);
-    EXPECT_EQ(bench.desk.in_hand(), 0u);
+    EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
   }
 }
 
-TEST(RouteDesk, ASecondSendAfterARefusalMayBeLostAndThenNoThirdFollows) {
+TEST(RouteDispatcher, ASecondSendAfterARefusalMayBeLostAndThenNoThirdFollows) {
   Bench bench;
   bench.see({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("n3", "north")});
   bench.arrive("once", 1);
@@ -464,13 +464,13 @@
   EXPECT_NE(second->runner, first->runner);
   bench.end(*second, RoutedEndKind::lost);
   bench.run_to(bench.now + Span{12000});
-  EXPECT_TRUE(bench.desk.take_sends().empty());
-  auto finals = bench.desk.take_finals();
+  EXPECT_TRUE(bench.dispatcher.take_sends().empty());
+  auto finals = bench.dispatcher.take_finals();
   ASSERT_EQ(finals.size(), 1u);
   EXPECT_TRUE(finals[0].may_have_run);
 }
 
-TEST(RouteDesk, AfterDefiniteRefusalsACallIsSentOnOnlyWithinItsSends) {
+TEST(RouteDispatcher, AfterDefiniteRefusalsACallIsSentOnOnlyWithinItsSends) {
   for (Integer max_sends : {1, 2, 3}) {
     auto settings = settings_of("d1", "north");
     settings.resend_start = settings.resend_bound = 100;
@@ -489,7 +489,7 @@
       bench.end(*send, sends % 2 == 1 ? RoutedEndKind::refused : RoutedEndKind::wrong_life);
     }
     EXPECT_EQ(sends, max_sends);
-    auto finals = bench.desk.take_finals();
+    auto finals = bench.dispatcher.take_finals();
     ASSERT_EQ(finals.size(), 1u);
     EXPECT_FALSE(finals[0].may_have_run);
     EXPECT_EQ(finals[0].code, 503);
@@ -497,7 +497,7 @@
   }
 }
 
-TEST(RouteDesk, AnUnsentCallIsSentOnAndCostsNoSend) {
+TEST(RouteDispatcher, AnUnsentCallIsSentOnAndCostsNoSend) {
   Bench bench;
   auto once = route_of("once", false);
   once.max_sends = 1;
@@ -509,13 +509,13 @@
   auto second = bench.sent();
   ASSERT_TRUE(second);
   EXPECT_NE(second->runner, first->runner);
-  EXPECT_EQ(bench.desk.counts().resends, 0);
+  EXPECT_EQ(bench.dispatcher.counts().resends, 0);
   bench.end(*second, RoutedEndKind::refused);
   EXPECT_FALSE(bench.sent());
-  EXPECT_EQ(bench.desk.take_finals().size(), 1u);
+  EXPECT_EQ(bench.dispatcher.take_finals().size(), 1u);
 }
 
-TEST(RouteDesk, WithoutResendsEarnedNothingIsSentTwice) {
+TEST(RouteDispatcher, WithoutResendsEarnedNothingIsSentTwice) {
   auto settings = settings_of("d1", "north");
   settings.resend_start = settings.resend_share = 0;
   Bench bench(settings);
@@ -526,47 +526,47 @@
     ASSERT_TRUE(send);
     bench.end(*send, RoutedEndKind::lost);
     EXPECT_FALSE(bench.sent());
-    EXPECT_EQ(bench.desk.take_finals().size(), 1u);
+    EXPECT_EQ(bench.dispatcher.take_finals().size(), 1u);
     bench.run_to(bench.now + Span{3000});
   }
 }
 
-TEST(RouteDesk, ABrokenStreamGoesOnElsewhereAfterItsLastEvent) {
+TEST(RouteDispatcher, ABrokenStreamGoesOnElsewhereAfterItsLastEvent) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("chat", 1);
   auto first = bench.sent();
   ASSERT_TRUE(first);
   EXPECT_EQ(first->resume_after, "");
-  bench.desk.first_piece(1, first->turn, bench.now);
+  bench.dispatcher.first_piece(1, first->turn, bench.now);
   auto end = bench.end_of(*first, RoutedEndKind::broken);
   end.last_event = "17";
-  bench.desk.end_send(end, bench.now);
+  bench.dispatcher.end_send(end, bench.now);
   auto second = bench.sent();
   ASSERT_TRUE(second);
   EXPECT_NE(second->runner, first->runner);
   EXPECT_EQ(second->resume_after, "17");
   EXPECT_EQ(second->turn, first->turn + 1);
   bench.end(*second, RoutedEndKind::answered);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
-  EXPECT_TRUE(bench.desk.take_finals().empty());
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
 }
 
-TEST(RouteDesk, ABrokenStreamThatMayNotBeResumedEndsVisibly) {
+TEST(RouteDispatcher, ABrokenStreamThatMayNotBeResumedEndsVisibly) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("once", 1);
   auto send = bench.sent();
   ASSERT_TRUE(send);
-  bench.desk.first_piece(1, send->turn, bench.now);
+  bench.dispatcher.first_piece(1, send->turn, bench.now);
   bench.end(*send, RoutedEndKind::broken);
   EXPECT_FALSE(bench.sent());
-  auto finals = bench.desk.take_finals();
+  auto finals = bench.dispatcher.take_finals();
   ASSERT_EQ(finals.size(), 1u);
   EXPECT_TRUE(finals[0].may_have_run);
 }
 
-TEST(RouteDesk, AnotherLifeAtTheAddressIsLeftAlone) {
+TEST(RouteDispatcher, AnotherLifeAtTheAddressIsLeftAlone) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("once", 1);
@@ -578,14 +578,14 @@
   EXPECT_NE(second->runner, first->runner);
   for (CallIndex index = 2; index <= 9; ++index) {
     bench.arrive("free", index);
-    for (const auto& send : bench.desk.take_sends()) EXPECT_NE(send.runner, first->runner);
+    for (const auto& send : bench.dispatcher.take_sends()) EXPECT_NE(send.runner, first->runner);
     bench.now = bench.now + Span{100};
   }
 }
 
 // --- silence -----------------------------------------------------------------------------------------
 
-TEST(RouteDesk, WhatASilentRunnerHoldsIsStoppedAndSentElsewhereIfItMayBeRepeated) {
+TEST(RouteDispatcher, WhatASilentRunnerHoldsIsStoppedAndSentElsewhereIfItMayBeRepeated) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("free", 1);
@@ -599,13 +599,13 @@
   }
   ASSERT_TRUE(second);
   EXPECT_NE(second->runner, first->runner);
-  auto stops = bench.desk.take_stops();
+  auto stops = bench.dispatcher.take_stops();
   ASSERT_EQ(stops.size(), 1u);
   EXPECT_EQ(stops[0].call, 1);
   EXPECT_EQ(stops[0].turn, first->turn);
 }
 
-TEST(RouteDesk, WhatMayNotBeRepeatedWaitsForASilentRunnerUntilItsHorizon) {
+TEST(RouteDispatcher, WhatMayNotBeRepeatedWaitsForASilentRunnerUntilItsDeadline) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("once", 1);
@@ -613,60 +613,60 @@
   ASSERT_TRUE(send);
   Moment begun = bench.now;
   bench.run_to(begun + Span{9900});
-  EXPECT_TRUE(bench.desk.take_sends().empty());
-  EXPECT_TRUE(bench.desk.take_stops().empty());
-  EXPECT_TRUE(bench.desk.take_finals().empty());
+  EXPECT_TRUE(bench.dispatcher.take_sends().empty());
+  EXPECT_TRUE(bench.dispatcher.take_stops().empty());
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
   bench.run_to(begun + Span{10200});
-  EXPECT_EQ(bench.desk.take_stops().size(), 1u);
-  auto finals = bench.desk.take_finals();
+  EXPECT_EQ(bench.dispatcher.take_stops().size(), 1u);
+  auto finals = bench.dispatcher.take_finals();
   ASSERT_EQ(finals.size(), 1u);
   EXPECT_EQ(finals[0].code, 504);
   EXPECT_TRUE(finals[0].may_have_run);
 }
 
-TEST(RouteDesk, ASilentRunnerWithNoOtherIsWaitedFor) {
+TEST(RouteDispatcher, ASilentRunnerWithNoOtherIsWaitedFor) {
   Bench bench;
   bench.see({runner_of("n1", "north")});
   bench.arrive("free", 1);
   auto send = bench.sent();
   ASSERT_TRUE(send);
   bench.run_to(bench.now + Span{5000});
-  EXPECT_TRUE(bench.desk.take_stops().empty());
+  EXPECT_TRUE(bench.dispatcher.take_stops().empty());
   bench.end(*send, RoutedEndKind::answered);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
 }
 
 // --- end ---------------------------------------------------------------------------------------------
 
-TEST(RouteDesk, ACallerThatLeavesStopsItsSend) {
+TEST(RouteDispatcher, ACallerThatLeavesStopsItsSend) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("once", 1);
   auto send = bench.sent();
   ASSERT_TRUE(send);
-  bench.desk.caller_gone(1, bench.now);
-  auto stops = bench.desk.take_stops();
+  bench.dispatcher.caller_gone(1, bench.now);
+  auto stops = bench.dispatcher.take_stops();
   ASSERT_EQ(stops.size(), 1u);
   EXPECT_EQ(stops[0].turn, send->turn);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
   bench.end(*send, RoutedEndKind::answered);  // too late
-  bench.desk.caller_gone(1, bench.now);
-  EXPECT_TRUE(bench.desk.take_finals().empty());
-  EXPECT_TRUE(bench.desk.take_stops().empty());
+  bench.dispatcher.caller_gone(1, bench.now);
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
+  EXPECT_TRUE(bench.dispatcher.take_stops().empty());
 }
 
-TEST(RouteDesk, ACallerThatLeavesWhilePendingIsForgotten) {
+TEST(RouteDispatcher, ACallerThatLeavesWhilePendingIsForgotten) {
   Bench bench;
   bench.see({});
   bench.arrive("free", 1);
-  bench.desk.caller_gone(1, bench.now);
+  bench.dispatcher.caller_gone(1, bench.now);
   bench.see(two_north);
   EXPECT_FALSE(bench.sent());
-  EXPECT_TRUE(bench.desk.take_stops().empty());
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
+  EXPECT_TRUE(bench.dispatcher.take_stops().empty());
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
 }
 
-TEST(RouteDesk, LateEndsOfAnOldTurnAreIgnored) {
+TEST(RouteDispatcher, LateEndsOfAnOldTurnAreIgnored) {
   Bench bench;
   bench.see(two_north);
   bench.arrive("free", 1);
@@ -676,16 +676,16 @@
   auto second = bench.sent();
   ASSERT_TRUE(second);
   for (auto kind : {RoutedEndKind::answered, RoutedEndKind::lost, RoutedEndKind::unsent, RoutedEndKind::caller_gone}) bench.end(*first, kind);
-  EXPECT_EQ(bench.desk.in_hand(), 1u);
+  EXPECT_EQ(bench.dispatcher.in_hand(), 1u);
   EXPECT_FALSE(bench.sent());
-  EXPECT_TRUE(bench.desk.take_finals().empty());
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
   bench.end(*second, RoutedEndKind::answered);
   bench.end(*second, RoutedEndKind::lost);
-  EXPECT_EQ(bench.desk.in_hand(), 0u);
-  EXPECT_TRUE(bench.desk.take_finals().empty());
+  EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
 }
 
-TEST(RouteDesk, AnEndToldTwiceCountsOnceWhileTheCallIsPendingAgain) {
+TEST(RouteDispatcher, AnEndToldTwiceCountsOnceWhileTheCallIsPendingAgain) {
   Bench bench;
   bench.see({runner_of("n1", "north")});
   bench.arrive("once", 1);
@@ -694,25 +694,25 @@
   bench.end(*first, RoutedEndKind::refused);
   bench.end(*first, RoutedEndKind::lost);
   bench.end(*first, RoutedEndKind::answered);
-  EXPECT_EQ(bench.desk.in_hand(), 1u);
-  EXPECT_TRUE(bench.desk.take_finals().empty());
+  EXPECT_EQ(bench.dispatcher.in_hand(), 1u);
+  EXPECT_TRUE(bench.dispatcher.take_finals().empty());
   bench.see(two_north);
   EXPECT_TRUE(bench.sent());
 }
 
-TEST(RouteDesk, APieceOfASendThatEndedSaysNothingOfTheNext) {
+TEST(RouteDispatcher, APieceOfASendThatEndedSaysNothingOfTheNext) {
   Bench bench;
   bench.see({runner_of("n1", "north")});
   bench.arrive("once", 1);
   auto first = bench.sent();
   ASSERT_TRUE(first);
   bench.end(*first, RoutedEndKind::refused);  // pending again: there is no other
-  bench.desk.first_piece(1, first->turn, bench.now);
+  bench.dispatcher.first_piece(1, first->turn, bench.now);
   bench.see({runner_of("n1", "north"), runner_of("n2", "north")});
   auto second = bench.sent();
   ASSERT_TRUE(second);
   bench.end(*second, RoutedEndKind::refused);
-  auto finals = bench.desk.take_finals();
+  auto finals = bench.dispatcher.take_finals();
   for (const auto& act : finals) EXPECT_FALSE(act.may_have_run);
 }
 
@@ -722,27 +722,27 @@
 
 struct Sent {  // what the world knows of one send
   Moment at;
-  int desk = 0;
+  int dispatcher = 0;
   bool is_first = false;  // of its call
   bool reaches = false;   // it does not end unsent
   PoolName of;
 };
 
-// Several desks, one master that shares cold runners out, runners that end sends at random.
+// Several dispatchers, one master that shares cold runners out, runners that end sends at random.
 struct Day {
   static constexpr std::int64_t length = 24000;
-  explicit Day(std::uint64_t seed) : dice(seed) {
+  explicit Day(std::uint64_t seed) : random(seed) {
     for (int i = 0; i < 12; ++i) {
       daemons.emplace_back();
       daemons.back().address = "d" + std::to_string(i);
       daemons.back().region = i % 3 == 0 ? "north" : i % 3 == 1 ? "south" : "west";
       start(daemons.back());
     }
-    auto count = 3 + dice.below(16);
+    auto count = 3 + random.below(16);
     for (int i = 0; i < count; ++i) add_runner();
-    calls_a_tick = 1 + dice.below(4);
-    trouble = dice.below(4) == 0 ? 0.6 : 0.03 + 0.1 * static_cast<double>(dice.below(3));
-    is_refusing = dice.below(3) == 0;
+    calls_a_tick = 1 + random.below(4);
+    trouble = random.below(4) == 0 ? 0.6 : 0.03 + 0.1 * static_cast<double>(random.below(3));
+    is_refusing = random.below(3) == 0;
   }
 
   struct InHand {
@@ -759,7 +759,7 @@
   struct Daemon {
     std::string address, region;
     int life = 0;
-    std::unique_ptr<RouteDesk> desk;
+    std::unique_ptr<RouteDispatcher> dispatcher;
     std::shared_ptr<const TrafficView> view;
     std::map<CallIndex, InHand> calls;
     std::deque<Letter> mail;
@@ -773,7 +773,7 @@
 
   void start(Daemon& daemon) {
     ++daemon.life;
-    daemon.desk = std::make_unique<RouteDesk>(settings_of(daemon.address, daemon.region));
+    daemon.dispatcher = std::make_unique<RouteDispatcher>(settings_of(daemon.address, daemon.region));
     daemon.view = nullptr;
     daemon.calls.clear();
     daemon.mail.clear();
@@ -781,16 +781,16 @@
 
   void add_runner() {
     const char* regions[] = {"north", "south", "west"};
-    auto row = runner_of("r" + std::to_string(++last_runner), regions[dice.below(3)], dice.chance(0.5) ? "warm" : "cold", 2 + dice.below(12));
-    row.pool.text = dice.chance(0.8) ? "p" : "q";
-    row.allowance = 1 + dice.below(30);
+    auto row = runner_of("r" + std::to_string(++last_runner), regions[random.below(3)], random.chance(0.5) ? "warm" : "cold", 2 + random.below(12));
+    row.pool.text = random.chance(0.8) ? "p" : "q";
+    row.allowance = 1 + random.below(30);
     runners[row.name] = row;
   }
 
   void change_runners() {
     for (auto entry = runners.begin(); entry != runners.end();) {
       RunnerRow& row = entry->second;
-      auto drawn = dice.below(120);
+      auto drawn = random.below(120);
       if (drawn == 0) {
         entry = runners.erase(entry);  // its life is over
         continue;
@@ -806,7 +806,7 @@
       if (drawn == 7) row.status = "down";
       ++entry;
     }
-    if (runners.size() < 3 || (runners.size() < 20 && dice.chance(0.1))) add_runner();
+    if (runners.size() < 3 || (runners.size() < 20 && random.chance(0.1))) add_runner();
   }
 
   void publish() {
@@ -830,7 +830,7 @@
     auto shared = std::make_shared<const TrafficView>(std::move(view));
     for (auto& daemon : daemons) {
       if (now < daemon.cut_until || now < daemon.down_until) continue;
-      Moment at = now + Span{1 + dice.below(120)};
+      Moment at = now + Span{1 + random.below(120)};
       if (!daemon.mail.empty()) at = std::max(at, daemon.mail.back().at);
       daemon.mail.push_back({at, shared, now});
     }
@@ -855,8 +855,8 @@
     call.of = row.pool;
     auto kind = RoutedEndKind::answered;
     bool is_silent = false;
-    if (dice.chance(trouble)) {
-      auto drawn = is_refusing ? 0 : dice.below(7);
+    if (random.chance(trouble)) {
+      auto drawn = is_refusing ? 0 : random.below(7);
       is_silent = drawn == 6;
       const RoutedEndKind kinds[] = {RoutedEndKind::refused, RoutedEndKind::wrong_life, RoutedEndKind::unsent, RoutedEndKind::lost, RoutedEndKind::broken, RoutedEndKind::lost, RoutedEndKind::lost};
       kind = kinds[drawn];
@@ -867,11 +867,11 @@
     if (row.status == "cold") cold_sends[send.runner].push_back(all_sends.back());
     if (is_silent) return;
     bool has_pieces = kind == RoutedEndKind::answered || kind == RoutedEndKind::broken;
-    Span takes{1 + dice.below(kind == RoutedEndKind::answered ? 400 : 60)};
+    Span takes{1 + random.below(kind == RoutedEndKind::answered ? 400 : 60)};
     CallIndex index = send.call;
     int turn = send.turn;
-    if (has_pieces) plan(daemon, Span{takes.value / 2}, [this, index, turn](Daemon& at) { at.desk->first_piece(index, turn, now); });
-    int ends = dice.chance(0.05) ? 2 : 1;  // told twice, now and then
+    if (has_pieces) plan(daemon, Span{takes.value / 2}, [this, index, turn](Daemon& at) { at.dispatcher->first_piece(index, turn, now); });
+    int ends = random.chance(0.05) ? 2 : 1;  // told twice, now and then
     for (int i = 0; i < ends; ++i)
       plan(daemon, takes, [this, index, turn, kind](Daemon& at) {
         auto found = at.calls.find(index);
@@ -881,56 +881,56 @@
         end.turn = turn;
         end.kind = kind;
         end.last_event = kind == RoutedEndKind::broken ? "5" : "";
-        end.has_report = dice.chance(0.3);
-        end.running = dice.below(10);
+        end.has_report = random.chance(0.3);
+        end.running = random.below(10);
         if (is_current) {
           found->second.is_sent = false;
           bool is_sure = kind == RoutedEndKind::refused || kind == RoutedEndKind::wrong_life || kind == RoutedEndKind::unsent;
           found->second.all_sure = found->second.all_sure && is_sure;
           if (kind == RoutedEndKind::answered) at.calls.erase(found);
         }
-        at.desk->end_send(end, now);
+        at.dispatcher->end_send(end, now);
       });
-    if (dice.chance(0.02)) plan(daemon, Span{dice.below(300)}, [this, index](Daemon& at) {
-      at.desk->caller_gone(index, now);
+    if (random.chance(0.02)) plan(daemon, Span{random.below(300)}, [this, index](Daemon& at) {
+      at.dispatcher->caller_gone(index, now);
       auto found = at.calls.find(index);
       if (found == at.calls.end()) return;
-      auto stops = at.desk->take_stops();
+      auto stops = at.dispatcher->take_stops();
       RC_ASSERT(stops.size() == (found->second.is_sent ? 1u : 0u));
       at.calls.erase(found);
     });
   }
 
   void collect(Daemon& daemon) {
-    for (const auto& stop : daemon.desk->take_stops()) {
+    for (const auto& stop : daemon.dispatcher->take_stops()) {
       auto entry = daemon.calls.find(stop.call);
       RC_ASSERT(entry != daemon.calls.end() && entry->second.is_sent && entry->second.turn == stop.turn);
       entry->second.is_sent = entry->second.all_sure = false;
     }
-    for (const auto& send : daemon.desk->take_sends()) take_send(daemon, send);
-    for (const auto& act : daemon.desk->take_finals()) {
+    for (const auto& send : daemon.dispatcher->take_sends()) take_send(daemon, send);
+    for (const auto& act : daemon.dispatcher->take_finals()) {
       auto entry = daemon.calls.find(act.call);
       RC_ASSERT(entry != daemon.calls.end());  // ends once
       RC_ASSERT(!entry->second.is_sent);
       RC_ASSERT(act.may_have_run || entry->second.all_sure);  // "surely not run" is true
       daemon.calls.erase(entry);
     }
-    RC_ASSERT(daemon.desk->in_hand() == daemon.calls.size());
+    RC_ASSERT(daemon.dispatcher->in_hand() == daemon.calls.size());
   }
 
   void arrive(Daemon& daemon) {
     static const char* names[] = {"free", "once", "homed", "first", "last", "chat"};
     RoutedCall call;
-    std::string name = names[dice.below(6)];
+    std::string name = names[random.below(6)];
     CallIndex index = ++last_call;
     call.id.text = "c" + std::to_string(index);
     call.host = "a.example";
     call.path = "/" + name + "/";
-    if (dice.chance(0.3)) call.prompt = {{static_cast<std::uint64_t>(dice.below(5)), 500 + dice.below(4000)}, {static_cast<std::uint64_t>(index) + 1000, 100}};
+    if (random.chance(0.3)) call.prompt = {{static_cast<std::uint64_t>(random.below(5)), 500 + random.below(4000)}, {static_cast<std::uint64_t>(index) + 1000, 100}};
     InHand known;
     known.is_repeatable = name != "once";
     daemon.calls[index] = known;
-    if (daemon.desk->arrive(call, now, index)) daemon.calls.erase(index);
+    if (daemon.dispatcher->arrive(call, now, index)) daemon.calls.erase(index);
     collect(daemon);
   }
 
@@ -941,14 +941,14 @@
       bool is_evening = now.value > length - 12000;  // nothing new: everything must end
       if (publish_at <= now) {
         publish();
-        publish_at = now + Span{60 + dice.below(200)};
+        publish_at = now + Span{60 + random.below(200)};
       }
       for (auto& daemon : daemons) {
         if (now < daemon.down_until) continue;
-        if (!is_evening && dice.below(4000) == 0) daemon.cut_until = now + Span{dice.below(4000)};
-        if (!is_evening && dice.below(3000) == 0) {
+        if (!is_evening && random.below(4000) == 0) daemon.cut_until = now + Span{random.below(4000)};
+        if (!is_evening && random.below(3000) == 0) {
           start(daemon);
-          daemon.down_until = now + Span{dice.below(600)};
+          daemon.down_until = now + Span{random.below(600)};
           continue;
         }
         while (!daemon.mail.empty() && daemon.mail.front().at <= now) {
@@ -956,14 +956,14 @@
           daemon.mail.pop_front();
           daemon.view = letter.view;
           daemon.cold_until = letter.said + ColdShares::lease;
-          daemon.desk->set_cold_until(daemon.cold_until);
+          daemon.dispatcher->set_cold_until(daemon.cold_until);
           for (const auto& [name, row] : letter.view->runners) {
             Integer calls = 0;
             for (const auto& grant : row.grants)
               if (grant.daemon.text == daemon.address) calls = grant.calls;
             daemon.shares[name].emplace_back(now, row.status == "cold" ? calls : 0);
           }
-          daemon.desk->see(letter.view, now);
+          daemon.dispatcher->see(letter.view, now);
           collect(daemon);
         }
       }
@@ -976,13 +976,13 @@
         collect(daemon);
       }
       if (!is_evening)
-        for (auto i = dice.below(calls_a_tick + 1); i > 0; --i) {
-          Daemon& daemon = daemons[static_cast<std::size_t>(dice.below(12))];
+        for (auto i = random.below(calls_a_tick + 1); i > 0; --i) {
+          Daemon& daemon = daemons[static_cast<std::size_t>(random.below(12))];
           if (daemon.down_until <= now) arrive(daemon);
         }
       if (now.value % 15 == 0)
         for (auto& daemon : daemons) {
-          daemon.desk->on_alarm(now);
+          daemon.dispatcher->on_timer(now);
           collect(daemon);
         }
     }
@@ -1007,7 +1007,7 @@
       for (std::size_t end = 0, begin = 0; end < sends.size(); ++end) {
         while (sends[end].at - sends[begin].at >= Span{1000}) ++begin;
         std::map<int, Integer> by_daemon;
-        for (std::size_t i = begin; i <= end; ++i) ++by_daemon[sends[i].desk];
+        for (std::size_t i = begin; i <= end; ++i) ++by_daemon[sends[i].dispatcher];
         Integer sum = 0, granted = 0;
         for (const auto& [index, count] : by_daemon) {
           sum += count;
@@ -1033,7 +1033,7 @@
     }
   }
 
-  Dice dice;
+  RandomGenerator random;
   Moment now{0};
   std::vector<Daemon> daemons;
   std::map<RunnerName, RunnerRow> runners;
@@ -1052,14 +1052,14 @@
 }  // namespace
 
 // (c), (d) and that each call ends once are checked at every step.
-RC_GTEST_PROP(RouteDeskDays, NothingIsOverspentOrSentTwiceAndEverythingEnds, (std::uint64_t seed)) {
+RC_GTEST_PROP(RouteDispatcherDays, NothingIsOverspentOrSentTwiceAndEverythingEnds, (std::uint64_t seed)) {
   Day day(seed);
   day.run();
   day.check_cold();
   day.check_resends();
   for (const auto& daemon : day.daemons) {
     RC_ASSERT(daemon.calls.empty());
-    RC_ASSERT(daemon.desk->in_hand() == 0u);  // (e)
+    RC_ASSERT(daemon.dispatcher->in_hand() == 0u);  // (e)
   }
   RC_TAG(day.cold_sends.empty() ? "no cold sends" : "cold sends");
 }
--- a/packages/configuration-checker/src/main.cpp
+++ b/packages/configuration-checker/src/main.cpp
@@ -97,7 +97,7 @@
     }
     if (able == 0) findings.push_back({"warning", std::string(plans_kind) + "/" + plan.name.text, "/pool", 0, 0, "no runner of pool '" + plan.pool.text + "' serves at this moment"});
   }
-  std::map<std::pair<std::string, std::string>, std::pair<std::int64_t, std::int64_t>> left;  // burden now, capacity left
+  std::map<std::pair<std::string, std::string>, std::pair<std::int64_t, std::int64_t>> left;  // load now, capacity left
   for (const auto& runner : configuration.runners) {
     auto row = rows.find(runner.name.text);
     if (row == rows.end()) continue;
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -38,10 +38,10 @@
 //   RegisterProposer proposer(self, Dice(1)); proposer.learn_acceptors(from_a_ping_answer);
 //   proposer.change([](const FleetState& s) { ... }, [](const ChangeEnd& end) { ... }, now, Span{3000});
 //   proposer.poll(now);            // refreshes state() by a majority read, mends stale copies
-//   proposer.on_message(from, message, now); proposer.on_alarm(now); for (auto& s : proposer.take_out()) send(s);
+//   proposer.on_message(from, message, now); proposer.on_timer(now); for (auto& s : proposer.take_out()) send(s);
 class RegisterProposer {
  public:
-  RegisterProposer(Address self, Dice dice) : self_(std::move(self)), dice_(dice), last_ask_(first_ask(dice_)) {}
+  RegisterProposer(Address self, RandomGenerator random) : self_(std::move(self)), random_(random), last_ask_(first_ask(random_)) {}
 
   // The set as others tell of it: taken while none is known, else asked as well when the known one has not
   // answered for a while (it may have been replaced whole). Example: proposer.learn_acceptors(answer.acceptors)
@@ -49,7 +49,7 @@
   void change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience);
   void poll(Moment now, const std::string& role, bool wants_heard);
   bool on_message(const Address& from, const Message& message, Moment now);
-  void on_alarm(Moment now);
+  void on_timer(Moment now);
   std::vector<Sending> take_out();
 
   bool has_state() const { return has_state_; }
@@ -70,7 +70,7 @@
   struct Job {
     Change change;
     std::function<void(const ChangeEnd&)> done;
-    Moment horizon;
+    Moment deadline;
     bool was_accept_sent = false;
   };
   struct Round {
@@ -110,7 +110,7 @@
   void send_each(const std::vector<AcceptorEntry>& stores, const std::function<Message(const StoreId&)>& make);
 
   Address self_;
-  Dice dice_;
+  RandomGenerator random_;
   std::vector<AcceptorEntry> acceptors_, next_acceptors_;
   Address value_at_;          // a copy that holds a newer value than is known here
   std::set<Address> hints_;  // where others say copies are
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -98,7 +98,7 @@
     answer.store = store_;
     answer.blank = is_blank();
     answer.accepted = synced_.accepted;
-    answer.floor = state_.floor;
+    answer.minimum_version = state_.minimum_version;
     answer.acceptors = state_.acceptors;
     answer.next_acceptors = state_.next_acceptors;
     answer.awake = (now - *awake_since_).value;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -90,7 +90,7 @@
   round.phase = Round::Phase::pausing;
   round.ask = ++last_ask_;
   std::int64_t spread = 20ll << std::min(round.tries, 5);
-  round.phase_end = now + Span{5 + dice_.below(spread)};
+  round.phase_end = now + Span{5 + random_.below(spread)};
 }
 
 void RegisterProposer::begin_accept(Moment now) {
@@ -119,7 +119,7 @@
     round.end.state = *found;
     if (is_settled) {
       // What was found is chosen, and may be newer than all that was read: whoever hears of the end
-      // must see it. (A master that did not gave the next map the number that bars older ones.)
+      // must see it. (A master that did not gave the next map the number that holds older ones.)
       adopt(round.highest, *found, confirmed_at_);
       finish(round.end, now);
       return;
@@ -325,10 +325,10 @@
   return false;
 }
 
-void RegisterProposer::on_alarm(Moment now) {
-  // What waits behind a change in hand keeps its own horizon, and is surely not applied.
+void RegisterProposer::on_timer(Moment now) {
+  // What waits behind a change in hand keeps its own deadline, and is surely not applied.
   for (std::size_t i = 0; i < waiting_.size();) {
-    if (waiting_[i].horizon <= now) {
+    if (waiting_[i].deadline <= now) {
       auto done = std::move(waiting_[i].done);
       waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
       if (done) done({ChangeEnd::Kind::no_majority, {}, "the register gave no answer in time"});
@@ -341,7 +341,7 @@
     return;
   }
   Round& round = *current_;
-  if (round.job.horizon <= now) {
+  if (round.job.deadline <= now) {
     bool was_sent = round.job.was_accept_sent;
     finish({was_sent ? ChangeEnd::Kind::unknown : ChangeEnd::Kind::no_majority, {},
             was_sent ? "no majority confirmed the change in time" : "no majority of core machines answered"}, now);
--- a/packages/configuration-register/tests/configuration_register_test.cpp
+++ b/packages/configuration-register/tests/configuration_register_test.cpp
@@ -16,10 +16,10 @@
 
 using Fault = MemoryFileSystem::Fault;
 
-// Three copies on disks of their own and any number of proposers, over a network that the dice order.
+// Three copies on disks of their own and any number of proposers, over a network that the random generator order.
 class RegisterBench {
  public:
-  explicit RegisterBench(std::uint64_t seed, std::size_t segment = 2000) : dice_(seed), segment_(segment) {
+  explicit RegisterBench(std::uint64_t seed, std::size_t segment = 2000) : random_(seed), segment_(segment) {
     FleetState state;
     state.fleet = "bench";
     state.version = 1;
@@ -35,7 +35,7 @@
   static Address place(int i) { return Address{"core-" + std::to_string(i)}; }
 
   void add_proposer(const std::string& name) {
-    proposers_.emplace(Address{name}, std::make_unique<RegisterProposer>(Address{name}, Dice(dice_.next())));
+    proposers_.emplace(Address{name}, std::make_unique<RegisterProposer>(Address{name}, RandomGenerator(random_.next())));
     proposers_.at(Address{name})->learn_acceptors(founding_.acceptors);
   }
   RegisterProposer& proposer(const std::string& name) { return *proposers_.at(Address{name}); }
@@ -78,7 +78,7 @@
     Copy& copy = copies_[address];
     copy.acceptor.reset();
     copy.log.reset();
-    if (is_power_cut) copy.files->power_on(dice_);
+    if (is_power_cut) copy.files->power_on(random_);
     copy.files->is_off = false;
   }
   MemoryFileSystem& disk(int i) { return *copies_[place(i)].files; }
@@ -87,15 +87,15 @@
 
   // One message in any order, or a step of time. Messages may be lost or come twice.
   void step(double loss, double twice) {
-    if (!net_.empty() && dice_.chance(0.85)) {
-      auto index = static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(net_.size())));
+    if (!net_.empty() && random_.chance(0.85)) {
+      auto index = static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(net_.size())));
       auto letter = net_[index];
-      if (!dice_.chance(twice)) net_.erase(net_.begin() + static_cast<std::ptrdiff_t>(index));
-      if (!dice_.chance(loss)) bring(letter);
+      if (!random_.chance(twice)) net_.erase(net_.begin() + static_cast<std::ptrdiff_t>(index));
+      if (!random_.chance(loss)) bring(letter);
     } else {
       now_ += 5;
       for (auto& [address, proposer] : proposers_) {
-        proposer->on_alarm(Moment{now_});
+        proposer->on_timer(Moment{now_});
         if (now_ % 150 == 0) proposer->poll(Moment{now_}, "core", false);
         collect(address);
       }
@@ -174,7 +174,7 @@
     for (auto& sending : proposers_.at(address)->take_out()) post(address, sending.to, std::move(sending.message));
   }
 
-  Dice dice_;
+  RandomGenerator random_;
   std::size_t segment_;
   FleetState founding_;
   std::map<Address, Copy> copies_;
@@ -217,16 +217,16 @@
 TEST(ConfigurationRegister, AnyOrderOfMessagesAndPowerCutsKeepsEveryAcknowledgedChange) {
   EXPECT_TRUE(rc::check([](std::uint64_t seed) {
     RegisterBench bench(seed);
-    Dice dice(seed + 1);
+    RandomGenerator random(seed + 1);
     for (const char* name : {"one", "other", "third"}) bench.add_proposer(name);
     for (int i = 0; i < 12; ++i) {
       bench.add_mark("one");
-      if (dice.chance(0.7)) bench.add_mark("other");
-      if (dice.chance(0.4)) bench.add_mark("third");
+      if (random.chance(0.7)) bench.add_mark("other");
+      if (random.chance(0.4)) bench.add_mark("third");
       for (int j = 0; j < 120; ++j) bench.step(0.1, 0.1);
-      if (dice.chance(0.3)) {
-        Address address = RegisterBench::place(static_cast<int>(dice.below(3)));
-        bench.stop(address, dice.chance(0.7));
+      if (random.chance(0.3)) {
+        Address address = RegisterBench::place(static_cast<int>(random.below(3)));
+        bench.stop(address, random.chance(0.7));
         for (int j = 0; j < 80; ++j) bench.step(0.1, 0.1);
         bench.start(address);
       }
@@ -323,7 +323,7 @@
 
 TEST(ConfigurationRegister, WhoeverHearsThatAChangeIsThereAlsoSeesTheStateThatHoldsIt) {
   // Found by seed 30216: a master heard that its edit was in, but still saw the state before it, and gave the
-  // next map the number that bars older ones.
+  // next map the number that holds older ones.
   RegisterBench bench(11);
   bench.add_proposer("one");
   bench.add_mark("one");
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -10,14 +10,14 @@
 
 #include "emberdale/cold_shares.hpp"
 #include "emberdale/core_founder.hpp"
-#include "emberdale/core_minder.hpp"
+#include "emberdale/membership_reconciler.hpp"
 #include "emberdale/core_set.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
 #include "emberdale/map_slices.hpp"
 #include "emberdale/master_edits.hpp"
 #include "emberdale/master_election.hpp"
-#include "emberdale/masters_word.hpp"
+#include "emberdale/leader_lease.hpp"
 #include "emberdale/placement_map.hpp"
 #include "emberdale/register_acceptor.hpp"
 #include "emberdale/register_proposer.hpp"
@@ -32,20 +32,20 @@
 struct ControlDaemonSettings {
   DaemonEntry self;  // role "core" or "edge"
   std::vector<Address> seeds;
-  std::uint64_t dice_seed = 1;
+  std::uint64_t random_seed = 1;
   ElectionTimes election;
   // For deployments of one process a machine (docs/design.md): role "edge" with an acceptor.
   bool founds_itself = false;          // true only on the very first start of the whole system, on empty disks
-  bool minds_core_set = false;         // newcomers replace silent core machines, or are added, by themselves
+  bool reconciles_membership = false;         // newcomers replace silent core machines, or are added, by themselves
   bool acknowledges_at_once = false;   // data daemons serve on without grants: no elder's word is waited for
   bool reads_runner_list = false;  // runners come from an outside list, not from operators' documents
   Span probe_pace{400};            // between two probes of one runner
-  Span ghost_span{30000};          // who is silent for so long leaves the roster by the master's hand
+  Span dead_member_span{30000};          // who is silent for so long leaves the roster by the master's hand
 };
 
 // Example:
 //   ControlDaemon daemon(settings, nullptr); daemon.start(now);
-//   daemon.on_message(from, message, now); daemon.on_alarm(now);          // every 50 ms or so
+//   daemon.on_message(from, message, now); daemon.on_timer(now);          // every 50 ms or so
 //   for (auto& s : daemon.take_out()) links.send(s.to, s.message);
 class ControlDaemon {
  public:
@@ -53,10 +53,10 @@
 
   void start(Moment now);
   void on_message(const Address& from, const Message& message, Moment now);
-  void on_alarm(Moment now);
+  void on_timer(Moment now);
   void on_probe(const RunnerStatus& status, Moment now);
-  // No one listens at a sibling's address. Example: daemon.on_refused(sibling, now);
-  void on_refused(const Address& sibling, Moment now);
+  // No one listens at a peer's address. Example: daemon.on_refused(peer, now);
+  void on_refused(const Address& peer, Moment now);
   void synced(std::int64_t token, Moment now);
   void write_refused(std::int64_t token);
   void stop(Moment now);
@@ -93,8 +93,8 @@
   void replace_core(const Address& old_address, const Address& new_address,
                     std::function<void(int code, const std::string& reason)> done, Moment now);
 
-  // Guards that a test takes out, to see the rule break: acknowledge at once in a new reign...
-  void take_ack_wait_out() { word_.is_wait_off = true; }
+  // Guards that a test takes out, to see the rule break: acknowledge at once in a new term...
+  void take_ack_wait_out() { lease_.is_wait_off = true; }
   // ...and take every join for a promise.
   bool is_promise_off = false;
 
@@ -108,7 +108,7 @@
   std::vector<DaemonEntry> known() const;
   std::vector<InForce> in_force(Moment now) const;
   struct Counts {
-    std::int64_t maps_published = 0, maps_taken = 0, maps_fenced = 0, messages_in = 0, bars_passed = 0;
+    std::int64_t maps_published = 0, maps_taken = 0, maps_fenced = 0, messages_in = 0, holds_passed = 0;
   };
   const Counts& counts() const { return counts_; }
   const MasterEdits::Counts& edit_counts() const { return edits_.counts(); }
@@ -125,7 +125,7 @@
     Address master;
   };
   struct Waiting {  // a view or a read that was asked here
-    Moment horizon, since;
+    Moment deadline, since;
     std::function<void(const ViewAnswer&)> view;
     std::function<void(const FleetState*)> read;
   };
@@ -133,12 +133,12 @@
   bool is_edge() const { return settings_.self.role == "edge"; }
   void see_state(Moment now);
   void keep_roster(Moment now);
-  void mind_core_set(Moment now);
+  void reconcile_membership(Moment now);
   bool is_led_by_others(Moment now) const;
-  bool is_ghost(const Address& daemon, Moment now) const;
-  bool is_leaderless() const { return settings_.minds_core_set && election_.master().empty(); }
+  bool is_dead_member(const Address& daemon, Moment now) const;
+  bool is_leaderless() const { return settings_.reconciles_membership && election_.master().empty(); }
   void answer_ping(const Address& from, const Ping& ping, Moment now);
-  void claim_reign(const ReignClaim& claim, Moment now);
+  void claim_term(const TermClaim& claim, Moment now);
   void begin_leading(Moment now);
   void publish(Moment now, bool is_due);
   void take_map(const PlacementMap& map, Moment now);
@@ -148,13 +148,13 @@
   void settle_edits(Moment now);
   void end_edits();
   void forward_edits(Moment now);
-  void pass_bar(const Bar& bar);
-  void pass_bars(Moment now);
-  void lift_bar(const PassedBar& passed, const EditAnswer& answer);
+  void pass_hold(const Hold& hold);
+  void pass_holds(Moment now);
+  void lift_hold(const PassedHold& passed, const EditAnswer& answer);
   Integer version_of(const EditAsk& ask) const;
   void keep_windows(Moment now);
   // Long enough a master for every data daemon to have told what it holds, or to have lost an elder's word.
-  bool is_settled(Moment now) const { return election_.is_master() && now - word_.leading_since() >= Span{word_.ack_wait().value + 3000}; }
+  bool is_settled(Moment now) const { return election_.is_master() && now - lease_.leading_since() >= Span{lease_.ack_wait().value + 3000}; }
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
@@ -166,16 +166,16 @@
   void note(Moment now, const std::string& kind, const std::string& detail) { journal_.append(now, kind, detail); }
 
   ControlDaemonSettings settings_;
-  Dice dice_;
+  RandomGenerator random_;
   Integer last_ask_;
   std::unique_ptr<RegisterAcceptor> acceptor_;
   RegisterProposer proposer_;
   MasterElection election_;
   EventJournal journal_{512};
-  MastersWord word_;
+  LeaderLease lease_;
   MasterEdits edits_;
   EditForwarder forwarder_;
-  CoreMinder minder_;
+  MembershipReconciler reconciler_;
   CoreFounder founder_;
   CoreSet core_set_;
   RosterKeeper roster_keeper_;
--- a/packages/control-plane/include/emberdale/core_founder.hpp
+++ b/packages/control-plane/include/emberdale/core_founder.hpp
@@ -14,15 +14,15 @@
 
 // Example:
 //   CoreFounder founder(proposer, journal, self, seeds, Dice(1)); founder.start(now);
-//   founder.on_message(from, message, now); founder.on_alarm(now); for (auto& s : founder.take_out()) send(s);
+//   founder.on_message(from, message, now); founder.on_timer(now); for (auto& s : founder.take_out()) send(s);
 class CoreFounder {
  public:
-  CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds, Dice dice);
+  CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds, RandomGenerator random);
 
   // Begins if this daemon is the smallest of the seeds; else it does nothing, ever. Example: founder.start(now)
   void start(Moment now);
   void on_message(const Address& from, const Message& message, Moment now);
-  void on_alarm(Moment now);
+  void on_timer(Moment now);
   std::vector<Sending> take_out() { return std::exchange(out_, {}); }
   // True once, when a majority holds the founding. Example: if (founder.take_founded()) poll();
   bool take_founded() { return std::exchange(was_founded_, false); }
@@ -44,7 +44,7 @@
   EventJournal& journal_;
   Address self_;
   std::set<Address> seeds_;
-  Dice dice_;
+  RandomGenerator random_;
   Integer ask_;
   Phase phase_ = Phase::idle;
   std::map<Address, Blank> blanks_;
--- a/packages/control-plane/include/emberdale/core_set.hpp
+++ b/packages/control-plane/include/emberdale/core_set.hpp
@@ -1,5 +1,5 @@
 // The set of core machines that keep the register: founded once, mended when a machine comes back wiped,
-// changed by one command when one is replaced, or by itself as its minder says. Without I/O, clock or threads.
+// changed by one command when one is replaced, or by itself as its reconciler says. Without I/O, clock or threads.
 #pragma once
 #include <functional>
 #include <map>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "emberdale/core_minder.hpp"
+#include "emberdale/membership_reconciler.hpp"
 #include "emberdale/event_journal.hpp"
 #include "emberdale/register_proposer.hpp"
 
@@ -16,16 +16,16 @@
 
 // Example:
 //   CoreSet cores(proposer, journal, "core", true, Dice(1)); cores.found("caspian", addresses, done, now);
-//   cores.on_message(from, message, now); cores.on_alarm(now); for (auto& s : cores.take_out()) send(s);
+//   cores.on_message(from, message, now); cores.on_timer(now); for (auto& s : cores.take_out()) send(s);
 class CoreSet {
  public:
   using Done = std::function<void(int code, const std::string& reason)>;
-  CoreSet(RegisterProposer& proposer, EventJournal& journal, std::string role, bool has_acceptor, Dice dice)
-      : proposer_(proposer), journal_(journal), role_(std::move(role)), has_acceptor_(has_acceptor), dice_(dice), last_ask_(first_ask(dice_)) {}
+  CoreSet(RegisterProposer& proposer, EventJournal& journal, std::string role, bool has_acceptor, RandomGenerator random)
+      : proposer_(proposer), journal_(journal), role_(std::move(role)), has_acceptor_(has_acceptor), random_(random), last_ask_(first_ask(random_)) {}
 
-  void start(Moment now) { mend_next_ = now + (minder_ == nullptr ? Span{1000 + dice_.below(1000)} : Span{dice_.below(200)}); }
-  // From now on the set minds itself, and is looked after several times a second. Example: cores.set_minder(minder)
-  void set_minder(CoreMinder& minder) { minder_ = &minder; }
+  void start(Moment now) { mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1000)} : Span{random_.below(200)}); }
+  // From now on the set minds itself, and is looked after several times a second. Example: cores.set_reconciler(reconciler)
+  void set_reconciler(MembershipReconciler& reconciler) { reconciler_ = &reconciler; }
   // Founds a fleet on blank core machines, once. Example: cores.found("caspian", addresses, done, now)
   void found(const std::string& fleet, const std::vector<Address>& cores, Done done, Moment now);
   // Puts an empty core machine in the place of another. Example: cores.replace(old, fresh, done, now)
@@ -34,7 +34,7 @@
   void on_message(const Address& from, const Message& message, Moment now);
   // The register's state has changed: a replacement may be whole. Example: cores.on_state()
   void on_state();
-  void on_alarm(Moment now);
+  void on_timer(Moment now);
   std::vector<Sending> take_out() { return std::exchange(out_, {}); }
   // True once after a founding: the register is there to be read. Example: if (cores.take_founded()) poll();
   bool take_founded() { return std::exchange(was_founded_, false); }
@@ -46,14 +46,14 @@
     std::map<Address, StoreId> stores;
     std::set<StoreId> granted;
     Bytes value;
-    Moment horizon;
+    Moment deadline;
     Done done;
     Integer ask = 0;
   };
   struct Replacing {
     Address old_address, new_address;
     StoreId new_store;
-    Moment horizon;
+    Moment deadline;
     Done done;
     Integer ask = 0;
     bool is_asked = false;
@@ -69,8 +69,8 @@
   EventJournal& journal_;
   std::string role_;
   bool has_acceptor_;
-  CoreMinder* minder_ = nullptr;  // lives as long as the daemon
-  Dice dice_;
+  MembershipReconciler* reconciler_ = nullptr;  // lives as long as the daemon
+  RandomGenerator random_;
   Integer last_ask_;
   std::optional<Founding> founding_;
   std::optional<Replacing> replacing_;
--- a/packages/control-plane/include/emberdale/masters_word.hpp
+++ b/packages/control-plane/include/emberdale/leader_lease.hpp
@@ -1,4 +1,4 @@
-// The master's word that its maps are still current, and how long a new reign must wait for an elder's word
+// The leader lease that its maps are still current, and how long a new term must wait for an elder's word
 // to lapse. docs/design.md, "Freshness", says why this holds. Without I/O, clock or threads.
 #pragma once
 #include <set>
@@ -11,27 +11,27 @@
 namespace emberdale {
 
 // Example:
-//   MastersWord word(proposer, election, self); word.begin(now);     // a reign begins
-//   if (word.may_vouch(now)) ...; word.keep(now); now - began < word.ack_wait()
-class MastersWord {
+//   LeaderLease word(proposer, election, self); word.begin(now);     // a term begins
+//   if (word.may_grant_lease(now)) ...; word.keep(now); now - began < word.ack_wait()
+class LeaderLease {
  public:
-  MastersWord(RegisterProposer& proposer, const MasterElection& election, Address self)
+  LeaderLease(RegisterProposer& proposer, const MasterElection& election, Address self)
       : proposer_(proposer), election_(election), self_(std::move(self)) {}
 
-  // What a claim makes of the state: the next reign, how long it must wait, and whose echoes bind its own
-  // word. `is_at_once`: no grants hang on an elder's word, so no reign waits.
-  // Example: MastersWord::claimed(state, claim, self, false).reign == state.reign + 1
-  static FleetState claimed(const FleetState& state, const ReignClaim& claim, const Address& self, bool is_promise_off,
+  // What a claim makes of the state: the next term, how long it must wait, and whose acknowledges bind its own
+  // word. `is_at_once`: no grants hang on an elder's word, so no term waits.
+  // Example: LeaderLease::claimed(state, claim, self, false).term == state.term + 1
+  static FleetState claimed(const FleetState& state, const TermClaim& claim, const Address& self, bool is_promise_off,
                             bool is_at_once = false);
 
   void begin(Moment now);
   Moment leading_since() const { return leading_since_; }
-  // How old this reign must be before it acknowledges. Example: if (now - word.leading_since() < word.ack_wait()) ...
+  // How old this term must be before it acknowledges. Example: if (now - word.leading_since() < word.ack_wait()) ...
   Span ack_wait() const { return Span{is_wait_off || !proposer_.has_state() ? 0 : proposer_.state().ack_wait}; }
   bool is_waiting(Moment now) const { return now - leading_since_ < ack_wait(); }
-  // Whether this reign was in force at a majority of the core not too long ago, and a majority of the word's
+  // Whether this term was in force at a majority of the core not too long ago, and a majority of the word's
   // roster, as the register has it and as it was last tried to be written, follows still.
-  bool may_vouch(Moment now) const;
+  bool may_grant_lease(Moment now) const;
   // Keeps the word's roster at the fleet's, and ends a long wait that is over. Example: word.keep(now)
   void keep(Moment now);
 
@@ -41,7 +41,7 @@
  private:
   bool is_in_force() const {
     const FleetState& state = proposer_.state();
-    return election_.is_master() && state.reign == election_.reign() && state.master == self_;
+    return election_.is_master() && state.term == election_.term() && state.master == self_;
   }
   RegisterProposer& proposer_;
   const MasterElection& election_;
--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -10,14 +10,14 @@
 
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
-#include "emberdale/masters_word.hpp"
+#include "emberdale/leader_lease.hpp"
 #include "emberdale/register_proposer.hpp"
 #include "emberdale/serving_plans.hpp"
 
 namespace emberdale {
 
 // Example:
-//   MasterEdits edits(proposer, election, word, journal, self); edits.begin();       // a reign begins
+//   MasterEdits edits(proposer, election, word, journal, self); edits.begin();       // a term begins
 //   edits.take(ask, from, nullptr, {}, false, now); edits.run(map.version, now);
 //   edits.settle(map.version, holders, now); for (auto& ended : edits.take_ended()) answer(ended);
 class MasterEdits {
@@ -26,15 +26,15 @@
     EditAsk ask;
     Address from;  // empty: asked here
     EditDone done;
-    PassedBar bar;
+    PassedHold hold;
     bool has_copies = false;  // elder masters were handed it too, and have not answered
-    Moment horizon;
+    Moment deadline;
     MapVersion covered_by;
     EditAnswer answer;
     bool is_committed = false;
   };
-  MasterEdits(RegisterProposer& proposer, const MasterElection& election, const MastersWord& word, EventJournal& journal, Address self)
-      : proposer_(proposer), election_(election), word_(word), journal_(journal), self_(std::move(self)) {}
+  MasterEdits(RegisterProposer& proposer, const MasterElection& election, const LeaderLease& lease, EventJournal& journal, Address self)
+      : proposer_(proposer), election_(election), lease_(lease), journal_(journal), self_(std::move(self)) {}
 
   void begin();
   // An edit asked here, or handed over; asked again, it is answered as before. Example: edits.take(edit, now)
@@ -42,12 +42,12 @@
   void run(const MapVersion& map_version, Moment now);
   // `holders`: how many of the roster hold a map that covers a version, this daemon among them.
   void settle(const MapVersion& map_version, const std::function<std::size_t(const MapVersion&)>& holders, Moment now);
-  // What an unknown outcome left open is read back. Example: edits.on_alarm(now)
-  void on_alarm(Moment now);
+  // What an unknown outcome left open is read back. Example: edits.on_timer(now)
+  void on_timer(Moment now);
   // While an edit's two rounds or its unknown outcome are open, no map may take a number.
   bool is_open() const { return is_in_flight_ || is_outcome_open_; }
-  // The highest floor that this reign ever tried to write: its number stands for that edit alone.
-  const MapVersion& attempted_floor() const { return attempted_floor_; }
+  // The highest minimum version that this term ever tried to write: its number stands for that edit alone.
+  const MapVersion& attempted_minimum_version() const { return attempted_minimum_version_; }
   bool empty() const { return edits_.empty(); }
   std::vector<Edit>& in_hand() { return edits_; }
   // Those that ended, each with its answer. Example: for (auto& edit : edits.take_ended()) send(edit.answer)
@@ -63,12 +63,12 @@
 
   RegisterProposer& proposer_;
   const MasterElection& election_;
-  const MastersWord& word_;
+  const LeaderLease& lease_;
   EventJournal& journal_;
   Address self_;
   std::vector<Edit> edits_, ended_;
   bool is_in_flight_ = false, is_outcome_open_ = false;
-  MapVersion attempted_floor_;
+  MapVersion attempted_minimum_version_;
   // What was answered to edits handed over: asked again, this master says the same and does nothing.
   std::map<std::string, EditAnswer> answered_;
   std::deque<std::string> answered_order_;
--- a/packages/control-plane/include/emberdale/core_minder.hpp
+++ b/packages/control-plane/include/emberdale/membership_reconciler.hpp
@@ -18,22 +18,22 @@
 };
 
 // Example:
-//   CoreMinder minder(proposer, self, Dice(1)); minder.start(now);
-//   minder.see_daemons(heard, now); minder.on_message(from, message, now); minder.on_alarm(now);
-//   if (auto due = minder.due_change(now)) proposer.change(due->change, ...);
-class CoreMinder {
+//   MembershipReconciler reconciler(proposer, self, Dice(1)); reconciler.start(now);
+//   reconciler.see_daemons(heard, now); reconciler.on_message(from, message, now); reconciler.on_timer(now);
+//   if (auto due = reconciler.due_change(now)) proposer.change(due->change, ...);
+class MembershipReconciler {
  public:
-  CoreMinder(const RegisterProposer& proposer, Address self, Dice dice) : proposer_(proposer), self_(std::move(self)), dice_(dice), ask_(first_ask(dice_)) {}
+  MembershipReconciler(const RegisterProposer& proposer, Address self, RandomGenerator random) : proposer_(proposer), self_(std::move(self)), random_(random), ask_(first_ask(random_)) {}
 
-  void start(Moment now) { alarm_at_ = awake_since_ = now; }
+  void start(Moment now) { timer_at_ = awake_since_ = now; }
   // Daemons that were heard of: those outside the set are asked for their stores, at most once a second each.
   void see_daemons(const std::vector<DaemonEntry>& daemons, Moment now);
   void on_message(const Address& from, const Message& message, Moment now);
-  // After a pause (a frozen process, a machine that slept) silences are counted anew. Example: minder.on_alarm(now)
-  void on_alarm(Moment now);
+  // After a pause (a frozen process, a machine that slept) silences are counted anew. Example: reconciler.on_timer(now)
+  void on_timer(Moment now);
   // This daemon has just founded the fleet: who is there by now is added without the usual wait.
   void on_founded(Moment now) { founded_at_ = now; }
-  // What the set needs now, if anything: a newcomer for a silent copy, one more copy, or a ghost less.
+  // What the set needs now, if anything: a newcomer for a silent copy, one more copy, or a dead member less.
   std::optional<SetChange> due_change(Moment now);
   std::vector<Sending> take_out() { return std::exchange(out_, {}); }
 
@@ -53,9 +53,9 @@
 
   const RegisterProposer& proposer_;
   Address self_;
-  Dice dice_;
+  RandomGenerator random_;
   Integer ask_;
-  Moment alarm_at_, awake_since_, founded_at_{-100000};
+  Moment timer_at_, awake_since_, founded_at_{-100000};
   std::map<Address, Answered> answered_;
   std::map<Address, Moment> member_since_;  // as seen here: before that, nobody was asked regularly
   std::map<Address, Newcomer> newcomers_;
--- a/packages/control-plane/include/emberdale/roster_keeper.hpp
+++ b/packages/control-plane/include/emberdale/roster_keeper.hpp
@@ -1,4 +1,4 @@
-// The roster of edge daemons in the register: nodeCount of the election. Who lives enrols; ghosts leave.
+// The roster of edge daemons in the register: nodeCount of the election. Who lives enrols; dead members leave.
 // Without I/O, clock or threads.
 #pragma once
 #include <set>
@@ -10,24 +10,24 @@
 namespace emberdale {
 
 // Example:
-//   RosterKeeper keeper(proposer, journal, self, Dice(1)); keeper.enrol(siblings_just_heard, now);
-//   keeper.evict_ghosts(election.starved_rounds(), election.is_master(), now);
+//   RosterKeeper keeper(proposer, journal, self, Dice(1)); keeper.enrol(peers_just_heard, now);
+//   keeper.evict_dead_members(election.starved_rounds(), election.is_master(), now);
 class RosterKeeper {
  public:
-  // ghost_span: a daemon silent for so long leaves the roster by the master's hand.
-  RosterKeeper(RegisterProposer& proposer, EventJournal& journal, DaemonEntry self, Dice dice, Span ghost_span = Span{30000})
-      : proposer_(proposer), journal_(journal), self_(std::move(self)), dice_(dice), ghost_span_(ghost_span) {}
+  // dead_member_span: a daemon silent for so long leaves the roster by the master's hand.
+  RosterKeeper(RegisterProposer& proposer, EventJournal& journal, DaemonEntry self, RandomGenerator random, Span dead_member_span = Span{30000})
+      : proposer_(proposer), journal_(journal), self_(std::move(self)), random_(random), dead_member_span_(dead_member_span) {}
 
   void start(Moment now) { enrol_next_ = evict_next_ = now; }
-  // Enrols this daemon, and along with it siblings that were just heard and are not enrolled either: a fleet
+  // Enrols this daemon, and along with it peers that were just heard and are not enrolled either: a fleet
   // that starts at once needs a few changes, not one for each daemon. Example: keeper.enrol(heard, now)
   void enrol(const std::vector<DaemonEntry>& heard, Moment now);
-  // Ghosts leave the roster when a core majority has long not heard of them: quickly when they keep a round
-  // from its quorum, slowly by the master's hand. Two masters can't come of it: the reign fences.
-  void evict_ghosts(int starved_rounds, bool is_master, Moment now);
+  // Dead members leave the roster when a core majority has long not heard of them: quickly when they keep a round
+  // from its quorum, slowly by the master's hand. Two masters can't come of it: the term fences.
+  void evict_dead_members(int starved_rounds, bool is_master, Moment now);
   std::set<Address> take_evicted() { return std::exchange(evicted_, {}); }
   struct Counts {
-    std::int64_t enrolled = 0, ghosts_evicted = 0;
+    std::int64_t enrolled = 0, dead_members_evicted = 0;
   };
   const Counts& counts() const { return counts_; }
 
@@ -35,8 +35,8 @@
   RegisterProposer& proposer_;
   EventJournal& journal_;
   DaemonEntry self_;
-  Dice dice_;
-  Span ghost_span_;
+  RandomGenerator random_;
+  Span dead_member_span_;
   bool is_enrolling_ = false, has_waited_ = false, is_evicting_ = false;
   Moment enrol_next_, evict_next_;
   std::set<Address> evicted_;
--- a/packages/control-plane/include/emberdale/runner_list.hpp
+++ b/packages/control-plane/include/emberdale/runner_list.hpp
@@ -48,7 +48,7 @@
   // Work may go to the zone again: its runners count as cold until the list has caught up.
   // Example: list.zone_taken_back({"a"}, now)
   void zone_taken_back(const ZoneName& zone, Moment now) { taken_back_[zone] = now; }
-  // A reign begins: nothing is known, and the list is read at once. Example: list.begin(now)
+  // A term begins: nothing is known, and the list is read at once. Example: list.begin(now)
   void begin(Moment now);
 
  private:
--- a/packages/control-plane/include/emberdale/runner_watch.hpp
+++ b/packages/control-plane/include/emberdale/runner_watch.hpp
@@ -34,7 +34,7 @@
   void on_report(const RunnerStatus& status, Moment now);
   // This daemon's probes, with their age, for its master. Example: follow.statuses = watch.reports(now);
   std::vector<RunnerStatus> reports(Moment now) const;
-  // A reign begins: what the old map says stands until the homes report. Example: watch.inherit(map, now)
+  // A term begins: what the old map says stands until the homes report. Example: watch.inherit(map, now)
   void inherit(const PlacementMap& map, Moment now);
   // By name, as the map is worked out from. Example: compute_map(state, configuration, watch.statuses(), ...)
   std::map<RunnerName, RunnerStatus> statuses() const;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -7,7 +7,7 @@
 
 constexpr Span poll_pace{350}, gossip_pace{500};
 constexpr Span alive_span{2000};
-constexpr Span burden_pace{500}, placement_pace{40};
+constexpr Span load_pace{500}, placement_pace{40};
 constexpr Span gateway_memory{600000};
 constexpr Span front_silence{1300};
 constexpr Span traffic_again{2000};  // rows of the traffic table that were sent and not confirmed are sent again
@@ -20,20 +20,20 @@
 
 ControlDaemon::ControlDaemon(ControlDaemonSettings settings, std::unique_ptr<RegisterAcceptor> acceptor)
     : settings_(std::move(settings)),
-      dice_(settings_.dice_seed),
-      last_ask_(first_ask(dice_)),
+      random_(settings_.random_seed),
+      last_ask_(first_ask(random_)),
       acceptor_(std::move(acceptor)),
-      proposer_(settings_.self.address, Dice(settings_.dice_seed + 1)),
-      election_(settings_.self, Dice(settings_.dice_seed + 2), settings_.election),
-      word_(proposer_, election_, settings_.self.address),
-      edits_(proposer_, election_, word_, journal_, settings_.self.address),
-      minder_(proposer_, settings_.self.address, Dice(settings_.dice_seed + 5)),
-      founder_(proposer_, journal_, settings_.self.address, settings_.seeds, Dice(settings_.dice_seed + 6)),
-      core_set_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr, Dice(settings_.dice_seed + 3)),
-      roster_keeper_(proposer_, journal_, settings_.self, Dice(settings_.dice_seed + 4), settings_.ghost_span),
+      proposer_(settings_.self.address, RandomGenerator(settings_.random_seed + 1)),
+      election_(settings_.self, RandomGenerator(settings_.random_seed + 2), settings_.election),
+      lease_(proposer_, election_, settings_.self.address),
+      edits_(proposer_, election_, lease_, journal_, settings_.self.address),
+      reconciler_(proposer_, settings_.self.address, RandomGenerator(settings_.random_seed + 5)),
+      founder_(proposer_, journal_, settings_.self.address, settings_.seeds, RandomGenerator(settings_.random_seed + 6)),
+      core_set_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr, RandomGenerator(settings_.random_seed + 3)),
+      roster_keeper_(proposer_, journal_, settings_.self, RandomGenerator(settings_.random_seed + 4), settings_.dead_member_span),
       runner_watch_(settings_.self, settings_.probe_pace) {
-  word_.is_wait_off = settings_.acknowledges_at_once;
-  if (settings_.minds_core_set && acceptor_) core_set_.set_minder(minder_);
+  lease_.is_wait_off = settings_.acknowledges_at_once;
+  if (settings_.reconciles_membership && acceptor_) core_set_.set_reconciler(reconciler_);
 }
 
 void ControlDaemon::start(Moment now) {
@@ -41,7 +41,7 @@
     if (seed != settings_.self.address) known_[seed].entry.address = seed;
   if (acceptor_ && !acceptor_->is_blank()) proposer_.learn_acceptors(acceptor_->state().acceptors);
   poll_next_ = gossip_next_ = follow_next_ = started_at_ = now;
-  minder_.start(now);
+  reconciler_.start(now);
   core_set_.start(now);
   if (settings_.founds_itself && acceptor_ && acceptor_->is_blank()) founder_.start(now);
   roster_keeper_.start(now);
@@ -49,12 +49,12 @@
     for (const auto& seed : settings_.seeds) election_.learn(seed);
     election_.start(now);
   }
-  on_alarm(now);
+  on_timer(now);
 }
 
 void ControlDaemon::stop(Moment now) {
-  if (election_.is_master() && !word_.is_waiting(now)) {
-    // Lays the reign down in the register: the next master need not wait for this one's word to lapse.
+  if (election_.is_master() && !lease_.is_waiting(now)) {
+    // Lays the term down in the register: the next master need not wait for this one's word to lapse.
     Address self = settings_.self.address;
     proposer_.change([self](const FleetState& state) -> Verdict {
       if (state.master != self) return {Verdict::Kind::already_there, {}, ""};
@@ -63,7 +63,7 @@
       return {Verdict::Kind::apply, next, ""};
     }, nullptr, now, Span{1000});
   }
-  is_stopping_ = true;  // vouches for nothing, and answers no ping any more: a leaving daemon must not be ranked
+  is_stopping_ = true;  // grants leases on nothing, and answers no ping any more: a leaving daemon must not be ranked
   if (is_edge()) election_.leave();
   note(now, "stopping", settings_.self.address.text);
   collect(now);
@@ -80,7 +80,7 @@
   std::vector<std::string> names;
   if (is_edge() && settings_.self.zone == zone) names.push_back(settings_.self.address.text);
   // Under a master the map says who lives; else whoever answered the last pings.
-  if (!election_.master().empty() && map_.version.reign == election_.reign()) {
+  if (!election_.master().empty() && map_.version.term == election_.term()) {
     for (const auto& edge : map_.edges)
       if (edge.zone == zone && edge.daemon != settings_.self.address) names.push_back(edge.daemon.text);
     return names;
@@ -102,7 +102,7 @@
 std::vector<GatewayRow> ControlDaemon::gateways(Moment now) const {
   std::map<Address, GatewayRow> rows;
   // A new master has heard of no one yet: for a moment the old map's word stands.
-  if (now - published_at_ < Span{2500} || map_.version.reign != election_.reign())
+  if (now - published_at_ < Span{2500} || map_.version.term != election_.term())
     for (const auto& row : map_.gateways) rows[row.daemon] = row;
   for (const auto& [address, entry] : in_force_) {
     const DaemonEntry& daemon = entry.first.daemon;
@@ -135,11 +135,11 @@
   answer.master = election_.master();
   answer.version = map_.version;
   answer.stamp = now.value;
-  // Near siblings first; the roster tells of the rest.
+  // Near peers first; the roster tells of the rest.
   for (int round = 0; round < 2; ++round)
     for (const auto& [address, known] : known_) {
       bool is_near = known.entry.zone == ping.sender.zone;
-      if (known.entry.role.empty() || known.entry.role == "data" || is_near != (round == 0) || address == from || is_ghost(address, now)) continue;
+      if (known.entry.role.empty() || known.entry.role == "data" || is_near != (round == 0) || address == from || is_dead_member(address, now)) continue;
       if (answer.known.size() < 24) answer.known.push_back(known.entry);
     }
   if (proposer_.has_state()) {
@@ -177,13 +177,13 @@
       if (entry.address != settings_.self.address && known_[entry.address].entry.role.empty()) known_[entry.address].entry = entry;
     proposer_.learn_acceptors(answer->acceptors);
   }
-  minder_.on_message(from, message, now);
+  reconciler_.on_message(from, message, now);
   founder_.on_message(from, message, now);
   core_set_.on_message(from, message, now);
   if (core_set_.take_founded()) poll_next_ = now;
   if (founder_.take_founded()) {
     poll_next_ = now;
-    minder_.on_founded(now);
+    reconciler_.on_founded(now);
   }
   if (const auto* follow = std::get_if<Follow>(&message)) {
     if (election_.is_master()) {
@@ -204,8 +204,8 @@
     }
   }
   if (const auto* news = std::get_if<MapNews>(&message)) {
-    Integer reign = proposer_.has_state() ? proposer_.state().reign : 0;
-    if (news->map.version.reign < reign) ++counts_.maps_fenced;
+    Integer term = proposer_.has_state() ? proposer_.state().term : 0;
+    if (news->map.version.term < term) ++counts_.maps_fenced;
     else if (!election_.is_master() && map_.version < news->map.version) {
       // Without the table's rows, and they aren't here: the follow below says so, and the whole map comes.
       if (!news->lacks_traffic) take_map(news->map, now);
@@ -214,18 +214,18 @@
     if (is_edge() && !election_.is_master()) send_follow(now);
   }
   if (const auto* subscribe = std::get_if<Subscribe>(&message)) slices_.on_subscribe(from, *subscribe, now);
-  if (const auto* ask = std::get_if<VouchAsk>(&message)) {
-    if (!is_stopping_ && word_.may_vouch(now)) out_.push_back({from, Vouch{ask->ask, std::max(edits_.attempted_floor(), proposer_.state().floor)}});
+  if (const auto* ask = std::get_if<LeaseAsk>(&message)) {
+    if (!is_stopping_ && lease_.may_grant_lease(now)) out_.push_back({from, LeaseGrant{ask->ask, std::max(edits_.attempted_minimum_version(), proposer_.state().minimum_version)}});
   }
-  if (const auto* bar = std::get_if<Bar>(&message)) {
-    Bar near = *bar;
+  if (const auto* hold = std::get_if<Hold>(&message)) {
+    Hold near = *hold;
     near.relayed = false;
     for (const auto& gateway : map_.gateways)
-      if (bar->relayed && gateway.zone == settings_.self.zone) out_.push_back({gateway.daemon, near});
+      if (hold->relayed && gateway.zone == settings_.self.zone) out_.push_back({gateway.daemon, near});
   }
   if (const auto* ask = std::get_if<EditAsk>(&message)) {
-    if (!election_.is_master() || ask->reign != election_.reign()) {
-      out_.push_back({from, EditAnswer{ask->ask, 0, 0, "", ask->reign}});
+    if (!election_.is_master() || ask->term != election_.term()) {
+      out_.push_back({from, EditAnswer{ask->ask, 0, 0, "", ask->term}});
     } else {
       MasterEdits::Edit edit;
       edit.ask = *ask;
@@ -234,7 +234,7 @@
     }
   }
   if (const auto* answer = std::get_if<EditAnswer>(&message))
-    if (auto ended = forwarder_.on_answer(*answer, now)) lift_bar(ended->bar, *answer);
+    if (auto ended = forwarder_.on_answer(*answer, now)) lift_hold(ended->hold, *answer);
   if (const auto* ask = std::get_if<ViewAsk>(&message))
     out_.push_back({from, ViewAnswer{ask->ask, election_.is_master(), is_settled(now), map_, in_force(now)}});
   if (const auto* answer = std::get_if<ViewAnswer>(&message)) {
@@ -249,7 +249,7 @@
   if (is_edge()) election_.on_message(from, message, now);
   see_state(now);
   collect(now);
-  if (election_.is_master() && map_.version < proposer_.state().floor) publish(now, true);
+  if (election_.is_master() && map_.version < proposer_.state().minimum_version) publish(now, true);
   if (!edits_.empty()) run_edits(now);
   collect(now);
 }
@@ -259,15 +259,15 @@
   for (const auto& [address, known] : known_)
     if (known.entry.role == "edge" && now - known.heard <= alive_span) heard.push_back(known.entry);
   if (!is_led_by_others(now)) roster_keeper_.enrol(heard, now);
-  // With as few daemons as one process a machine has, a ghost in the roster may leave no one to spare.
-  roster_keeper_.evict_ghosts(std::max(election_.starved_rounds(), is_leaderless() ? 1 : 0), election_.is_master(), now);
-  for (const auto& ghost : roster_keeper_.take_evicted()) known_.erase(ghost);
+  // With as few daemons as one process a machine has, a dead member in the roster may leave no one to spare.
+  roster_keeper_.evict_dead_members(std::max(election_.starved_rounds(), is_leaderless() ? 1 : 0), election_.is_master(), now);
+  for (const auto& dead_member : roster_keeper_.take_evicted()) known_.erase(dead_member);
 }
 
 // A newcomer to a fleet that is led joins its master first, and enrols then: the roster's growth must not leave
-// that master without its quorum while the newcomer still waits for siblings that are gone.
+// that master without its quorum while the newcomer still waits for peers that are gone.
 bool ControlDaemon::is_led_by_others(Moment now) const {
-  if (!settings_.minds_core_set || now - started_at_ > Span{8000}) return false;
+  if (!settings_.reconciles_membership || now - started_at_ > Span{8000}) return false;
   if (election_.phase() == MasterElection::Phase::following || election_.is_master()) return false;
   return std::any_of(known_.begin(), known_.end(), [&](const auto& entry) {
     const Known& known = entry.second;
@@ -276,21 +276,21 @@
 }
 
 // Neither enrolled nor heard of lately: to name it would let others wait for it in their rounds.
-bool ControlDaemon::is_ghost(const Address& daemon, Moment now) const {
+bool ControlDaemon::is_dead_member(const Address& daemon, Moment now) const {
   auto known = known_.find(daemon);
-  return settings_.minds_core_set && proposer_.has_state() && !has_daemon(proposer_.state().roster, daemon) &&
+  return settings_.reconciles_membership && proposer_.has_state() && !has_daemon(proposer_.state().roster, daemon) &&
          (known == known_.end() || now - known->second.heard > alive_span);
 }
 
 // Who was heard lately, or is enrolled, may keep a store that belongs into the set of core machines.
-void ControlDaemon::mind_core_set(Moment now) {
-  minder_.on_alarm(now);
+void ControlDaemon::reconcile_membership(Moment now) {
+  reconciler_.on_timer(now);
   std::vector<DaemonEntry> daemons;
   for (const auto& [address, known] : known_) {
     bool is_near = now - known.heard <= Span{3000} || (proposer_.has_state() && has_daemon(proposer_.state().roster, address));
     if (is_near && !known.entry.role.empty() && known.entry.role != "data") daemons.push_back(known.entry);
   }
-  minder_.see_daemons(daemons, now);
+  reconciler_.see_daemons(daemons, now);
 }
 
 void ControlDaemon::hear_master(Moment now) {
@@ -321,7 +321,7 @@
       see_traffic();
     }
     if (is_edge()) {
-      election_.set_roster(state.roster, state.reign, state.master, now);
+      election_.set_roster(state.roster, state.term, state.master, now);
       for (const auto& entry : state.roster)
         if (entry.address != settings_.self.address && known_[entry.address].entry.role.empty()) known_[entry.address].entry = entry;
     }
@@ -338,34 +338,34 @@
   }
 }
 
-void ControlDaemon::claim_reign(const ReignClaim& claim, Moment now) {
+void ControlDaemon::claim_term(const TermClaim& claim, Moment now) {
   if (is_claiming_) return;
   is_claiming_ = true;
   Address self = settings_.self.address;
   proposer_.change(
       [claim, self, is_promise_off = is_promise_off, is_at_once = settings_.acknowledges_at_once](const FleetState& state) -> Verdict {
-        if (state.reign == claim.expected_reign + 1 && state.master == self) return {Verdict::Kind::already_there, {}, ""};
-        if (state.reign != claim.expected_reign) return {Verdict::Kind::refuse, {}, "another reign has begun"};
+        if (state.term == claim.expected_term + 1 && state.master == self) return {Verdict::Kind::already_there, {}, ""};
+        if (state.term != claim.expected_term) return {Verdict::Kind::refuse, {}, "another term has begun"};
         if (!has_daemon(state.roster, self)) return {Verdict::Kind::refuse, {}, "not enrolled"};
         std::size_t joined = 1;
         for (const auto& entry : state.roster)
           if (entry.address != self && claim.joined.count(entry.address) != 0) ++joined;
         if (joined < state.roster.size() / 2 + 1) return {Verdict::Kind::refuse, {}, "the roster has grown past the joins"};
-        return {Verdict::Kind::apply, MastersWord::claimed(state, claim, self, is_promise_off, is_at_once), ""};
+        return {Verdict::Kind::apply, LeaderLease::claimed(state, claim, self, is_promise_off, is_at_once), ""};
       },
       [this, now](const ChangeEnd& end) {
         is_claiming_ = false;
         bool is_won = end.kind == ChangeEnd::Kind::committed;
-        election_.claim_ended(is_won, is_won ? end.state.reign : 0, now);
+        election_.claim_ended(is_won, is_won ? end.state.term : 0, now);
       },
       now, Span{2500});
 }
 
 void ControlDaemon::begin_leading(Moment now) {
-  word_.begin(now);
+  lease_.begin(now);
   edits_.begin();
-  note(now, "master", "reign " + std::to_string(election_.reign()));
-  cold_shares_.begin(map_, election_.reign() > 1, now);
+  note(now, "master", "term " + std::to_string(election_.term()));
+  cold_shares_.begin(map_, election_.term() > 1, now);
   in_force_.clear();
   follower_versions_.clear();
   follower_traffic_.clear();
@@ -375,9 +375,9 @@
   publish(now, true);
 }
 
-void ControlDaemon::on_refused(const Address& sibling, Moment now) {
-  if (is_edge()) election_.refused(sibling, now);
-  auto known = known_.find(sibling);
+void ControlDaemon::on_refused(const Address& peer, Moment now) {
+  if (is_edge()) election_.refused(peer, now);
+  auto known = known_.find(peer);
   if (known != known_.end()) known->second.heard = Moment{now.value - alive_span.value - 1};
   collect(now);
 }
@@ -385,15 +385,15 @@
 void ControlDaemon::publish(Moment now, bool is_due) {
   if (!election_.is_master() || edits_.is_open() || !proposer_.has_state()) return;
   const FleetState& state = proposer_.state();
-  if (state.reign != election_.reign() || state.master != settings_.self.address) return;
-  Integer last = map_.version.reign == state.reign ? map_.version.number : 0;
-  bool must_cover = map_.version < state.floor;
+  if (state.term != election_.term() || state.master != settings_.self.address) return;
+  Integer last = map_.version.term == state.term ? map_.version.number : 0;
+  bool must_cover = map_.version < state.minimum_version;
   // A number that an edit has tried for stands for that edit alone, in force or not.
-  if (edits_.attempted_floor().reign == state.reign && !must_cover) last = std::max(last, edits_.attempted_floor().number);
-  MapVersion version{state.reign, must_cover ? state.floor.number : last + 1};
+  if (edits_.attempted_minimum_version().term == state.term && !must_cover) last = std::max(last, edits_.attempted_minimum_version().number);
+  MapVersion version{state.term, must_cover ? state.minimum_version.number : last + 1};
   auto statuses = runner_watch_.statuses();
   if (settings_.reads_runner_list) {
-    // Until the list has been read in this reign, what the last map said stands.
+    // Until the list has been read in this term, what the last map said stands.
     if (!runner_list_.is_known() && !map_.runners.empty() && !must_cover) return;
     for (const auto& zone : map_.emptied) {
       bool is_emptied = std::any_of(configuration_.orders.begin(), configuration_.orders.end(), [&](const auto& order) { return order.zone == zone && order.is_emptied; });
@@ -412,7 +412,7 @@
   if (!must_cover) {
     MapChange change = compare_maps(map_, fresh);
     if (change == MapChange::none) return;
-    if (!is_due && now - published_at_ < (change == MapChange::burden ? burden_pace : placement_pace)) return;
+    if (!is_due && now - published_at_ < (change == MapChange::load ? load_pace : placement_pace)) return;
   }
   published_at_ = now;
   ++counts_.maps_published;
@@ -451,7 +451,7 @@
 
 void ControlDaemon::take_map(const PlacementMap& map, Moment now) {
   ++counts_.maps_taken;
-  if (map.config_revision != map_.config_revision || map.version.reign != map_.version.reign)
+  if (map.config_revision != map_.config_revision || map.version.term != map_.version.term)
     note(now, "map", show(map.version) + " config " + std::to_string(map.config_revision));
   map_ = map;
   election_.set_version(map_.version);
@@ -463,8 +463,8 @@
   follow_next_ = now + settings_.election.follow;
   Follow follow;
   follow.sender = settings_.self;
-  follow.reign = election_.reign();
-  follow.echo = election_.echo(now);
+  follow.term = election_.term();
+  follow.acknowledgement = election_.acknowledgement(now);
   follow.version = map_.version;
   follow.traffic_of = map_.traffic_of;
   follow.statuses = runner_watch_.reports(now);
@@ -552,7 +552,7 @@
   // One daemon alone would have nobody to stand in for it.
   if (near.size() < 2) near.insert(near.end(), around.begin(), around.end());
   if (near.size() < 2) near.insert(near.end(), all.begin(), all.end());
-  for (std::size_t i = near.size(); i > 1; --i) std::swap(near[i - 1], near[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(i)))]);
+  for (std::size_t i = near.size(); i > 1; --i) std::swap(near[i - 1], near[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(i)))]);
   if (near.size() > most) near.resize(most);
   return near;
 }
@@ -561,19 +561,19 @@
 
 void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
   ask.ask = ++last_ask_;
-  PassedBar bar = bar_of(ask, version_of(ask), now);
+  PassedHold hold = hold_of(ask, version_of(ask), now);
   if (election_.is_master()) {
     MasterEdits::Edit edit;
     edit.ask = std::move(ask);
-    edit.ask.reign = election_.reign();
+    edit.ask.term = election_.term();
     edit.done = std::move(done);
-    edit.bar = std::move(bar);
+    edit.hold = std::move(hold);
     edits_.take(std::move(edit), now);
     run_edits(now);
   } else if (!proposer_.has_state()) {
     return done(EditAnswer{ask.ask, 503, 0, reason_body("no register is known here", "refused"), 0});
   } else {
-    forwarder_.take(std::move(ask), std::move(done), std::move(bar), now);
+    forwarder_.take(std::move(ask), std::move(done), std::move(hold), now);
     forward_edits(now);
   }
   collect(now);
@@ -587,9 +587,9 @@
     for (auto& waiting : forwarder_.take_back()) {
       MasterEdits::Edit edit;
       edit.ask = std::move(waiting.ask);
-      edit.ask.reign = election_.reign();
+      edit.ask.term = election_.term();
       edit.done = std::move(waiting.done);
-      edit.bar = std::move(waiting.bar);
+      edit.hold = std::move(waiting.hold);
       edit.has_copies = !waiting.copies.empty();
       edits_.take(std::move(edit), now);
     }
@@ -597,17 +597,17 @@
   }
   Address master = election_.master().empty() ? proposer_.state().master : election_.master();
   if (master == settings_.self.address) return;
-  for (auto& sending : forwarder_.send(master, std::max(proposer_.state().reign, election_.reign()), now)) out_.push_back(std::move(sending));
+  for (auto& sending : forwarder_.send(master, std::max(proposer_.state().term, election_.term()), now)) out_.push_back(std::move(sending));
 }
 
 // "We were told": while an edit that takes a runner or a zone out of work is not settled (no master leads, the
 // core does not answer), every data daemon hears of it all the same. That only ever takes work away, and
 // lapses by itself; a refusal lifts it; the map settles it.
-void ControlDaemon::pass_bars(Moment now) {
+void ControlDaemon::pass_holds(Moment now) {
   for (auto& [number, waiting] : forwarder_.waiting())
-    if (waiting.bar.is_due(version_of(waiting.ask), now)) pass_bar(*waiting.bar.bar);
+    if (waiting.hold.is_due(version_of(waiting.ask), now)) pass_hold(*waiting.hold.hold);
   for (auto& edit : edits_.in_hand())
-    if (edit.from.empty() && edit.bar.is_due(version_of(edit.ask), now)) pass_bar(*edit.bar.bar);
+    if (edit.from.empty() && edit.hold.is_due(version_of(edit.ask), now)) pass_hold(*edit.hold.hold);
 }
 
 Integer ControlDaemon::version_of(const EditAsk& ask) const {
@@ -617,18 +617,18 @@
   return 0;
 }
 
-void ControlDaemon::lift_bar(const PassedBar& passed, const EditAnswer& answer) {
-  if (!passed.bar || answer.code == 200 || answer.code == 201 || answer.code == 504) return;
-  Bar lifted = *passed.bar;
+void ControlDaemon::lift_hold(const PassedHold& passed, const EditAnswer& answer) {
+  if (!passed.hold || answer.code == 200 || answer.code == 201 || answer.code == 504) return;
+  Hold lifted = *passed.hold;
   lifted.lifted = true;
-  pass_bar(lifted);
+  pass_hold(lifted);
 }
 
-void ControlDaemon::pass_bar(const Bar& bar) {
-  ++counts_.bars_passed;
-  for (const auto& gateway : map_.gateways) out_.push_back({gateway.daemon, bar});
+void ControlDaemon::pass_hold(const Hold& hold) {
+  ++counts_.holds_passed;
+  for (const auto& gateway : map_.gateways) out_.push_back({gateway.daemon, hold});
   // Those this daemon can't reach may be in reach of others.
-  Bar relayed = bar;
+  Hold relayed = hold;
   relayed.relayed = true;
   std::set<Address> others;
   for (const auto& edge : map_.edges) others.insert(edge.daemon);
@@ -657,7 +657,7 @@
 
 void ControlDaemon::end_edits() {
   for (auto& edit : edits_.take_ended()) {
-    lift_bar(edit.bar, edit.answer);
+    lift_hold(edit.hold, edit.answer);
     if (!edit.from.empty()) out_.push_back({edit.from, edit.answer});
     else if (edit.done) edit.done(edit.answer);
   }
@@ -666,7 +666,7 @@
 void ControlDaemon::read(std::function<void(const FleetState*)> done, Moment now) {
   Waiting waiting;
   waiting.since = now;
-  waiting.horizon = now + Span{2000};
+  waiting.deadline = now + Span{2000};
   waiting.read = std::move(done);
   waiting_[++last_ask_] = std::move(waiting);
   poll_next_ = now + poll_pace;
@@ -682,7 +682,7 @@
     return;
   }
   Waiting waiting;
-  waiting.horizon = now + Span{1000};
+  waiting.deadline = now + Span{1000};
   waiting.view = std::move(done);
   waiting_[++last_ask_] = std::move(waiting);
   out_.push_back({master, ViewAsk{last_ask_}});
@@ -739,9 +739,9 @@
 
 // --- time -----------------------------------------------------------------------------------------
 
-void ControlDaemon::on_alarm(Moment now) {
-  proposer_.on_alarm(now);
-  if (is_edge()) election_.on_alarm(now);
+void ControlDaemon::on_timer(Moment now) {
+  proposer_.on_timer(now);
+  if (is_edge()) election_.on_timer(now);
   if (poll_next_ <= now) {
     poll_next_ = now + poll_pace;
     proposer_.poll(now, settings_.self.role, is_edge() && (election_.starved_rounds() > 0 || election_.is_master() || is_leaderless()));
@@ -757,7 +757,7 @@
       if (is_seed && !proposer_.has_state()) targets.insert(address);
       else others.push_back(address);
     }
-    for (int i = 0; i < 2 && !others.empty(); ++i) targets.insert(others[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(others.size())))]);
+    for (int i = 0; i < 2 && !others.empty(); ++i) targets.insert(others[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(others.size())))]);
     // A data daemon that has started anew knows its seeds alone, and they may all have been replaced: who
     // still knows its address speaks to it.
     for (const auto& row : map_.gateways) gateways_seen_[row.daemon] = now;
@@ -767,15 +767,15 @@
       else if (entry->second < now) missed.push_back((entry++)->first);
       else ++entry;
     }
-    if (is_edge() && !missed.empty()) targets.insert(missed[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(missed.size())))]);
+    if (is_edge() && !missed.empty()) targets.insert(missed[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(missed.size())))]);
     for (const auto& target : targets) out_.push_back({target, Ping{0, settings_.self, election_.master(), map_.version}});
   }
   if (acceptor_ && !acceptor_->is_blank() && proposer_.acceptors().empty()) proposer_.learn_acceptors(acceptor_->state().acceptors);
   see_state(now);
   if (is_edge()) keep_roster(now);
-  founder_.on_alarm(now);
-  if (settings_.minds_core_set && acceptor_) mind_core_set(now);
-  core_set_.on_alarm(now);
+  founder_.on_timer(now);
+  if (settings_.reconciles_membership && acceptor_) reconcile_membership(now);
+  core_set_.on_timer(now);
   if (is_edge() && follow_next_ <= now) send_follow(now);
   hear_master(now);
   slices_.forget_silent(now, Span{10000});
@@ -790,18 +790,18 @@
       if (now - entry->second.second > Span{15000}) entry = in_force_.erase(entry);
       else ++entry;
     }
-    edits_.on_alarm(now);
+    edits_.on_timer(now);
     publish(now, false);
     keep_windows(now);
-    if (!edits_.is_open()) word_.keep(now);
+    if (!edits_.is_open()) lease_.keep(now);
     run_edits(now);
   }
   settle_edits(now);
-  pass_bars(now);
+  pass_holds(now);
   forward_edits(now);
-  for (auto& [ended, answer] : forwarder_.on_alarm(now)) lift_bar(ended.bar, answer);
+  for (auto& [ended, answer] : forwarder_.on_timer(now)) lift_hold(ended.hold, answer);
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (entry->second.horizon > now) {
+    if (entry->second.deadline > now) {
       ++entry;
       continue;
     }
@@ -815,7 +815,7 @@
 }
 
 void ControlDaemon::collect(Moment now) {
-  if (auto claim = election_.take_claim()) claim_reign(*claim, now);
+  if (auto claim = election_.take_claim()) claim_term(*claim, now);
   bool is_master = election_.is_master();
   if (is_master != was_master_) {
     was_master_ = is_master;
@@ -836,7 +836,7 @@
   take(proposer_.take_out());
   take(election_.take_out());
   take(slices_.take_out());
-  take(minder_.take_out());
+  take(reconciler_.take_out());
   take(founder_.take_out());
   take(core_set_.take_out());
 }
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -73,7 +73,7 @@
 
 }  // namespace
 
-ControlInterface::ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, SiblingLinks& links,
+ControlInterface::ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, PeerConnections& links,
                                    const std::string& http, bool may_fault_links, std::function<void()> flush)
     : context_(context), daemon_(daemon), links_(links), listener_("http://" + http + "/"),
       may_fault_links_(may_fault_links), flush_(std::move(flush)) {
@@ -277,8 +277,8 @@
       out = "\n";
     }
     auto wait_and_step = [this, watch] {
-      auto alarm = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::milliseconds(100));
-      alarm->async_wait([this, watch, alarm](boost::system::error_code) {
+      auto timer = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::milliseconds(100));
+      timer->async_wait([this, watch, timer](boost::system::error_code) {
         step_watch(watch);
         flush_();
       });
@@ -306,7 +306,7 @@
     const auto& proposer = daemon_.proposer();
     const auto& state = proposer.state();
     Json fleet{{"fleet", state.fleet}, {"state_version", state.version}, {"config_revision", state.config_revision},
-               {"reign", state.reign}, {"master", state.master.text}, {"map_floor", show(state.floor)},
+               {"reign", state.term}, {"master", state.master.text}, {"map_floor", show(state.minimum_version)},
                {"master_answers", view.master}, {"map_version", show(view.map.version)}, {"map_config_revision", view.map.config_revision}};
     fleet["state_age_ms"] = (steady_now() - proposer.confirmed_at()).value;
     fleet["acceptors"] = Json::array();
@@ -326,14 +326,14 @@
     for (const auto& row : view.map.gateways) fleet["gateways"].push_back({{"http", row.http}, {"zone", row.zone.text}, {"region", row.region.text}});
     fleet["regions"] = Json::array();
     for (const auto& row : view.map.regions)
-      fleet["regions"].push_back({{"pool", row.pool.text}, {"region", row.region.text}, {"capacity", row.capacity}, {"burden", row.burden}, {"spills", row.spills}});
+      fleet["regions"].push_back({{"pool", row.pool.text}, {"region", row.region.text}, {"capacity", row.capacity}, {"burden", row.load}, {"spills", row.spills}});
     fleet["runners"] = Json::array();
     for (const auto& row : view.map.runners) {
       Json grants = Json::object();
       for (const auto& grant : row.grants) grants[grant.daemon.text] = grant.calls;
       fleet["runners"].push_back({{"name", row.name.text}, {"address", row.http}, {"pool", row.pool.text}, {"zone", row.zone.text},
                                   {"region", row.region.text}, {"status", row.status}, {"incarnation", row.incarnation},
-                                  {"capacity", row.capacity}, {"burden", row.burden}, {"cold_grants", grants}});
+                                  {"capacity", row.capacity}, {"burden", row.load}, {"cold_grants", grants}});
     }
     answer(request, 200, json_text(fleet, 2));
   }, steady_now());
@@ -347,12 +347,12 @@
   std::map<std::string, std::int64_t> counters{
       {"maps_published", c.maps_published}, {"maps_taken", c.maps_taken}, {"maps_fenced", c.maps_fenced}, {"edits", daemon_.edit_counts().edits},
       {"edits_unknown", daemon_.edit_counts().unknown}, {"probes", daemon_.probes_made()}, {"enrolled", daemon_.roster_counts().enrolled},
-      {"ghosts_evicted", daemon_.roster_counts().ghosts_evicted},
-      {"messages_in", c.messages_in}, {"bars_passed", c.bars_passed}, {"register_rounds", p.rounds}, {"register_conflicts", p.conflicts},
+      {"ghosts_evicted", daemon_.roster_counts().dead_members_evicted},
+      {"messages_in", c.messages_in}, {"bars_passed", c.holds_passed}, {"register_rounds", p.rounds}, {"register_conflicts", p.conflicts},
       {"register_committed", p.committed}, {"register_unknown", p.unknown}, {"register_mended", p.mended}, {"register_reads", p.reads},
       {"election_rounds", e.rounds}, {"election_starved_rounds", e.starved}, {"election_joins_failed", e.joins_failed},
       {"election_won", e.elected}, {"election_stepped_down", e.stepped_down}, {"is_master", daemon_.election().is_master() ? 1 : 0},
-      {"reign", daemon_.election().reign()}, {"link_frames_out", l.frames_out}, {"link_frames_in", l.frames_in},
+      {"reign", daemon_.election().term()}, {"link_frames_out", l.frames_out}, {"link_frames_in", l.frames_in},
       {"link_frames_dropped", l.frames_dropped}, {"link_bytes_out", l.bytes_out}, {"link_frames_refused", l.refused_frames}};
   for (const auto& [kind, count] : daemon_.journal().counts()) counters["event_" + kind] = count;
   if (more_counters)
@@ -368,8 +368,8 @@
   if (wish.contains("disk") && (!wish["disk"].is_string() || !set_disk_fault || !set_disk_fault(wish["disk"].get<std::string>(), wish.value("disk_ms", 250))))
     return answer_reason(request, 400, "there is no such fault, or no disk here");
   if (wish.contains("siblings"))
-    for (const auto& sibling : wish["siblings"])
-      links_.set_fault({sibling.get<std::string>()}, {wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}});
+    for (const auto& peer : wish["siblings"])
+      links_.set_fault({peer.get<std::string>()}, {wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}});
   answer(request, 200, "{}");
 }
 
--- a/packages/control-plane/src/control_interface.hpp
+++ b/packages/control-plane/src/control_interface.hpp
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "emberdale/control_daemon.hpp"
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 namespace emberdale {
 
@@ -16,7 +16,7 @@
 // Every act on the daemon is posted to the control thread; answers come back from there.
 class ControlInterface {
  public:
-  ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, SiblingLinks& links, const std::string& http,
+  ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, PeerConnections& links, const std::string& http,
                    bool may_fault_links, std::function<void()> flush);
   Outcome<bool> open();
   void close();
@@ -37,7 +37,7 @@
 
   boost::asio::io_context& context_;
   ControlDaemon& daemon_;
-  SiblingLinks& links_;
+  PeerConnections& links_;
   web::http::experimental::listener::http_listener listener_;
   bool may_fault_links_;
   std::function<void()> flush_;
--- a/packages/control-plane/src/control_process.cpp
+++ b/packages/control-plane/src/control_process.cpp
@@ -29,12 +29,12 @@
   const Address self = settings_.daemon.self.address;
   daemon_ = std::make_unique<ControlDaemon>(settings_.daemon, std::move(acceptor));
   daemon_->journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
-  links_ = std::make_unique<SiblingLinks>(context_, self, [this](const Address& from, Message message) {
+  links_ = std::make_unique<PeerConnections>(context_, self, [this](const Address& from, Message message) {
     daemon_->on_message(from, message, steady_now());
     flush();
   });
-  links_->on_refused = [this](const Address& sibling) {
-    daemon_->on_refused(sibling, steady_now());
+  links_->on_refused = [this](const Address& peer) {
+    daemon_->on_refused(peer, steady_now());
     flush();
   };
   return links_->listen();
@@ -69,13 +69,13 @@
 }
 
 void ControlProcess::tick() {
-  alarm_.expires_after(std::chrono::milliseconds(settings_.alarm_pace.value));
-  alarm_.async_wait([this](boost::system::error_code fault) {
+  timer_.expires_after(std::chrono::milliseconds(settings_.timer_interval.value));
+  timer_.async_wait([this](boost::system::error_code fault) {
     if (fault) return;
     daemon_->set_wall_clock(static_cast<std::int64_t>(::time(nullptr)));
-    daemon_->on_alarm(steady_now());
+    daemon_->on_timer(steady_now());
     flush();
-    if (on_alarm) on_alarm();
+    if (on_timer) on_timer();
     tick();
   });
 }
--- a/packages/control-plane/src/control_process.hpp
+++ b/packages/control-plane/src/control_process.hpp
@@ -6,11 +6,11 @@
 #include <memory>
 #include <thread>
 
-#include "emberdale/bounded_pending.hpp"
+#include "emberdale/bounded_queue.hpp"
 #include "emberdale/control_daemon.hpp"
 #include "emberdale/faulty_file_system.hpp"
 #include "emberdale/segmented_log.hpp"
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 namespace emberdale {
 
@@ -18,7 +18,7 @@
   ControlDaemonSettings daemon;
   std::string data_folder;       // empty: keeps no copy of the register
   bool may_fault_links = false;  // tests only
-  Span alarm_pace{25};
+  Span timer_interval{25};
 };
 
 // Example:
@@ -27,22 +27,22 @@
 class ControlProcess {
  public:
   explicit ControlProcess(ControlProcessSettings settings);
-  // Opens the data folder and the sibling links; the reason tells what can't be had.
+  // Opens the data folder and the peer links; the reason tells what can't be had.
   Outcome<bool> open();
   void start();
   // Lays down what can be laid down, waits for `patience`, ends the threads. Example: process.stop(Span{300}, [&] { interface.close(); });
   void stop(Span patience, std::function<void()> before_end);
 
-  // On the control thread: a probe is wished for; an alarm has passed.
+  // On the control thread: a probe is wished for; an timer has passed.
   std::function<void(const ProbeWish&)> on_probe_wish;
-  std::function<void()> on_alarm;
+  std::function<void()> on_timer;
   // Does something with the daemon on the control thread. Example: process.post([&](ControlDaemon& daemon) { ... });
   void post(std::function<void(ControlDaemon&)> act);
   // Carries out what the daemon wishes for; control thread only.
   void flush();
 
   ControlDaemon& daemon() { return *daemon_; }
-  SiblingLinks& links() { return *links_; }
+  PeerConnections& links() { return *links_; }
   boost::asio::io_context& context() { return context_; }
   std::int64_t disk_writes() const { return disk_writes_; }
   std::int64_t disk_refused() const { return disk_refused_; }
@@ -59,12 +59,12 @@
 
   ControlProcessSettings settings_;
   boost::asio::io_context context_{1};
-  boost::asio::steady_timer alarm_{context_};
+  boost::asio::steady_timer timer_{context_};
   std::shared_ptr<FaultyFileSystem> faulty_disk_;  // tests only
   std::unique_ptr<SegmentedLog> log_;
   std::unique_ptr<ControlDaemon> daemon_;
-  std::unique_ptr<SiblingLinks> links_;
-  BoundedPending<DiskJob> jobs_{4096};
+  std::unique_ptr<PeerConnections> links_;
+  BoundedQueue<DiskJob> jobs_{4096};
   std::thread disk_, control_;
   std::int64_t epoch_ = 1;          // of the control thread
   std::int64_t refused_epoch_ = 0;  // of the disk thread
--- a/packages/control-plane/src/core_founder.cpp
+++ b/packages/control-plane/src/core_founder.cpp
@@ -10,8 +10,8 @@
 const char* const fleet_name = "emberdale";
 }  // namespace
 
-CoreFounder::CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds, Dice dice)
-    : proposer_(proposer), journal_(journal), self_(std::move(self)), seeds_(seeds.begin(), seeds.end()), dice_(dice), ask_(first_ask(dice_)) {}
+CoreFounder::CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds, RandomGenerator random)
+    : proposer_(proposer), journal_(journal), self_(std::move(self)), seeds_(seeds.begin(), seeds.end()), random_(random), ask_(first_ask(random_)) {}
 
 void CoreFounder::start(Moment now) {
   if (phase_ != Phase::idle || seeds_.empty() || *seeds_.begin() != self_) return;
@@ -68,7 +68,7 @@
   journal_.append(now, "founded", fleet_name);
 }
 
-void CoreFounder::on_alarm(Moment now) {
+void CoreFounder::on_timer(Moment now) {
   if (phase_ == Phase::asking && (proposer_.has_state() || !proposer_.acceptors().empty())) phase_ = Phase::over;
   if (phase_ == Phase::asking && now - started_ >= founding_wait) {
     bool has_all = std::all_of(seeds_.begin(), seeds_.end(), [&](const auto& seed) {
--- a/packages/control-plane/src/core_set.cpp
+++ b/packages/control-plane/src/core_set.cpp
@@ -51,7 +51,7 @@
   // A core machine's address that answers as another, blank store: the old one is gone.
   for (const auto& entry : proposer_.acceptors())
     if (entry.address == from) {
-      if ((answer.blank || (minder_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < answer.accepted))) && entry.store != answer.store) blank_stores_[from] = answer.store;
+      if ((answer.blank || (reconciler_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < answer.accepted))) && entry.store != answer.store) blank_stores_[from] = answer.store;
       else blank_stores_.erase(from);
     }
 }
@@ -124,7 +124,7 @@
 void CoreSet::mend(Moment now) {
   if (!has_acceptor_ && !replacing_) return;
   if (is_mending_ || now < mend_next_ || !proposer_.has_state()) return;
-  mend_next_ = now + (minder_ == nullptr ? Span{1000 + dice_.below(1500)} : Span{100 + dice_.below(200)});
+  mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1500)} : Span{100 + random_.below(200)});
   const FleetState& state = proposer_.state();
   Change change;
   if (!state.next_acceptors.empty()) {
@@ -152,8 +152,8 @@
       journal_.append(now, "admitting", fresh->second.text + " at " + entry.address.text);
       break;
     }
-    if (!change && minder_ != nullptr)
-      if (auto due = minder_->due_change(now)) {
+    if (!change && reconciler_ != nullptr)
+      if (auto due = reconciler_->due_change(now)) {
         change = std::move(due->change);
         journal_.append(now, due->kind, due->detail);
       }
@@ -166,13 +166,13 @@
   }, now, Span{3000});
 }
 
-void CoreSet::on_alarm(Moment now) {
+void CoreSet::on_timer(Moment now) {
   mend(now);
-  if (founding_ && founding_->horizon <= now) {
+  if (founding_ && founding_->deadline <= now) {
     bool was_sent = !founding_->value.data.empty();
     end_founding(was_sent ? 504 : 503, was_sent ? "not all core machines confirmed in time; found again with the same words" : "not all core machines answered");
   }
-  if (replacing_ && replacing_->horizon <= now) {
+  if (replacing_ && replacing_->deadline <= now) {
     auto done = std::move(replacing_->done);
     bool was_sent = replacing_->is_asked;
     replacing_.reset();
--- a/packages/control-plane/src/edit_forwarder.cpp
+++ b/packages/control-plane/src/edit_forwarder.cpp
@@ -11,48 +11,48 @@
 using Json = nlohmann::json;
 constexpr Span master_patience{7000}, forward_patience{6000 + late_ack_wait.value}, send_pace{500};
 // Told to take work away, we say yes, no or unknown before grants by the old map could outlast 5 s.
-constexpr Span bar_patience{3000};
+constexpr Span hold_patience{3000};
 }  // namespace
 
 std::string reason_body(const std::string& reason, const std::string& outcome) { return json_text(Json{{"reason", reason}, {"outcome", outcome}}); }
 
-PassedBar bar_of(const EditAsk& ask, Integer version, Moment now) {
-  PassedBar passed;
+PassedHold hold_of(const EditAsk& ask, Integer version, Moment now) {
+  PassedHold passed;
   if (ask.act == "delete" || (ask.kind != runners_kind && ask.kind != orders_kind)) return passed;
   Json body = Json::parse(ask.body, nullptr, false);
   if (!body.is_object()) return passed;
-  Bar bar;
-  bar.change = ask.change;
-  if (ask.kind == runners_kind && body.value("leaving", Json()) == true) bar.runner.text = ask.name;
-  else if (ask.kind == orders_kind && body.value("state", Json()) == "emptied") bar.zone.text = ask.name;
+  Hold hold;
+  hold.change = ask.change;
+  if (ask.kind == runners_kind && body.value("leaving", Json()) == true) hold.runner.text = ask.name;
+  else if (ask.kind == orders_kind && body.value("state", Json()) == "emptied") hold.zone.text = ask.name;
   else return passed;
-  return PassedBar{bar, now + bar_pace, now + bar_patience, version};
+  return PassedHold{hold, now + hold_pace, now + hold_patience, version};
 }
 
-bool PassedBar::is_due(Integer current_version, Moment now) {
-  if (!bar || now < next) return false;
+bool PassedHold::is_due(Integer current_version, Moment now) {
+  if (!hold || now < next) return false;
   if (is_over(now) || current_version != version) {  // done, or overtaken by another edit
-    bar.reset();
+    hold.reset();
     return false;
   }
-  next = now + bar_pace;
+  next = now + hold_pace;
   return true;
 }
 
-void EditForwarder::take(EditAsk ask, EditDone done, PassedBar bar, Moment now) {
+void EditForwarder::take(EditAsk ask, EditDone done, PassedHold hold, Moment now) {
   Integer number = ask.ask;
-  waiting_[number] = Waiting{std::move(ask), std::move(done), std::move(bar), now + master_patience, Moment{}, {}};
+  waiting_[number] = Waiting{std::move(ask), std::move(done), std::move(hold), now + master_patience, Moment{}, {}};
 }
 
-std::vector<Sending> EditForwarder::send(const Address& master, Integer reign, Moment now) {
+std::vector<Sending> EditForwarder::send(const Address& master, Integer term, Moment now) {
   std::vector<Sending> sendings;
   for (auto& [number, edit] : waiting_) {
     if (master.empty() || now < edit.send_next) continue;
     // A large one takes its time on a narrow link, and so does its answer.
     edit.send_next = now + Span{send_pace.value + static_cast<std::int64_t>(edit.ask.body.size() / 200)};
-    if (edit.copies.empty()) edit.horizon = now + forward_patience;
-    edit.ask.reign = reign;
-    ++edit.copies[reign];
+    if (edit.copies.empty()) edit.deadline = now + forward_patience;
+    edit.ask.term = term;
+    ++edit.copies[term];
     sendings.push_back({master, edit.ask});
   }
   return sendings;
@@ -70,19 +70,19 @@
   if (entry == waiting_.end()) return std::nullopt;
   auto& copies = entry->second.copies;
   if (answer.code == 0) {
-    // That copy does nothing: it came to one that does not lead that reign.
-    auto copy = copies.find(answer.reign);
+    // That copy does nothing: it came to one that does not lead that term.
+    auto copy = copies.find(answer.term);
     if (copy != copies.end() && --copy->second == 0) copies.erase(copy);
-    if (copies.empty()) entry->second.horizon = std::min(entry->second.horizon, now + master_patience);
+    if (copies.empty()) entry->second.deadline = std::min(entry->second.deadline, now + master_patience);
     return std::nullopt;
   }
-  // A refusal settles its own reign: asked again, that master says the same. One that was worked out on the
-  // register's state settles all reigns before it too: what they did would have been found. Any other copy
+  // A refusal settles its own term: asked again, that master says the same. One that was worked out on the
+  // register's state settles all terms before it too: what they did would have been found. Any other copy
   // that is out may yet turn out to be done.
   bool is_refusal = answer.code != 200 && answer.code != 201 && answer.code != 504;
   if (is_refusal) {
-    if (answer.code == 503) copies.erase(answer.reign);
-    else copies.erase(copies.begin(), copies.upper_bound(answer.reign));
+    if (answer.code == 503) copies.erase(answer.term);
+    else copies.erase(copies.begin(), copies.upper_bound(answer.term));
     if (!copies.empty()) return std::nullopt;
   }
   Waiting ended = std::move(entry->second);
@@ -91,10 +91,10 @@
   return ended;
 }
 
-std::vector<std::pair<EditForwarder::Waiting, EditAnswer>> EditForwarder::on_alarm(Moment now) {
+std::vector<std::pair<EditForwarder::Waiting, EditAnswer>> EditForwarder::on_timer(Moment now) {
   std::vector<std::pair<Waiting, EditAnswer>> over;
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (now < entry->second.horizon && !entry->second.bar.is_over(now)) {
+    if (now < entry->second.deadline && !entry->second.hold.is_over(now)) {
       ++entry;
       continue;
     }
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -66,7 +66,7 @@
     ControlProcessSettings wish;
     wish.daemon.self = settings.self;
     wish.daemon.seeds = settings.seeds;
-    wish.daemon.dice_seed = static_cast<std::uint64_t>(settings.self.incarnation) ^ stable_hash(settings.self.address.text);
+    wish.daemon.random_seed = static_cast<std::uint64_t>(settings.self.incarnation) ^ stable_hash(settings.self.address.text);
     wish.data_folder = settings.data_folder;
     wish.may_fault_links = settings.may_fault_links;
     return wish;
@@ -97,7 +97,7 @@
               status.cold = body.value("cold", false);
               status.incarnation = body.value("incarnation", Integer{0});
               status.capacity = body.value("capacity", Integer{1});
-              status.burden = body.value("burden", Integer{0});
+              status.load = body.value("burden", Integer{0});
               status.allowance = body.value("allowance", Integer{1});
             }
           } catch (const std::exception&) {
