--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -16,7 +16,7 @@
 void MasterEdits::begin() {
   answered_.clear();
   answered_order_.clear();
-  attempted_floor_ = proposer_.state().floor;
+  attempted_minimum_version_ = proposer_.state().minimum_version;
   is_in_flight_ = is_outcome_open_ = false;
 }
 
@@ -28,7 +28,7 @@
     return;
   }
   if (std::any_of(edits_.begin(), edits_.end(), [&](const auto& other) { return other.ask.change == edit.ask.change; })) return;
-  edit.horizon = now + edit_patience;
+  edit.deadline = now + edit_patience;
   edits_.push_back(std::move(edit));
 }
 
@@ -40,7 +40,7 @@
     answer.body = reason_body("an earlier master may have done it; read it back", "unknown");
   }
   answer.ask = edit.ask.ask;
-  answer.reign = edit.ask.reign;
+  answer.term = edit.ask.term;
   if (answer.code == 504) ++counts_.unknown;
   if (!edit.from.empty()) {
     answered_[edit.ask.change] = answer;
@@ -61,20 +61,20 @@
   is_in_flight_ = true;
   ++counts_.edits;
   EditAsk ask = next->ask;
-  Integer reign = election_.reign();
-  Integer last = map_version.reign == reign ? map_version.number : 0;
-  attempted_floor_ = MapVersion{reign, std::max({last, attempted_floor_.number, proposer_.state().floor.number}) + 1};
-  last = attempted_floor_.number - 1;
+  Integer term = election_.term();
+  Integer last = map_version.term == term ? map_version.number : 0;
+  attempted_minimum_version_ = MapVersion{term, std::max({last, attempted_minimum_version_.number, proposer_.state().minimum_version.number}) + 1};
+  last = attempted_minimum_version_.number - 1;
   auto result = std::make_shared<EditResult>();
   proposer_.change(
-      [ask, reign, self = self_, last, result](const FleetState& state) -> Verdict {
+      [ask, term, self = self_, last, result](const FleetState& state) -> Verdict {
         *result = EditResult{};
         for (const auto& done : state.done)
           if (done.change == ask.change) {
             result->version = done.version;
             return {Verdict::Kind::already_there, {}, ""};
           }
-        if (state.reign != reign || state.master != self) {
+        if (state.term != term || state.master != self) {
           result->code = 503;
           result->reason = "this daemon is master no more";
           return {Verdict::Kind::refuse, {}, result->reason};
@@ -91,8 +91,8 @@
         changed.resources = result->resources;
         changed.deleted_version = result->deleted_version;
         changed.config_revision += 1;
-        // One write makes the change durable and bars every map that does not cover it.
-        changed.floor = MapVersion{reign, std::max(last, state.floor.number) + 1};
+        // One write makes the change durable and holds every map that does not cover it.
+        changed.minimum_version = MapVersion{term, std::max(last, state.minimum_version.number) + 1};
         changed.done.push_back({ask.change, result->version, changed.config_revision});
         if (changed.done.size() > done_kept) changed.done.erase(changed.done.begin());
         return {Verdict::Kind::apply, changed, ""};
@@ -107,8 +107,8 @@
   if (edit == edits_.end()) return;
   if (ended.kind == ChangeEnd::Kind::committed) {
     edit->is_committed = true;
-    edit->covered_by = ended.state.floor;
-    Json body{{"version", result.version}, {"config_revision", ended.state.config_revision}, {"map_version", show(ended.state.floor)},
+    edit->covered_by = ended.state.minimum_version;
+    Json body{{"version", result.version}, {"config_revision", ended.state.config_revision}, {"map_version", show(ended.state.minimum_version)},
               {"findings", Json::parse(findings_json(result.findings))}};
     edit->answer = EditAnswer{0, result.code, result.version, json_text(body), 0};
     journal_.append(now, "edit", ask.act + " " + ask.kind + "/" + ask.name + " version " + std::to_string(result.version));
@@ -136,16 +136,16 @@
   for (std::size_t i = 0; i < edits_.size();) {
     Edit& edit = edits_[i];
     if (edit.is_committed && election_.is_master() && edit.covered_by <= map_version) {
-      // In the reign after a master that may still vouch for its maps, not before its word has lapsed.
-      bool is_early = word_.is_waiting(now);
-      if (is_early) edit.horizon = std::max(edit.horizon, word_.leading_since() + word_.ack_wait() + Span{1000});
-      if (edit.bar.until.value > 0 && edit.from.empty()) edit.horizon = std::min(edit.horizon, edit.bar.until);
+      // In the term after a master that may still grant leases for its maps, not before its word has lapsed.
+      bool is_early = lease_.is_waiting(now);
+      if (is_early) edit.deadline = std::max(edit.deadline, lease_.leading_since() + lease_.ack_wait() + Span{1000});
+      if (edit.hold.until.value > 0 && edit.from.empty()) edit.deadline = std::min(edit.deadline, edit.hold.until);
       if (!is_early && holders(edit.covered_by) >= size / 2 + 1) {
         end(i, edit.answer);
         continue;
       }
     }
-    bool is_over = (edit.horizon <= now || !election_.is_master()) && !is_in_flight_;
+    bool is_over = (edit.deadline <= now || !election_.is_master()) && !is_in_flight_;
     if (!is_over) {
       ++i;
       continue;
@@ -158,7 +158,7 @@
   }
 }
 
-void MasterEdits::on_alarm(Moment now) {
+void MasterEdits::on_timer(Moment now) {
   if (!is_outcome_open_ || is_in_flight_ || proposer_.changes_in_hand() != 0) return;
   // Carry whatever is newest through once more: then it is known whether ours was in.
   proposer_.change([](const FleetState&) { return Verdict{Verdict::Kind::already_there, {}, ""}; },
--- a/packages/control-plane/src/core_minder.cpp
+++ b/packages/control-plane/src/membership_reconciler.cpp
@@ -1,4 +1,4 @@
-#include "emberdale/core_minder.hpp"
+#include "emberdale/membership_reconciler.hpp"
 
 #include <algorithm>
 
@@ -11,9 +11,9 @@
 constexpr Span founding_span{3000};      // so long after a founding, who was there at once is added at once...
 constexpr Span first_arrival{300};       // ...if it was known this soon after it
 constexpr Span answering_span{800};      // a copy that answered within this lives: a bit more than two polls
-constexpr Span ghost_span{30000};        // a copy silent for so long may leave the set...
-constexpr Span even_ghost_span{8000};    // (sooner where that makes the majority smaller: a set of even size)
-constexpr std::size_t least_copies = 3, most_copies = 9;  // ...when so many living ones remain
+constexpr Span dead_member_span{30000};        // a copy silent for so long may leave the set...
+constexpr Span even_dead_member_span{8000};    // (sooner where that makes the majority smaller: a set of even size)
+constexpr std::size_t least_replicas = 3, most_replicas = 9;  // ...when so many living ones remain
 constexpr Span longest_pause{1000};
 constexpr int most_overtaken = 2;
 
@@ -22,12 +22,12 @@
 }
 
 // Puts `fresh` in the place of `old`; either may be missing. Refuses when the set has changed meanwhile.
-Change exchange_copies(std::optional<AcceptorEntry> old, std::optional<AcceptorEntry> fresh) {
+Change exchange_replicas(std::optional<AcceptorEntry> old, std::optional<AcceptorEntry> fresh) {
   return [old = std::move(old), fresh = std::move(fresh)](const FleetState& state) -> Verdict {
     auto is_old = [&](const AcceptorEntry& entry) { return entry.store == old->store && entry.address == old->address; };
     bool is_unchanged = state.next_acceptors.empty() && !(fresh && holds(state.acceptors, fresh->store, fresh->address)) &&
                         !(old && std::none_of(state.acceptors.begin(), state.acceptors.end(), is_old));
-    bool has_room = (old || state.acceptors.size() < most_copies) && (fresh || state.acceptors.size() > least_copies);
+    bool has_room = (old || state.acceptors.size() < most_replicas) && (fresh || state.acceptors.size() > least_replicas);
     if (!is_unchanged || !has_room) return {Verdict::Kind::already_there, {}, ""};
     FleetState next = state;
     next.next_acceptors = state.acceptors;
@@ -39,14 +39,14 @@
 }
 }  // namespace
 
-bool CoreMinder::is_in_set(const Address& address) const {
+bool MembershipReconciler::is_in_set(const Address& address) const {
   const FleetState& state = proposer_.state();
   for (const auto* set : {&state.acceptors, &state.next_acceptors})
     if (std::any_of(set->begin(), set->end(), [&](const auto& entry) { return entry.address == address; })) return true;
   return false;
 }
 
-void CoreMinder::see_daemons(const std::vector<DaemonEntry>& daemons, Moment now) {
+void MembershipReconciler::see_daemons(const std::vector<DaemonEntry>& daemons, Moment now) {
   for (const auto& daemon : daemons) {
     zones_[daemon.address] = daemon.zone;
     if (!proposer_.has_state() || is_in_set(daemon.address)) continue;
@@ -57,7 +57,7 @@
   }
 }
 
-void CoreMinder::on_message(const Address& from, const Message& message, Moment now) {
+void MembershipReconciler::on_message(const Address& from, const Message& message, Moment now) {
   const auto* answer = std::get_if<ReadAnswer>(&message);
   if (answer == nullptr) return;
   answered_[from] = {answer->store, now};
@@ -71,9 +71,9 @@
   newcomer.may_join = answer->blank || !(proposer_.ballot() < answer->accepted);
 }
 
-void CoreMinder::on_alarm(Moment now) {
-  if (now - alarm_at_ > longest_pause) awake_since_ = now;
-  alarm_at_ = now;
+void MembershipReconciler::on_timer(Moment now) {
+  if (now - timer_at_ > longest_pause) awake_since_ = now;
+  timer_at_ = now;
   const FleetState& state = proposer_.state();
   for (const auto* set : {&state.acceptors, &state.next_acceptors})
     for (const auto& member : *set) member_since_.insert({member.address, now});
@@ -86,13 +86,13 @@
     else ++entry;
   }
   for (auto entry = asked_.begin(); entry != asked_.end();) {
-    if (now - entry->second > ghost_span) entry = asked_.erase(entry);
+    if (now - entry->second > dead_member_span) entry = asked_.erase(entry);
     else ++entry;
   }
 }
 
 // A wiped machine answers as another store: that is not silence, it is admitted in its own place.
-Span CoreMinder::silence(const AcceptorEntry& entry, Moment now) const {
+Span MembershipReconciler::silence(const AcceptorEntry& entry, Moment now) const {
   Moment last = awake_since_;
   auto since = member_since_.find(entry.address);
   last = std::max(last, since == member_since_.end() ? now : since->second);
@@ -101,7 +101,7 @@
   return now - last;
 }
 
-std::optional<SetChange> CoreMinder::due_change(Moment now) {
+std::optional<SetChange> MembershipReconciler::due_change(Moment now) {
   if (!proposer_.has_state() || !proposer_.state().next_acceptors.empty() || now - proposer_.confirmed_at() > silent_span) return std::nullopt;
   const std::vector<AcceptorEntry>& set = proposer_.state().acceptors;
   if (!is_in_set(self_)) return std::nullopt;
@@ -126,20 +126,20 @@
     if (pick == nullptr || (is_near && zones_[pick->first] != zones_[most_silent->address])) pick = &candidate;
   }
   if (pick != nullptr && longest >= silent_span)
-    return SetChange{exchange_copies(*most_silent, AcceptorEntry{pick->second.store, pick->first}), "replacing",
+    return SetChange{exchange_replicas(*most_silent, AcceptorEntry{pick->second.store, pick->first}), "replacing",
                      most_silent->address.text + " by " + pick->first.text};
   bool was_just_founded = now - founded_at_ <= founding_span;
   for (const auto& [address, newcomer] : newcomers_)
-    if (is_each_heard && set.size() < most_copies && newcomer.may_join && !holds(set, newcomer.store, address) &&
+    if (is_each_heard && set.size() < most_replicas && newcomer.may_join && !holds(set, newcomer.store, address) &&
         ((was_just_founded && newcomer.since <= founded_at_ + first_arrival) || now - newcomer.since >= growth_wait))
-      return SetChange{exchange_copies(std::nullopt, AcceptorEntry{newcomer.store, address}), "adding", address.text};
+      return SetChange{exchange_replicas(std::nullopt, AcceptorEntry{newcomer.store, address}), "adding", address.text};
   for (auto& [address, newcomer] : newcomers_)
     if (!newcomer.may_join && newcomer.overtaken < most_overtaken && now - newcomer.since >= Span{growth_wait.value * (newcomer.overtaken + 1)}) {
       ++newcomer.overtaken;
       return SetChange{[](const FleetState& state) { return Verdict{Verdict::Kind::apply, state, ""}; }, "overtaking", address.text};
     }
-  if (longest >= (set.size() % 2 == 0 ? even_ghost_span : ghost_span) && living >= least_copies && set.size() > least_copies)
-    return SetChange{exchange_copies(*most_silent, std::nullopt), "dropping", most_silent->address.text};
+  if (longest >= (set.size() % 2 == 0 ? even_dead_member_span : dead_member_span) && living >= least_replicas && set.size() > least_replicas)
+    return SetChange{exchange_replicas(*most_silent, std::nullopt), "dropping", most_silent->address.text};
   return std::nullopt;
 }
 
--- a/packages/control-plane/src/roster_keeper.cpp
+++ b/packages/control-plane/src/roster_keeper.cpp
@@ -4,7 +4,7 @@
 
 namespace emberdale {
 namespace {
-constexpr Span ghost_span_starved{3500};
+constexpr Span dead_member_span_starved{3500};
 
 bool has_daemon(const std::vector<DaemonEntry>& roster, const Address& address) {
   return std::any_of(roster.begin(), roster.end(), [&](const auto& entry) { return entry.address == address; });
@@ -24,7 +24,7 @@
   if (!has_waited_) {
     // In a crowd one daemon goes first and brings the others along.
     has_waited_ = true;
-    enrol_next_ = now + Span{dice_.below(60 + 12 * static_cast<std::int64_t>(heard.size()))};
+    enrol_next_ = now + Span{random_.below(60 + 12 * static_cast<std::int64_t>(heard.size()))};
     return;
   }
   is_enrolling_ = true;
@@ -46,7 +46,7 @@
       },
       [this, now](const ChangeEnd& end) {
         is_enrolling_ = false;
-        enrol_next_ = now + Span{200 + dice_.below(400)};
+        enrol_next_ = now + Span{200 + random_.below(400)};
         if (end.kind != ChangeEnd::Kind::committed) return;
         ++counts_.enrolled;
         journal_.append(now, "enrolled", self_.address.text);
@@ -54,37 +54,37 @@
       now, Span{3000});
 }
 
-void RosterKeeper::evict_ghosts(int starved_rounds, bool is_master, Moment now) {
+void RosterKeeper::evict_dead_members(int starved_rounds, bool is_master, Moment now) {
   if (is_evicting_ || now < evict_next_ || !proposer_.silences()) return;
   bool is_starved = starved_rounds >= 1;
   if (!is_starved && !is_master) return;
-  evict_next_ = now + Span{500 + dice_.below(500)};
-  Span span = is_starved ? std::min(ghost_span_starved, ghost_span_) : ghost_span_;
+  evict_next_ = now + Span{500 + random_.below(500)};
+  Span span = is_starved ? std::min(dead_member_span_starved, dead_member_span_) : dead_member_span_;
   const auto& silences = *proposer_.silences();
   auto watched = silences.find(Address{});
   if (watched == silences.end() || watched->second < span) return;
-  std::set<Address> ghosts;
+  std::set<Address> dead_members;
   for (const auto& entry : proposer_.state().roster) {
     if (entry.address == self_.address) continue;
     auto silence = silences.find(entry.address);
-    if (silence == silences.end() || silence->second >= span) ghosts.insert(entry.address);
+    if (silence == silences.end() || silence->second >= span) dead_members.insert(entry.address);
   }
-  if (ghosts.empty()) return;
+  if (dead_members.empty()) return;
   is_evicting_ = true;
   proposer_.change(
-      [ghosts](const FleetState& state) -> Verdict {
+      [dead_members](const FleetState& state) -> Verdict {
         FleetState next = state;
-        next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(), [&](const auto& e) { return ghosts.count(e.address) != 0; }), next.roster.end());
+        next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(), [&](const auto& e) { return dead_members.count(e.address) != 0; }), next.roster.end());
         if (next.roster.size() == state.roster.size()) return {Verdict::Kind::already_there, {}, ""};
         return {Verdict::Kind::apply, next, ""};
       },
-      [this, ghosts, now](const ChangeEnd& end) {
+      [this, dead_members, now](const ChangeEnd& end) {
         is_evicting_ = false;
         if (end.kind != ChangeEnd::Kind::committed) return;
-        counts_.ghosts_evicted += static_cast<std::int64_t>(ghosts.size());
-        for (const auto& ghost : ghosts) {
-          evicted_.insert(ghost);
-          journal_.append(now, "evicted", ghost.text);
+        counts_.dead_members_evicted += static_cast<std::int64_t>(dead_members.size());
+        for (const auto& dead_member : dead_members) {
+          evicted_.insert(dead_member);
+          journal_.append(now, "evicted", dead_member.text);
         }
       },
       now, Span{2000});
--- a/packages/control-plane/src/runner_watch.cpp
+++ b/packages/control-plane/src/runner_watch.cpp
@@ -55,7 +55,7 @@
   for (const auto& row : map.runners) {
     auto known = known_.find(row.name);
     if (known != known_.end() && now - known->second.at <= status_span) continue;
-    RunnerStatus status{row.name, row.status != "down", row.status == "cold", row.incarnation, row.capacity, row.burden, row.allowance, 0};
+    RunnerStatus status{row.name, row.status != "down", row.status == "cold", row.incarnation, row.capacity, row.load, row.allowance, 0};
     known_[row.name] = {status, Moment{now.value - status_span.value / 2}};
   }
 }
--- a/packages/control-plane/tests/edit_forwarder_test.cpp
+++ b/packages/control-plane/tests/edit_forwarder_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "emberdale/masters_word.hpp"
+#include "emberdale/leader_lease.hpp"
 #include "emberdale/serving_plans.hpp"
 
 using namespace emberdale;
@@ -25,8 +25,8 @@
   Bench() {
     forwarder.take(ask_of(plans_kind, "p", "{}"), [this](const EditAnswer& answer) { told.push_back(answer.code); }, {}, Moment{0});
   }
-  void send(Integer reign, std::int64_t at) { forwarder.send(Address{"m"}, reign, Moment{at}); }
-  void answer(Integer code, Integer reign, std::int64_t at = 3000) { forwarder.on_answer(EditAnswer{7, code, 0, "", reign}, Moment{at}); }
+  void send(Integer term, std::int64_t at) { forwarder.send(Address{"m"}, term, Moment{at}); }
+  void answer(Integer code, Integer term, std::int64_t at = 3000) { forwarder.on_answer(EditAnswer{7, code, 0, "", term}, Moment{at}); }
   EditForwarder forwarder;
   std::vector<Integer> told;
 };
@@ -35,16 +35,16 @@
 
 TEST(EditForwarder, WithoutAMasterItWaitsAWhileAndIsThenRefused) {
   Bench bench;
-  bench.forwarder.on_alarm(Moment{6000});
+  bench.forwarder.on_timer(Moment{6000});
   EXPECT_TRUE(bench.told.empty());
-  bench.forwarder.on_alarm(Moment{7000});
+  bench.forwarder.on_timer(Moment{7000});
   EXPECT_EQ(bench.told, (std::vector<Integer>{503}));
 }
 
 TEST(EditForwarder, ACopyThatIsOutIsNeverCalledRefused) {
   Bench bench;
   bench.send(4, 0);
-  bench.forwarder.on_alarm(Moment{60000});
+  bench.forwarder.on_timer(Moment{60000});
   EXPECT_EQ(bench.told, (std::vector<Integer>{504}));
 }
 
@@ -52,15 +52,15 @@
   Bench bench;
   bench.send(4, 0);
   bench.send(4, 500);  // the same again: the first may have been lost
-  bench.answer(0, 4);  // one of them came to a daemon that does not lead reign 4
-  bench.forwarder.on_alarm(Moment{60000});
+  bench.answer(0, 4);  // one of them came to a daemon that does not lead term 4
+  bench.forwarder.on_timer(Moment{60000});
   EXPECT_EQ(bench.told, (std::vector<Integer>{504}));
   Bench other;
   other.send(4, 0);
   other.send(4, 500);
   other.answer(0, 4);
   other.answer(0, 4);
-  other.forwarder.on_alarm(Moment{60000});
+  other.forwarder.on_timer(Moment{60000});
   EXPECT_EQ(other.told, (std::vector<Integer>{503}));
 }
 
@@ -86,34 +86,34 @@
   EXPECT_EQ(late.told, (std::vector<Integer>{200}));
 }
 
-TEST(PassedBar, OnlyWhatTakesWorkAwayIsPassedOnAndOnlyWhileItWaits) {
-  EXPECT_FALSE(bar_of(ask_of(runners_kind, "m1", R"({"leaving":false})"), 1, Moment{0}).bar);
-  EXPECT_FALSE(bar_of(ask_of(orders_kind, "a", R"({"state":"serving"})"), 1, Moment{0}).bar);
-  EXPECT_FALSE(bar_of(ask_of(plans_kind, "leaving", R"({"leaving":true})"), 1, Moment{0}).bar);
-  EXPECT_FALSE(bar_of(ask_of(runners_kind, "m1", "not JSON"), 1, Moment{0}).bar);
-  PassedBar zone = bar_of(ask_of(orders_kind, "a", R"({"state":"emptied"})"), 1, Moment{0});
-  ASSERT_TRUE(zone.bar);
-  EXPECT_EQ(zone.bar->zone.text, "a");
+TEST(PassedHold, OnlyWhatTakesWorkAwayIsPassedOnAndOnlyWhileItWaits) {
+  EXPECT_FALSE(hold_of(ask_of(runners_kind, "m1", R"({"leaving":false})"), 1, Moment{0}).hold);
+  EXPECT_FALSE(hold_of(ask_of(orders_kind, "a", R"({"state":"serving"})"), 1, Moment{0}).hold);
+  EXPECT_FALSE(hold_of(ask_of(plans_kind, "leaving", R"({"leaving":true})"), 1, Moment{0}).hold);
+  EXPECT_FALSE(hold_of(ask_of(runners_kind, "m1", "not JSON"), 1, Moment{0}).hold);
+  PassedHold zone = hold_of(ask_of(orders_kind, "a", R"({"state":"emptied"})"), 1, Moment{0});
+  ASSERT_TRUE(zone.hold);
+  EXPECT_EQ(zone.hold->zone.text, "a");
   EXPECT_FALSE(zone.is_due(1, Moment{100}));  // in the ordinary case the map is quicker
   EXPECT_TRUE(zone.is_due(1, Moment{400}));
   EXPECT_FALSE(zone.is_due(1, Moment{500}));
   EXPECT_FALSE(zone.is_due(2, Moment{900}));  // done, or overtaken: the map alone speaks
   EXPECT_FALSE(zone.is_due(1, Moment{1300}));
-  PassedBar runner = bar_of(ask_of(runners_kind, "m1", R"({"leaving":true})"), 1, Moment{0});
+  PassedHold runner = hold_of(ask_of(runners_kind, "m1", R"({"leaving":true})"), 1, Moment{0});
   EXPECT_TRUE(runner.is_due(1, Moment{2900}));
   EXPECT_FALSE(runner.is_due(1, Moment{3300}));  // its time is over
 }
 
-TEST(MastersWord, AClaimWaitsShortlyOnlyWhereAMajorityOfTheWordsRosterHasPromised) {
+TEST(LeaderLease, AClaimWaitsShortlyOnlyWhereAMajorityOfTheLeaseRosterHasPromised) {
   FleetState state;
-  state.reign = 4;
+  state.term = 4;
   state.master.text = "a";
   for (const char* name : {"a", "b", "c", "d", "e"}) {
     state.roster.push_back({Address{name}, name, "edge", {}, {}, 1});
-    state.word_roster.push_back(Address{name});
+    state.lease_roster.push_back(Address{name});
   }
   auto wait = [&](const std::set<Address>& promised, const FleetState& before) {
-    return MastersWord::claimed(before, ReignClaim{4, promised, promised}, Address{"b"}, false).ack_wait;
+    return LeaderLease::claimed(before, TermClaim{4, promised, promised}, Address{"b"}, false).ack_wait;
   };
   EXPECT_EQ(wait({Address{"b"}, Address{"c"}, Address{"d"}}, state), quick_ack_wait.value);
   EXPECT_EQ(wait({Address{"b"}, Address{"c"}}, state), late_ack_wait.value);
@@ -121,7 +121,7 @@
   FleetState laid_down = state;
   laid_down.master = Address{};
   EXPECT_EQ(wait({Address{"b"}}, laid_down), 0);
-  FleetState waiting = state;  // a long wait that is not over goes on into the next reign
+  FleetState waiting = state;  // a long wait that is not over goes on into the next term
   waiting.ack_wait = late_ack_wait.value;
   EXPECT_EQ(wait({Address{"b"}, Address{"c"}, Address{"d"}}, waiting), late_ack_wait.value);
   waiting.master = Address{};
--- a/packages/control-plane/tests/one_process_test.cpp
+++ b/packages/control-plane/tests/one_process_test.cpp
@@ -47,7 +47,7 @@
 //   fleet.power_cut("a0"); fleet.run_until([&] { return !fleet.master().empty(); }, 6000);
 class MachineFleet {
  public:
-  explicit MachineFleet(std::uint64_t seed) : seed_(seed), dice_(seed) {}
+  explicit MachineFleet(std::uint64_t seed) : seed_(seed), random_(seed) {}
 
   double loss = 0;
   std::int64_t delay = 1;
@@ -60,7 +60,7 @@
     made->name = name;
     made->zone.text = zone;
     made->address.text = "10.0.0." + std::to_string(10 + machines_.size()) + ":7000";
-    made->clock = 1000000 + dice_.below(100000000);
+    made->clock = 1000000 + random_.below(100000000);
     by_address_[made->address] = name;
     if (is_seed) seeds_.push_back(made->address);
     else if (!running().empty()) set_seeds(*made);
@@ -96,9 +96,9 @@
     ControlDaemonSettings settings;
     settings.self = DaemonEntry{made.address, "http-" + name, "edge", made.zone, RegionName{"north"}, made.starts};
     settings.seeds = made.seeds.empty() ? seeds_ : made.seeds;
-    settings.dice_seed = seed_ * 1000003 + stable_hash(name) + static_cast<std::uint64_t>(made.starts);
+    settings.random_seed = seed_ * 1000003 + stable_hash(name) + static_cast<std::uint64_t>(made.starts);
     settings.founds_itself = founds_itself;
-    settings.minds_core_set = true;
+    settings.reconciles_membership = true;
     settings.acknowledges_at_once = true;
     made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
@@ -107,7 +107,7 @@
     };
     made.control->start(clock(made));
     flush(made);
-    later(1 + dice_.below(25), [this, name, life] { tick(name, life); });
+    later(1 + random_.below(25), [this, name, life] { tick(name, life); });
   }
 
   // Who comes later is told of machines that run. Example: fleet.set_seeds(fleet.at("new"))
@@ -131,7 +131,7 @@
     kill(name);
     at(name).has_power = false;
     at(name).files->is_off = true;
-    at(name).files->power_on(dice_);
+    at(name).files->power_on(random_);
   }
 
   void wipe(const std::string& name) { at(name).files->wipe(); }
@@ -169,10 +169,10 @@
   // --- what is seen -----------------------------------------------------------------------------
   std::string master() const {
     std::string best;
-    Integer reign = 0;
+    Integer term = 0;
     for (const auto& [name, made] : machines_)
-      if (made->is_up && !made->is_frozen && made->control->election().is_master() && made->control->election().reign() > reign) {
-        reign = made->control->election().reign();
+      if (made->is_up && !made->is_frozen && made->control->election().is_master() && made->control->election().term() > term) {
+        term = made->control->election().term();
         best = name;
       }
     return best;
@@ -242,7 +242,7 @@
       auto names = running();
       if (names.empty()) return false;
       if (!where.empty()) names = {where};
-      auto outcome = edit(names[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(names.size())))]);
+      auto outcome = edit(names[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(names.size())))]);
       run_until([&] { return outcome->is_over; }, end - now_);
       if (outcome->is_acknowledged()) return true;
       run(50);
@@ -285,7 +285,7 @@
     }
     return text;
   }
-  Dice& dice() { return dice_; }
+  RandomGenerator& random() { return random_; }
   std::size_t acknowledged() const { return acknowledged_.size(); }
 
  private:
@@ -301,7 +301,7 @@
     Machine& made = at(name);
     if (!made.is_up || made.life != life) return;
     if (!made.is_frozen) {
-      made.control->on_alarm(clock(made));
+      made.control->on_timer(clock(made));
       flush(made);
     }
     later(25, [this, name, life] { tick(name, life); });
@@ -318,8 +318,8 @@
     if (target == by_address_.end()) return;
     const std::string name = target->second;
     if (is_cut(at(from), at(name))) return;
-    if (from != name && dice_.chance(loss)) return;
-    std::int64_t wait = from == name ? 0 : delay + dice_.below(delay + 1);
+    if (from != name && random_.chance(loss)) return;
+    std::int64_t wait = from == name ? 0 : delay + random_.below(delay + 1);
     Address sender = at(from).address;
     auto shared = std::make_shared<Message>(std::move(message));
     later(wait, [this, name, from, sender, shared, to] {
@@ -357,7 +357,7 @@
     std::vector<std::string> records;
     for (auto& write : batch) records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
-    later(2 + dice_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
+    later(2 + random_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
       Machine& awake = at(name);
       if (!awake.is_up || awake.life != life) return;
       ASSERT_TRUE(awake.log->sync());
@@ -369,7 +369,7 @@
   }
 
   std::uint64_t seed_;
-  Dice dice_;
+  RandomGenerator random_;
   std::int64_t now_ = 0, last_event_ = 0;
   std::priority_queue<Event> events_;
   std::map<std::string, std::unique_ptr<Machine>> machines_;
@@ -393,7 +393,7 @@
   for (const auto& name : names) fleet.start(name, true);
   EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, count <= 6 ? 4000 : 8000)) << fleet.story();
   EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
-  fleet.run(fleet.dice().below(1000));
+  fleet.run(fleet.random().below(1000));
   return names;
 }
 
@@ -473,15 +473,15 @@
 }
 
 TEST(OneProcess, OnlyASeedFounds) {
-  RegisterProposer proposer(Address{"a"}, Dice(1));
+  RegisterProposer proposer(Address{"a"}, RandomGenerator(1));
   EventJournal journal{8};
-  CoreFounder outsider(proposer, journal, Address{"a"}, {Address{"b"}, Address{"c"}}, Dice(1));
+  CoreFounder outsider(proposer, journal, Address{"a"}, {Address{"b"}, Address{"c"}}, RandomGenerator(1));
   outsider.start(Moment{0});
-  outsider.on_alarm(Moment{1000});
+  outsider.on_timer(Moment{1000});
   EXPECT_TRUE(outsider.take_out().empty());
-  CoreFounder larger(proposer, journal, Address{"c"}, {Address{"b"}, Address{"c"}}, Dice(1));
+  CoreFounder larger(proposer, journal, Address{"c"}, {Address{"b"}, Address{"c"}}, RandomGenerator(1));
   larger.start(Moment{0});
-  larger.on_alarm(Moment{1000});
+  larger.on_timer(Moment{1000});
   EXPECT_TRUE(larger.take_out().empty());
 }
 
@@ -493,7 +493,7 @@
     auto names = bring_up(fleet, 3);
     fleet.power_cut(names[0]);
     fleet.wipe(names[0]);
-    fleet.run(fleet.dice().below(4000));
+    fleet.run(fleet.random().below(4000));
     fleet.start(names[0], true);
     EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 8000)) << fleet.story();
     EXPECT_EQ(fleet.foundings(), 1) << fleet.story();
@@ -515,7 +515,7 @@
             if (name != fleet.master()) lost = name;
         std::string zone = fleet.at(lost).zone.text;
         fleet.power_cut(lost);
-        fleet.run(fleet.dice().below(3000));
+        fleet.run(fleet.random().below(3000));
         fleet.add("new", zone, false);
         std::int64_t begun = fleet.now();
         fleet.start("new", false);
@@ -527,7 +527,7 @@
         EXPECT_TRUE(is_admitted());
         EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
         // Another one dies: with the newcomer there is still a majority.
-        std::string second = names[static_cast<std::size_t>(fleet.dice().below(static_cast<std::int64_t>(names.size())))];
+        std::string second = names[static_cast<std::size_t>(fleet.random().below(static_cast<std::int64_t>(names.size())))];
         fleet.power_cut(second);
         EXPECT_TRUE(fleet.edit_until_done(20000)) << "killed " << second << "\n" << fleet.story();
         fleet.expect_nothing_lost(fleet.running().front());
@@ -543,7 +543,7 @@
       MachineFleet fleet(seed);
       auto names = bring_up(fleet, count);
       fleet.power_cut(names[2]);
-      fleet.run(2400 + fleet.dice().below(400));
+      fleet.run(2400 + fleet.random().below(400));
       fleet.add("new0", "a", false);
       fleet.add("new1", "c", false);
       fleet.start("new0", false);
@@ -567,13 +567,13 @@
       SCOPED_TRACE(std::string(is_wiped ? "wiped" : "with its disk") + " seed " + std::to_string(seed));
       MachineFleet fleet(seed);
       auto names = bring_up(fleet, 3);
-      std::size_t lost = static_cast<std::size_t>(fleet.dice().below(3));
+      std::size_t lost = static_cast<std::size_t>(fleet.random().below(3));
       fleet.power_cut(names[lost]);
       if (is_wiped) fleet.wipe(names[lost]);
       fleet.run(1000);
       fleet.add("new", "b", false);
       fleet.start("new", false);
-      fleet.run(1300 + fleet.dice().below(500));
+      fleet.run(1300 + fleet.random().below(500));
       fleet.start(names[lost], false);
       names.push_back("new");  // whoever lost the race is added later
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 20000)) << fleet.story();
@@ -588,9 +588,9 @@
   FleetState state;
   state.fleet = "emberdale";
   for (const char* name : {"a", "b", "c"}) state.acceptors.push_back({StoreId{name}, Address{name}});
-  RegisterProposer proposer(Address{"a"}, Dice(1));
+  RegisterProposer proposer(Address{"a"}, RandomGenerator(1));
   proposer.learn_acceptors(state.acceptors);
-  auto hear_set = [&](CoreMinder& minder, const std::set<std::string>& living, Moment now) {
+  auto hear_set = [&](MembershipReconciler& reconciler, const std::set<std::string>& living, Moment now) {
     proposer.poll(now, "edge", false);
     Integer ask = std::get<ReadAsk>(proposer.take_out().front().message).ask;
     for (const auto& name : living) {
@@ -601,27 +601,27 @@
       answer.value.data = encode_state(state);
       answer.acceptors = state.acceptors;
       proposer.on_message(Address{name}, answer, now);
-      minder.on_message(Address{name}, answer, now);
+      reconciler.on_message(Address{name}, answer, now);
     }
   };
   auto due_with = [&](Integer ballot, bool is_blank, std::int64_t length) -> std::string {
-    CoreMinder minder(proposer, Address{"a"}, Dice(1));
-    minder.start(Moment{0});
+    MembershipReconciler reconciler(proposer, Address{"a"}, RandomGenerator(1));
+    reconciler.start(Moment{0});
     for (std::int64_t ms = 0; ms <= length; ms += 100) {
       Moment now{ms};
-      minder.on_alarm(now);
-      hear_set(minder, {"a", "b"}, now);
-      minder.see_daemons({DaemonEntry{Address{"d"}, "", "edge", ZoneName{"z"}, RegionName{"r"}, 1}}, now);
-      for (const auto& sending : minder.take_out()) {
+      reconciler.on_timer(now);
+      hear_set(reconciler, {"a", "b"}, now);
+      reconciler.see_daemons({DaemonEntry{Address{"d"}, "", "edge", ZoneName{"z"}, RegionName{"r"}, 1}}, now);
+      for (const auto& sending : reconciler.take_out()) {
         ReadAnswer answer;
         answer.ask = std::get<ReadAsk>(sending.message).ask;
         answer.store.text = "d";
         answer.blank = is_blank;
         answer.accepted = Ballot{ballot, Address{"a"}};
-        minder.on_message(sending.to, answer, now);
+        reconciler.on_message(sending.to, answer, now);
       }
     }
-    auto due = minder.due_change(Moment{length});
+    auto due = reconciler.due_change(Moment{length});
     return due ? due->kind : "nothing";
   };
   EXPECT_EQ(due_with(0, true, 4000), "replacing");
@@ -630,13 +630,13 @@
   EXPECT_EQ(due_with(21, false, 7000), "overtaking");  // it may be a write of this register that went no further
 }
 
-// Master after master is lost without a word: no reign waits for an elder's.
-TEST(OneProcess, NoEditWaitsForAnElderMastersWord) {
+// Master after master is lost without a word: no term waits for an elder's.
+TEST(OneProcess, NoEditWaitsForAnElderLeadersLease) {
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     MachineFleet fleet(seed);
     auto names = bring_up(fleet, 3);
-    for (int reign = 0; reign < 4; ++reign) {
+    for (int term = 0; term < 4; ++term) {
       std::string lost = fleet.master();
       fleet.kill(lost);
       EXPECT_TRUE(fleet.run_until([&] { return !fleet.master().empty(); }, 6000)) << fleet.story();
@@ -683,17 +683,17 @@
     SCOPED_TRACE("seed " + std::to_string(seed));
     MachineFleet fleet(seed);
     auto names = bring_up(fleet, 3);
-    std::size_t wiped = static_cast<std::size_t>(fleet.dice().below(3));
+    std::size_t wiped = static_cast<std::size_t>(fleet.random().below(3));
     fleet.power_cut(names[wiped]);
     fleet.wipe(names[wiped]);
-    fleet.run(fleet.dice().below(2000));
+    fleet.run(fleet.random().below(2000));
     EXPECT_TRUE(fleet.edit_until_done(9000)) << fleet.story();
     fleet.start(names[wiped], false);
     EXPECT_TRUE(fleet.run_until([&] { return fleet.has_set(names[wiped], names); }, 1500)) << fleet.story();
     EXPECT_TRUE(fleet.edit_until_done(9000)) << fleet.story();
     for (std::size_t i = 0; i < 3; ++i)
       if (i != wiped) fleet.power_cut(names[i]);
-    fleet.run(fleet.dice().below(3000));
+    fleet.run(fleet.random().below(3000));
     for (std::size_t i = 0; i < 3; ++i)
       if (i != wiped) fleet.start(names[i], false);
     EXPECT_TRUE(fleet.edit_until_done(12000)) << fleet.story();
@@ -709,7 +709,7 @@
       MachineFleet fleet(seed);
       auto names = bring_up(fleet, count);
       fleet.cut_zone(std::string(1, static_cast<char>('a' + seed % 3)));
-      fleet.run(3000 + fleet.dice().below(3000));
+      fleet.run(3000 + fleet.random().below(3000));
       // The zone alone can't acknowledge; the others can.
       std::string inside = std::string(1, static_cast<char>('a' + seed % 3)) + "0";
       auto alone = fleet.edit(inside);
@@ -739,7 +739,7 @@
         auto names = bring_up(fleet, count);
         for (int i = 0; i < 3; ++i) EXPECT_TRUE(fleet.edit_until_done(4000));
         fleet.edit(names[0]);  // one more in hand
-        fleet.run(fleet.dice().below(30));
+        fleet.run(fleet.random().below(30));
         for (const auto& name : names) loses_power ? fleet.power_cut(name) : fleet.kill(name);
         fleet.run(500);
         for (const auto& name : names) fleet.start(name, false);
@@ -752,7 +752,7 @@
       }
 }
 
-TEST(OneProcess, AGhostLeavesTheSetSoThatTheLivingKeepTheirMajority) {
+TEST(OneProcess, ADeadMemberLeavesTheSetSoThatTheLivingKeepTheirMajority) {
   for (std::uint64_t seed = 1; seed <= seeds / 3; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     MachineFleet fleet(seed);
@@ -783,7 +783,7 @@
     auto names = bring_up(fleet, 3);
     fleet.add("spare", "a", false);
     fleet.start("spare", false);
-    fleet.run(1500 + fleet.dice().below(2000));
+    fleet.run(1500 + fleet.random().below(2000));
     fleet.freeze(names[1], true);
     fleet.run(2000);
     fleet.freeze(names[1], false);
@@ -828,13 +828,13 @@
       fleet.loss = 0.03;
       fleet.delay = 1 + static_cast<std::int64_t>(seed % 4) * 8;
       for (int round = 0; round < 5; ++round) {
-        std::size_t which = static_cast<std::size_t>(fleet.dice().below(static_cast<std::int64_t>(names.size())));
+        std::size_t which = static_cast<std::size_t>(fleet.random().below(static_cast<std::int64_t>(names.size())));
         std::vector<std::shared_ptr<EditOutcome>> in_hand;
         for (const auto& name : names) in_hand.push_back(fleet.edit(name));
-        fleet.run(fleet.dice().below(60));
+        fleet.run(fleet.random().below(60));
         fleet.power_cut(names[which]);
-        std::int64_t kind = fleet.dice().below(3);
-        fleet.run(fleet.dice().below(kind == 2 ? 200 : 3500));
+        std::int64_t kind = fleet.random().below(3);
+        fleet.run(fleet.random().below(kind == 2 ? 200 : 3500));
         if (kind == 1) fleet.wipe(names[which]);
         if (kind == 2) {
           std::string fresh = "new" + std::to_string(round);
--- a/packages/control-plane/tests/runner_list_test.cpp
+++ b/packages/control-plane/tests/runner_list_test.cpp
@@ -167,7 +167,7 @@
   EXPECT_FALSE(list.is_read_due(after(3001)));
 }
 
-TEST(RunnerList, ANewReignKnowsNothingAndReadsAtOnce) {
+TEST(RunnerList, ANewTermKnowsNothingAndReadsAtOnce) {
   RunnerList list = begun();
   ASSERT_TRUE(list.is_read_due(start));
   list.take({listed("r1", "a", 60000)}, start, start);
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -14,21 +14,21 @@
 
 // Example:
 //   DataDaemon daemon(self, seeds, 1); daemon.start(now);
-//   daemon.on_message(from, message, now); daemon.on_alarm(now);
+//   daemon.on_message(from, message, now); daemon.on_timer(now);
 //   for (auto& s : daemon.take_out()) links.send(s.to, s.message);
-//   desk.see(daemon.view(), now); desk.set_grant(daemon.grant());
+//   dispatcher.see(daemon.view(), now); dispatcher.set_grant(daemon.grant());
 class DataDaemon {
  public:
-  DataDaemon(DaemonEntry self, std::vector<Address> seeds, std::uint64_t dice_seed)
-      : self_(std::move(self)), seeds_(std::move(seeds)), dice_(dice_seed), keeper_(first_ask(dice_)) {}
+  DataDaemon(DaemonEntry self, std::vector<Address> seeds, std::uint64_t random_seed)
+      : self_(std::move(self)), seeds_(std::move(seeds)), random_(random_seed), keeper_(first_ask(random_)) {}
 
   void start(Moment now);
   // It leaves: the homes are told at once, so that no one is sent here any more. Example: daemon.leave(now);
   void leave(Moment now);
   void on_message(const Address& from, const Message& message, Moment now);
-  void on_alarm(Moment now);
-  // No one listens at a sibling's address. Example: daemon.on_refused(sibling, now);
-  void on_refused(const Address& sibling, Moment now);
+  void on_timer(Moment now);
+  // No one listens at a peer's address. Example: daemon.on_refused(peer, now);
+  void on_refused(const Address& peer, Moment now);
   std::vector<Sending> take_out();
 
   // A guard that a test takes out: stay with a home although the register shows that its map is outdated.
@@ -36,12 +36,12 @@
 
   const Grant& grant() const { return keeper_.grant(); }
   const GrantKeeper& keeper() const { return keeper_; }
-  // The map as it is followed, less what a bar has taken away ahead of it.
+  // The map as it is followed, less what a hold has taken away ahead of it.
   const std::shared_ptr<const TrafficView>& view() const { return view_; }
   EventJournal& journal() { return journal_; }
   const DaemonEntry& self() const { return self_; }
   struct Counts {
-    std::int64_t news = 0, news_used = 0, homes_left = 0, homes_outdated = 0, bars_held = 0;
+    std::int64_t news = 0, news_used = 0, homes_left = 0, homes_outdated = 0, holds_held = 0;
   };
   const Counts& counts() const { return counts_; }
 
@@ -57,23 +57,23 @@
   std::vector<std::string> live_edges(Moment now) const;
   void subscribe(Moment now);
   void ping_near();
-  void take_bar(const Bar& bar, Moment now);
+  void take_hold(const Hold& hold, Moment now);
   void fold_view(Moment now);
   void keep_cold_shares();
   void leave_outdated_homes(Moment now);
 
   DaemonEntry self_;
   std::vector<Address> seeds_;
-  Dice dice_;
+  RandomGenerator random_;
   std::map<Address, Known> known_;
   std::map<std::string, Home> homes_;      // by topic
   std::map<Address, Moment> shunned_;      // homes that went silent, until then
   SliceBook book_;
-  struct HeldBar {
-    Bar bar;
+  struct HeldHold {
+    Hold hold;
     Moment until;
   };
-  std::map<std::string, HeldBar> bars_;  // by change
+  std::map<std::string, HeldHold> holds_;  // by change
   std::shared_ptr<const TrafficView> view_ = book_.view();
   GrantKeeper keeper_;
   EventJournal journal_{256};
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -51,8 +51,8 @@
 }
 }  // namespace
 
-CallRelay::CallRelay(DeskSettings settings, const ControlWord& word, const std::string& http)
-    : settings_(settings), word_(word), listener_("http://" + http + "/"), desk_(settings) {
+CallRelay::CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http)
+    : settings_(settings), snapshot_(snapshot), listener_("http://" + http + "/"), dispatcher_(settings) {
   listener_.support([this](http_request request) { handle(std::move(request)); });
 }
 
@@ -83,7 +83,7 @@
   if (traffic_.joinable()) traffic_.join();
 }
 
-CallDesk::Counts CallRelay::counts() const {
+CallDispatcher::Counts CallRelay::counts() const {
   std::lock_guard<std::mutex> guard(counts_mutex_);
   return counts_;
 }
@@ -122,9 +122,9 @@
   if (handle->caller_id.size() > 128) return refuse(request, 400, "X-Call-Id is longer than 128");
   if (std::any_of(handle->caller_id.begin(), handle->caller_id.end(), [](unsigned char letter) { return letter < 0x20 || letter > 0x7e; }))
     return refuse(request, 400, "X-Call-Id must be printable ASCII");
-  std::string horizon = header_of(headers, "X-Horizon-Ms");
-  if (!horizon.empty() && number_of(horizon) <= 0) return refuse(request, 400, "X-Horizon-Ms must be a number of milliseconds");
-  call.horizon = Span{number_of(horizon)};
+  std::string deadline = header_of(headers, "X-Horizon-Ms");
+  if (!deadline.empty() && number_of(deadline) <= 0) return refuse(request, 400, "X-Horizon-Ms must be a number of milliseconds");
+  call.deadline = Span{number_of(deadline)};
   call.id.text = handle->id;
   call.body_bytes = static_cast<std::int64_t>(length);
   handle->request = request;
@@ -154,10 +154,10 @@
 
 void CallRelay::run_traffic() {
   std::shared_ptr<const TrafficView> seen;
-  Moment alarm_next = steady_now();
+  Moment timer_next = steady_now();
   auto refresh = [&](Moment now) {
-    auto [view, grant] = word_.get();
-    desk_.set_grant(grant);
+    auto [view, grant] = snapshot_.get();
+    dispatcher_.set_grant(grant);
     if (view == seen) return;
     seen = view;
     widest_prefix_ = 0;
@@ -167,7 +167,7 @@
       largest = std::max(largest, plan.max_body_bytes);
     }
     largest_body_ = largest;
-    desk_.see(view, now);
+    dispatcher_.see(view, now);
   };
   for (;;) {
     auto event = events_.take_within(std::chrono::milliseconds(10));
@@ -177,48 +177,48 @@
       if (auto* arrived = std::get_if<Arrived>(&*event)) {
         CallIndex index = arrived->handle->index;
         handles_[index] = arrived->handle;
-        if (auto refusal = desk_.arrive(arrived->call, now, index)) {
+        if (auto refusal = dispatcher_.arrive(arrived->call, now, index)) {
           answer_final(*refusal, arrived->handle);
           handles_.erase(index);
         }
       } else if (auto* ended = std::get_if<Ended>(&*event)) {
         sent_.erase(ended->end.call);
-        desk_.end_send(ended->end, now);
+        dispatcher_.end_send(ended->end, now);
         if (ended->end.kind == SendEndKind::answered || ended->end.kind == SendEndKind::caller_gone) {
           handles_.erase(ended->end.call);
         }
       } else if (auto* gone = std::get_if<Gone>(&*event)) {
         auto sent = sent_.find(gone->index);
         if (sent != sent_.end()) sent->second.stop.cancel();
-        else desk_.caller_gone(gone->index, now);
+        else dispatcher_.caller_gone(gone->index, now);
       } else if (auto* piece = std::get_if<Piece>(&*event)) {
-        desk_.first_piece(piece->index);
+        dispatcher_.first_piece(piece->index);
       }
     }
-    if (alarm_next <= now) {
-      alarm_next = now + Span{10};
+    if (timer_next <= now) {
+      timer_next = now + Span{10};
       for (auto& [index, sent] : sent_)
-        if (!sent.is_stopped && sent.horizon <= now) {
+        if (!sent.is_stopped && sent.deadline <= now) {
           sent.is_stopped = true;
-          ++relay_counts_.horizons_passed;
+          ++relay_counts_.deadlines_passed;
           sent.stop.cancel();
         }
-      desk_.on_alarm(now);
+      dispatcher_.on_timer(now);
       std::lock_guard<std::mutex> guard(counts_mutex_);
-      counts_ = desk_.counts();
+      counts_ = dispatcher_.counts();
     }
     act(now);
     if (!event && is_stopping_ && in_hand_ == 0 && being_read_ == 0) {
       std::lock_guard<std::mutex> guard(counts_mutex_);
-      counts_ = desk_.counts();
+      counts_ = dispatcher_.counts();
       return;
     }
   }
 }
 
 void CallRelay::act(Moment now) {
-  for (const auto& wish : desk_.take_sends()) send(wish, now);
-  for (const auto& final_act : desk_.take_finals()) {
+  for (const auto& wish : dispatcher_.take_sends()) send(wish, now);
+  for (const auto& final_act : dispatcher_.take_finals()) {
     auto entry = handles_.find(final_act.call);
     if (entry == handles_.end()) continue;
     auto handle = entry->second;
@@ -246,7 +246,7 @@
 
 std::shared_ptr<web::http::client::http_client> CallRelay::client_for(const SendAct& act) {
   web::http::client::http_client_config config;
-  config.set_timeout(std::chrono::seconds(600));  // the horizon is kept by the alarm
+  config.set_timeout(std::chrono::seconds(600));  // the deadline is kept by the timer
   // A call that must not run twice never goes over a link that was used before: the library would
   // send it again by itself when such a link turns out closed (HttpClientBehaviour shows it).
   if (!act.is_repeatable) return std::make_shared<web::http::client::http_client>("http://" + act.http, config);
@@ -260,7 +260,7 @@
   if (entry == handles_.end()) return;
   auto handle = entry->second;
   // Checked once more, at the moment of send: the grant may have run out since the gate.
-  if (!desk_.is_granted(steady_now())) {
+  if (!dispatcher_.is_granted(steady_now())) {
     end(act.call, SendEndKind::unsent, "the grant ran out", nullptr);
     return;
   }
@@ -270,14 +270,14 @@
   if (!handle->caller_id.empty()) request.headers().add("X-Call-Id", handle->caller_id);
   request.headers().add("X-Emberdale-Incarnation", std::to_string(act.incarnation));
   request.headers().add("X-Emberdale-Config", std::to_string(act.config_revision));
-  request.headers().add("X-Emberdale-Horizon-Ms", std::to_string((act.horizon - now).value));
+  request.headers().add("X-Emberdale-Horizon-Ms", std::to_string((act.deadline - now).value));
   if (act.method != "GET") {
     request.set_body(handle->body);
     request.headers().set_content_type("application/json");
   }
   Sent& sent = sent_[act.call];
   sent.handle = handle;
-  sent.horizon = act.horizon;
+  sent.deadline = act.deadline;
   auto stop = sent.stop;
   auto client = client_for(act);
   client->request(request, stop.get_token())
@@ -289,12 +289,12 @@
           std::string what = fault.what();
           bool is_unsent = what.find("Failed to connect") != std::string::npos || what.find("Error resolving") != std::string::npos;
           if (handle->is_caller_gone) return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
-          if (stop.get_token().is_canceled()) return end(act.call, SendEndKind::lost, "no answer within the horizon", nullptr);
+          if (stop.get_token().is_canceled()) return end(act.call, SendEndKind::lost, "no answer within the deadline", nullptr);
           ++relay_counts_.links_broken;
           return end(act.call, is_unsent ? SendEndKind::unsent : SendEndKind::lost, is_unsent ? "no link" : "link broke", nullptr);
         } catch (const std::exception&) {
           if (handle->is_caller_gone) return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
-          return end(act.call, SendEndKind::lost, "no answer within the horizon", nullptr);
+          return end(act.call, SendEndKind::lost, "no answer within the deadline", nullptr);
         }
         if (header_of(response.headers(), "X-Runner") == act.runner.text && response.headers().has("X-Runner-Refused")) {
           std::string why = header_of(response.headers(), "X-Runner-Refused");
@@ -321,7 +321,7 @@
     const auto& headers = response->headers();
     done.has_report = true;
     done.incarnation = number_of(header_of(headers, "X-Runner-Incarnation"));
-    done.burden = number_of(header_of(headers, "X-Runner-Burden"));
+    done.load = number_of(header_of(headers, "X-Runner-Burden"));
     done.capacity = number_of(header_of(headers, "X-Runner-Capacity"));
     done.is_cold = header_of(headers, "X-Runner-Cold") == "true";
   }
@@ -341,7 +341,7 @@
       body.assign(bytes.begin(), bytes.end());
     } catch (const std::exception&) {
       if (handle->is_caller_gone) return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
-      if (stop.is_canceled()) return end(act.call, SendEndKind::lost, "no whole answer within the horizon", nullptr);
+      if (stop.is_canceled()) return end(act.call, SendEndKind::lost, "no whole answer within the deadline", nullptr);
       ++relay_counts_.links_broken;
       return end(act.call, SendEndKind::lost, "link broke", nullptr);
     }
@@ -430,8 +430,8 @@
       relay->stop.cancel();
       return end(relay->act.call, SendEndKind::caller_gone, "caller left", nullptr);
     }
-    if (relay->stop.get_token().is_canceled() && !is_sealed && trouble.empty()) trouble = "not ended within the horizon";
-    // Before the first piece nothing has been told to the caller: the desk decides what comes.
+    if (relay->stop.get_token().is_canceled() && !is_sealed && trouble.empty()) trouble = "not ended within the deadline";
+    // Before the first piece nothing has been told to the caller: the dispatcher decides what comes.
     if (!handle->is_stream_open && out.empty() && !trouble.empty()) {
       relay->stop.cancel();
       ++relay_counts_.streams_broken;
--- a/packages/data-plane/src/call_relay.hpp
+++ b/packages/data-plane/src/call_relay.hpp
@@ -11,14 +11,14 @@
 #include <thread>
 #include <variant>
 
-#include "emberdale/bounded_pending.hpp"
-#include "emberdale/call_desk.hpp"
+#include "emberdale/bounded_queue.hpp"
+#include "emberdale/call_dispatcher.hpp"
 #include "emberdale/runner_seal.hpp"
 
 namespace emberdale {
 
 // What the control thread hands to the traffic thread: the newest view and grant, swapped whole.
-class ControlWord {
+class ControlSnapshot {
  public:
   // Example: word.put(daemon.view(), daemon.grant());
   void put(std::shared_ptr<const TrafficView> view, const Grant& grant) {
@@ -42,7 +42,7 @@
 struct CallHandle {
   CallIndex index = 0;
   std::string id;         // this system's own, the same for every send of the call
-  std::string caller_id;  // the caller's, echoed
+  std::string caller_id;  // the caller's, acknowledged
   web::http::http_request request;
   std::vector<unsigned char> body;
   std::string content_type;
@@ -55,19 +55,19 @@
 };
 
 // The stages accept -> gate -> match -> send -> relay, joined by bounded queues.
-// Example: CallRelay relay(desk_settings, word, "127.0.0.1:80"); relay.open(); ... relay.stop();
+// Example: CallRelay relay(dispatcher_settings, word, "127.0.0.1:80"); relay.open(); ... relay.stop();
 class CallRelay {
  public:
-  CallRelay(DeskSettings settings, const ControlWord& word, const std::string& http);
+  CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http);
   ~CallRelay();
   Outcome<bool> open();
   // Finishes or definitely refuses what is in hand. Example: relay.stop(Span{5000});
   void stop(Span patience);
   std::function<void(web::http::http_request)> on_own_path;  // /emberdale/... requests
-  CallDesk::Counts counts() const;
+  CallDispatcher::Counts counts() const;
   struct RelayCounts {
     std::atomic<std::int64_t> bad_seals{0}, streams_broken{0}, links_broken{0}, callers_gone{0}, pieces{0},
-        horizons_passed{0}, accept_refused{0};
+        deadlines_passed{0}, accept_refused{0};
   };
   const RelayCounts& relay_counts() const { return relay_counts_; }
   std::size_t in_hand() const { return in_hand_; }
@@ -90,7 +90,7 @@
   struct Sent {
     std::shared_ptr<CallHandle> handle;
     pplx::cancellation_token_source stop;
-    Moment horizon;
+    Moment deadline;
     bool is_stopped = false;
   };
   struct Relay;  // one streamed reply on its way
@@ -106,11 +106,11 @@
   void answer_final(const FinalAct& act, const std::shared_ptr<CallHandle>& handle);
   std::shared_ptr<web::http::client::http_client> client_for(const SendAct& act);
 
-  DeskSettings settings_;
-  const ControlWord& word_;
+  DispatcherSettings settings_;
+  const ControlSnapshot& snapshot_;
   web::http::experimental::listener::http_listener listener_;
-  CallDesk desk_;
-  BoundedPending<TrafficEvent> events_{4096};
+  CallDispatcher dispatcher_;
+  BoundedQueue<TrafficEvent> events_{4096};
   std::thread traffic_;
   std::map<CallIndex, std::shared_ptr<CallHandle>> handles_;  // of the traffic thread
   std::map<CallIndex, Sent> sent_;                            // of the traffic thread
@@ -121,7 +121,7 @@
   std::atomic<std::int64_t> widest_prefix_{0}, largest_body_{1 << 20};
   RelayCounts relay_counts_;
   mutable std::mutex counts_mutex_;
-  CallDesk::Counts counts_;
+  CallDispatcher::Counts counts_;
 };
 
 }  // namespace emberdale
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -15,7 +15,7 @@
 void DataDaemon::start(Moment now) {
   for (const auto& seed : seeds_) known_[seed].entry.address = seed;
   ping_next_ = ask_next_ = subscribe_next_ = now;
-  on_alarm(now);
+  on_timer(now);
 }
 
 void DataDaemon::leave(Moment now) {
@@ -23,7 +23,7 @@
   subscribe(now);
 }
 
-// The register shows a floor above this map and no home has brought it: they may follow a master that is cut off
+// The register shows a minimum version above this map and no home has brought it: they may follow a master that is cut off
 // with them. Others are asked.
 void DataDaemon::leave_outdated_homes(Moment now) {
   const auto& since = keeper_.behind_since();
@@ -38,7 +38,7 @@
 
 std::vector<std::string> DataDaemon::live_edges(Moment now) const {
   std::vector<std::string> near, all;
-  // Who lives is the master's word, in the map; before there is a map, whoever answered a ping.
+  // Who lives is the leader lease, in the map; before there is a map, whoever answered a ping.
   for (const auto& edge : view()->edges) {
     auto shunned = shunned_.find(edge.daemon);
     if (shunned != shunned_.end() && now < shunned->second) continue;
@@ -81,7 +81,7 @@
   }
   homes_ = std::move(homes);
   keep_cold_shares();
-  bool is_granted = now < grant().until && grant().floor <= book_.version();
+  bool is_granted = now < grant().until && grant().minimum_version <= book_.version();
   for (auto& [home, topics] : by_home)
     out_.push_back({home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted, is_leaving_}});
 }
@@ -111,8 +111,8 @@
     }
   }
   if (const auto* answer = std::get_if<ReadAnswer>(&message)) keeper_.on_answer(*answer, book_.version(), now);
-  if (const auto* vouch = std::get_if<Vouch>(&message)) keeper_.on_vouch(*vouch, book_.version());
-  if (const auto* bar = std::get_if<Bar>(&message)) take_bar(*bar, now);
+  if (const auto* lease_grant = std::get_if<LeaseGrant>(&message)) keeper_.on_lease_grant(*lease_grant, book_.version());
+  if (const auto* hold = std::get_if<Hold>(&message)) take_hold(*hold, now);
   if (const auto* news = std::get_if<SliceNews>(&message)) {
     ++counts_.news;
     auto home = homes_.find(news->topic);
@@ -145,38 +145,38 @@
   keeper_.set_cold_until(until);
 }
 
-void DataDaemon::take_bar(const Bar& bar, Moment now) {
-  if (bar.lifted) {
-    if (bars_.erase(bar.change) != 0) fold_view(now);
+void DataDaemon::take_hold(const Hold& hold, Moment now) {
+  if (hold.lifted) {
+    if (holds_.erase(hold.change) != 0) fold_view(now);
     return;
   }
-  auto [held, is_new] = bars_.insert({bar.change, {bar, {}}});
-  held->second.until = now + bar_length;
+  auto [held, is_new] = holds_.insert({hold.change, {hold, {}}});
+  held->second.until = now + hold_length;
   if (!is_new) return;
-  ++counts_.bars_held;
-  journal_.append(now, "barred", bar.runner.empty() ? "zone " + bar.zone.text : bar.runner.text);
+  ++counts_.holds_held;
+  journal_.append(now, "barred", hold.runner.empty() ? "zone " + hold.zone.text : hold.runner.text);
   fold_view(now);
 }
 
 void DataDaemon::fold_view(Moment now) {
-  for (auto entry = bars_.begin(); entry != bars_.end();) entry = entry->second.until <= now ? bars_.erase(entry) : std::next(entry);
+  for (auto entry = holds_.begin(); entry != holds_.end();) entry = entry->second.until <= now ? holds_.erase(entry) : std::next(entry);
   view_ = book_.view();
-  if (bars_.empty()) return;
+  if (holds_.empty()) return;
   auto barred = std::make_shared<TrafficView>(*view_);
   for (auto& [name, row] : barred->runners)
-    for (const auto& [change, held] : bars_)
-      if (held.bar.runner == name || (!held.bar.zone.empty() && held.bar.zone == row.zone)) row.status = held.bar.runner == name ? "leaving" : "emptied";
+    for (const auto& [change, held] : holds_)
+      if (held.hold.runner == name || (!held.hold.zone.empty() && held.hold.zone == row.zone)) row.status = held.hold.runner == name ? "leaving" : "emptied";
   view_ = barred;
 }
 
-void DataDaemon::on_refused(const Address& sibling, Moment now) {
-  auto known = known_.find(sibling);
+void DataDaemon::on_refused(const Address& peer, Moment now) {
+  auto known = known_.find(peer);
   if (known != known_.end()) known->second.heard = Moment{now.value - alive_span.value - 1};
-  bool is_home = std::any_of(homes_.begin(), homes_.end(), [&](const auto& home) { return home.second.address == sibling; });
+  bool is_home = std::any_of(homes_.begin(), homes_.end(), [&](const auto& home) { return home.second.address == peer; });
   if (!is_home) return;
-  shunned_[sibling] = now + Span{1000};  // until it is back, or the map leaves it out
+  shunned_[peer] = now + Span{1000};  // until it is back, or the map leaves it out
   ++counts_.homes_left;
-  journal_.append(now, "home_gone", sibling.text);
+  journal_.append(now, "home_gone", peer.text);
   subscribe(now);
 }
 
@@ -185,7 +185,7 @@
     if (known.entry.role == "edge" && known.entry.zone == self_.zone) out_.push_back({address, Ping{0, self_, {}, book_.version()}});
 }
 
-void DataDaemon::on_alarm(Moment now) {
+void DataDaemon::on_timer(Moment now) {
   if (ping_next_ <= now) {
     ping_next_ = now + (view()->edges.empty() ? seeking_pace : ping_pace);
     std::vector<Address> others;
@@ -196,9 +196,9 @@
       else others.push_back(address);
     }
     for (int i = 0; i < 2 && !others.empty(); ++i)
-      out_.push_back({others[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(others.size())))], Ping{0, self_, {}, book_.version()}});
+      out_.push_back({others[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(others.size())))], Ping{0, self_, {}, book_.version()}});
   }
-  bool lacks_grant = !(now < grant().until && grant().floor <= book_.version());
+  bool lacks_grant = !(now < grant().until && grant().minimum_version <= book_.version());
   if (ask_next_ <= now || (lacks_grant && hurried_next_ <= now)) {
     ask_next_ = now + ask_pace;
     hurried_next_ = now + hurried_pace;
@@ -209,8 +209,8 @@
     leave_outdated_homes(now);
     subscribe(now);
   }
-  if (std::any_of(bars_.begin(), bars_.end(), [&](const auto& entry) { return entry.second.until <= now; })) fold_view(now);
-  bool is_granted = now < grant().until && grant().floor <= book_.version();
+  if (std::any_of(holds_.begin(), holds_.end(), [&](const auto& entry) { return entry.second.until <= now; })) fold_view(now);
+  bool is_granted = now < grant().until && grant().minimum_version <= book_.version();
   if (is_granted != was_granted_) {
     was_granted_ = is_granted;
     journal_.append(now, is_granted ? "granted" : "grant_lapsed", show(book_.version()));
--- a/packages/data-plane/src/data_process.cpp
+++ b/packages/data-plane/src/data_process.cpp
@@ -6,15 +6,15 @@
 
 namespace emberdale {
 
-DataProcess::DataProcess(DaemonEntry self, std::vector<Address> seeds, Span alarm_pace)
-    : self_(self), alarm_pace_(alarm_pace), daemon_(self, std::move(seeds), static_cast<std::uint64_t>(self.incarnation)) {
+DataProcess::DataProcess(DaemonEntry self, std::vector<Address> seeds, Span timer_interval)
+    : self_(self), timer_interval_(timer_interval), daemon_(self, std::move(seeds), static_cast<std::uint64_t>(self.incarnation)) {
   daemon_.journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
-  links_ = std::make_unique<SiblingLinks>(context_, self_.address, [this](const Address& from, Message message) {
+  links_ = std::make_unique<PeerConnections>(context_, self_.address, [this](const Address& from, Message message) {
     daemon_.on_message(from, message, steady_now());
     flush();
   });
-  links_->on_refused = [this](const Address& sibling) {
-    daemon_.on_refused(sibling, steady_now());
+  links_->on_refused = [this](const Address& peer) {
+    daemon_.on_refused(peer, steady_now());
     flush();
   };
 }
@@ -43,7 +43,7 @@
 }
 
 void DataProcess::flush() {
-  word_.put(daemon_.view(), daemon_.grant());
+  snapshot_.put(daemon_.view(), daemon_.grant());
   bool is_new = seen_ != daemon_.view();
   seen_ = daemon_.view();
   if (is_new && on_change) on_change();
@@ -51,10 +51,10 @@
 }
 
 void DataProcess::tick() {
-  alarm_.expires_after(std::chrono::milliseconds(alarm_pace_.value));
-  alarm_.async_wait([this](boost::system::error_code fault) {
+  timer_.expires_after(std::chrono::milliseconds(timer_interval_.value));
+  timer_.async_wait([this](boost::system::error_code fault) {
     if (fault) return;
-    daemon_.on_alarm(steady_now());
+    daemon_.on_timer(steady_now());
     flush();
     tick();
   });
--- a/packages/data-plane/src/data_process.hpp
+++ b/packages/data-plane/src/data_process.hpp
@@ -7,16 +7,16 @@
 
 #include "call_relay.hpp"
 #include "emberdale/data_daemon.hpp"
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 namespace emberdale {
 
 // Example:
 //   DataProcess process(settings.self, settings.seeds, Span{25}); auto listens = process.open();
-//   CallRelay relay(desk, process.word(), http); process.start(); ... process.stop();
+//   CallRelay relay(dispatcher, process.word(), http); process.start(); ... process.stop();
 class DataProcess {
  public:
-  DataProcess(DaemonEntry self, std::vector<Address> seeds, Span alarm_pace);
+  DataProcess(DaemonEntry self, std::vector<Address> seeds, Span timer_interval);
   // Example: auto listens = process.open(); if (!listens) LOG(ERROR) << listens.reason;
   Outcome<bool> open();
   void start();
@@ -25,9 +25,9 @@
   void post(std::function<void(DataDaemon&)> act);
 
   // The view and the grant for the traffic thread; on_change is called (on the control thread) when they differ.
-  const ControlWord& word() const { return word_; }
+  const ControlSnapshot& snapshot() const { return snapshot_; }
   std::function<void()> on_change;
-  SiblingLinks& links() { return *links_; }
+  PeerConnections& links() { return *links_; }
   boost::asio::io_context& context() { return context_; }
 
  private:
@@ -35,13 +35,13 @@
   void tick();
 
   DaemonEntry self_;
-  Span alarm_pace_;
+  Span timer_interval_;
   boost::asio::io_context context_{1};
-  boost::asio::steady_timer alarm_{context_};
-  ControlWord word_;
+  boost::asio::steady_timer timer_{context_};
+  ControlSnapshot snapshot_;
   std::shared_ptr<const TrafficView> seen_;
   DataDaemon daemon_;
-  std::unique_ptr<SiblingLinks> links_;
+  std::unique_ptr<PeerConnections> links_;
   std::thread control_;
 };
 
--- a/packages/data-plane/src/main.cpp
+++ b/packages/data-plane/src/main.cpp
@@ -44,16 +44,16 @@
 
   DataProcess process(settings.self, settings.seeds, Span{25});
   auto& context = process.context();
-  const ControlWord& word = process.word();
+  const ControlSnapshot& snapshot = process.snapshot();
   auto listens = process.open();
   if (!listens) {
     LOG(ERROR) << listens.reason;
     return 1;
   }
-  DeskSettings desk;
-  desk.self = settings.self.address;
-  desk.region = settings.self.region;
-  CallRelay relay(desk, word, settings.self.http);
+  DispatcherSettings dispatcher;
+  dispatcher.self = settings.self.address;
+  dispatcher.region = settings.self.region;
+  CallRelay relay(dispatcher, snapshot, settings.self.http);
   relay.on_own_path = [&](web::http::http_request request) {
     auto path = request.relative_uri().path();
     auto reply = [](web::http::http_request& to, int code, const std::string& body, const char* kind) {
@@ -67,8 +67,8 @@
       });
     };
     if (path == "/emberdale/health") {
-      auto [view, grant] = word.get();
-      bool is_granted = steady_now() < grant.until && grant.floor <= view->version;
+      auto [view, grant] = snapshot.get();
+      bool is_granted = steady_now() < grant.until && grant.minimum_version <= view->version;
       Json health{{"status", is_granted ? "serving" : "not_serving"}, {"map_version", show(view->version)},
                   {"config_revision", view->config_revision}, {"in_hand", relay.in_hand()}};
       return reply(request, is_granted ? 200 : 503, json_text(health), "application/json");
@@ -78,11 +78,11 @@
       const auto& r = relay.relay_counts();
       return reply(request, 200, counters_text("emberdale_data", {
           {"calls_arrived", c.arrived}, {"sends", c.sends}, {"retries", c.retries}, {"retries_denied", c.retry_denied},
-          {"calls_answered", c.answered}, {"refused_gate", c.refused_gate}, {"refused_full", c.refused_full},
+          {"calls_answered", c.answered}, {"refused_gate", c.refused_admission}, {"refused_full", c.refused_full},
           {"refused_no_grant", c.refused_no_grant}, {"refused_other", c.refused_other}, {"outcome_unknown", c.unknown},
           {"spilled", c.spilled}, {"misdirected", c.misdirected}, {"pended", c.pended}, {"cold_sends", c.cold_sends}, {"grant_awaited", c.grant_awaited},
           {"bad_seals", r.bad_seals}, {"streams_broken", r.streams_broken}, {"links_broken", r.links_broken},
-          {"callers_gone", r.callers_gone}, {"stream_pieces", r.pieces}, {"horizons_passed", r.horizons_passed},
+          {"callers_gone", r.callers_gone}, {"stream_pieces", r.pieces}, {"horizons_passed", r.deadlines_passed},
           {"accept_refused", r.accept_refused}, {"in_hand", static_cast<std::int64_t>(relay.in_hand())}}), "text/plain; version=0.0.4");
     }
     if (path == "/emberdale/faults" && request.method() == web::http::methods::POST) {
@@ -92,11 +92,11 @@
         if (!wish.is_object()) return reply(request, 400, R"({"reason":"not a JSON object"})", "application/json");
         try {
           LinkFault fault{wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}};
-          auto siblings = wish.value("siblings", std::vector<std::string>{});
+          auto peers = wish.value("siblings", std::vector<std::string>{});
           bool is_clear = wish.value("clear", false);
-          boost::asio::post(context, [&process, siblings, fault, is_clear] {
+          boost::asio::post(context, [&process, peers, fault, is_clear] {
             if (is_clear) process.links().clear_faults();
-            for (const auto& sibling : siblings) process.links().set_fault({sibling}, fault);
+            for (const auto& peer : peers) process.links().set_fault({peer}, fault);
           });
         } catch (const Json::exception&) {
           return reply(request, 400, R"({"reason":"a field of the body is of the wrong kind"})", "application/json");
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t stream_bound = 1 << 20;        // what a caller may lag behind its stream; also the largest event
 constexpr std::size_t max_answer = 16 << 20;
 constexpr std::size_t max_parts = 256;
-constexpr Span piece_pace{50};  // the desk hears that often of a stream that goes on
+constexpr Span piece_pace{50};  // the dispatcher hears that often of a stream that goes on
 constexpr int silent_link_ms = 3000;
 
 std::string header_of(const http_headers& headers, const std::string& name) {
@@ -170,7 +170,7 @@
 template std::array<Integer, 2> read_numbers<2>(const std::string&);
 template std::array<Integer, 3> read_numbers<3>(const std::string&);
 
-std::optional<Span> read_horizon(const std::string& text) {
+std::optional<Span> read_deadline(const std::string& text) {
   auto number = number_of(trimmed(text));
   if (!number || *number <= 0) return std::nullopt;
   return Span{*number};
@@ -250,7 +250,7 @@
   int turn = 0;      // the send whose answer may go to the caller; 0: none
   bool is_stream_open = false, is_over = false;
   std::string last_event;  // the last id that went to the caller
-  Moment told_at{-1000};   // when the desk last heard of this stream
+  Moment told_at{-1000};   // when the dispatcher last heard of this stream
   std::optional<producer_consumer_buffer<std::uint8_t>> pieces;
   std::optional<http_response> kept;  // a runner's own answer, given if no other comes
 };
@@ -275,8 +275,8 @@
 
 // --- life ------------------------------------------------------------------------------------------
 
-RoutedRelay::RoutedRelay(RouteDeskSettings settings, RelayWords words, const ControlWord& word, const std::string& http)
-    : settings_(settings), words_(std::move(words)), word_(word), listener_("http://" + http + "/"), desk_(std::move(settings)) {
+RoutedRelay::RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot, const std::string& http)
+    : settings_(settings), words_(std::move(words)), snapshot_(snapshot), listener_("http://" + http + "/"), dispatcher_(std::move(settings)) {
   listener_.support([this](http_request request) { handle(std::move(request)); });
 }
 
@@ -317,7 +317,7 @@
   if (!wait_empty(Span{10000})) LOG(ERROR) << "calls are still in hand after the end";
 }
 
-RouteDesk::Counts RoutedRelay::counts() const {
+RouteDispatcher::Counts RoutedRelay::counts() const {
   std::lock_guard<std::mutex> guard(counts_mutex_);
   return counts_;
 }
@@ -427,14 +427,14 @@
   std::string named = header_of(headers, "Connection");
   for (const auto& [name, value] : headers)
     if (!is_of_link(name, named)) handle->headers.add(name, value);
-  for (const auto* name : {&words_.life_expected, &words_.rank, &words_.horizon})
+  for (const auto* name : {&words_.life_expected, &words_.rank, &words_.deadline})
     if (!name->empty()) handle->headers.remove(*name);
   handle->request = request;
   RoutedCall call;
   call.id.text = id;
   call.host = header_of(headers, "Host");
   call.path = request.request_uri().path();
-  call.horizon = read_horizon(header_of(headers, words_.horizon)).value_or(Span{0});
+  call.deadline = read_deadline(header_of(headers, words_.deadline)).value_or(Span{0});
   call.prompt = read_prompt(header_of(headers, words_.prompt));
   auto [tokens_in, tokens_out] = read_numbers<2>(header_of(headers, words_.tokens));
   call.tokens_in = tokens_in;
@@ -493,34 +493,34 @@
 
 void RoutedRelay::run_traffic() {
   Moment now = steady_now();
-  Moment alarm_at = now;
+  Moment timer_at = now;
   while (!is_closing_) {
-    Span wait = std::min(Span{500}, std::max(Span{0}, alarm_at - now));
+    Span wait = std::min(Span{500}, std::max(Span{0}, timer_at - now));
     auto event = events_.take_within(std::chrono::milliseconds(wait.value));
     now = steady_now();
     is_woken_ = false;  // before the word is read: a later change wakes again
-    auto [view, grant] = word_.get();
-    desk_.set_cold_until(grant.cold_until);
+    auto [view, grant] = snapshot_.get();
+    dispatcher_.set_cold_until(grant.cold_until);
     if (view != view_) {
       view_ = view;
       max_header_bytes_ = view->limits.max_header_bytes;
       max_body_bytes_ = view->limits.max_body_bytes;
       drop_links(*view);
-      desk_.see(view, now);
+      dispatcher_.see(view, now);
     }
     for (int taken = 0; event && taken < 64; ++taken) {
       on_event(*event, now);
       event = events_.take_within(std::chrono::milliseconds(0));
     }
     if (event) on_event(*event, now);
-    if (alarm_at <= now) {
-      desk_.on_alarm(now);
-      alarm_at = std::max(desk_.alarm_next(now), now + Span{1});
+    if (timer_at <= now) {
+      dispatcher_.on_timer(now);
+      timer_at = std::max(dispatcher_.timer_next(now), now + Span{1});
     }
     act(now);
-    alarm_at = std::min(alarm_at, std::max(desk_.alarm_next(now), now + Span{1}));
+    timer_at = std::min(timer_at, std::max(dispatcher_.timer_next(now), now + Span{1}));
     std::lock_guard<std::mutex> guard(counts_mutex_);
-    counts_ = desk_.counts();
+    counts_ = dispatcher_.counts();
   }
   break_off("this daemon stops");
 }
@@ -529,7 +529,7 @@
   if (auto* arrived = std::get_if<Arrived>(&event)) {
     CallIndex index = arrived->handle->index;
     calls_[index].handle = arrived->handle;
-    if (auto refusal = desk_.arrive(arrived->call, now, index)) {
+    if (auto refusal = dispatcher_.arrive(arrived->call, now, index)) {
       answer_final(*refusal, arrived->handle);
       calls_.erase(index);
     }
@@ -539,18 +539,18 @@
     entry->second.send.reset();
     bool is_over = ended->kind == RoutedEndKind::answered || ended->kind == RoutedEndKind::caller_gone;
     if (is_over) calls_.erase(entry);
-    desk_.end_send(*ended, now);
+    dispatcher_.end_send(*ended, now);
   } else if (auto* begun = std::get_if<Begun>(&event)) {
-    desk_.answer_begun(begun->index, begun->turn, now);
+    dispatcher_.answer_begun(begun->index, begun->turn, now);
   } else if (auto* piece = std::get_if<Piece>(&event)) {
-    desk_.first_piece(piece->index, piece->turn, now);
+    dispatcher_.first_piece(piece->index, piece->turn, now);
   } else if (auto* gone = std::get_if<Gone>(&event)) {
     auto entry = calls_.find(gone->index);
     if (entry == calls_.end()) return;
     ++relay_counts_.callers_gone;
     give_up(entry->second);
     calls_.erase(entry);
-    desk_.caller_gone(gone->index, now);
+    dispatcher_.caller_gone(gone->index, now);
   }
 }
 
@@ -566,14 +566,14 @@
 }
 
 void RoutedRelay::act(Moment now) {
-  for (const auto& stopped : desk_.take_stops()) {
+  for (const auto& stopped : dispatcher_.take_stops()) {
     auto entry = calls_.find(stopped.call);
     if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != stopped.turn) continue;
     ++relay_counts_.stops;
     give_up(entry->second);
   }
-  for (const auto& wish : desk_.take_sends()) send(wish, now);
-  for (const auto& final_act : desk_.take_finals()) {
+  for (const auto& wish : dispatcher_.take_sends()) send(wish, now);
+  for (const auto& final_act : dispatcher_.take_finals()) {
     auto found = calls_.find(final_act.call);
     if (found == calls_.end()) continue;
     Entry entry = found->second;
@@ -606,7 +606,7 @@
 
 std::shared_ptr<RoutedRelay::RunnerLink> RoutedRelay::link_to(const RoutedSend& act) {
   web::http::client::http_client_config config;
-  config.set_timeout(std::chrono::seconds(600));  // the horizon is kept by the desk
+  config.set_timeout(std::chrono::seconds(600));  // the deadline is kept by the dispatcher
   config.set_max_redirects(0);                    // a redirect is the runner's answer
   bool is_number = act.http.find_first_not_of("0123456789.:") == std::string::npos;  // an address, not a name
   config.set_nativehandle_options([is_number](web::http::client::native_handle handle) {
@@ -651,7 +651,7 @@
     for (const auto& [name, value] : handle->headers) request.headers().add(name, value);
     if (!words_.life_expected.empty()) request.headers().add(words_.life_expected, act.runner.text);
     if (!words_.rank.empty()) request.headers().add(words_.rank, std::to_string(act.rank));
-    if (!words_.horizon.empty()) request.headers().add(words_.horizon, std::to_string(std::max<std::int64_t>(1, (act.horizon - now).value)));
+    if (!words_.deadline.empty()) request.headers().add(words_.deadline, std::to_string(std::max<std::int64_t>(1, (act.deadline - now).value)));
     if (!last.empty() && !words_.resume.empty()) request.headers()[words_.resume] = last;
     if (!handle->body->empty()) {
       bool has_type = request.headers().has("Content-Type");
@@ -706,9 +706,9 @@
   over.turn = send.act.turn;
   over.kind = kind;
   over.reason = reason;
-  std::string burden = header_of(send.response.headers(), words_.burden);
-  if (!burden.empty()) {
-    auto [running, waiting, slots] = read_numbers<3>(burden);
+  std::string load = header_of(send.response.headers(), words_.load);
+  if (!load.empty()) {
+    auto [running, waiting, slots] = read_numbers<3>(load);
     over.has_report = true;
     over.running = running;
     over.waiting = waiting;
@@ -723,7 +723,7 @@
   std::lock_guard<std::mutex> guard(send->handle->mutex);
   if (send->handle->turn != send->act.turn) return;
   send->handle->turn = 0;
-  // After events went out there is no way back: the desk goes on from the last of them, or breaks off.
+  // After events went out there is no way back: the dispatcher goes on from the last of them, or breaks off.
   if (over.kind == RoutedEndKind::lost && send->handle->is_stream_open) over.kind = RoutedEndKind::broken;
   over.last_event = send->handle->last_event;
   events_.force(over);
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -18,8 +18,8 @@
 #include <vector>
 
 #include "call_relay.hpp"
-#include "emberdale/bounded_pending.hpp"
-#include "emberdale/route_desk.hpp"
+#include "emberdale/bounded_queue.hpp"
+#include "emberdale/route_dispatcher.hpp"
 
 namespace emberdale {
 
@@ -27,14 +27,14 @@
 // Example: words.call_id = "X-Call"; words.seal = "X-Seal";
 struct RelayWords {
   std::string call_id;        // of a call and of its answer
-  std::string horizon;        // ms left, to this daemon and from it to a runner
+  std::string deadline;        // ms left, to this daemon and from it to a runner
   std::string prompt;         // HEXID:TOKENS,HEXID:TOKENS,..
   std::string tokens;         // IN,OUT
   std::string life_expected;  // to a runner: only this one runs the call, every other answers 421
   std::string rank;           // to a runner
   std::string life;           // of an answer: who ran it
   std::string seal;           // of an answer: without it none counts as given
-  std::string burden;         // of an answer: running,waiting,slots
+  std::string load;         // of an answer: running,waiting,slots
   std::string not_run, not_run_value = "1";  // of an answer: it surely did not run
   std::string resume = "Last-Event-Id";
 };
@@ -44,8 +44,8 @@
 // Numbers with commas between; what can't be read is 0. Example: read_numbers<2>("120,16")[1] == 16
 template <std::size_t Count>
 std::array<Integer, Count> read_numbers(const std::string& text);
-// Milliseconds; none if it is no positive number. Example: read_horizon("250")->value == 250
-std::optional<Span> read_horizon(const std::string& text);
+// Milliseconds; none if it is no positive number. Example: read_deadline("250")->value == 250
+std::optional<Span> read_deadline(const std::string& text);
 // Seconds with a fraction. Example: retry_after_text(Span{250}) == "0.250"
 std::string retry_after_text(Span span);
 
@@ -93,10 +93,10 @@
 };
 
 // The stages accept -> gate -> match -> send -> relay of routed calls, joined by bounded queues.
-// Example: RoutedRelay relay(desk_settings, words, word, "127.0.0.1:80"); relay.open(); ... relay.stop(Span{5000});
+// Example: RoutedRelay relay(dispatcher_settings, words, word, "127.0.0.1:80"); relay.open(); ... relay.stop(Span{5000});
 class RoutedRelay {
  public:
-  RoutedRelay(RouteDeskSettings settings, RelayWords words, const ControlWord& word, const std::string& http);
+  RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot, const std::string& http);
   ~RoutedRelay();
   Outcome<bool> open();
   // The control word has changed. Example: word.put(view, grant); relay.wake();
@@ -106,7 +106,7 @@
   bool ready() const { return is_open_ && !is_stopping_; }
   // Finishes what is in hand, or breaks it off when patience is over. Example: relay.stop(Span{5000})
   void stop(Span patience);
-  RouteDesk::Counts counts() const;
+  RouteDispatcher::Counts counts() const;
   struct RelayCounts {
     std::atomic<std::int64_t> unsealed{0}, foreign_answers{0}, streams_broken{0}, links_broken{0}, callers_gone{0}, pieces{0},
         pieces_dropped{0}, stops{0}, accept_refused{0}, own_answers_kept{0};
@@ -168,15 +168,15 @@
   void reply(const web::http::http_request& request, web::http::http_response response, std::function<void(bool)> on_end);
   void copy_answer_headers(const web::http::http_headers& from, web::http::http_headers& to) const;
 
-  RouteDeskSettings settings_;
+  RouteDispatcherSettings settings_;
   RelayWords words_;
-  const ControlWord& word_;
+  const ControlSnapshot& snapshot_;
   web::http::experimental::listener::http_listener listener_;
-  RouteDesk desk_;  // of the traffic thread, with the next three
+  RouteDispatcher dispatcher_;  // of the traffic thread, with the next three
   std::map<CallIndex, Entry> calls_;
   std::map<std::pair<std::string, RunnerName>, std::shared_ptr<RunnerLink>> links_;
   std::shared_ptr<const TrafficView> view_;
-  BoundedPending<TrafficEvent> events_{4096};
+  BoundedQueue<TrafficEvent> events_{4096};
   std::thread traffic_;
   std::shared_ptr<InHand> in_hand_ = std::make_shared<InHand>();
   std::atomic<CallIndex> last_index_{0};
@@ -184,7 +184,7 @@
   std::atomic<std::int64_t> max_header_bytes_{TrafficLimits{}.max_header_bytes}, max_body_bytes_{TrafficLimits{}.max_body_bytes};
   RelayCounts relay_counts_;
   mutable std::mutex counts_mutex_;
-  RouteDesk::Counts counts_;
+  RouteDispatcher::Counts counts_;
 };
 
 }  // namespace emberdale
--- a/packages/data-plane/tests/call_relay_test.cpp
+++ b/packages/data-plane/tests/call_relay_test.cpp
@@ -59,12 +59,12 @@
     }
     view->regions[{PoolName{"p"}, RegionName{"here"}}] = {PoolName{"p"}, RegionName{"here"}, capacity, 0, false};
     view->gateways.push_back({Address{"g"}, "127.0.0.9:80", ZoneName{"z"}, RegionName{"away"}});
-    word_.put(view, Grant{steady_now() + Span{60000}, {1, 1}});
-    DeskSettings settings;
+    snapshot_.put(view, Grant{steady_now() + Span{60000}, {1, 1}});
+    DispatcherSettings settings;
     settings.self.text = "d";
     settings.region.text = "here";
-    settings.pending_bound = 2;
-    relay_ = std::make_unique<CallRelay>(settings, word_, place_);
+    settings.queue_bound = 2;
+    relay_ = std::make_unique<CallRelay>(settings, snapshot_, place_);
     auto opened = relay_->open();
     EXPECT_TRUE(opened) << opened.reason;
   }
@@ -85,12 +85,12 @@
   Told ask(const std::string& path, const std::string& body = "{}", const std::string& method = "POST", const std::string& type = "application/json") {
     return ask_later(path, body, method, type).get();
   }
-  void take_grant() { word_.put(word_.get().first, Grant{Moment{0}, {1, 1}}); }
+  void take_grant() { snapshot_.put(snapshot_.get().first, Grant{Moment{0}, {1, 1}}); }
   CallRelay& relay() { return *relay_; }
 
  private:
   std::string place_;
-  ControlWord word_;
+  ControlSnapshot snapshot_;
   std::unique_ptr<CallRelay> relay_;
 };
 
@@ -239,14 +239,14 @@
   }
 }
 
-TEST(CallRelay, AHungRunnerEndsAtTheHorizonAndAFullOneAtOnceWithRetryAfter) {
+TEST(CallRelay, AHungRunnerEndsAtTheDeadlineAndAFullOneAtOnceWithRetryAfter) {
   CountingServer hung([](const Asked&) { return std::make_pair(std::string(), false); });
   {
     Bench bench({hung.place()});
     Told told = bench.ask("/once");
     EXPECT_EQ(told.code, 502);
     EXPECT_EQ(outcome_of(told), "unknown");
-    EXPECT_EQ(bench.relay().relay_counts().horizons_passed, 1);
+    EXPECT_EQ(bench.relay().relay_counts().deadlines_passed, 1);
   }
   Bench bench({hung.place()}, 1);
   std::vector<pplx::task<Told>> calls;
--- a/packages/data-plane/tests/data_daemon_test.cpp
+++ b/packages/data-plane/tests/data_daemon_test.cpp
@@ -1,4 +1,4 @@
-// The control state of a data daemon by hand: bars, answers meant for a former life, taking leave, outdated homes.
+// The control state of a data daemon by hand: holds, answers meant for a former life, taking leave, outdated homes.
 #include "emberdale/data_daemon.hpp"
 
 #include <gtest/gtest.h>
@@ -12,15 +12,15 @@
 
 namespace {
 
-DataDaemon started(std::uint64_t dice_seed) {
-  DataDaemon daemon(DaemonEntry{Address{"d"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1}, {Address{"seed"}}, dice_seed);
+DataDaemon started(std::uint64_t random_seed) {
+  DataDaemon daemon(DaemonEntry{Address{"d"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1}, {Address{"seed"}}, random_seed);
   daemon.start(Moment{0});
   PingAnswer answer;
   answer.sender = DaemonEntry{Address{"e"}, "http-e", "edge", ZoneName{"a"}, RegionName{"north"}, 1};
   for (const char* name : {"s1", "s2", "s3"}) answer.acceptors.push_back({StoreId{name}, Address{name}});
   daemon.on_message(Address{"e"}, answer, Moment{10});
-  daemon.on_alarm(Moment{20});
-  daemon.on_alarm(Moment{150});  // asks: it has no grant yet
+  daemon.on_timer(Moment{20});
+  daemon.on_timer(Moment{150});  // asks: it has no grant yet
   return daemon;
 }
 
@@ -63,7 +63,7 @@
   answer.ask = ask;
   answer.store.text = store;
   answer.accepted = {5, Address{"p"}};
-  answer.floor = {1, 1};
+  answer.minimum_version = {1, 1};
   for (const char* name : {"s1", "s2", "s3"}) answer.acceptors.push_back({StoreId{name}, Address{name}});
   return answer;
 }
@@ -99,10 +99,10 @@
   std::vector<ReadAsk> asks;
 };
 
-// One step of its time: the core's majority shows `floor`, and the home it has subscribed to feeds it what `home_tells` says.
+// One step of its time: the core's majority shows `minimum version`, and the home it has subscribed to feeds it what `home_tells` says.
 template <class Tell>
-Told step(DataDaemon& daemon, const MapVersion& floor, Moment now, Tell home_tells) {
-  daemon.on_alarm(now);
+Told step(DataDaemon& daemon, const MapVersion& minimum_version, Moment now, Tell home_tells) {
+  daemon.on_timer(now);
   Told told;
   for (const auto& sending : daemon.take_out()) {
     if (const auto* subscribe = std::get_if<Subscribe>(&sending.message)) told.subscriptions.push_back({sending.to, *subscribe});
@@ -111,7 +111,7 @@
   for (const auto& ask : told.asks)
     for (const char* store : {"s1", "s2"}) {
       ReadAnswer answer = answer_to(ask.ask, store);
-      answer.floor = floor;
+      answer.minimum_version = minimum_version;
       daemon.on_message(Address{store}, answer, now);
     }
   for (const auto& [home, subscribe] : told.subscriptions)
@@ -131,7 +131,7 @@
   EXPECT_FALSE(before.subscriptions.front().second.leaving);
   Address home = before.subscriptions.front().first;
   daemon.leave(now);
-  auto out = daemon.take_out();  // without an alarm in between
+  auto out = daemon.take_out();  // without an timer in between
   auto told = std::find_if(out.begin(), out.end(), [&](const Sending& s) { return s.to == home && std::holds_alternative<Subscribe>(s.message); });
   ASSERT_NE(told, out.end());
   EXPECT_TRUE(std::get<Subscribe>(told->message).leaving);
@@ -192,21 +192,21 @@
   EXPECT_EQ(daemon.counts().homes_outdated, 0);
 }
 
-TEST(DataDaemon, ABarTakesWorkAwayAheadOfTheMapAndLapsesByItself) {
+TEST(DataDaemon, AHoldTakesWorkAwayAheadOfTheMapAndLapsesByItself) {
   DataDaemon daemon = started(1);
   give_map(daemon, Moment{160});
   EXPECT_EQ(status(daemon, "m1"), "warm");
-  daemon.on_message(Address{"e"}, Bar{"c1", RunnerName{"m1"}, {}, false, false}, Moment{190});
+  daemon.on_message(Address{"e"}, Hold{"c1", RunnerName{"m1"}, {}, false, false}, Moment{190});
   EXPECT_EQ(status(daemon, "m1"), "leaving");
   EXPECT_EQ(status(daemon, "m2"), "warm");
-  daemon.on_message(Address{"e"}, Bar{"c2", {}, ZoneName{"b"}, false, false}, Moment{200});
+  daemon.on_message(Address{"e"}, Hold{"c2", {}, ZoneName{"b"}, false, false}, Moment{200});
   EXPECT_EQ(status(daemon, "m2"), "emptied");
-  daemon.on_message(Address{"e"}, Bar{"c2", {}, ZoneName{"b"}, true, false}, Moment{300});  // refused: lifted
+  daemon.on_message(Address{"e"}, Hold{"c2", {}, ZoneName{"b"}, true, false}, Moment{300});  // refused: lifted
   EXPECT_EQ(status(daemon, "m2"), "warm");
-  daemon.on_message(Address{"e"}, Bar{"c1", RunnerName{"m1"}, {}, false, false}, Moment{1000});  // renewed
-  daemon.on_alarm(Moment{1000 + bar_length.value - 1});
+  daemon.on_message(Address{"e"}, Hold{"c1", RunnerName{"m1"}, {}, false, false}, Moment{1000});  // renewed
+  daemon.on_timer(Moment{1000 + hold_length.value - 1});
   EXPECT_EQ(status(daemon, "m1"), "leaving");
-  daemon.on_alarm(Moment{1000 + bar_length.value});
+  daemon.on_timer(Moment{1000 + hold_length.value});
   EXPECT_EQ(status(daemon, "m1"), "warm");
 }
 
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -155,14 +155,14 @@
 RelayWords test_words() {
   RelayWords words;
   words.call_id = "T-Call";
-  words.horizon = "T-Horizon";
+  words.deadline = "T-Horizon";
   words.prompt = "T-Prompt";
   words.tokens = "T-Tokens";
   words.life_expected = "T-Life-Expected";
   words.rank = "T-Rank";
   words.life = "T-Life";
   words.seal = "T-Seal";
-  words.burden = "T-Burden";
+  words.load = "T-Burden";
   words.not_run = "T-Not-Run";
   return words;
 }
@@ -214,7 +214,7 @@
       route.is_repeatable = is_repeatable;
       route.is_streaming = is_streaming;
       route.is_resumable = is_streaming && is_repeatable;
-      route.horizon_ms = 5000;
+      route.deadline_ms = 5000;
       route.target_ms = target;
       route.gap_ms = 4000;
       route.rank = 3;
@@ -242,13 +242,13 @@
       view->runners[row.name] = row;
       view->pools[row.pool].push_back(row.name);
     }
-    word_.put(view, Grant{});
-    RouteDeskSettings settings;
+    snapshot_.put(view, Grant{});
+    RouteDispatcherSettings settings;
     settings.self.text = "d";
     settings.region.text = "here";
     settings.zone.text = "z";
     settings.resend_start = settings.resend_bound = 100;
-    relay_ = std::make_unique<RoutedRelay>(settings, test_words(), word_, place_);
+    relay_ = std::make_unique<RoutedRelay>(settings, test_words(), snapshot_, place_);
     auto opened = relay_->open();
     EXPECT_TRUE(opened) << opened.reason;
   }
@@ -275,7 +275,7 @@
  private:
   boost::asio::io_context context_;
   std::string place_;
-  ControlWord word_;
+  ControlSnapshot snapshot_;
   std::unique_ptr<RoutedRelay> relay_;
 };
 
@@ -669,7 +669,7 @@
   std::promise<bool> closed;
   auto script = [&](RawLink& link, const RawMessage& asked) {
     if (++runs == 1) {
-      closed.set_value(link.is_closed_by_other());  // the desk gives it up
+      closed.set_value(link.is_closed_by_other());  // the dispatcher gives it up
       link.write(answer(asked, "late"));
       return false;
     }
@@ -825,8 +825,8 @@
   EXPECT_TRUE(read_prompt("11112222333344445:1").empty());
   EXPECT_EQ((read_numbers<3>("1, 2,3,4")), (std::array<Integer, 3>{1, 2, 3}));
   EXPECT_EQ((read_numbers<2>("-1,x")), (std::array<Integer, 2>{0, 0}));
-  EXPECT_EQ(read_horizon(" 250 ")->value, 250);
-  for (const std::string text : {"", "0", "-5", "1e3", "99999999999999999999", "5ms"}) EXPECT_FALSE(read_horizon(text)) << text;
+  EXPECT_EQ(read_deadline(" 250 ")->value, 250);
+  for (const std::string text : {"", "0", "-5", "1e3", "99999999999999999999", "5ms"}) EXPECT_FALSE(read_deadline(text)) << text;
   EXPECT_EQ(retry_after_text(Span{250}), "0.250");
   EXPECT_EQ(retry_after_text(Span{12005}), "12.005");
 }
@@ -834,8 +834,8 @@
 RC_GTEST_PROP(RoutedRelayReaders, NoTextIsThrownAt, (const std::string& text)) {
   for (const auto& part : read_prompt(text)) RC_ASSERT(part.tokens >= 0);
   for (auto number : read_numbers<3>(text)) RC_ASSERT(number >= 0);
-  auto horizon = read_horizon(text);
-  RC_ASSERT(!horizon || horizon->value > 0);
+  auto deadline = read_deadline(text);
+  RC_ASSERT(!deadline || deadline->value > 0);
 }
 
 RC_GTEST_PROP(RoutedRelayReaders, APromptIsReadAsWritten, (const std::vector<std::pair<std::uint64_t, std::uint16_t>>& written)) {
--- a/packages/fleet-simulator/include/emberdale/caller_crowd.hpp
+++ b/packages/fleet-simulator/include/emberdale/caller_crowd.hpp
@@ -15,29 +15,29 @@
 
 // Example:
 //   CallerCrowd crowd; crowd.rate = 200; crowd.long_share = 0.3; crowd.south_share = 0.8;
-//   auto call = crowd.next(dice, "north"); later(crowd.gap(dice), ask);
+//   auto call = crowd.next(random generator, "north"); later(crowd.gap(random generator), ask);
 struct CallerCrowd {
   double rate = 40;           // calls a second
   double long_share = 0.05;   // of them, how many want long answers
   double south_share = -1;    // share of callers that ask in region south; below 0: any daemon alike
   double stray_share = 0.1;   // of homed work, how much comes to the wrong region
 
-  std::int64_t gap(Dice& dice) const { return 1 + dice.below(static_cast<std::int64_t>(2000.0 / rate)); }
+  std::int64_t gap(RandomGenerator& random) const { return 1 + random.below(static_cast<std::int64_t>(2000.0 / rate)); }
 
-  CrowdCall next(Dice& dice, const std::string& region) const {
+  CrowdCall next(RandomGenerator& random, const std::string& region) const {
     CrowdCall call;
-    call.prefix = "opening " + std::to_string(dice.below(40));
-    if (dice.chance(long_share)) {
+    call.prefix = "opening " + std::to_string(random.below(40));
+    if (random.chance(long_share)) {
       call.path = "/chat";
       call.is_streaming = true;
-      call.service_ms = 300 + dice.below(900);
+      call.service_ms = 300 + random.below(900);
       return call;
     }
-    auto kind = dice.below(10);
+    auto kind = random.below(10);
     call.path = kind < 6 ? "/check" : kind < 8 ? "/homed" : "/record";
     call.is_repeatable = call.path == "/record";
-    call.service_ms = call.is_repeatable ? 10 + dice.below(10) : 40 + dice.below(20);
-    if (call.path == "/homed") call.home = dice.chance(1 - stray_share) ? region : region == "north" ? "south" : "north";
+    call.service_ms = call.is_repeatable ? 10 + random.below(10) : 40 + random.below(20);
+    if (call.path == "/homed") call.home = random.chance(1 - stray_share) ? region : region == "north" ? "south" : "north";
     return call;
   }
 };
--- a/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
+++ b/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "emberdale/call_desk.hpp"
+#include "emberdale/call_dispatcher.hpp"
 #include "emberdale/caller_crowd.hpp"
 #include "emberdale/control_daemon.hpp"
 #include "emberdale/data_daemon.hpp"
@@ -48,7 +48,7 @@
   ~FleetSimulation();
 
   std::int64_t now() const { return now_; }
-  Dice& dice() { return dice_; }
+  RandomGenerator& random() { return random_; }
   void run(Span span);
   // Runs until the question is answered yes, or the span is over. Example: fleet.run_until([&] { return !fleet.master().empty(); }, Span{9000})
   bool run_until(const std::function<bool()>& question, Span span);
@@ -110,13 +110,13 @@
   bool compare_holdings();
 
   // --- what is seen --------------------------------------------------------------------------------
-  std::string master();  // of the newest reign that leads and runs; empty: none
+  std::string master();  // of the newest term that leads and runs; empty: none
   std::vector<std::string> names(const std::string& role) const;  // "core", "edge", "data"; running or not
   bool is_running(const std::string& name) const;
   bool is_up(const std::string& name) const { return node(name).is_up; }
   ControlDaemon* control(const std::string& name);
   DataDaemon* data(const std::string& name);
-  const CallDesk* desk(const std::string& name);
+  const CallDispatcher* dispatcher(const std::string& name);
   Address address(const std::string& name) const;
   std::string zone(const std::string& name) const { return node(name).zone; }
   Moment moment(const std::string& name) const { return clock(node(name)); }  // by its own clock
@@ -166,7 +166,7 @@
     std::vector<std::function<void()>> while_frozen;
     std::unique_ptr<ControlDaemon> control;
     std::unique_ptr<DataDaemon> data;
-    std::unique_ptr<CallDesk> desk;
+    std::unique_ptr<CallDispatcher> dispatcher;
     // Core machines.
     std::shared_ptr<MemoryFileSystem> files;
     std::unique_ptr<SegmentedLog> log;
@@ -187,7 +187,7 @@
   void at(std::int64_t when, std::function<void()> act);
   void on_node(const std::string& name, std::function<void(Node&)> act);
   void tick(const std::string& name, Integer life);
-  void refresh_desk(Node& node);
+  void refresh_dispatcher(Node& node);
   Moment clock(const Node& node) const { return Moment{now_ + node.clock + (now_ - node.rate_since) * (node.rate - 1000) / 1000}; }
   void make_control(Node& node);
   void flush(Node& node);
@@ -198,7 +198,7 @@
   void check_node(Node& node);
   // Callers and calls.
   void ask_call();
-  void flush_desk(Node& node);
+  void flush_dispatcher(Node& node);
   void run_send(const std::string& daemon, const SendAct& act);
   void end_call(CallIndex index, const std::string& outcome, const std::string& reason = "");
   void end_finally(const FinalAct& act);
@@ -209,7 +209,7 @@
 
   std::uint64_t seed_;
   SimulationShape shape_;
-  Dice dice_;
+  RandomGenerator random_;
   std::int64_t now_ = 0, last_event_ = 0;
   std::priority_queue<Event> events_;
   SimulatedNetwork network_;
--- a/packages/fleet-simulator/include/emberdale/rule_watch.hpp
+++ b/packages/fleet-simulator/include/emberdale/rule_watch.hpp
@@ -48,7 +48,7 @@
     auto seen = seen_versions_.find(daemon);
     return seen == seen_versions_.end() || seen->second != version;
   }
-  // Whether the newest state known bars it from new work. Example: watch.is_barred("m1")
+  // Whether the newest state known holds it from new work. Example: watch.is_barred("m1")
   bool is_barred(const std::string& runner) const {
     auto free = free_since_.find(runner);
     return free == free_since_.end() || free->second < newest_revision_;
@@ -99,7 +99,7 @@
   std::size_t reads() const { return reads_; }
 
  private:
-  struct Bar {
+  struct Hold {
     Integer config_revision = 0;
     std::int64_t told_at = 0, acked_at = 0;
   };
@@ -117,11 +117,11 @@
   std::int64_t cold_over_ = 0;
   std::map<Integer, std::uint64_t> states_;                    // by state version
   std::map<std::pair<Integer, Integer>, std::uint64_t> maps_;  // by map version
-  std::map<Integer, std::string> publishers_;                  // by reign
+  std::map<Integer, std::string> publishers_;                  // by term
   std::map<std::string, Integer> seen_versions_;
   std::map<std::string, MapVersion> seen_maps_;
   Integer newest_revision_ = -1;
-  std::map<std::string, Integer> free_since_;                        // runner: last revision in which nothing bars it
+  std::map<std::string, Integer> free_since_;                        // runner: last revision in which nothing holds it
   std::map<std::pair<std::string, Integer>, std::string> bodies_;    // resource and version: its text
   std::map<std::pair<std::string, Integer>, std::string> winners_;   // resource and version: the change
   std::set<std::string> changes_found_;                              // in the register's list of changes done
@@ -129,7 +129,7 @@
   std::map<std::string, std::set<std::string>> open_deletions_;      // by resource: asked, and not refused
   std::map<std::string, Ack> acked_;                                 // by resource: the newest
   std::vector<std::pair<std::int64_t, Integer>> acks_;               // when, config revision
-  std::map<std::string, Bar> bars_;                                  // by runner
+  std::map<std::string, Hold> holds_;                                  // by runner
   std::map<std::string, std::int64_t> last_sent_;                    // by runner
   std::map<std::string, std::set<std::string>> zone_runners_;
   Integer newest_read_ = 0;                                          // state version, by the reads that have ended
--- a/packages/fleet-simulator/include/emberdale/simulated_network.hpp
+++ b/packages/fleet-simulator/include/emberdale/simulated_network.hpp
@@ -12,7 +12,7 @@
 
 // Example:
 //   SimulatedNetwork network; network.cut("a1", "b0");
-//   if (auto wait = network.travel("a1", "b0", false, dice)) later(*wait, arrive);
+//   if (auto wait = network.travel("a1", "b0", false, random generator)) later(*wait, arrive);
 class SimulatedNetwork {
  public:
   std::int64_t near_delay = 1, far_delay = 12;
@@ -25,24 +25,24 @@
   void heal() { cuts_.clear(); }
   bool is_cut(const std::string& from, const std::string& to) const { return cuts_.count({from, to}) != 0; }
 
-  // How long a message is under way; nothing: it never arrives. Example: network.travel("a1", "a2", true, dice)
-  std::optional<std::int64_t> travel(const std::string& from, const std::string& to, bool is_near, Dice& dice) {
+  // How long a message is under way; nothing: it never arrives. Example: network.travel("a1", "a2", true, random generator)
+  std::optional<std::int64_t> travel(const std::string& from, const std::string& to, bool is_near, RandomGenerator& random) {
     ++sent_;
     if (is_cut(from, to)) {
       ++cut_off_;
       return std::nullopt;
     }
     if (from == to) return 0;
-    if (dice.chance(loss)) {
+    if (random.chance(loss)) {
       ++lost_;
       return std::nullopt;
     }
     std::int64_t wait = is_near ? near_delay : far_delay;
     if (extra_delay > 0) {
       ++delayed_;
-      wait += extra_delay + dice.below(extra_delay);
+      wait += extra_delay + random.below(extra_delay);
     }
-    return wait + dice.below(wait + 1);
+    return wait + random.below(wait + 1);
   }
 
   std::int64_t sent() const { return sent_; }
--- a/packages/fleet-simulator/src/chaos.cpp
+++ b/packages/fleet-simulator/src/chaos.cpp
@@ -29,14 +29,14 @@
     fail("the fleet did not come up");
     return result;
   }
-  Dice dice(seed * 77 + 5);
+  RandomGenerator random(seed * 77 + 5);
   std::int64_t end = fleet.now() + length.value;
   std::vector<std::shared_ptr<FleetSimulation::EditOutcome>> edits;
   std::vector<std::string> edges = fleet.names("edge"), datas = fleet.names("data"), cores = fleet.names("core"), runners = fleet.runner_names();
-  auto pick = [&](const std::vector<std::string>& list) { return list[static_cast<std::size_t>(dice.below(static_cast<std::int64_t>(list.size())))]; };
+  auto pick = [&](const std::vector<std::string>& list) { return list[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(list.size())))]; };
   std::string wiped;  // at most one core machine is lost with its disk at a time
   while (fleet.now() < end) {
-    std::int64_t hold = 300 + dice.below(3500);
+    std::int64_t hold = 300 + random.below(3500);
     auto note = [&](const std::string& what) { story << fleet.now() << " " << what << " for " << hold << "\n"; };
     auto kill_for = [&](const std::string& name, bool is_power) {
       note((is_power ? "power cut " : "kill ") + name);
@@ -44,17 +44,17 @@
       else fleet.kill(name);
       fleet.later(hold, [&fleet, name] { fleet.start(name); });
     };
-    switch (dice.below(17)) {
+    switch (random.below(17)) {
       case 0: kill_for(pick(edges), false); break;
       case 1: kill_for(pick(datas), false); break;
-      case 2: kill_for(pick(cores), dice.chance(0.5)); break;
+      case 2: kill_for(pick(cores), random.chance(0.5)); break;
       case 3: {
         std::string master = fleet.master();
         if (!master.empty()) kill_for(master, false);
         break;
       }
       case 4: {
-        std::string name = dice.chance(0.4) ? fleet.master() : pick(dice.chance(0.5) ? edges : datas);
+        std::string name = random.chance(0.4) ? fleet.master() : pick(random.chance(0.5) ? edges : datas);
         if (name.empty()) break;
         note("freeze " + name);
         fleet.freeze(name);
@@ -62,7 +62,7 @@
         break;
       }
       case 5: {
-        std::string name = dice.chance(0.3) ? fleet.master() : pick(dice.chance(0.4) ? cores : dice.chance(0.5) ? edges : datas);
+        std::string name = random.chance(0.3) ? fleet.master() : pick(random.chance(0.4) ? cores : random.chance(0.5) ? edges : datas);
         if (name.empty()) break;
         note("isolate " + name);
         fleet.isolate(name);
@@ -71,7 +71,7 @@
       }
       case 6: {
         note("one-way cuts");
-        for (int i = 0; i < 6; ++i) fleet.cut(pick(dice.chance(0.5) ? edges : cores), pick(dice.chance(0.5) ? edges : datas));
+        for (int i = 0; i < 6; ++i) fleet.cut(pick(random.chance(0.5) ? edges : cores), pick(random.chance(0.5) ? edges : datas));
         fleet.later(hold, [&fleet] { fleet.heal(); });
         break;
       }
@@ -88,7 +88,7 @@
       }
       case 8: {
         std::string core = pick(cores);
-        auto disk = static_cast<FleetSimulation::Disk>(1 + dice.below(4));
+        auto disk = static_cast<FleetSimulation::Disk>(1 + random.below(4));
         note("disk " + std::to_string(static_cast<int>(disk)) + " at " + core);
         fleet.set_disk(core, disk);
         fleet.later(hold, [&fleet, core] {
@@ -116,14 +116,14 @@
       }
       case 11: {
         std::string runner = pick(runners);
-        bool is_leaving = dice.chance(0.5);
+        bool is_leaving = random.chance(0.5);
         note(runner + (is_leaving ? " leaving" : " staying"));
         edits.push_back(fleet.edit(pick(edges), "patch", runners_kind, runner, is_leaving ? R"({"leaving":true})" : R"({"leaving":false})"));
         break;
       }
       case 12: {
         std::string zone = pick({"a", "b", "c"});
-        bool is_emptied = dice.chance(0.4);
+        bool is_emptied = random.chance(0.4);
         note("zone " + zone + (is_emptied ? " emptied" : " serving"));
         edits.push_back(fleet.edit(pick(cores), "put", orders_kind, zone, is_emptied ? R"({"state":"emptied"})" : R"({"state":"serving"})"));
         break;
@@ -137,8 +137,8 @@
           for (const auto& resource : control->proposer().state().resources)
             if (resource.kind == plans_kind && resource.name == "check") version = resource.version;
         note("rival edits at version " + std::to_string(version));
-        edits.push_back(fleet.edit(one, "put", plans_kind, "check", plan_variants[dice.below(3)], version));
-        edits.push_back(fleet.edit(other, "put", plans_kind, "check", plan_variants[dice.below(3)], version));
+        edits.push_back(fleet.edit(one, "put", plans_kind, "check", plan_variants[random.below(3)], version));
+        edits.push_back(fleet.edit(other, "put", plans_kind, "check", plan_variants[random.below(3)], version));
         break;
       }
       case 16:
@@ -147,7 +147,7 @@
         fleet.later(hold, [&fleet] { fleet.set_loss(0); });
         break;
     }
-    fleet.run(Span{100 + dice.below(1800)});
+    fleet.run(Span{100 + random.below(1800)});
     if (!wiped.empty() && fleet.is_running(wiped) && fleet.control(wiped) != nullptr) {
       // Whole again once the register names the new store.
       const auto* acceptor = fleet.control(wiped)->acceptor();
--- a/packages/fleet-simulator/src/fleet_simulation.cpp
+++ b/packages/fleet-simulator/src/fleet_simulation.cpp
@@ -9,7 +9,7 @@
 constexpr std::int64_t tick_ms = 25;
 }
 
-FleetSimulation::FleetSimulation(std::uint64_t seed, SimulationShape shape) : seed_(seed), shape_(std::move(shape)), dice_(seed) {
+FleetSimulation::FleetSimulation(std::uint64_t seed, SimulationShape shape) : seed_(seed), shape_(std::move(shape)), random_(seed) {
   network_.near_delay = shape_.near_delay;
   network_.far_delay = shape_.far_delay;
   crowd_.rate = shape_.calls_per_second;
@@ -45,7 +45,7 @@
   made->zone = zone;
   made->region = zone == "c" ? "south" : "north";
   made->address.text = "10.0.0." + std::to_string(next_port_++) + ":7000";
-  made->clock = 1000000 + dice_.below(100000000);
+  made->clock = 1000000 + random_.below(100000000);
   if (role == "core") made->files = std::make_shared<MemoryFileSystem>();
   by_address_[made->address] = name;
   return *(nodes_[name] = std::move(made));
@@ -103,22 +103,22 @@
   if (!target.is_frozen) {
     if (target.control) {
       target.control->set_wall_clock(wall_seconds == 0 ? 0 : wall_seconds + target.wall_offset + now_ / 1000);
-      target.control->on_alarm(clock(target));
+      target.control->on_timer(clock(target));
     } else {
-      target.data->on_alarm(clock(target));
-      refresh_desk(target);
-      target.desk->on_alarm(clock(target));
+      target.data->on_timer(clock(target));
+      refresh_dispatcher(target);
+      target.dispatcher->on_timer(clock(target));
     }
     flush(target);
-    if (target.is_stopping && target.desk && target.desk->in_hand() == 0) return kill(name);
+    if (target.is_stopping && target.dispatcher && target.dispatcher->in_hand() == 0) return kill(name);
   }
   at(now_ + tick_ms, [this, name, life] { tick(name, life); });
 }
 
-void FleetSimulation::refresh_desk(Node& target) {
+void FleetSimulation::refresh_dispatcher(Node& target) {
   // Two guards keep an old map from serving: the grant, and leaving homes that are outdated.
   target.data->keeps_outdated_homes = is_grant_check_off;
-  target.desk->set_grant(is_grant_check_off ? Grant{clock(target) + Span{60000}, {}} : target.data->grant());
+  target.dispatcher->set_grant(is_grant_check_off ? Grant{clock(target) + Span{60000}, {}} : target.data->grant());
   auto view = target.data->view();
   if (is_mark_ignored) {
     auto misread = std::make_shared<TrafficView>(*view);
@@ -126,7 +126,7 @@
       if (row.status == "leaving" || row.status == "emptied") row.status = "warm";
     view = misread;
   }
-  target.desk->see(view, clock(target));
+  target.dispatcher->see(view, clock(target));
 }
 
 void FleetSimulation::make_control(Node& made) {
@@ -146,7 +146,7 @@
   ControlDaemonSettings settings;
   settings.self = DaemonEntry{made.address, "http-" + made.name, made.role, ZoneName{made.zone}, RegionName{made.region}, made.starts};
   settings.seeds = seeds_;
-  settings.dice_seed = seed_ * 1000003 + stable_hash(made.name) + static_cast<std::uint64_t>(made.starts);
+  settings.random_seed = seed_ * 1000003 + stable_hash(made.name) + static_cast<std::uint64_t>(made.starts);
   made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
   made.control->on_publish = [this, name = made.name](const PlacementMap& map) {
     ++figures_.maps_published;
@@ -168,11 +168,11 @@
   if (made.role == "data") {
     DaemonEntry self{made.address, "http-" + name, "data", ZoneName{made.zone}, RegionName{made.region}, made.starts};
     made.data = std::make_unique<DataDaemon>(self, seeds_, seed_ + stable_hash(name) + static_cast<std::uint64_t>(made.starts));
-    DeskSettings settings;
+    DispatcherSettings settings;
     settings.self = made.address;
     settings.region.text = made.region;
     if (is_retry_budget_off) settings.retry_share = settings.retry_start = settings.retry_bound = 100000;
-    made.desk = std::make_unique<CallDesk>(settings);
+    made.dispatcher = std::make_unique<CallDispatcher>(settings);
     made.data->start(clock(made));
   } else {
     make_control(made);
@@ -184,20 +184,20 @@
   }
   flush(made);
   Integer life = made.life;
-  at(now_ + 1 + dice_.below(tick_ms), [this, name, life] { tick(name, life); });
+  at(now_ + 1 + random_.below(tick_ms), [this, name, life] { tick(name, life); });
 }
 
 void FleetSimulation::stop(const std::string& name) {
   Node& target = node(name);
   if (!target.is_up || target.is_stopping) return;
-  if (target.desk) {
+  if (target.dispatcher) {
     target.is_stopping = true;
     later(8000, [this, name, life = target.life] {  // what hangs is not waited for
       if (node(name).life == life) kill(name);
     });
-    target.desk->close();
-    refresh_desk(target);
-    flush_desk(target);
+    target.dispatcher->close();
+    refresh_dispatcher(target);
+    flush_dispatcher(target);
     return;
   }
   target.control->stop(clock(target));
@@ -215,13 +215,13 @@
   ++target.life;
   for (auto& [index, call] : calls_)
     if (call.daemon == name && !call.is_over) end_call(index, "no_daemon");
-  if (target.desk) {
-    figures_.sends += target.desk->counts().sends;
-    figures_.retries += target.desk->counts().retries;
+  if (target.dispatcher) {
+    figures_.sends += target.dispatcher->counts().sends;
+    figures_.retries += target.dispatcher->counts().retries;
   }
   target.control.reset();
   target.data.reset();
-  target.desk.reset();
+  target.dispatcher.reset();
   target.log.reset();
 }
 
@@ -231,7 +231,7 @@
   target.has_power = false;
   if (target.files) {
     target.files->is_off = true;
-    target.files->power_on(dice_);
+    target.files->power_on(random_);
   }
 }
 
@@ -294,7 +294,7 @@
   Integer life = target.life;
   bool is_refused = target.disk == Disk::full || !target.log->append(records);
   if (is_sync_off && !is_refused) target.control->synced(last, clock(target));  // answers before it lies on the disk
-  std::int64_t wait = (target.disk == Disk::slow ? 250 : shape_.disk_ms) + dice_.below(3);
+  std::int64_t wait = (target.disk == Disk::slow ? 250 : shape_.disk_ms) + random_.below(3);
   at(now_ + wait, [this, name, life, last, is_refused] {
     Node& woken = node(name);
     if (!woken.is_up || woken.life != life) return;
@@ -322,7 +322,7 @@
   auto target = by_address_.find(to);
   if (target == by_address_.end()) return;
   const std::string name = target->second;
-  auto wait = network_.travel(from, name, node(from).region == node(name).region, dice_);
+  auto wait = network_.travel(from, name, node(from).region == node(name).region, random_);
   if (!wait) return;
   Address sender = node(from).address;
   auto shared = std::make_shared<Message>(std::move(message));
@@ -334,7 +334,7 @@
         awake.control->on_message(sender, *shared, clock(awake));
       } else {
         awake.data->on_message(sender, *shared, clock(awake));
-        refresh_desk(awake);
+        refresh_dispatcher(awake);
       }
       flush(awake);
     });
@@ -343,7 +343,7 @@
 
 // The machine is there and no process listens: it says so at once, unless the way back is cut.
 void FleetSimulation::refuse_link(const std::string& from, const std::string& name) {
-  auto wait = network_.travel(name, from, node(from).region == node(name).region, dice_);
+  auto wait = network_.travel(name, from, node(from).region == node(name).region, random_);
   if (!wait || node(name).is_up) return;
   at(now_ + *wait, [this, from, life = node(from).life, gone = node(name).address] {
     on_node(from, [this, life, gone](Node& awake) {
@@ -364,7 +364,7 @@
     for (auto& wish : target.control->take_probes()) probe(target, wish);
   } else if (target.data) {
     for (auto& sending : target.data->take_out()) deliver(name, sending.to, std::move(sending.message));
-    flush_desk(target);
+    flush_dispatcher(target);
   }
   check_node(target);
 }
@@ -383,7 +383,7 @@
       status.cold = probed.is_cold(now_);
       status.incarnation = probed.incarnation;
       status.capacity = probed.capacity;
-      status.burden = probed.running;
+      status.load = probed.running;
       status.allowance = probed.allowance;
       awake.control->on_probe(status, clock(awake));
       flush(awake);
@@ -403,10 +403,10 @@
 
 std::string FleetSimulation::master() {
   std::string best;
-  Integer reign = 0;
+  Integer term = 0;
   for (auto& [name, made] : nodes_)
-    if (made->control && made->is_up && !made->is_frozen && made->control->election().is_master() && made->control->election().reign() > reign) {
-      reign = made->control->election().reign();
+    if (made->control && made->is_up && !made->is_frozen && made->control->election().is_master() && made->control->election().term() > term) {
+      term = made->control->election().term();
       best = name;
     }
   return best;
@@ -422,7 +422,7 @@
 bool FleetSimulation::is_running(const std::string& name) const { return node(name).is_up && !node(name).is_frozen; }
 ControlDaemon* FleetSimulation::control(const std::string& name) { return node(name).control.get(); }
 DataDaemon* FleetSimulation::data(const std::string& name) { return node(name).data.get(); }
-const CallDesk* FleetSimulation::desk(const std::string& name) { return node(name).desk.get(); }
+const CallDispatcher* FleetSimulation::dispatcher(const std::string& name) { return node(name).dispatcher.get(); }
 Address FleetSimulation::address(const std::string& name) const { return node(name).address; }
 
 std::vector<std::string> FleetSimulation::runner_names() const {
@@ -434,7 +434,7 @@
 std::int64_t FleetSimulation::serving_daemons() {
   std::int64_t count = 0;
   for (auto& [name, made] : nodes_)
-    if (made->desk && made->is_up && !made->is_frozen && !made->data->view()->plans.empty() && made->desk->is_granted(clock(*made))) ++count;
+    if (made->dispatcher && made->is_up && !made->is_frozen && !made->data->view()->plans.empty() && made->dispatcher->is_granted(clock(*made))) ++count;
   return count;
 }
 
@@ -446,9 +446,9 @@
   all.worst_leaving_ms = watch_.worst_leaving_ms();
   all.worst_told_ms = watch_.worst_told_ms();
   for (auto& [name, made] : nodes_) {
-    if (made->desk) {
-      all.sends += made->desk->counts().sends;
-      all.retries += made->desk->counts().retries;
+    if (made->dispatcher) {
+      all.sends += made->dispatcher->counts().sends;
+      all.retries += made->dispatcher->counts().retries;
     }
     if (made->control) all.register_rounds += made->control->proposer().counts().rounds;
   }
@@ -464,8 +464,8 @@
               std::to_string(made->control->proposer().state().version) + " roster " + std::to_string(made->control->proposer().state().roster.size()) + " map " +
               show(made->control->map().version) + " starved " + std::to_string(made->control->election().starved_rounds());
     if (made->data)
-      text += " map " + show(made->data->view()->version) + " floor " + show(made->data->grant().floor) + " granted " +
-              (made->desk->is_granted(clock(*made)) ? "yes" : "no");
+      text += " map " + show(made->data->view()->version) + " floor " + show(made->data->grant().minimum_version) + " granted " +
+              (made->dispatcher->is_granted(clock(*made)) ? "yes" : "no");
     text += "\n";
   }
   return text;
--- a/packages/fleet-simulator/src/hollow_daemons.cpp
+++ b/packages/fleet-simulator/src/hollow_daemons.cpp
@@ -1,4 +1,4 @@
-// Hollow daemons: the real state machines and the real sibling links of many daemons on one thread.
+// Hollow daemons: the real state machines and the real peer links of many daemons on one thread.
 #include <malloc.h>
 #include <time.h>
 #include <unistd.h>
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 #include "scale_runs.hpp"
 
 namespace emberdale::scale {
@@ -38,20 +38,20 @@
           if (control_) control_->on_message(from, message, steady_now());
           else data_->on_message(from, message, steady_now());
           flush();
-        }), alarm_(context), context_(context), self_(self) {
-    std::uint64_t dice = stable_hash(self.address.text) ^ static_cast<std::uint64_t>(self.incarnation);
+        }), timer_(context), context_(context), self_(self) {
+    std::uint64_t random = stable_hash(self.address.text) ^ static_cast<std::uint64_t>(self.incarnation);
     if (self.role == "data") {
-      data_ = std::make_unique<DataDaemon>(self, seeds, dice);
+      data_ = std::make_unique<DataDaemon>(self, seeds, random);
     } else {
       ControlDaemonSettings settings;
       settings.self = self;
       settings.seeds = seeds;
-      settings.dice_seed = dice;
+      settings.random_seed = random;
       control_ = std::make_unique<ControlDaemon>(settings, nullptr);
     }
-    links_.on_refused = [this](const Address& sibling) {
-      if (control_) control_->on_refused(sibling, steady_now());
-      else data_->on_refused(sibling, steady_now());
+    links_.on_refused = [this](const Address& peer) {
+      if (control_) control_->on_refused(peer, steady_now());
+      else data_->on_refused(peer, steady_now());
       flush();
     };
   }
@@ -66,7 +66,7 @@
   }
   const LinkCounts& counts() const { return links_.counts(); }
   std::int64_t messages_in() const { return messages_in_; }
-  bool is_granted() const { return data_ && steady_now() < data_->grant().until && data_->grant().floor <= data_->view()->version; }
+  bool is_granted() const { return data_ && steady_now() < data_->grant().until && data_->grant().minimum_version <= data_->view()->version; }
   bool is_master() const { return control_ && control_->election().is_master(); }
   std::size_t roster() const { return control_ && control_->proposer().has_state() ? control_->proposer().state().roster.size() : 0; }
 
@@ -86,18 +86,18 @@
     if (control_) control_->take_probes();  // hollow daemons probe no runner: the master does it in their place
   }
   void tick() {
-    alarm_.expires_after(std::chrono::milliseconds(25));
-    alarm_.async_wait([this](boost::system::error_code fault) {
+    timer_.expires_after(std::chrono::milliseconds(25));
+    timer_.async_wait([this](boost::system::error_code fault) {
       if (fault) return;
-      if (control_) control_->on_alarm(steady_now());
-      else data_->on_alarm(steady_now());
+      if (control_) control_->on_timer(steady_now());
+      else data_->on_timer(steady_now());
       flush();
       tick();
     });
   }
 
-  SiblingLinks links_;
-  boost::asio::steady_timer alarm_;
+  PeerConnections links_;
+  boost::asio::steady_timer timer_;
   boost::asio::io_context& context_;
   DaemonEntry self_;
   std::unique_ptr<ControlDaemon> control_;
--- a/packages/fleet-simulator/src/random_day.cpp
+++ b/packages/fleet-simulator/src/random_day.cpp
@@ -18,7 +18,7 @@
 
 class RandomDay {
  public:
-  RandomDay(std::uint64_t seed, const DayPlan& plan) : plan_(plan), fleet_(seed, plan.shape), dice_(seed * 77 + 5) {}
+  RandomDay(std::uint64_t seed, const DayPlan& plan) : plan_(plan), fleet_(seed, plan.shape), random_(seed * 77 + 5) {}
 
   ChaosResult run();
 
@@ -31,9 +31,9 @@
 
  private:
   // --- small words ---------------------------------------------------------------------------------
-  const std::string& pick(const std::vector<std::string>& list) { return list[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(list.size())))]; }
-  std::string pick_zone() { return std::string(1, static_cast<char>('a' + dice_.below(3))); }
-  std::string pick_control() { return dice_.chance(0.3) ? pick(cores_) : pick(edges_); }
+  const std::string& pick(const std::vector<std::string>& list) { return list[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(list.size())))]; }
+  std::string pick_zone() { return std::string(1, static_cast<char>('a' + random_.below(3))); }
+  std::string pick_control() { return random_.chance(0.3) ? pick(cores_) : pick(edges_); }
   std::vector<std::string> all() const {
     std::vector<std::string> list = edges_;
     list.insert(list.end(), datas_.begin(), datas_.end());
@@ -104,11 +104,11 @@
   // --- what fails -------------------------------------------------------------------------------------
   void kill_edge() { down_for(pick(edges_), false, hold_); }
   void kill_data() { down_for(pick(datas_), false, hold_); }
-  void kill_core() { down_for(pick(cores_), dice_.chance(0.5), hold_); }
+  void kill_core() { down_for(pick(cores_), random_.chance(0.5), hold_); }
   void kill_master() { down_for(fleet_.master(), false, hold_); }
   void kill_many() {
     auto list = all();
-    for (std::int64_t i = 2 + dice_.below(8); i > 0; --i) down_for(pick(list), dice_.chance(0.5), hold_ + dice_.below(1500));
+    for (std::int64_t i = 2 + random_.below(8); i > 0; --i) down_for(pick(list), random_.chance(0.5), hold_ + random_.below(1500));
   }
   void lose_zone() {
     std::string zone = pick_zone();
@@ -121,7 +121,7 @@
       }
   }
   void lose_region() {
-    bool is_south = dice_.chance(0.5);
+    bool is_south = random_.chance(0.5);
     note(std::string("region ") + (is_south ? "south" : "north") + " loses power for " + std::to_string(hold_));
     for (const std::string zone : {"a", "b", "c"})
       if ((zone == "c") == is_south)
@@ -134,10 +134,10 @@
   }
   void lose_all() {
     note("total loss for " + std::to_string(hold_));
-    for (const auto& name : all()) down_for(name, true, hold_ + dice_.below(300));
+    for (const auto& name : all()) down_for(name, true, hold_ + random_.below(300));
   }
   void freeze_one() {
-    std::string name = dice_.chance(0.35) ? fleet_.master() : pick(all());
+    std::string name = random_.chance(0.35) ? fleet_.master() : pick(all());
     if (name.empty() || !fleet_.is_running(name)) return;
     note("freeze " + name);
     fleet_.freeze(name);
@@ -147,7 +147,7 @@
     });
   }
   void isolate_one() {
-    std::string name = dice_.chance(0.3) ? fleet_.master() : pick(all());
+    std::string name = random_.chance(0.3) ? fleet_.master() : pick(all());
     if (name.empty()) return;
     note("isolate " + name);
     auto others = all();
@@ -155,13 +155,13 @@
     cut_pairs({name}, others);
   }
   void cut_from_core() {
-    std::string name = dice_.chance(0.3) ? fleet_.master() : pick(dice_.chance(0.5) ? edges_ : datas_);
+    std::string name = random_.chance(0.3) ? fleet_.master() : pick(random_.chance(0.5) ? edges_ : datas_);
     if (name.empty()) return;
     note("cut " + name + " from the core");
     cut_pairs({name}, cores_);
   }
   void cut_from_edge() {
-    std::string name = pick(dice_.chance(0.5) ? cores_ : datas_);
+    std::string name = pick(random_.chance(0.5) ? cores_ : datas_);
     note("cut " + name + " from the edge");
     cut_pairs({name}, edges_);
   }
@@ -170,7 +170,7 @@
     note("cut " + name + " from runners");
     std::vector<std::string> some;
     for (const auto& runner : runners_)
-      if (dice_.chance(0.5)) some.push_back(runner);
+      if (random_.chance(0.5)) some.push_back(runner);
     for (const auto& runner : some) fleet_.cut_both(name, runner);
     fleet_.later(hold_, [this, name, some] {
       for (const auto& runner : some) fleet_.mend_both(name, runner);
@@ -180,7 +180,7 @@
   void one_way_cuts() {
     std::vector<std::string> ones, others;
     for (int i = 0; i < 3; ++i) {
-      ones.push_back(pick(dice_.chance(0.5) ? edges_ : cores_));
+      ones.push_back(pick(random_.chance(0.5) ? edges_ : cores_));
       others.push_back(pick(all()));
     }
     cut_pairs(ones, others, true);
@@ -191,32 +191,32 @@
     std::vector<std::string> inside = of_zone(zone), outside;
     for (const auto& name : all())
       if (fleet_.zone(name) != zone) outside.push_back(name);
-    cut_pairs(inside, outside, dice_.chance(0.2));
+    cut_pairs(inside, outside, random_.chance(0.2));
   }
   void split_core() {
     note("core split");
-    cut_pairs({cores_[0]}, {cores_[1], cores_[2]}, dice_.chance(0.3));
-    if (dice_.chance(0.4)) cut_pairs({cores_[1]}, {cores_[2]});
+    cut_pairs({cores_[0]}, {cores_[1], cores_[2]}, random_.chance(0.3));
+    if (random_.chance(0.4)) cut_pairs({cores_[1]}, {cores_[2]});
   }
   void cut_off_core() {
     note("core cut off");
     std::vector<std::string> edge_side = edges_;
     edge_side.insert(edge_side.end(), datas_.begin(), datas_.end());
     std::vector<std::string> some = cores_;
-    if (dice_.chance(0.4)) some.pop_back();
+    if (random_.chance(0.4)) some.pop_back();
     cut_pairs(some, edge_side);
   }
   void lose_messages() {
-    fleet_.network().loss = 0.05 + 0.01 * static_cast<double>(dice_.below(20));
+    fleet_.network().loss = 0.05 + 0.01 * static_cast<double>(random_.below(20));
     end_with([this] { return fleet_.network().lost(); }, [this] { fleet_.network().loss = 0; });
   }
   void delay_messages() {
-    fleet_.network().extra_delay = 20 + dice_.below(300);
+    fleet_.network().extra_delay = 20 + random_.below(300);
     end_with([this] { return fleet_.network().delayed(); }, [this] { fleet_.network().extra_delay = 0; });
   }
   void break_disk() {
     std::string core = pick(cores_);
-    auto disk = static_cast<Disk>(1 + dice_.below(4));
+    auto disk = static_cast<Disk>(1 + random_.below(4));
     note("disk " + std::to_string(static_cast<int>(disk)) + " at " + core);
     fleet_.set_disk(core, disk);
     end_with([this] { return fleet_.disk_bites(); }, [this, core] {
@@ -255,8 +255,8 @@
     });
   }
   void move_edges() {
-    for (std::int64_t i = 1 + dice_.below(4); i > 0; --i) {
-      std::size_t at = static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(edges_.size())));
+    for (std::int64_t i = 1 + random_.below(4); i > 0; --i) {
+      std::size_t at = static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(edges_.size())));
       std::string old = edges_[at];
       gone_.push_back(old);
       fleet_.kill(old);
@@ -267,17 +267,17 @@
   }
   void leap_clocks() {
     std::string name = pick(all());
-    std::int64_t ms = 500 + dice_.below(60000);
+    std::int64_t ms = 500 + random_.below(60000);
     note("clock of " + name + " leaps by " + std::to_string(ms));
     bit(fleet_.is_running(name));
     fleet_.leap_clock(name, ms);
-    fleet_.leap_wall_clock(pick(all()), dice_.below(7200) - 3600);
+    fleet_.leap_wall_clock(pick(all()), random_.below(7200) - 3600);
   }
   void skew_clocks() {
     for (int i = 0; i < 4; ++i) {
       std::string name = pick(all());
       bit(fleet_.is_running(name));
-      fleet_.set_clock_rate(name, 990 + dice_.below(21));
+      fleet_.set_clock_rate(name, 990 + random_.below(21));
     }
   }
   void runner_cold() {
@@ -308,7 +308,7 @@
     std::string runner = pick(runners_);
     note(runner + " is marked and pulled");
     edit("patch", runners_kind, runner, R"({"leaving":true})");
-    std::int64_t grace = 300 + dice_.below(1500);
+    std::int64_t grace = 300 + random_.below(1500);
     fleet_.later(grace, [this, runner, fault = current_] {
       result_.bites[fault] += fleet_.runner(runner).running > 0;
       fleet_.kill_runner(runner);
@@ -319,25 +319,25 @@
     });
   }
   void runners_of_region() {
-    bool is_south = dice_.chance(0.5);
+    bool is_south = random_.chance(0.5);
     for (const auto& runner : runners_)
       if ((fleet_.runner(runner).zone == "c") == is_south) fleet_.start_runner(runner);
     bit();
   }
   void crowd_comes() {
     double rate = fleet_.crowd().rate;
-    fleet_.crowd().rate = plan_.shape.calls_per_second * static_cast<double>(2 + dice_.below(4));
+    fleet_.crowd().rate = plan_.shape.calls_per_second * static_cast<double>(2 + random_.below(4));
     note("crowd");
     bit(fleet_.crowd().rate != rate);
     fleet_.later(hold_, [this] { fleet_.crowd().rate = plan_.shape.calls_per_second; });
   }
   void mix_swings() {
-    fleet_.crowd().long_share = dice_.chance(0.5) ? 0.5 : 0.0;
+    fleet_.crowd().long_share = random_.chance(0.5) ? 0.5 : 0.0;
     bit();
     fleet_.later(hold_, [this] { fleet_.crowd().long_share = 0.05; });
   }
   void callers_move() {
-    fleet_.crowd().south_share = dice_.chance(0.5) ? 0.9 : 0.05;
+    fleet_.crowd().south_share = random_.chance(0.5) ? 0.9 : 0.05;
     bit();
     fleet_.later(hold_, [this] { fleet_.crowd().south_share = -1; });
   }
@@ -345,41 +345,41 @@
     std::string one = pick(edges_), other = pick(edges_);
     Integer version = version_seen(one, plans_kind, "check");
     note("rival edits at version " + std::to_string(version));
-    auto first = fleet_.edit(one, "put", plans_kind, "check", check_variants[dice_.below(3)], version);
-    auto second = fleet_.edit(other, "patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + dice_.below(2000)) + "}", version);
+    auto first = fleet_.edit(one, "put", plans_kind, "check", check_variants[random_.below(3)], version);
+    auto second = fleet_.edit(other, "patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}", version);
     edits_.push_back(first);
     edits_.push_back(second);
     end_with([first, second] { return std::int64_t{first->code == 412 || second->code == 412}; }, [] {});
   }
   void quick_edits() {
     for (int i = 0; i < 5; ++i)
-      fleet_.later(i * 60, [this] { edit("patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + dice_.below(2000)) + "}"); });
+      fleet_.later(i * 60, [this] { edit("patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}"); });
     bit();
   }
   void bad_edits() {
-    edit("put", plans_kind, "check", check_variants[3 + dice_.below(2)]);
+    edit("put", plans_kind, "check", check_variants[3 + random_.below(2)]);
     end_with([edit = edits_.back()] { return std::int64_t{edit->code == 422}; }, [] {});
   }
   void plan_comes_and_goes() {
-    if (dice_.chance(0.5)) edit("put", plans_kind, "extra", R"({"service":"s","match":{"path":"/extra"},"pool":"models","horizon_ms":)" + std::to_string(1000 + dice_.below(2000)) + "}");
+    if (random_.chance(0.5)) edit("put", plans_kind, "extra", R"({"service":"s","match":{"path":"/extra"},"pool":"models","horizon_ms":)" + std::to_string(1000 + random_.below(2000)) + "}");
     else edit("delete", plans_kind, "extra", "");
     bit();
   }
   void runner_marks() {
-    edit("patch", runners_kind, pick(runners_), dice_.chance(0.5) ? R"({"leaving":true})" : R"({"leaving":false})");
+    edit("patch", runners_kind, pick(runners_), random_.chance(0.5) ? R"({"leaving":true})" : R"({"leaving":false})");
     bit();
   }
   void zone_orders() {
-    edit("put", orders_kind, pick_zone(), dice_.chance(0.4) ? R"({"state":"emptied"})" : R"({"state":"serving"})");
+    edit("put", orders_kind, pick_zone(), random_.chance(0.4) ? R"({"state":"emptied"})" : R"({"state":"serving"})");
     bit();
   }
   void reads() {
     for (int i = 0; i < 4; ++i)
-      fleet_.later(dice_.below(400), [this] { fleet_.read(pick_control()); });
+      fleet_.later(random_.below(400), [this] { fleet_.read(pick_control()); });
     bit();
   }
   void rolling_restart() {
-    const auto& list = dice_.chance(0.5) ? datas_ : edges_;
+    const auto& list = random_.chance(0.5) ? datas_ : edges_;
     note("rolling restart");
     for (std::size_t i = 0; i < list.size(); ++i)
       fleet_.later(static_cast<std::int64_t>(i) * 700, [this, name = list[i]] {
@@ -408,7 +408,7 @@
 
   DayPlan plan_;
   FleetSimulation fleet_;
-  Dice dice_;
+  RandomGenerator random_;
   ChaosResult result_;
   std::ostringstream story_;
   std::vector<std::string> edges_, datas_, cores_, runners_, gone_;
@@ -468,16 +468,16 @@
       continue;
     }
     // Alone, or up to three at the same moment.
-    for (std::int64_t together = dice_.chance(0.3) ? 2 + dice_.below(2) : 1; together > 0; --together) {
-      hold_ = 300 + dice_.below(dice_.chance(0.15) ? 12000 : 3500);
-      std::int64_t at = dice_.below(weights);
+    for (std::int64_t together = random_.chance(0.3) ? 2 + random_.below(2) : 1; together > 0; --together) {
+      hold_ = 300 + random_.below(random_.chance(0.15) ? 12000 : 3500);
+      std::int64_t at = random_.below(weights);
       for (const auto& fault : table())
         if ((at -= fault.weight) < 0) {
           bring_about(fault);
           break;
         }
     }
-    fleet_.run(Span{100 + dice_.below(1800)});
+    fleet_.run(Span{100 + random_.below(1800)});
     look_after_core();
   }
   result_.tally = fleet_.tally();
@@ -498,11 +498,11 @@
 
 // What began in the day has ended; then one more fault, and only the machines it took come back.
 void RandomDay::last_fault() {
-  hold_ = 1000 + dice_.below(2000);
+  hold_ = 1000 + random_.below(2000);
   static const std::vector<Fault> last{{"last: total loss", 3, &RandomDay::lose_all}, {"last: zone lost", 2, &RandomDay::lose_zone},
                                        {"last: region lost", 1, &RandomDay::lose_region}, {"last: master killed", 2, &RandomDay::kill_master},
                                        {"last: many killed", 2, &RandomDay::kill_many}, {"last: core machine wiped", 1, &RandomDay::wipe_core}};
-  std::int64_t at = dice_.below(11);
+  std::int64_t at = random_.below(11);
   for (const auto& fault : last)
     if ((at -= fault.weight) < 0) {
       bring_about(fault);
--- a/packages/fleet-simulator/src/rule_watch.cpp
+++ b/packages/fleet-simulator/src/rule_watch.cpp
@@ -44,12 +44,12 @@
   }
   // About 5 seconds after the mark or order was asked for (and granted), no new work. A later
   // revision that frees the runner again ends it.
-  auto bar = bars_.find(send.runner);
-  if (bar != bars_.end() && bar->second.config_revision > free_since_[send.runner]) {
-    worst_leaving_ms_ = std::max(worst_leaving_ms_, now - bar->second.acked_at);
-    worst_told_ms_ = std::max(worst_told_ms_, now - bar->second.told_at);
-    if (now - bar->second.told_at > leaving_limit)
-      broken(now, "new work for a leaving runner", send.daemon + " to " + send.runner + " " + std::to_string(now - bar->second.told_at) + " ms after we were told");
+  auto hold = holds_.find(send.runner);
+  if (hold != holds_.end() && hold->second.config_revision > free_since_[send.runner]) {
+    worst_leaving_ms_ = std::max(worst_leaving_ms_, now - hold->second.acked_at);
+    worst_told_ms_ = std::max(worst_told_ms_, now - hold->second.told_at);
+    if (now - hold->second.told_at > leaving_limit)
+      broken(now, "new work for a leaving runner", send.daemon + " to " + send.runner + " " + std::to_string(now - hold->second.told_at) + " ms after we were told");
   }
   last_sent_[send.runner] = now;
   if (!send.home.empty() && send.home != send.runner_region) broken(now, "homed work abroad", send.runner + " for home " + send.home);
@@ -108,10 +108,10 @@
 }
 
 void RuleWatch::published(std::int64_t now, const std::string& daemon, const MapVersion& version, const std::string& bytes) {
-  auto [publisher, is_new_reign] = publishers_.insert({version.reign, daemon});
-  if (!is_new_reign && publisher->second != daemon) broken(now, "two publish in one reign", show(version) + " by " + publisher->second + " and " + daemon);
+  auto [publisher, is_new_term] = publishers_.insert({version.term, daemon});
+  if (!is_new_term && publisher->second != daemon) broken(now, "two publish in one term", show(version) + " by " + publisher->second + " and " + daemon);
   auto hash = stable_hash(bytes);
-  auto [known, is_new] = maps_.insert({{version.reign, version.number}, hash});
+  auto [known, is_new] = maps_.insert({{version.term, version.number}, hash});
   if (!is_new && known->second != hash) broken(now, "one map version twice", show(version));
 }
 
@@ -142,19 +142,19 @@
         if (value.is_null() ? found.contains(field) : !found.contains(field) || found[field] != value)
           broken(now, "acknowledged, but other than asked", resource + " /" + field);
   }
-  bool bars_runner = ack.ask.kind == runners_kind && ack.ask.body.find("\"leaving\":true") != std::string::npos;
+  bool holds_runner = ack.ask.kind == runners_kind && ack.ask.body.find("\"leaving\":true") != std::string::npos;
   bool empties_zone = ack.ask.kind == orders_kind && ack.ask.body.find("\"emptied\"") != std::string::npos;
   std::set<std::string> barred;
-  if (bars_runner) barred.insert(ack.ask.name);
+  if (holds_runner) barred.insert(ack.ask.name);
   if (empties_zone) barred = zone_runners_[ack.ask.name];
   for (const auto& runner : barred) {
-    auto [bar, is_first] = bars_.insert({runner, {ack.config_revision, ack.ask.at, now}});
-    bool was_freed = !is_first && bar->second.config_revision <= free_since_[runner];
-    if (was_freed) bar->second = {ack.config_revision, ack.ask.at, now};
+    auto [hold, is_first] = holds_.insert({runner, {ack.config_revision, ack.ask.at, now}});
+    bool was_freed = !is_first && hold->second.config_revision <= free_since_[runner];
+    if (was_freed) hold->second = {ack.config_revision, ack.ask.at, now};
     auto last = last_sent_.find(runner);
     if (ack.config_revision <= free_since_[runner] || last == last_sent_.end()) continue;
     // The rule runs from the ask; what was sent before the answer came is judged now.
-    std::int64_t late = last->second - bar->second.told_at;
+    std::int64_t late = last->second - hold->second.told_at;
     worst_told_ms_ = std::max(worst_told_ms_, late);
     if (late > leaving_limit) broken(now, "new work for a leaving runner", runner + " " + std::to_string(late) + " ms after we were told, before we answered");
   }
@@ -220,8 +220,8 @@
   for (const auto& runner : configuration.runners) {
     bool is_barred = runner.is_leaving || emptied.count(runner.zone) != 0;
     auto held = statuses.find(runner.name);
-    bool holds_bar = held != statuses.end() && (held->second == "leaving" || held->second == "emptied");
-    if (held == statuses.end() || is_barred != holds_bar)
+    bool holds_hold = held != statuses.end() && (held->second == "leaving" || held->second == "emptied");
+    if (held == statuses.end() || is_barred != holds_hold)
       broken(now, "a data daemon holds another mark than the register", daemon + " on " + runner.name.text);
   }
 }
--- a/packages/fleet-simulator/src/scale_fleet.cpp
+++ b/packages/fleet-simulator/src/scale_fleet.cpp
@@ -56,7 +56,7 @@
   return names[role];
 }
 
-ScaleFleet::ScaleFleet(std::uint64_t seed, ScaleShape shape) : shape_(shape), seed_(seed), dice_(seed) {
+ScaleFleet::ScaleFleet(std::uint64_t seed, ScaleShape shape) : shape_(shape), seed_(seed), random_(seed) {
   regions_ = std::max(2, (shape_.zones * 51 + 73) / 146);
   for (int i = 0; i < shape_.cores; ++i) add("core", i, shape_.cores);
   for (std::size_t i = 0; i < 3; ++i) seeds_.push_back(daemons_[i].address);
@@ -78,7 +78,7 @@
   int place = static_cast<int>(daemons_.size());
   daemon.address.text = "10.1." + std::to_string(100 + place / 100) + "." + std::to_string(100 + place % 100) + ":7000";
   daemon.store.text = "store-" + std::to_string(number);
-  daemon.clock = 1000000 + dice_.below(100000000);
+  daemon.clock = 1000000 + random_.below(100000000);
   by_address_[daemon.address] = daemons_.size();
   daemons_.push_back(std::move(daemon));
 }
@@ -123,7 +123,7 @@
     if (!master() || (!shape_.is_enrolled && static_cast<int>(daemons_[*master()].control->proposer().state().roster.size()) != shape_.edges)) return false;
     return std::all_of(gateways.begin(), gateways.end(), [&](std::size_t index) {
       const DataDaemon& data = *daemons_[index].data;
-      return !data.view()->plans.empty() && clock(daemons_[index]) < data.grant().until && data.grant().floor <= data.view()->version;
+      return !data.view()->plans.empty() && clock(daemons_[index]) < data.grant().until && data.grant().minimum_version <= data.view()->version;
     });
   }, limit);
   if (!serves) return failure(master() ? "not every data daemon serves" : "no master leads");
@@ -184,12 +184,12 @@
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     const auto& control = daemons_[i].control;
     if (!control || !control->election().is_master()) continue;
-    if (!best || daemons_[*best].control->election().reign() < control->election().reign()) best = i;
+    if (!best || daemons_[*best].control->election().term() < control->election().term()) best = i;
   }
   return best;
 }
 
-Integer ScaleFleet::reign() const { return master() ? daemons_[*master()].control->election().reign() : 0; }
+Integer ScaleFleet::term() const { return master() ? daemons_[*master()].control->election().term() : 0; }
 
 int ScaleFleet::role(std::size_t index) const {
   const Daemon& daemon = daemons_[index];
@@ -214,9 +214,9 @@
   daemon.is_up = daemon.has_power = true;
   ++daemon.life;
   DaemonEntry self{daemon.address, "http-" + daemon.name, daemon.role, daemon.zone, daemon.region, daemon.life};
-  std::uint64_t dice = seed_ * 1000003 + stable_hash(daemon.name) + static_cast<std::uint64_t>(daemon.life);
+  std::uint64_t random = seed_ * 1000003 + stable_hash(daemon.name) + static_cast<std::uint64_t>(daemon.life);
   if (daemon.role == "data") {
-    daemon.data = std::make_unique<DataDaemon>(self, seeds_, dice);
+    daemon.data = std::make_unique<DataDaemon>(self, seeds_, random);
     daemon.data->start(clock(daemon));
   } else {
     std::unique_ptr<RegisterAcceptor> acceptor;
@@ -227,13 +227,13 @@
     ControlDaemonSettings settings;
     settings.self = self;
     settings.seeds = seeds_;
-    settings.dice_seed = dice;
+    settings.random_seed = random;
     daemon.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     daemon.control->on_publish = [this](const PlacementMap&) { ++maps_published; };
     daemon.control->start(clock(daemon));
   }
   flush(index);
-  later(1 + dice_.below(tick_ms), [this, index, life = daemon.life] { tick(index, life); });
+  later(1 + random_.below(tick_ms), [this, index, life = daemon.life] { tick(index, life); });
 }
 
 void ScaleFleet::kill(std::size_t index, bool takes_power) {
@@ -252,8 +252,8 @@
   Daemon& daemon = daemons_[index];
   if (daemon.life != life) return;
   timed(index, message_kinds, [&] {
-    if (daemon.control) daemon.control->on_alarm(clock(daemon));
-    else daemon.data->on_alarm(clock(daemon));
+    if (daemon.control) daemon.control->on_timer(clock(daemon));
+    else daemon.data->on_timer(clock(daemon));
   });
   flush(index);
   later(tick_ms, [this, index, life] { tick(index, life); });
@@ -286,7 +286,7 @@
 
 std::int64_t ScaleFleet::travel(std::size_t from, std::size_t to) {
   std::int64_t wait = daemons_[from].region == daemons_[to].region ? 1 : 12;
-  return wait + dice_.below(wait + 1);
+  return wait + random_.below(wait + 1);
 }
 
 void ScaleFleet::deliver(std::size_t from, const Address& to, Message message) {
@@ -373,7 +373,7 @@
     status.incarnation = 1;
     status.capacity = 8;
     status.allowance = 2;
-    status.burden = shape_.is_busy ? static_cast<Integer>(stable_hash(runner.text, static_cast<std::uint64_t>(now_ / 1000)) % 6) : 0;
+    status.load = shape_.is_busy ? static_cast<Integer>(stable_hash(runner.text, static_cast<std::uint64_t>(now_ / 1000)) % 6) : 0;
     timed(index, message_kinds + 1, [&] { daemon.control->on_probe(status, clock(daemon)); });
     flush(index);
   });
@@ -384,7 +384,7 @@
   for (const auto& daemon : daemons_) {
     if (!daemon.data) continue;
     ++samples;
-    if (!(clock(daemon) < daemon.data->grant().until) || !(daemon.data->grant().floor <= daemon.data->view()->version)) ++samples_without_grant;
+    if (!(clock(daemon) < daemon.data->grant().until) || !(daemon.data->grant().minimum_version <= daemon.data->view()->version)) ++samples_without_grant;
     oldest = std::min(oldest, daemon.data->view()->config_revision);
   }
   for (auto entry = changes_.begin(); entry != changes_.end();) {
--- a/packages/fleet-simulator/src/scale_runs.cpp
+++ b/packages/fleet-simulator/src/scale_runs.cpp
@@ -96,7 +96,7 @@
     shape.runners = runners;
     return shape;
   }};
-  list["idle-runners"] = {"runners whose burden stands still; 12 daemons, 4 plans", {14, 120, 400, 1000}, [](int runners) {
+  list["idle-runners"] = {"runners whose load stands still; 12 daemons, 4 plans", {14, 120, 400, 1000}, [](int runners) {
     ScaleShape shape = with_daemons(12);
     shape.runners = runners;
     shape.is_busy = false;
@@ -295,13 +295,13 @@
     fleet.run(Span{8000});
     double quiet = 0;
     for (const auto& fault : faults()) {
-      std::int64_t reign = fleet.reign();
+      std::int64_t term = fleet.term();
       fleet.reset();
       std::int64_t begun = fleet.now();
       fault.bring(fleet);
       std::int64_t led_again = -1;
       if (fault.what.find("master") == 0 &&
-          fleet.run_until([&] { return fleet.reign() > reign; }, window))
+          fleet.run_until([&] { return fleet.term() > term; }, window))
         led_again = fleet.now() - begun;
       fleet.run(Span{window.value - (fleet.now() - begun)});
       double without = fleet.samples == 0 ? 0 : 1000.0 * static_cast<double>(fleet.samples_without_grant) / static_cast<double>(fleet.samples);
@@ -312,10 +312,10 @@
       if (fault.what == "none") quiet = static_cast<double>(counts.messages);
       table.add(fault.what + ": messages more", column, static_cast<double>(counts.messages) - quiet);
       table.add(fault.what + ": register rounds", column, static_cast<double>(counts.register_rounds));
-      table.add(fault.what + ": reigns", column, static_cast<double>(fleet.reign() - reign));
+      table.add(fault.what + ": terms", column, static_cast<double>(fleet.term() - term));
       table.add(fault.what + ": maps until mended", column, static_cast<double>(maps));
       table.add(fault.what + ": no grant, of 1000", column, without);
-      if (led_again >= 0) table.add(fault.what + ": ms to a new reign", column, static_cast<double>(led_again));
+      if (led_again >= 0) table.add(fault.what + ": ms to a new term", column, static_cast<double>(led_again));
       std::cerr << sizes[column] << " " << fault.what << std::endl;
       fleet.run(Span{10000});
     }
--- a/packages/fleet-simulator/src/scale_runs.hpp
+++ b/packages/fleet-simulator/src/scale_runs.hpp
@@ -19,7 +19,7 @@
 struct ScaleShape {
   int zones = 3, cores = 3, edges = 9, gateways = 9, runners = 14, plans = 4;
   int changes_a_minute = 0;
-  bool is_busy = true;      // every runner's burden is another each second
+  bool is_busy = true;      // every runner's load is another each second
   bool is_enrolled = true;  // the register is founded with the roster in it; else every edge daemon enrols itself
 };
 
@@ -38,7 +38,7 @@
 // What was counted between two moments. Counts and bytes are the same in every run; ns are not.
 struct ScaleCounts {
   std::array<std::array<std::array<Tally, message_kinds>, role_count>, role_count> sent{};  // from, to, kind: those delivered
-  std::array<std::array<Tally, message_kinds + 2>, role_count> handled{};  // by role; then alarms, then probes
+  std::array<std::array<Tally, message_kinds + 2>, role_count> handled{};  // by role; then timers, then probes
   std::array<Tally, message_kinds> encoded{}, decoded{};
   std::int64_t messages = 0, bytes = 0, register_rounds = 0;
   struct AtDaemon {
@@ -80,7 +80,7 @@
   const std::vector<Daemon>& daemons() const { return daemons_; }
   std::vector<std::size_t> of_role(const std::string& role) const;
   std::optional<std::size_t> master() const;
-  Integer reign() const;
+  Integer term() const;
 
   // Faults. Example: fleet.kill(3); fleet.run(Span{20000}); fleet.start(3);
   void kill(std::size_t index, bool takes_power = false);
@@ -136,7 +136,7 @@
 
   ScaleShape shape_;
   std::uint64_t seed_;
-  Dice dice_;
+  RandomGenerator random_;
   int regions_ = 2;
   std::int64_t now_ = 0, last_event_ = 0, changes_from_ = -1;
   std::priority_queue<Event> events_;
--- a/packages/fleet-simulator/src/scenarios.hpp
+++ b/packages/fleet-simulator/src/scenarios.hpp
@@ -33,7 +33,7 @@
   std::int64_t begun = fleet.now();
   bool is_there = fleet.run_until([&] {
     std::string master = fleet.master();
-    return !master.empty() && master != was && fleet.control(master)->map().version.reign == fleet.control(master)->election().reign();
+    return !master.empty() && master != was && fleet.control(master)->map().version.term == fleet.control(master)->election().term();
   }, Span{limit});
   return is_there ? fleet.now() - begun : -1;
 }
--- a/packages/fleet-simulator/src/simulated_calls.cpp
+++ b/packages/fleet-simulator/src/simulated_calls.cpp
@@ -7,20 +7,20 @@
 
 void FleetSimulation::ask_call() {
   if (!has_calls_) return;
-  at(now_ + crowd_.gap(dice_), [this] { ask_call(); });
+  at(now_ + crowd_.gap(random_), [this] { ask_call(); });
   std::vector<std::string> daemons = names("data");
   if (crowd_.south_share >= 0) {
-    std::string wanted = dice_.chance(crowd_.south_share) ? "south" : "north";
+    std::string wanted = random_.chance(crowd_.south_share) ? "south" : "north";
     daemons.erase(std::remove_if(daemons.begin(), daemons.end(), [&](const auto& name) { return node(name).region != wanted; }), daemons.end());
   }
-  const std::string daemon = daemons[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(daemons.size())))];
+  const std::string daemon = daemons[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(daemons.size())))];
   ++tally_.asked;
   CallIndex index = ++last_call_;
   CallRecord& call = calls_[index];
   call.begun = now_;
   call.daemon = daemon;
   Node& target = node(daemon);
-  call.wish = crowd_.next(dice_, target.region);
+  call.wish = crowd_.next(random_, target.region);
   if (!target.is_up) return end_call(index, "no_daemon");
   ArrivingCall arriving;
   arriving.id.text = "call-" + std::to_string(index);
@@ -29,9 +29,9 @@
   arriving.prefix = call.wish.prefix;
   if (!call.wish.home.empty()) arriving.headers["x-home-region"] = is_home_misread ? target.region : call.wish.home;
   on_node(daemon, [this, arriving, index](Node& awake) {
-    refresh_desk(awake);
-    if (auto refusal = awake.desk->arrive(arriving, clock(awake), index)) end_finally(*refusal);
-    flush_desk(awake);
+    refresh_dispatcher(awake);
+    if (auto refusal = awake.dispatcher->arrive(arriving, clock(awake), index)) end_finally(*refusal);
+    flush_dispatcher(awake);
   });
 }
 
@@ -69,9 +69,9 @@
            act.code == 421 ? "" : act.reason);
 }
 
-void FleetSimulation::flush_desk(Node& target) {
-  for (const auto& act : target.desk->take_sends()) run_send(target.name, act);
-  for (const auto& act : target.desk->take_finals()) end_finally(act);
+void FleetSimulation::flush_dispatcher(Node& target) {
+  for (const auto& act : target.dispatcher->take_sends()) run_send(target.name, act);
+  for (const auto& act : target.dispatcher->take_finals()) end_finally(act);
 }
 
 void FleetSimulation::run_send(const std::string& daemon, const SendAct& act) {
@@ -85,13 +85,13 @@
       if (awake.life != life) return;
       if (end.kind == SendEndKind::answered) end_call(act.call, "served");
       if (end.kind == SendEndKind::lost && is_lost_call_resent) run_send(daemon, act);
-      refresh_desk(awake);
-      awake.desk->end_send(end, clock(awake));
-      flush_desk(awake);
+      refresh_dispatcher(awake);
+      awake.dispatcher->end_send(end, clock(awake));
+      flush_dispatcher(awake);
     });
   };
   std::int64_t wait = sender.region == runner.region ? 1 : shape_.far_delay;
-  std::int64_t horizon = now_ + (act.horizon - clock(sender)).value;
+  std::int64_t deadline = now_ + (act.deadline - clock(sender)).value;
   auto report = [this, index = act.call](const SimulatedRunner& from, SendEndKind kind, const std::string& reason) {
     SendEnd end;
     end.call = index;
@@ -99,16 +99,16 @@
     end.reason = reason;
     end.has_report = kind == SendEndKind::answered || kind == SendEndKind::refused;
     end.incarnation = from.incarnation;
-    end.burden = from.running;
+    end.load = from.running;
     end.capacity = from.capacity;
     end.is_cold = from.is_cold(now_);
     return end;
   };
-  auto vanish = [this, horizon, finish, report, runner = act.runner.text] {
-    at(std::max(now_, horizon), [this, finish, report, runner] { finish(report(runners_.at(runner), SendEndKind::lost, "no answer within the horizon")); });
+  auto vanish = [this, deadline, finish, report, runner = act.runner.text] {
+    at(std::max(now_, deadline), [this, finish, report, runner] { finish(report(runners_.at(runner), SendEndKind::lost, "no answer within the deadline")); });
   };
   bool is_cut = network_.is_cut(daemon, act.runner.text);
-  at(now_ + wait, [this, act, wait, horizon, finish, report, vanish, is_cut, daemon] {
+  at(now_ + wait, [this, act, wait, deadline, finish, report, vanish, is_cut, daemon] {
     SimulatedRunner& target = runners_.at(act.runner.text);
     if (is_cut || (target.is_up && target.is_hung)) return vanish();
     if (!target.is_up) return finish(report(target, SendEndKind::unsent, "no link"));
@@ -127,10 +127,10 @@
     if (record.wish.is_streaming)  // its first piece is out: from here on no other runner may go on with it
       at(now_ + wait + 20, [this, daemon, index = act.call, life = node(daemon).life] {
         on_node(daemon, [life, index](Node& awake) {
-          if (awake.life == life) awake.desk->first_piece(index);
+          if (awake.life == life) awake.dispatcher->first_piece(index);
         });
       });
-    at(now_ + service, [this, act, wait, horizon, finish, report, vanish, runner_life] {
+    at(now_ + service, [this, act, wait, deadline, finish, report, vanish, runner_life] {
       SimulatedRunner& done = runners_.at(act.runner.text);
       if (done.life != runner_life) {
         later(wait, [this, act, finish, report] { finish(report(runners_.at(act.runner.text), SendEndKind::lost, "link broke")); });
@@ -138,8 +138,8 @@
       }
       if (done.is_hung) return vanish();
       done.finish();
-      bool is_late = now_ + wait > horizon;
-      auto end = report(done, is_late ? SendEndKind::lost : SendEndKind::answered, is_late ? "no answer within the horizon" : "");
+      bool is_late = now_ + wait > deadline;
+      auto end = report(done, is_late ? SendEndKind::lost : SendEndKind::answered, is_late ? "no answer within the deadline" : "");
       later(wait, [finish, end] { finish(end); });
     });
   });
--- a/packages/fleet-simulator/src/simulated_operators.cpp
+++ b/packages/fleet-simulator/src/simulated_operators.cpp
@@ -67,7 +67,7 @@
     for (const auto& [other, made] : nodes_)
       if (made->control && made->is_up && !made->is_frozen) able.push_back(other);
     if (able.empty()) return false;
-    auto outcome = edit(able[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(able.size())))], act, kind, name, body);
+    auto outcome = edit(able[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(able.size())))], act, kind, name, body);
     run_until([&] { return outcome->is_over; }, Span{std::max<std::int64_t>(1, std::min<std::int64_t>(18000, end - now_))});
     if (outcome->code == 200 || outcome->code == 201) return true;
     run(Span{100});
--- a/packages/fleet-simulator/tests/fleet_simulator_test.cpp
+++ b/packages/fleet-simulator/tests/fleet_simulator_test.cpp
@@ -55,7 +55,7 @@
     fleet->run(Span{8000});
     if (is_guard_out) EXPECT_NE(show(fleet->breaks()), "");
     else EXPECT_EQ(show(fleet->breaks()), "");
-    EXPECT_EQ(fleet->desk("a1-data")->counts().refused_no_grant > 0, !is_guard_out);
+    EXPECT_EQ(fleet->dispatcher("a1-data")->counts().refused_no_grant > 0, !is_guard_out);
   }
 }
 
@@ -83,7 +83,7 @@
     for (const auto& name : fleet->names(role)) fleet->start(name);
   ASSERT_TRUE(fleet->run_until([&] { return fleet->serving_daemons() == 9; }, Span{12000})) << fleet->why_silent();
   for (const auto& name : fleet->names("data"))
-    EXPECT_EQ(fleet->data(name)->view()->plans.front().horizon_ms, 4500) << name;
+    EXPECT_EQ(fleet->data(name)->view()->plans.front().deadline_ms, 4500) << name;
   // The wiped machine is a new store, and is admitted again without an operator.
   EXPECT_TRUE(fleet->run_until([&] {
     for (const auto& entry : fleet->control("b0")->proposer().state().acceptors)
@@ -229,7 +229,7 @@
 
 TEST(FleetSimulator, CallsGoOnByTheMastersWordWhileTheCoreIsCutOff) {
   auto fleet = serving_fleet(13);
-  fleet->run(Span{10000});  // a daemon that has just started echoes nothing yet
+  fleet->run(Span{10000});  // a daemon that has just started acknowledges nothing yet
   for (const auto& core : fleet->names("core"))
     for (const char* role : {"edge", "data"})
       for (const auto& name : fleet->names(role)) fleet->cut_both(core, name);
@@ -242,7 +242,7 @@
   EXPECT_EQ(show(fleet->breaks()), "");
 }
 
-TEST(FleetSimulator, AMastersWordLapsesBeforeANewReignAcknowledges) {
+TEST(FleetSimulator, ALeaderLeaseLapsesBeforeANewTermAcknowledges) {
   enum class Guard { in, wait_out, promise_out };
   for (Guard guard : {Guard::in, Guard::wait_out, Guard::promise_out}) {
     auto fleet = serving_fleet(14);
@@ -314,7 +314,7 @@
   }
 }
 
-TEST(FleetSimulator, ARefusedOrderLeavesNoBarBehind) {
+TEST(FleetSimulator, ARefusedOrderLeavesNoHoldBehind) {
   auto fleet = serving_fleet(17);
   std::string was = fleet->master();
   fleet->freeze(was);
--- a/packages/fleet-simulator/tests/rule_watch_test.cpp
+++ b/packages/fleet-simulator/tests/rule_watch_test.cpp
@@ -86,7 +86,7 @@
        see(w, 1, state_of(1, 1, {plan_one}));
        see(w, 2, state_of(2, 2, {broken ? Resource{plans_kind, "p", 1, 2, "{}"} : plan_two}));
      }},
-    {"two publish in one reign", [](RuleWatch& w, bool broken) { w.published(1, "a1", {3, 1}, "x"); w.published(2, broken ? "b1" : "a1", {3, 2}, "y"); }},
+    {"two publish in one term", [](RuleWatch& w, bool broken) { w.published(1, "a1", {3, 1}, "x"); w.published(2, broken ? "b1" : "a1", {3, 2}, "y"); }},
     {"one map version twice", [](RuleWatch& w, bool broken) { w.published(1, "a1", {3, 1}, "x"); w.published(2, "a1", {3, 1}, broken ? "y" : "x"); }},
     {"a data daemon slid back", [](RuleWatch& w, bool broken) { w.follows(1, "d", {3, 2}); w.follows(2, "d", {broken ? 2 : 4, 1}); }},
     {"rivals both acknowledged", [](RuleWatch& w, bool broken) {
--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -211,12 +211,12 @@
   for (const std::string role : {"data", "edge", "core", "model", "record"}) {
     for (auto& [name, process] : processes_)
       if (process.role == role && process.id > 0) ::kill(process.id, SIGTERM);
-    auto horizon = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(12);
     for (auto& [name, process] : processes_) {
       if (process.role != role || process.id <= 0) continue;
       int status = 0;
       pid_t ended = 0;
-      while ((ended = ::waitpid(process.id, &status, WNOHANG)) == 0 && std::chrono::steady_clock::now() < horizon)
+      while ((ended = ::waitpid(process.id, &status, WNOHANG)) == 0 && std::chrono::steady_clock::now() < deadline)
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
       if (ended == 0) {
         late.push_back(name);
@@ -234,11 +234,11 @@
 Outcome<bool> FleetOfProcesses::start_all() {
   for (auto& [name, process] : processes_)
     if (!begin(name)) return failure("can't start " + process.words[0]);
-  auto horizon = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
   for (auto& [name, process] : processes_) {
     std::string path = process.role == "core" || process.role == "edge" ? "/health" : process.role == "data" ? "/emberdale/health" : "/status";
     while (!page(process.http, path)) {
-      if (std::chrono::steady_clock::now() > horizon) return failure(name + " does not answer; see " + folder_ + "/" + name + ".log");
+      if (std::chrono::steady_clock::now() > deadline) return failure(name + " does not answer; see " + folder_ + "/" + name + ".log");
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
@@ -301,9 +301,9 @@
 Outcome<bool> FleetOfProcesses::found() {
   auto ended = client({"found", deployment_, at("a0-core").link, at("b0-core").link, at("c0-core").link});
   if (ended.status != 0) return failure("not founded: " + ended.out);
-  auto horizon = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
   while (master_name().empty()) {
-    if (std::chrono::steady_clock::now() > horizon) return failure("no master was elected");
+    if (std::chrono::steady_clock::now() > deadline) return failure("no master was elected");
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
   return true;
--- a/packages/fleet-starter/src/trial_main.cpp
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -159,22 +159,22 @@
     return count;
   };
   std::vector<Acknowledged> acks;
-  std::vector<Barred> bars;
+  std::vector<Barred> holds;
   std::int64_t rivals_both = 0, crowd_wrong = 0;
   const std::string plan_name = deployment == "caspian" ? "manifest-check" : "dispute-check";
   auto remember = [&](const ProgramEnd& ended) {
     auto mark = ended.out.find("\"config_revision\":");
     if (mark != std::string::npos) acks.push_back({wall_ms(), std::atoll(ended.out.c_str() + mark + 18)});
   };
-  auto patch_plan = [&](int horizon, const std::string& version) {
-    std::string file = fleet.folder() + "/patch-" + std::to_string(horizon) + ".json";
-    std::ofstream(file) << Json{{"horizon_ms", horizon}}.dump();
+  auto patch_plan = [&](int deadline, const std::string& version) {
+    std::string file = fleet.folder() + "/patch-" + std::to_string(deadline) + ".json";
+    std::ofstream(file) << Json{{"horizon_ms", deadline}}.dump();
     std::vector<std::string> words{"patch", "serving-plans", plan_name, file};
     if (!version.empty()) words.insert(words.end(), {"--if-match", version});
     return fleet.client(words);
   };
-  auto edit_plan = [&](int horizon) {
-    auto ended = patch_plan(horizon, "");
+  auto edit_plan = [&](int deadline) {
+    auto ended = patch_plan(deadline, "");
     if (ended.status == 0) remember(ended);
     return ended.status == 0;
   };
@@ -238,7 +238,7 @@
     note({{"event", "core machine b0 killed, wiped and started"}, {"admitted_again", is_admitted}, {"after_ms", since(lost)}});
   }});
   acts.push_back({"cut", [&] {
-    // The master's words reach no one, though it hears all: a one-way cut.
+    // The leader leases reach no one, though it hears all: a one-way cut.
     std::string master = fleet.master_name();
     Json all = Json::array();
     for (const auto& [name, process] : fleet.processes())
@@ -285,7 +285,7 @@
     fleet.clear_faults();
   }});
   acts.push_back({"pulled", [&] {
-    Barred bar{"model-3", wall_ms(), 0};
+    Barred hold{"model-3", wall_ms(), 0};
     auto ended = fleet.client({"mark-leaving", "model-3"});
     if (ended.status == 0) remember(ended);
     pause(800);
@@ -293,8 +293,8 @@
     pause(6000);
     fleet.begin("model-3");
     pause(700);
-    bar.until = wall_ms();
-    if (ended.status == 0) bars.push_back(bar);
+    hold.until = wall_ms();
+    if (ended.status == 0) holds.push_back(hold);
     auto freed = fleet.client({"mark-staying", "model-3"});
     note({{"event", "runner model-3 marked, killed 0.8 s later, back after 6 s"}, {"mark_status", ended.status}, {"freed_status", freed.status}});
   }});
@@ -430,7 +430,7 @@
         worst_old_plan = std::max(worst_old_plan, run.at - ack.at);
         by_old_plan += run.at > ack.at + 3000;
       }
-    for (const auto& bar : bars) for_leaving += run.runner == bar.runner && run.at > bar.told + 5000 && run.at < bar.until;
+    for (const auto& hold : holds) for_leaving += run.runner == hold.runner && run.at > hold.told + 5000 && run.at < hold.until;
     bool is_repeatable = run.call.rfind("slot-confirmation", 0) == 0 || run.call.rfind("receipt-lookup", 0) == 0;
     int number = ++runs_of[run.call];
     if (!is_repeatable && number == 2) ++twice;
--- a/packages/master-election/include/emberdale/master_election.hpp
+++ b/packages/master-election/include/emberdale/master_election.hpp
@@ -14,7 +14,7 @@
 
 struct ElectionTimes {
   Span ping_round{3000};      // the bounded time of findMaster
-  Span ping_again{700};       // within a round, siblings are pinged again to keep answers fresh
+  Span ping_again{700};       // within a round, peers are pinged again to keep answers fresh
   Span join{1500};            // how long joins are awaited, and answers to a join
   Span follow{400};           // a follower's pings to its master
   Span master_silence{1500};  // after this long without an answer the master counts as down
@@ -22,50 +22,50 @@
   Span pause{250};            // between failed rounds, plus as much again at random
 };
 
-// A reign that this daemon may now claim in the register: it has quorum - 1 joins.
-struct ReignClaim {
-  Integer expected_reign = 0;
+// A term that this daemon may now claim in the register: it has quorum - 1 joins.
+struct TermClaim {
+  Integer expected_term = 0;
   std::set<Address> joined;
-  std::set<Address> promised;  // of these: those that will echo for no reign up to the expected one
+  std::set<Address> promised;  // of these: those that will acknowledge for no term up to the expected one
 };
 
 // Example:
-//   MasterElection election(self, Dice(1)); election.set_roster(roster, reign); election.start(now);
-//   election.on_message(from, message, now); election.on_alarm(now);
+//   MasterElection election(self, Dice(1)); election.set_roster(roster, term); election.start(now);
+//   election.on_message(from, message, now); election.on_timer(now);
 //   if (auto claim = election.take_claim()) register.change(claim_change(*claim), ...);
-//   election.claim_ended(true, 4, now);       // the register says: reign 4 is ours
+//   election.claim_ended(true, 4, now);       // the register says: term 4 is ours
 class MasterElection {
  public:
   enum class Phase { idle, pinging, pausing, awaiting_joins, claiming, joining, following, leading };
 
-  MasterElection(DaemonEntry self, Dice dice, ElectionTimes times = {})
-      : self_(std::move(self)), dice_(dice), times_(times), ask_(first_ask(dice_)) {}
+  MasterElection(DaemonEntry self, RandomGenerator random, ElectionTimes times = {})
+      : self_(std::move(self)), random_(random), times_(times), ask_(first_ask(random_)) {}
 
   void start(Moment now);
-  // The eligible daemons (nodeCount) and the reign, as the register has them.
-  void set_roster(const std::vector<DaemonEntry>& roster, Integer reign, const Address& reign_master, Moment now);
+  // The eligible daemons (nodeCount) and the term, as the register has them.
+  void set_roster(const std::vector<DaemonEntry>& roster, Integer term, const Address& term_master, Moment now);
   // Daemons to ping beside the roster: seeds and what answers named.
-  void learn(const Address& sibling);
+  void learn(const Address& peer);
   void set_version(const MapVersion& version) { version_ = version; }
-  // No one listens at that address: its process is gone, not asleep. Example: election.refused(sibling, now)
-  void refused(const Address& sibling, Moment now);
-  // What a follower echoes to its master: the newest stamp of the master's clock; 0: nothing, it has
-  // promised not to. Example: follow.echo = election.echo(now)
-  Integer echo(Moment now) const;
-  // Whether a majority of those daemons has echoed a stamp at most so old: they followed this master since.
-  // Example: election.is_echoed(roster, Span{1200}, now)
-  bool is_echoed(const std::vector<Address>& roster, Span age, Moment now) const;
+  // No one listens at that address: its process is gone, not asleep. Example: election.refused(peer, now)
+  void refused(const Address& peer, Moment now);
+  // What a follower acknowledges to its master: the newest stamp of the master's clock; 0: nothing, it has
+  // promised not to. Example: follow.acknowledge = election.acknowledge(now)
+  Integer acknowledgement(Moment now) const;
+  // Whether a majority of those daemons has acknowledged a stamp at most so old: they followed this master since.
+  // Example: election.is_acknowledged(roster, Span{1200}, now)
+  bool is_acknowledged(const std::vector<Address>& roster, Span age, Moment now) const;
 
   bool on_message(const Address& from, const Message& message, Moment now);
-  void on_alarm(Moment now);
-  std::optional<ReignClaim> take_claim();
-  void claim_ended(bool is_won, Integer reign, Moment now);
-  // A clean stop: siblings start a round at once. Example: election.leave();
+  void on_timer(Moment now);
+  std::optional<TermClaim> take_claim();
+  void claim_ended(bool is_won, Integer term, Moment now);
+  // A clean stop: peers start a round at once. Example: election.leave();
   void leave();
 
   bool is_master() const { return phase_ == Phase::leading; }
   const Address& master() const { return master_; }  // empty: none, or found down
-  Integer reign() const { return reign_; }
+  Integer term() const { return term_; }
   Phase phase() const { return phase_; }
   std::size_t quorum() const { return roster_.size() / 2 + 1; }
   // Rounds in a row that had too few answers for a ranking.
@@ -88,7 +88,7 @@
   };
   struct Joined {
     Moment at;
-    Integer ask = 0, reign = 0, stamp = 0;
+    Integer ask = 0, term = 0, stamp = 0;
   };
   void begin_round(Moment now);
   void pause(Moment now);
@@ -102,29 +102,29 @@
   bool is_eligible(const Address& daemon) const { return roster_.count(daemon) != 0; }
 
   DaemonEntry self_;
-  Dice dice_;
+  RandomGenerator random_;
   ElectionTimes times_;
   Phase phase_ = Phase::idle;
   Address master_;
-  Integer reign_ = 0;        // the newest reign the register showed, or that we lead
-  Address reign_master_;
+  Integer term_ = 0;        // the newest term the register showed, or that we lead
+  Address term_master_;
   MapVersion version_;
   std::set<Address> roster_;
-  std::set<Address> siblings_;
+  std::set<Address> peers_;
   std::map<Address, Answer> answers_;
   std::map<Address, Joined> joins_;  // recent joins
   std::set<Address> refused_;        // in this round: no one listens there
-  std::map<Address, Moment> echoes_;
+  std::map<Address, Moment> acknowledgements_;
   Moment started_;
-  Integer promised_through_ = -1;    // echoes for no reign up to this one
-  Integer stamp_ = 0, stamp_reign_ = -1;
+  Integer promised_through_ = -1;    // acknowledges for no term up to this one
+  Integer stamp_ = 0, stamp_term_ = -1;
   std::map<Address, Moment> followers_;
   std::set<Address> left_;  // stopped cleanly: not waited for until they speak again
   Integer ask_;
   Moment phase_end_, ping_next_, follow_next_, master_heard_, quorum_heard_;
   Address joining_;
   int starved_rounds_ = 0;
-  std::optional<ReignClaim> claim_;
+  std::optional<TermClaim> claim_;
   std::vector<Sending> out_;
   Counts counts_;
 };
--- a/packages/master-election/src/master_election.cpp
+++ b/packages/master-election/src/master_election.cpp
@@ -12,34 +12,34 @@
   begin_round(now);
 }
 
-void MasterElection::learn(const Address& sibling) {
-  if (sibling != self_.address && !sibling.empty()) siblings_.insert(sibling);
+void MasterElection::learn(const Address& peer) {
+  if (peer != self_.address && !peer.empty()) peers_.insert(peer);
 }
 
-void MasterElection::set_roster(const std::vector<DaemonEntry>& roster, Integer reign, const Address& reign_master,
+void MasterElection::set_roster(const std::vector<DaemonEntry>& roster, Integer term, const Address& term_master,
                                 Moment now) {
   roster_.clear();
   for (const auto& entry : roster) roster_.insert(entry.address);
-  for (auto entry = siblings_.begin(); entry != siblings_.end();) {
-    // Ghosts that left the roster are not waited for any more; live ones name themselves again.
-    if (roster_.count(*entry) == 0 && answers_.count(*entry) == 0) entry = siblings_.erase(entry);
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    // Dead members that left the roster are not waited for any more; live ones name themselves again.
+    if (roster_.count(*entry) == 0 && answers_.count(*entry) == 0) entry = peers_.erase(entry);
     else ++entry;
   }
   for (const auto& address : roster_) learn(address);
-  if (reign < reign_) return;
-  bool is_newer = reign > reign_;
-  reign_ = reign;
-  reign_master_ = reign_master;
-  if (phase_ == Phase::leading && (is_newer || reign_master != self_.address)) step_down(now);
-  if (phase_ == Phase::following && is_newer && reign_master != master_) {
+  if (term < term_) return;
+  bool is_newer = term > term_;
+  term_ = term;
+  term_master_ = term_master;
+  if (phase_ == Phase::leading && (is_newer || term_master != self_.address)) step_down(now);
+  if (phase_ == Phase::following && is_newer && term_master != master_) {
     master_ = Address{};  // the master that was joined has been replaced
     begin_round(now);
   }
 }
 
 void MasterElection::ping_everyone() {
-  for (const auto& sibling : siblings_)
-    if (left_.count(sibling) == 0) out_.push_back({sibling, Ping{ask_, self_, master_, version_}});
+  for (const auto& peer : peers_)
+    if (left_.count(peer) == 0) out_.push_back({peer, Ping{ask_, self_, master_, version_}});
 }
 
 void MasterElection::begin_round(Moment now) {
@@ -55,7 +55,7 @@
 
 void MasterElection::pause(Moment now) {
   phase_ = Phase::pausing;
-  phase_end_ = now + Span{times_.pause.value + dice_.below(times_.pause.value)};
+  phase_end_ = now + Span{times_.pause.value + random_.below(times_.pause.value)};
 }
 
 // More than half of the eligible daemons find that master down: they answer, and name it no more.
@@ -97,20 +97,20 @@
     });
     if (candidates.front().daemon == self_.address) {
       phase_ = Phase::awaiting_joins;
-      promised_through_ = std::max(promised_through_, reign_);
+      promised_through_ = std::max(promised_through_, term_);
       phase_end_ = now + times_.join;
       check_joins(now);
       return;
     }
     joining_ = candidates.front().daemon;
   }
-  // A join of a daemon that does not lead yet counts for its claim: nothing is echoed to its elders then.
-  if (active.empty()) promised_through_ = std::max(promised_through_, reign_);
+  // A join of a daemon that does not lead yet counts for its claim: nothing is acknowledged to its elders then.
+  if (active.empty()) promised_through_ = std::max(promised_through_, term_);
   auto answer = answers_.find(joining_);
   phase_ = Phase::joining;
   phase_end_ = now + times_.join + times_.join;  // the master-to-be waits for joins, then claims
   ++ask_;
-  out_.push_back({joining_, Join{ask_, self_, version_, active.empty() ? reign_ : -1, answer == answers_.end() ? 0 : answer->second.stamp}});
+  out_.push_back({joining_, Join{ask_, self_, version_, active.empty() ? term_ : -1, answer == answers_.end() ? 0 : answer->second.stamp}});
 }
 
 void MasterElection::check_joins(Moment now) {
@@ -119,21 +119,21 @@
   for (const auto& [daemon, join] : joins_)
     if (is_eligible(daemon) && now - join.at <= times_.ping_round) {
       joined.insert(daemon);
-      if (join.reign == reign_ && now - Moment{join.stamp} <= promise_length) promised.insert(daemon);
+      if (join.term == term_ && now - Moment{join.stamp} <= promise_length) promised.insert(daemon);
     }
   if (joined.size() + 1 < quorum()) return;
   phase_ = Phase::claiming;
-  claim_ = ReignClaim{reign_, std::move(joined), std::move(promised)};
+  claim_ = TermClaim{term_, std::move(joined), std::move(promised)};
 }
 
 void MasterElection::refuse_joins(const std::string& reason) {
-  for (const auto& [daemon, join] : joins_) out_.push_back({daemon, JoinAnswer{join.ask, false, reign_, reason}});
+  for (const auto& [daemon, join] : joins_) out_.push_back({daemon, JoinAnswer{join.ask, false, term_, reason}});
   joins_.clear();
 }
 
-std::optional<ReignClaim> MasterElection::take_claim() { return std::exchange(claim_, std::nullopt); }
+std::optional<TermClaim> MasterElection::take_claim() { return std::exchange(claim_, std::nullopt); }
 
-void MasterElection::claim_ended(bool is_won, Integer reign, Moment now) {
+void MasterElection::claim_ended(bool is_won, Integer term, Moment now) {
   if (phase_ != Phase::claiming) return;
   if (!is_won) {
     refuse_joins("claim lost");
@@ -142,14 +142,14 @@
   }
   ++counts_.elected;
   phase_ = Phase::leading;
-  master_ = reign_master_ = self_.address;
-  reign_ = reign;
+  master_ = term_master_ = self_.address;
+  term_ = term;
   quorum_heard_ = now;
   followers_.clear();
-  echoes_.clear();
+  acknowledgements_.clear();
   for (const auto& [daemon, join] : joins_) {
     followers_[daemon] = now;
-    out_.push_back({daemon, JoinAnswer{join.ask, true, reign_, ""}});
+    out_.push_back({daemon, JoinAnswer{join.ask, true, term_, ""}});
   }
   joins_.clear();
 }
@@ -164,46 +164,46 @@
 void MasterElection::leave() {
   master_ = Address{};
   phase_ = Phase::idle;
-  for (const auto& sibling : siblings_) out_.push_back({sibling, Leave{self_}});
+  for (const auto& peer : peers_) out_.push_back({peer, Leave{self_}});
 }
 
 // All known have answered, have taken their leave, or are gone; and the roster has been read.
 bool MasterElection::has_heard_all() const {
-  return !roster_.empty() && std::all_of(siblings_.begin(), siblings_.end(), [&](const auto& sibling) {
-    return answers_.count(sibling) != 0 || left_.count(sibling) != 0 || refused_.count(sibling) != 0;
+  return !roster_.empty() && std::all_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
+    return answers_.count(peer) != 0 || left_.count(peer) != 0 || refused_.count(peer) != 0;
   });
 }
 
 // A definite refusal is the quickest failed ping. It ends waiting, and decides nothing: whether a master is
 // down is still for more than half to find.
-void MasterElection::refused(const Address& sibling, Moment now) {
-  followers_.erase(sibling);
-  if (phase_ == Phase::following && sibling == master_) {
+void MasterElection::refused(const Address& peer, Moment now) {
+  followers_.erase(peer);
+  if (phase_ == Phase::following && peer == master_) {
     master_ = Address{};
     begin_round(now);
   }
-  if (phase_ == Phase::joining && sibling == joining_) {
+  if (phase_ == Phase::joining && peer == joining_) {
     ++counts_.joins_failed;
     pause(now);
     return;
   }
-  if (phase_ != Phase::pinging || siblings_.count(sibling) == 0 || answers_.count(sibling) != 0) return;
-  refused_.insert(sibling);
+  if (phase_ != Phase::pinging || peers_.count(peer) == 0 || answers_.count(peer) != 0) return;
+  refused_.insert(peer);
   if (has_heard_all()) end_round(now);
 }
 
-Integer MasterElection::echo(Moment now) const {
-  bool may_echo = promised_through_ < reign_ && stamp_reign_ == reign_ && now - started_ >= echo_quarantine;
-  return may_echo ? stamp_ : 0;
+Integer MasterElection::acknowledgement(Moment now) const {
+  bool may_acknowledgement = promised_through_ < term_ && stamp_term_ == term_ && now - started_ >= acknowledgement_quarantine;
+  return may_acknowledgement ? stamp_ : 0;
 }
 
-bool MasterElection::is_echoed(const std::vector<Address>& roster, Span age, Moment now) const {
-  std::size_t echoed = 0;
+bool MasterElection::is_acknowledged(const std::vector<Address>& roster, Span age, Moment now) const {
+  std::size_t acknowledged = 0;
   for (const auto& daemon : roster) {
-    auto entry = echoes_.find(daemon);
-    if (daemon == self_.address || (entry != echoes_.end() && now - entry->second <= age)) ++echoed;
+    auto entry = acknowledgements_.find(daemon);
+    if (daemon == self_.address || (entry != acknowledgements_.end() && now - entry->second <= age)) ++acknowledged;
   }
-  return echoed > roster.size() / 2;
+  return acknowledged > roster.size() / 2;
 }
 
 bool MasterElection::on_message(const Address& from, const Message& message, Moment now) {
@@ -216,7 +216,7 @@
     if (answer->sender.role != "edge") return false;
     learn(from);
     for (const auto& entry : answer->known)
-      if (entry.role == "edge" && siblings_.count(entry.address) == 0 && entry.address != self_.address) {
+      if (entry.role == "edge" && peers_.count(entry.address) == 0 && entry.address != self_.address) {
         learn(entry.address);
         if (phase_ == Phase::pinging) out_.push_back({entry.address, Ping{ask_, self_, master_, version_}});
       }
@@ -231,26 +231,26 @@
     learn(from);
     if (phase_ == Phase::leading) {
       followers_[from] = now;
-      out_.push_back({from, JoinAnswer{join->ask, true, reign_, ""}});
+      out_.push_back({from, JoinAnswer{join->ask, true, term_, ""}});
     } else if (phase_ == Phase::following) {
-      out_.push_back({from, JoinAnswer{join->ask, false, reign_, "following another"}});
+      out_.push_back({from, JoinAnswer{join->ask, false, term_, "following another"}});
     } else {
-      joins_[from] = {now, join->ask, join->reign, join->stamp};
+      joins_[from] = {now, join->ask, join->term, join->stamp};
       check_joins(now);
     }
     return true;
   }
   if (const auto* answer = std::get_if<JoinAnswer>(&message)) {
     if (phase_ != Phase::joining || answer->ask != ask_ || from != joining_) return true;
-    if (!answer->granted || answer->reign < reign_) {
+    if (!answer->granted || answer->term < term_) {
       ++counts_.joins_failed;
       pause(now);
       return true;
     }
     phase_ = Phase::following;
     master_ = from;
-    reign_ = answer->reign;
-    reign_master_ = from;
+    term_ = answer->term;
+    term_master_ = from;
     master_heard_ = now;
     follow_next_ = now;
     refuse_joins("following another");  // else they would wait out their join in vain
@@ -259,7 +259,7 @@
   if (const auto* leave = std::get_if<Leave>(&message)) {
     left_.insert(from);
     answers_.erase(leave->sender.address);
-    siblings_.erase(leave->sender.address);
+    peers_.erase(leave->sender.address);
     followers_.erase(from);
     if (from == master_) {
       master_ = Address{};
@@ -273,28 +273,28 @@
     bool is_ours = phase_ == Phase::leading;
     if (is_ours) {
       followers_[from] = now;
-      Moment echoed{follow->echo};
-      if (follow->reign == reign_ && follow->echo > 0 && echoes_[from] < echoed) echoes_[from] = echoed;
+      Moment acknowledged{follow->acknowledgement};
+      if (follow->term == term_ && follow->acknowledgement > 0 && acknowledgements_[from] < acknowledged) acknowledgements_[from] = acknowledged;
     }
-    out_.push_back({from, FollowAnswer{is_ours ? reign_ : 0, is_ours, version_, now.value}});
+    out_.push_back({from, FollowAnswer{is_ours ? term_ : 0, is_ours, version_, now.value}});
     return false;  // the daemon reads the statuses in it
   }
   if (const auto* answer = std::get_if<FollowAnswer>(&message)) {
     if (phase_ != Phase::following || from != master_) return true;
-    if (!answer->master || answer->reign < reign_) {  // the state still shows no master
+    if (!answer->master || answer->term < term_) {  // the state still shows no master
       master_ = Address{};
       begin_round(now);
       return true;
     }
     master_heard_ = now;
     stamp_ = answer->stamp;
-    stamp_reign_ = answer->reign;
+    stamp_term_ = answer->term;
     return true;
   }
   return false;
 }
 
-void MasterElection::on_alarm(Moment now) {
+void MasterElection::on_timer(Moment now) {
   switch (phase_) {
     case Phase::idle:
     case Phase::claiming:
--- a/packages/master-election/tests/master_election_test.cpp
+++ b/packages/master-election/tests/master_election_test.cpp
@@ -1,4 +1,4 @@
-// The election's rules one by one, with the answers of siblings written by hand.
+// The election's rules one by one, with the answers of peers written by hand.
 #include "emberdale/master_election.hpp"
 
 #include <gtest/gtest.h>
@@ -12,7 +12,7 @@
 // One daemon "b" of a roster a..e, driven by hand.
 class Bench {
  public:
-  explicit Bench(const std::string& self = "b") : election(entry(self), Dice(3)) {
+  explicit Bench(const std::string& self = "b") : election(entry(self), RandomGenerator(3)) {
     for (const char* name : {"a", "b", "c", "d", "e"}) roster.push_back(entry(name));
     election.set_roster(roster, 4, Address{}, now);
     election.start(now);
@@ -34,7 +34,7 @@
     election.on_message(Address{from}, answer, now);
   }
   void pass(std::int64_t ms) {
-    for (std::int64_t end = now.value + ms; now.value < end; now.value += 25) election.on_alarm(now);
+    for (std::int64_t end = now.value + ms; now.value < end; now.value += 25) election.on_timer(now);
   }
   Moment now{1000};
   std::vector<DaemonEntry> roster;
@@ -105,7 +105,7 @@
   EXPECT_EQ(bench.election.master().text, "d");
 }
 
-TEST(MasterElection, ClaimsAReignOnlyAfterQuorumMinusOneJoins) {
+TEST(MasterElection, ClaimsATermOnlyAfterQuorumMinusOneJoins) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
   for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
@@ -117,7 +117,7 @@
   bench.election.on_message(Address{"c"}, Join{1, entry("c"), {}}, bench.now);
   auto claim = bench.election.take_claim();
   ASSERT_TRUE(claim);
-  EXPECT_EQ(claim->expected_reign, 4);
+  EXPECT_EQ(claim->expected_term, 4);
   EXPECT_FALSE(bench.election.is_master());  // the register has the last word
   bench.election.claim_ended(true, 5, bench.now);
   EXPECT_TRUE(bench.election.is_master());
@@ -156,7 +156,7 @@
   EXPECT_EQ(bench.election.phase(), Phase::awaiting_joins);  // ranked: "a" did not answer, b is next
 }
 
-TEST(MasterElection, AMasterWithoutItsQuorumOrWithAnotherReignStepsDown) {
+TEST(MasterElection, AMasterWithoutItsQuorumOrWithAnotherTermStepsDown) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
   for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
@@ -210,7 +210,7 @@
 }
 
 namespace {
-// "b" follows "a" in reign 4, long after its start, and has a stamp to echo.
+// "b" follows "a" in term 4, long after its start, and has a stamp to acknowledge.
 void follow_a(Bench& bench) {
   auto pings = bench.sent<Ping>();
   for (const char* name : {"a", "c", "d", "e"}) bench.answer(name, pings[name].ask, name[0] == 'a' ? "a" : "");
@@ -223,10 +223,10 @@
 }
 }  // namespace
 
-TEST(MasterElection, AFollowerEchoesItsMastersStampUntilItJoinsAnother) {
+TEST(MasterElection, AFollowerAcknowledgesItsMastersStampUntilItJoinsAnother) {
   Bench bench;
   follow_a(bench);
-  EXPECT_EQ(bench.election.echo(bench.now), 70029);
+  EXPECT_EQ(bench.election.acknowledgement(bench.now), 70029);
   // Its master falls silent; it joins "c", which ranks first, and the promise is in the join.
   bench.pass(2000);
   auto pings = bench.sent<Ping>();
@@ -234,26 +234,26 @@
   bench.pass(3000);
   auto joins = bench.sent<Join>();
   ASSERT_EQ(joins.count("c"), 1u);
-  EXPECT_EQ(joins["c"].reign, 4);
-  // The join comes to nothing and "a" was only asleep: it is followed again, and has no echo from here.
+  EXPECT_EQ(joins["c"].term, 4);
+  // The join comes to nothing and "a" was only asleep: it is followed again, and has no acknowledge from here.
   bench.election.on_message(Address{"c"}, JoinAnswer{joins["c"].ask, false, 4, "too few joins"}, bench.now);
   bench.pass(700);
   follow_a(bench);
   EXPECT_EQ(bench.election.phase(), Phase::following);
-  EXPECT_EQ(bench.election.echo(bench.now), 0);
+  EXPECT_EQ(bench.election.acknowledgement(bench.now), 0);
 }
 
-TEST(MasterElection, ADaemonThatHasJustStartedEchoesNothing) {
+TEST(MasterElection, ADaemonThatHasJustStartedAcknowledgesNothing) {
   Bench bench;
   auto pings = bench.sent<Ping>();
   for (const char* name : {"a", "c", "d", "e"}) bench.answer(name, pings[name].ask, name[0] == 'a' ? "a" : "");
   auto joins = bench.sent<Join>();
   bench.election.on_message(Address{"a"}, JoinAnswer{joins["a"].ask, true, 4, ""}, bench.now);
   bench.election.on_message(Address{"a"}, FollowAnswer{4, true, {}, 70000}, bench.now);
-  EXPECT_EQ(bench.election.echo(bench.now), 0);  // what it promised in a former life may still count
+  EXPECT_EQ(bench.election.acknowledgement(bench.now), 0);  // what it promised in a former life may still count
 }
 
-TEST(MasterElection, OnlyFreshJoinsOfItsOwnReignArePromises) {
+TEST(MasterElection, OnlyFreshJoinsOfItsOwnTermArePromises) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
   for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
