--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -1,4 +1,4 @@
-// Every record that crosses a sibling link or lies in the register.
+// Every record that crosses a peer link or lies in the register.
 #pragma once
 #include <variant>
 
@@ -12,7 +12,7 @@
 // --- versions --------------------------------------------------------------------------------
 #define EMBERDALE_BALLOT(F) F(Integer, number) F(Address, proposer)
 EMBERDALE_RECORD(Ballot, EMBERDALE_BALLOT)
-#define EMBERDALE_MAP_VERSION(F) F(Integer, reign) F(Integer, number)
+#define EMBERDALE_MAP_VERSION(F) F(Integer, term) F(Integer, number)
 EMBERDALE_RECORD(MapVersion, EMBERDALE_MAP_VERSION)
 
 inline bool operator<(const Ballot& a, const Ballot& b) {
@@ -21,7 +21,7 @@
 inline bool operator==(const Ballot& a, const Ballot& b) { return !(a < b) && !(b < a); }
 inline bool operator!=(const Ballot& a, const Ballot& b) { return !(a == b); }
 inline bool operator<(const MapVersion& a, const MapVersion& b) {
-  return std::tie(a.reign, a.number) < std::tie(b.reign, b.number);
+  return std::tie(a.term, a.number) < std::tie(b.term, b.number);
 }
 inline bool operator==(const MapVersion& a, const MapVersion& b) { return !(a < b) && !(b < a); }
 inline bool operator!=(const MapVersion& a, const MapVersion& b) { return !(a == b); }
@@ -29,7 +29,7 @@
 
 // Example: show(MapVersion{3, 14}) == "3.14"
 inline std::string show(const MapVersion& version) {
-  return std::to_string(version.reign) + "." + std::to_string(version.number);
+  return std::to_string(version.term) + "." + std::to_string(version.number);
 }
 
 // --- what the register holds -----------------------------------------------------------------
@@ -52,8 +52,8 @@
   F(Text, fleet) F(Integer, version) F(Integer, config_revision)                        \
   F(std::vector<Resource>, resources) F(Integer, deleted_version)                       \
   F(std::vector<DaemonEntry>, roster)                                                   \
-  F(Integer, reign) F(Address, master) F(Integer, ack_wait) F(MapVersion, floor)        \
-  F(std::vector<Address>, word_roster)                                                  \
+  F(Integer, term) F(Address, master) F(Integer, ack_wait) F(MapVersion, minimum_version)        \
+  F(std::vector<Address>, lease_roster)                                                  \
   F(std::vector<AcceptorEntry>, acceptors) F(std::vector<AcceptorEntry>, next_acceptors) \
   F(std::vector<DoneChange>, done)
 EMBERDALE_RECORD(FleetState, EMBERDALE_FLEET_STATE)
@@ -65,14 +65,14 @@
 #define EMBERDALE_RUNNER_ROW(F)                                                          \
   F(RunnerName, name) F(Text, http) F(PoolName, pool) F(ZoneName, zone)                  \
   F(RegionName, region) F(Text, status) F(Integer, incarnation) F(Integer, capacity)     \
-  F(Integer, burden) F(Integer, allowance) F(std::vector<ColdGrant>, grants) F(Text, seal_key)
+  F(Integer, load) F(Integer, allowance) F(std::vector<ColdGrant>, grants) F(Text, seal_key)
 EMBERDALE_RECORD(RunnerRow, EMBERDALE_RUNNER_ROW)  // status: warm, cold, leaving, emptied, down
 
 #define EMBERDALE_PLAN_ROW(F) F(PlanName, name) F(Integer, version) F(Text, body)
 EMBERDALE_RECORD(PlanRow, EMBERDALE_PLAN_ROW)
 
 #define EMBERDALE_REGION_ROW(F) \
-  F(PoolName, pool) F(RegionName, region) F(Integer, capacity) F(Integer, burden) F(bool, spills)
+  F(PoolName, pool) F(RegionName, region) F(Integer, capacity) F(Integer, load) F(bool, spills)
 EMBERDALE_RECORD(RegionRow, EMBERDALE_REGION_ROW)
 
 #define EMBERDALE_GATEWAY_ROW(F) F(Address, daemon) F(Text, http) F(ZoneName, zone) F(RegionName, region)
@@ -108,7 +108,7 @@
 EMBERDALE_RECORD(Heard, EMBERDALE_HEARD)
 #define EMBERDALE_READ_ANSWER(F)                                                         \
   F(Integer, ask) F(StoreId, store) F(bool, blank) F(Ballot, accepted) F(Bytes, value)   \
-  F(MapVersion, floor) F(std::vector<AcceptorEntry>, acceptors)                          \
+  F(MapVersion, minimum_version) F(std::vector<AcceptorEntry>, acceptors)                          \
   F(std::vector<AcceptorEntry>, next_acceptors) F(std::vector<Heard>, heard) F(Integer, awake)
 EMBERDALE_RECORD(ReadAnswer, EMBERDALE_READ_ANSWER)
 #define EMBERDALE_FOUND(F) F(Integer, ask) F(StoreId, store) F(Bytes, value)
@@ -125,9 +125,9 @@
   F(Integer, stamp)
 EMBERDALE_RECORD(PingAnswer, EMBERDALE_PING_ANSWER)
 #define EMBERDALE_JOIN(F) \
-  F(Integer, ask) F(DaemonEntry, sender) F(MapVersion, version) F(Integer, reign) F(Integer, stamp)
+  F(Integer, ask) F(DaemonEntry, sender) F(MapVersion, version) F(Integer, term) F(Integer, stamp)
 EMBERDALE_RECORD(Join, EMBERDALE_JOIN)
-#define EMBERDALE_JOIN_ANSWER(F) F(Integer, ask) F(bool, granted) F(Integer, reign) F(Text, reason)
+#define EMBERDALE_JOIN_ANSWER(F) F(Integer, ask) F(bool, granted) F(Integer, term) F(Text, reason)
 EMBERDALE_RECORD(JoinAnswer, EMBERDALE_JOIN_ANSWER)
 #define EMBERDALE_LEAVE(F) F(DaemonEntry, sender)
 EMBERDALE_RECORD(Leave, EMBERDALE_LEAVE)
@@ -137,17 +137,17 @@
 EMBERDALE_RECORD(MapNews, EMBERDALE_MAP_NEWS)
 #define EMBERDALE_RUNNER_STATUS(F)                                                       \
   F(RunnerName, name) F(bool, answers) F(bool, cold) F(Integer, incarnation)             \
-  F(Integer, capacity) F(Integer, burden) F(Integer, allowance) F(Integer, age)
+  F(Integer, capacity) F(Integer, load) F(Integer, allowance) F(Integer, age)
 EMBERDALE_RECORD(RunnerStatus, EMBERDALE_RUNNER_STATUS)
 #define EMBERDALE_IN_FORCE(F) \
   F(DaemonEntry, daemon) F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving) F(Integer, age)
 EMBERDALE_RECORD(InForce, EMBERDALE_IN_FORCE)
 #define EMBERDALE_FOLLOW(F)                                                             \
-  F(DaemonEntry, sender) F(Integer, reign) F(Integer, echo) F(MapVersion, version) F(Integer, traffic_of) \
+  F(DaemonEntry, sender) F(Integer, term) F(Integer, acknowledgement) F(MapVersion, version) F(Integer, traffic_of) \
   F(std::vector<RunnerStatus>, statuses)                                                \
   F(std::vector<InForce>, in_force)
 EMBERDALE_RECORD(Follow, EMBERDALE_FOLLOW)
-#define EMBERDALE_FOLLOW_ANSWER(F) F(Integer, reign) F(bool, master) F(MapVersion, version) F(Integer, stamp)
+#define EMBERDALE_FOLLOW_ANSWER(F) F(Integer, term) F(bool, master) F(MapVersion, version) F(Integer, stamp)
 EMBERDALE_RECORD(FollowAnswer, EMBERDALE_FOLLOW_ANSWER)
 
 #define EMBERDALE_TOPIC_KNOWN(F) F(Text, topic) F(MapVersion, version)
@@ -163,22 +163,22 @@
 EMBERDALE_RECORD(SliceNews, EMBERDALE_SLICE_NEWS)  // age: since the home last heard its master, ms
 
 // --- the second source of grants ---------------------------------------------------------------
-#define EMBERDALE_VOUCH_ASK(F) F(Integer, ask)
-EMBERDALE_RECORD(VouchAsk, EMBERDALE_VOUCH_ASK)
-#define EMBERDALE_VOUCH(F) F(Integer, ask) F(MapVersion, floor)
-EMBERDALE_RECORD(Vouch, EMBERDALE_VOUCH)
+#define EMBERDALE_LEASE_ASK(F) F(Integer, ask)
+EMBERDALE_RECORD(LeaseAsk, EMBERDALE_LEASE_ASK)
+#define EMBERDALE_LEASE_GRANT(F) F(Integer, ask) F(MapVersion, minimum_version)
+EMBERDALE_RECORD(LeaseGrant, EMBERDALE_LEASE_GRANT)
 
 // --- work taken away ahead of the register --------------------------------------------------------
-#define EMBERDALE_BAR(F) F(Text, change) F(RunnerName, runner) F(ZoneName, zone) F(bool, lifted) F(bool, relayed)
-EMBERDALE_RECORD(Bar, EMBERDALE_BAR)
+#define EMBERDALE_HOLD(F) F(Text, change) F(RunnerName, runner) F(ZoneName, zone) F(bool, lifted) F(bool, relayed)
+EMBERDALE_RECORD(Hold, EMBERDALE_HOLD)
 
 // --- operators' acts on their way to the master ----------------------------------------------
 #define EMBERDALE_EDIT_ASK(F)                                                         \
   F(Integer, ask) F(Text, change) F(Text, act) F(Text, kind) F(Text, name) F(Integer, expected) \
-  F(Text, body) F(Integer, reign)
+  F(Text, body) F(Integer, term)
 EMBERDALE_RECORD(EditAsk, EMBERDALE_EDIT_ASK)  // expected: -1 any, 0 must not exist;
-                                                // reign: for the master of this reign alone
-#define EMBERDALE_EDIT_ANSWER(F) F(Integer, ask) F(Integer, code) F(Integer, version) F(Text, body) F(Integer, reign)
+                                                // term: for the master of this term alone
+#define EMBERDALE_EDIT_ANSWER(F) F(Integer, ask) F(Integer, code) F(Integer, version) F(Text, body) F(Integer, term)
 EMBERDALE_RECORD(EditAnswer, EMBERDALE_EDIT_ANSWER)
 #define EMBERDALE_VIEW_ASK(F) F(Integer, ask)
 EMBERDALE_RECORD(ViewAsk, EMBERDALE_VIEW_ASK)
@@ -190,7 +190,7 @@
   M(Prepare) M(Promise) M(Accept) M(Accepted) M(ReadAsk) M(ReadAnswer) M(Found)      \
   M(FoundAnswer) M(Ping) M(PingAnswer) M(Join) M(JoinAnswer) M(Leave) M(MapNews)     \
   M(Follow) M(FollowAnswer) M(Subscribe) M(SliceNews) M(EditAsk) M(EditAnswer)       \
-  M(VouchAsk) M(Vouch) M(Bar)                                                             \
+  M(LeaseAsk) M(LeaseGrant) M(Hold)                                                             \
   M(ViewAsk)
 
 #define EMBERDALE_VARIANT_ENTRY(Name) Name,
--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -12,7 +12,7 @@
 
 #include "emberdale/maintenance_windows.hpp"
 #include "emberdale/serving_plans.hpp"
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 using Json = nlohmann::json;
 using web::http::http_request;
--- a/packages/sibling-links/include/emberdale/sibling_links.hpp
+++ b/packages/peer-connections/include/emberdale/peer_connections.hpp
@@ -13,9 +13,9 @@
 
 // What a test does to the links of one process (only under --allow-link-faults).
 struct LinkFault {
-  bool is_cut_out = false;  // frames to that sibling vanish
-  bool is_cut_in = false;   // frames from that sibling vanish
-  Span delay{0};            // frames to that sibling wait this long
+  bool is_cut_out = false;  // frames to that peer vanish
+  bool is_cut_in = false;   // frames from that peer vanish
+  Span delay{0};            // frames to that peer wait this long
 };
 
 struct LinkCounts {
@@ -23,25 +23,25 @@
 };
 
 // All calls on the one control thread that runs the io_context.
-// Example: SiblingLinks links(context, {"127.0.0.1:7000"}, on_message); links.listen(); links.send(to, message);
-class SiblingLinks {
+// Example: PeerConnections links(context, {"127.0.0.1:7000"}, on_message); links.listen(); links.send(to, message);
+class PeerConnections {
  public:
   using OnMessage = std::function<void(const Address& from, Message message)>;
-  SiblingLinks(boost::asio::io_context& context, Address self, OnMessage on_message);
-  ~SiblingLinks();
+  PeerConnections(boost::asio::io_context& context, Address self, OnMessage on_message);
+  ~PeerConnections();
 
   // Example: auto listens = links.listen(); if (!listens) LOG(ERROR) << listens.reason;
   Outcome<bool> listen();
 
-  // Never blocks; a frame that can't leave is dropped and counted. Example: links.send(sibling, Ping{});
+  // Never blocks; a frame that can't leave is dropped and counted. Example: links.send(peer, Ping{});
   void send(const Address& to, const Message& message);
 
   // Example: links.set_fault({"127.0.0.1:7001"}, {true, false, Span{0}});
-  void set_fault(const Address& sibling, LinkFault fault);
+  void set_fault(const Address& peer, LinkFault fault);
   void clear_faults();
 
   // A definite word that no process listens there: it is not asleep, it is gone.
-  // Example: links.on_refused = [&](const Address& sibling) { daemon.on_refused(sibling, steady_now()); };
+  // Example: links.on_refused = [&](const Address& peer) { daemon.on_refused(peer, steady_now()); };
   std::function<void(const Address&)> on_refused;
 
   const LinkCounts& counts() const { return counts_; }
@@ -54,7 +54,7 @@
   void write_next(const std::shared_ptr<OutLink>& link);
   void drop(const std::shared_ptr<OutLink>& link);
   void look_again(const Address& to);
-  void heard_from(const Address& sibling);
+  void heard_from(const Address& peer);
   void read_next(const std::shared_ptr<InLink>& link);
   void queue_frame(const Address& to, std::shared_ptr<std::string> frame);
 
--- a/packages/sibling-links/src/sibling_links.cpp
+++ b/packages/peer-connections/src/peer_connections.cpp
@@ -1,4 +1,4 @@
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 #include <zlib.h>
 
@@ -16,7 +16,7 @@
 
 namespace {
 constexpr std::size_t max_frame = 8u << 20;
-constexpr std::size_t max_pending_frames = 512;
+constexpr std::size_t max_queued_frames = 512;
 // A machine that can't be reached answers nothing, and the system would go on trying in ever longer steps: when
 // the way is open again, a link must not wait for the last of them.
 constexpr std::chrono::milliseconds dial_patience{500};
@@ -76,15 +76,15 @@
   return std::make_pair(text.substr(0, colon), port);
 }
 
-struct SiblingLinks::OutLink {
+struct PeerConnections::OutLink {
   explicit OutLink(asio::io_context& context) : socket(context) {}
   Address to;
   tcp::socket socket;
-  std::deque<std::shared_ptr<std::string>> pending;
+  std::deque<std::shared_ptr<std::string>> queue;
   bool is_up = false, is_dialling = false, is_writing = false;
 };
 
-struct SiblingLinks::InLink {
+struct PeerConnections::InLink {
   explicit InLink(tcp::socket accepted) : socket(std::move(accepted)) {}
   tcp::socket socket;
   Address from;
@@ -92,17 +92,17 @@
   std::string body;
 };
 
-SiblingLinks::SiblingLinks(asio::io_context& context, Address self, OnMessage on_message)
+PeerConnections::PeerConnections(asio::io_context& context, Address self, OnMessage on_message)
     : context_(context), self_(std::move(self)), on_message_(std::move(on_message)), acceptor_(context) {}
 
-SiblingLinks::~SiblingLinks() {
+PeerConnections::~PeerConnections() {
   *alive_ = false;
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   for (auto& [to, link] : out_links_) link->socket.close(ignored);
 }
 
-Outcome<bool> SiblingLinks::listen() {
+Outcome<bool> PeerConnections::listen() {
   auto place = split_address(self_.text);
   if (!place) return failure(place.reason);
   boost::system::error_code fault;
@@ -116,7 +116,7 @@
   return true;
 }
 
-void SiblingLinks::accept_next() {
+void PeerConnections::accept_next() {
   acceptor_.async_accept([this, alive = alive_](boost::system::error_code fault, tcp::socket socket) {
     if (!*alive) return;
     if (!fault) {
@@ -129,7 +129,7 @@
   });
 }
 
-void SiblingLinks::read_next(const std::shared_ptr<InLink>& link) {
+void PeerConnections::read_next(const std::shared_ptr<InLink>& link) {
   asio::async_read(link->socket, asio::buffer(link->head, 4),
                    [this, link, alive = alive_](boost::system::error_code fault, std::size_t) {
     if (fault || !*alive) return;
@@ -179,19 +179,19 @@
 }
 
 // It lives: a dial that began while it was dark waits for a packet that was lost, for a second or more.
-void SiblingLinks::heard_from(const Address& sibling) {
-  auto entry = out_links_.find(sibling);
+void PeerConnections::heard_from(const Address& peer) {
+  auto entry = out_links_.find(peer);
   if (entry == out_links_.end() || !entry->second->is_dialling) return;
   auto fresh = std::make_shared<OutLink>(context_);
-  fresh->to = sibling;
-  fresh->pending.swap(entry->second->pending);
+  fresh->to = peer;
+  fresh->queue.swap(entry->second->queue);
   auto stuck = std::exchange(entry->second, fresh);
   boost::system::error_code ignored;
   stuck->socket.close(ignored);
   dial(fresh);
 }
 
-void SiblingLinks::send(const Address& to, const Message& message) {
+void PeerConnections::send(const Address& to, const Message& message) {
   std::string body = encode_message(message);
   auto frame = std::make_shared<std::string>();
   std::optional<std::string> packed;
@@ -206,8 +206,8 @@
       return;
     }
     if (fault->second.delay.value > 0) {
-      auto alarm = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(fault->second.delay.value));
-      alarm->async_wait([this, alarm, to, frame, alive = alive_](boost::system::error_code) {
+      auto timer = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(fault->second.delay.value));
+      timer->async_wait([this, timer, to, frame, alive = alive_](boost::system::error_code) {
         if (*alive) queue_frame(to, frame);
       });
       return;
@@ -216,17 +216,17 @@
   queue_frame(to, std::move(frame));
 }
 
-void SiblingLinks::queue_frame(const Address& to, std::shared_ptr<std::string> frame) {
+void PeerConnections::queue_frame(const Address& to, std::shared_ptr<std::string> frame) {
   auto& link = out_links_[to];
   if (!link) {
     link = std::make_shared<OutLink>(context_);
     link->to = to;
   }
-  if (link->pending.size() >= max_pending_frames) {
+  if (link->queue.size() >= max_queued_frames) {
     ++counts_.frames_dropped;
     return;
   }
-  link->pending.push_back(std::move(frame));
+  link->queue.push_back(std::move(frame));
   if (!link->is_up) {
     if (!link->is_dialling) dial(link);
   } else if (!link->is_writing) {
@@ -234,7 +234,7 @@
   }
 }
 
-void SiblingLinks::dial(const std::shared_ptr<OutLink>& link) {
+void PeerConnections::dial(const std::shared_ptr<OutLink>& link) {
   auto place = split_address(link->to.text);
   if (!place) return drop(link);
   link->is_dialling = true;
@@ -269,8 +269,8 @@
     auto frame = std::make_shared<std::string>();
     put<std::uint32_t>(*frame, static_cast<std::uint32_t>(hello.size()));
     *frame += hello;
-    link->pending.push_front(frame);
-    // Nothing is ever read on this side: an end of file tells that the sibling has gone.
+    link->queue.push_front(frame);
+    // Nothing is ever read on this side: an end of file tells that the peer has gone.
     auto byte = std::make_shared<char>();
     asio::async_read(link->socket, asio::buffer(byte.get(), 1),
                      [this, link, byte, alive](boost::system::error_code, std::size_t) {
@@ -282,10 +282,10 @@
   });
 }
 
-void SiblingLinks::write_next(const std::shared_ptr<OutLink>& link) {
-  if (!link->is_up || link->pending.empty()) return;
+void PeerConnections::write_next(const std::shared_ptr<OutLink>& link) {
+  if (!link->is_up || link->queue.empty()) return;
   link->is_writing = true;
-  auto frame = link->pending.front();
+  auto frame = link->queue.front();
   asio::async_write(link->socket, asio::buffer(*frame),
                     [this, link, frame, alive = alive_](boost::system::error_code fault, std::size_t size) {
     if (!*alive) return;
@@ -293,24 +293,24 @@
     if (fault) return drop(link);
     ++counts_.frames_out;
     counts_.bytes_out += static_cast<std::int64_t>(size);
-    if (!link->pending.empty() && link->pending.front() == frame) link->pending.pop_front();
+    if (!link->queue.empty() && link->queue.front() == frame) link->queue.pop_front();
     write_next(link);
   });
 }
 
-void SiblingLinks::drop(const std::shared_ptr<OutLink>& link) {
+void PeerConnections::drop(const std::shared_ptr<OutLink>& link) {
   auto entry = out_links_.find(link->to);
   if (entry == out_links_.end() || entry->second != link) return;
-  counts_.frames_dropped += static_cast<std::int64_t>(link->pending.size());
+  counts_.frames_dropped += static_cast<std::int64_t>(link->queue.size());
   boost::system::error_code ignored;
   link->socket.close(ignored);
   out_links_.erase(entry);
 }
 
-// A link that ended may mean a sibling that ended: dialling once more tells.
-void SiblingLinks::look_again(const Address& to) {
-  auto alarm = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(20));
-  alarm->async_wait([this, alarm, to, alive = alive_](boost::system::error_code) {
+// A link that ended may mean a peer that ended: dialling once more tells.
+void PeerConnections::look_again(const Address& to) {
+  auto timer = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(20));
+  timer->async_wait([this, timer, to, alive = alive_](boost::system::error_code) {
     if (!*alive || out_links_.count(to) != 0) return;
     auto link = std::make_shared<OutLink>(context_);
     link->to = to;
@@ -319,7 +319,7 @@
   });
 }
 
-void SiblingLinks::set_fault(const Address& sibling, LinkFault fault) { faults_[sibling] = fault; }
-void SiblingLinks::clear_faults() { faults_.clear(); }
+void PeerConnections::set_fault(const Address& peer, LinkFault fault) { faults_[peer] = fault; }
+void PeerConnections::clear_faults() { faults_.clear(); }
 
 }  // namespace emberdale
--- a/packages/sibling-links/tests/sibling_links_test.cpp
+++ b/packages/peer-connections/tests/peer_connections_test.cpp
@@ -1,5 +1,5 @@
 // Links between processes, on loopback with ports that the system chooses.
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 #include <gtest/gtest.h>
 
@@ -29,14 +29,14 @@
 
 }  // namespace
 
-TEST(SiblingLinks, CarryMessagesAndTellWhoEnded) {
+TEST(PeerConnections, CarryMessagesAndTellWhoEnded) {
   asio::io_context context;
   Address here = free_address(context), there = free_address(context);
   std::vector<Address> heard, refused;
-  SiblingLinks mine(context, here, [](const Address&, Message) {});
-  mine.on_refused = [&](const Address& sibling) { refused.push_back(sibling); };
+  PeerConnections mine(context, here, [](const Address&, Message) {});
+  mine.on_refused = [&](const Address& peer) { refused.push_back(peer); };
   ASSERT_TRUE(mine.listen());
-  auto theirs = std::make_unique<SiblingLinks>(context, there, [&](const Address& from, Message) { heard.push_back(from); });
+  auto theirs = std::make_unique<PeerConnections>(context, there, [&](const Address& from, Message) { heard.push_back(from); });
   ASSERT_TRUE(theirs->listen());
   mine.send(there, Message{Leave{}});
   ASSERT_TRUE(run_until(context, [&] { return heard.size() == 1; }));
@@ -44,12 +44,12 @@
   EXPECT_TRUE(refused.empty());
 }
 
-TEST(SiblingLinks, AnAddressWhereNoOneListensIsToldAtOnce) {
+TEST(PeerConnections, AnAddressWhereNoOneListensIsToldAtOnce) {
   asio::io_context context;
   Address here = free_address(context), nobody = free_address(context);
   std::vector<Address> refused;
-  SiblingLinks links(context, here, [](const Address&, Message) {});
-  links.on_refused = [&](const Address& sibling) { refused.push_back(sibling); };
+  PeerConnections links(context, here, [](const Address&, Message) {});
+  links.on_refused = [&](const Address& peer) { refused.push_back(peer); };
   links.send(nobody, Message{Leave{}});
   ASSERT_TRUE(run_until(context, [&] { return !refused.empty(); }));
   EXPECT_EQ(refused.front(), nobody);
@@ -63,7 +63,7 @@
   EXPECT_EQ(refused.front(), here);
 }
 
-TEST(SiblingLinks, AnAddressThatNeverAnswersIsDialledAnew) {
+TEST(PeerConnections, AnAddressThatNeverAnswersIsDialledAnew) {
   asio::io_context context;
   // A listener whose queue is full lets further dials hang, as a machine does that can't be reached.
   tcp::acceptor full(context);
@@ -75,7 +75,7 @@
     fillers.push_back(std::make_unique<tcp::socket>(context));
     fillers.back()->async_connect(full.local_endpoint(), [](boost::system::error_code) {});
   }
-  SiblingLinks links(context, free_address(context), [](const Address&, Message) {});
+  PeerConnections links(context, free_address(context), [](const Address&, Message) {});
   bool is_refused = false;
   links.on_refused = [&](const Address&) { is_refused = true; };
   Address silent{text_of(full.local_endpoint())};
@@ -85,13 +85,13 @@
 }
 
 // A whole table of routes in one message: on a narrow link it would take longer than a round of the register lasts.
-TEST(SiblingLinks, ALargeMessageArrivesWholeAndGoesPacked) {
+TEST(PeerConnections, ALargeMessageArrivesWholeAndGoesPacked) {
   asio::io_context context;
   Address here = free_address(context), there = free_address(context);
   std::vector<EditAsk> heard;
-  SiblingLinks mine(context, here, [](const Address&, Message) {});
+  PeerConnections mine(context, here, [](const Address&, Message) {});
   ASSERT_TRUE(mine.listen());
-  SiblingLinks theirs(context, there, [&](const Address&, Message message) { heard.push_back(std::get<EditAsk>(message)); });
+  PeerConnections theirs(context, there, [&](const Address&, Message message) { heard.push_back(std::get<EditAsk>(message)); });
   ASSERT_TRUE(theirs.listen());
   EditAsk ask;
   for (int i = 0; i < 5000; ++i) ask.body += "{\"name\":\"route-" + std::to_string(i) + "\",\"host\":\"a.example\",\"kind\":\"streaming\"},";
@@ -105,11 +105,11 @@
   EXPECT_LT(mine.counts().bytes_out * 4, static_cast<std::int64_t>(ask.body.size()));
 }
 
-TEST(SiblingLinks, APackedFrameThatIsSpoiltEndsItsLinkAlone) {
+TEST(PeerConnections, APackedFrameThatIsSpoiltEndsItsLinkAlone) {
   asio::io_context context;
   Address there = free_address(context);
   int heard = 0;
-  SiblingLinks theirs(context, there, [&](const Address&, Message) { ++heard; });
+  PeerConnections theirs(context, there, [&](const Address&, Message) { ++heard; });
   ASSERT_TRUE(theirs.listen());
   auto place = split_address(there.text);
   for (const std::string& spoilt : {std::string("\x05\0\0\x80\xff\xff\xff\x7fz", 9), std::string("\x06\0\0\x80\x10\0\0\0zz", 10), std::string("\x01\0\0\x80z", 5)}) {
--- a/packages/placement-map/include/emberdale/cold_shares.hpp
+++ b/packages/placement-map/include/emberdale/cold_shares.hpp
@@ -16,11 +16,11 @@
  public:
   // A data daemon uses a share only while its home has heard the master within this time...
   static constexpr Span lease{2000};
-  // ...and a new reign gives out nothing that the elder may have given to another before this has passed.
+  // ...and a new term gives out nothing that the elder may have given to another before this has passed.
   static constexpr Span settling{2500};
   static constexpr Span near_patience{4000};
 
-  // A reign begins with what the last map known said. Example: shares.begin(map, now)
+  // A term begins with what the last map known said. Example: shares.begin(map, now)
   void begin(const PlacementMap& known, bool has_elder, Moment now);
   // The shares of one cold runner; their sum never exceeds its allowance, nor does what is still under way
   // from daemons that had some add to it. Daemons of other regions get some only where the runner's own has
--- a/packages/placement-map/include/emberdale/placement_map.hpp
+++ b/packages/placement-map/include/emberdale/placement_map.hpp
@@ -27,8 +27,8 @@
 // Example: split_allowance("r1", 2, {"d1", "d2", "d3"}) gives two daemons one call each.
 std::vector<ColdGrant> split_allowance(const std::string& runner, Integer allowance, const std::vector<std::string>& daemons);
 
-// How much two maps differ, versions aside. Example: compare_maps(old, fresh) == MapChange::burden
-enum class MapChange { none, burden, placement };
+// How much two maps differ, versions aside. Example: compare_maps(old, fresh) == MapChange::load
+enum class MapChange { none, load, placement };
 MapChange compare_maps(const PlacementMap& before, const PlacementMap& after);
 
 }  // namespace emberdale
--- a/packages/placement-map/src/cold_shares.cpp
+++ b/packages/placement-map/src/cold_shares.cpp
@@ -49,7 +49,7 @@
     else entry = runner.taken_back.erase(entry);
   }
   // Calls of a daemon that went silent may still run: as much as the runner reports is held back.
-  Integer spare = row.allowance - kept - in_use - (is_new_life ? 0 : std::min(row.burden, std::max(freed, row.allowance - kept)));
+  Integer spare = row.allowance - kept - in_use - (is_new_life ? 0 : std::min(row.load, std::max(freed, row.allowance - kept)));
   bool may_give = !has_elder_ || now - began_ >= settling;
   for (Integer round = 0; may_give && spare > 0 && !ranked.empty(); ++round)
     for (const auto& daemon : ranked) {
--- a/packages/placement-map/src/placement_map.cpp
+++ b/packages/placement-map/src/placement_map.cpp
@@ -58,7 +58,7 @@
     if (is_known) {
       row.incarnation = status->second.incarnation;
       row.capacity = status->second.capacity;
-      row.burden = status->second.burden;
+      row.load = status->second.load;
       row.allowance = status->second.allowance;
     }
     if (runner.is_leaving) row.status = "leaving";
@@ -79,28 +79,28 @@
     region.region = runner.region;
     if (row.status == "warm") region.capacity += row.capacity;
     if (row.status == "cold") region.capacity += row.allowance;
-    if (row.status == "warm" || row.status == "cold") region.burden += row.burden;
+    if (row.status == "warm" || row.status == "cold") region.load += row.load;
     map.runners.push_back(std::move(row));
   }
   for (auto& [where, region] : regions) {
-    region.spills = region.capacity == 0 || region.burden * 100 >= region.capacity * 75;
+    region.spills = region.capacity == 0 || region.load * 100 >= region.capacity * 75;
     map.regions.push_back(region);
   }
   return map;
 }
 
 MapChange compare_maps(const PlacementMap& before, const PlacementMap& after) {
-  auto bare = [](PlacementMap map, bool has_burden) {
+  auto bare = [](PlacementMap map, bool has_load) {
     map.version = MapVersion{};
     map.traffic.clear();  // traffic_of tells of it
-    if (!has_burden) {
-      for (auto& runner : map.runners) runner.burden = 0;
-      for (auto& region : map.regions) region.burden = 0;
+    if (!has_load) {
+      for (auto& runner : map.runners) runner.load = 0;
+      for (auto& region : map.regions) region.load = 0;
     }
     return encode_message(Message{MapNews{std::move(map), true}});
   };
   if (bare(before, false) != bare(after, false)) return MapChange::placement;
-  return bare(before, true) == bare(after, true) ? MapChange::none : MapChange::burden;
+  return bare(before, true) == bare(after, true) ? MapChange::none : MapChange::load;
 }
 
 }  // namespace emberdale
--- a/packages/placement-map/tests/placement_map_test.cpp
+++ b/packages/placement-map/tests/placement_map_test.cpp
@@ -34,16 +34,16 @@
 }
 
 namespace {
-PlacementMap some_map(Integer number, Dice& dice) {
+PlacementMap some_map(Integer number, RandomGenerator& random) {
   PlacementMap map;
   map.version = {1, number};
   map.config_revision = number;
   for (int i = 0; i < 6; ++i) {
-    if (dice.chance(0.3)) continue;
+    if (random.chance(0.3)) continue;
     RunnerRow row;
     row.name.text = "r" + std::to_string(i);
     row.pool.text = "p";
-    row.burden = dice.below(3);
+    row.load = random.below(3);
     map.runners.push_back(row);
   }
   return map;
@@ -52,7 +52,7 @@
 
 TEST(MapSlices, ASubscriberEndsWithTheHomesRowsThroughLossAndNeverGoesBack) {
   EXPECT_TRUE(rc::check([](std::uint64_t seed) {
-    Dice dice(seed);
+    RandomGenerator random(seed);
     SlicePublisher homes[2];
     SliceHolder holder;
     Address self{"d"};
@@ -66,15 +66,15 @@
     auto bring = [&](double loss) {
       for (auto& home : homes)
         for (auto& sending : home.take_out())
-          if (!dice.chance(loss)) holder.apply(std::get<SliceNews>(sending.message));
+          if (!random.chance(loss)) holder.apply(std::get<SliceNews>(sending.message));
       RC_ASSERT(!(holder.version() < last));
       last = holder.version();
     };
     for (Integer number = 1; number <= 30; ++number) {
-      newest = some_map(number, dice);
+      newest = some_map(number, random);
       homes[0].on_map(newest, Moment{0});
-      if (dice.chance(0.6)) homes[1].on_map(newest, Moment{0});  // the other home lags now and then
-      if (dice.chance(0.5)) subscribe(static_cast<int>(dice.below(2)));
+      if (random.chance(0.6)) homes[1].on_map(newest, Moment{0});  // the other home lags now and then
+      if (random.chance(0.5)) subscribe(static_cast<int>(random.below(2)));
       bring(0.4);
     }
     for (int i = 0; i < 2; ++i) {
@@ -88,8 +88,8 @@
 
 TEST(MapSlices, OnlyWhatChangedIsSentAgain) {
   SlicePublisher home;
-  Dice dice(1);
-  PlacementMap map = some_map(1, dice);
+  RandomGenerator random(1);
+  PlacementMap map = some_map(1, random);
   map.runners.clear();
   for (int i = 0; i < 50; ++i) {
     RunnerRow row;
@@ -103,7 +103,7 @@
   home.on_subscribe(Address{"d"}, ask, Moment{0});
   EXPECT_EQ(home.rows_sent(), 50);
   map.version = {1, 2};
-  map.runners[7].burden = 5;
+  map.runners[7].load = 5;
   home.on_map(map, Moment{0});
   EXPECT_EQ(home.rows_sent(), 51);
 }
@@ -135,9 +135,9 @@
   EXPECT_EQ(sum(shares.share(row, {"d2", "d4"}, {"d2", "d3", "d4"}, Moment{5000})), held_by(first, "d2"));
   std::int64_t lapsed = 5000 + ColdShares::settling.value;
   EXPECT_EQ(sum(shares.share(row, {"d2", "d4"}, {"d2", "d3", "d4"}, Moment{lapsed - 1})), held_by(first, "d2"));
-  row.burden = 1;
+  row.load = 1;
   EXPECT_EQ(sum(shares.share(row, {"d2", "d4"}, {"d2", "d3", "d4"}, Moment{lapsed})), held_by(first, "d2"));
-  row.burden = 0;
+  row.load = 0;
   EXPECT_EQ(sum(shares.share(row, {"d2", "d4"}, {"d2", "d3", "d4"}, Moment{lapsed + 50})), 2);
   // A new life of the runner: nothing of the old one counts.
   row.incarnation = 8;
@@ -148,7 +148,7 @@
   EXPECT_EQ(sum(shares.share(row, {"d2"}, {"d2", "d3", "d4"}, Moment{9000 + ColdShares::settling.value})), 2);
 }
 
-TEST(ColdShares, ANewReignGivesNothingThatTheElderMayHaveGiven) {
+TEST(ColdShares, ANewTermGivesNothingThatTheElderMayHaveGiven) {
   RunnerRow row;
   row.name.text = "m1";
   row.incarnation = 7;
--- a/packages/program-settings/src/program_settings.cpp
+++ b/packages/program-settings/src/program_settings.cpp
@@ -9,7 +9,7 @@
 #include <random>
 #include <sstream>
 
-#include "emberdale/sibling_links.hpp"
+#include "emberdale/peer_connections.hpp"
 
 namespace emberdale {
 namespace {
--- a/packages/runner-seal/tests/runner_seal_test.cpp
+++ b/packages/runner-seal/tests/runner_seal_test.cpp
@@ -59,11 +59,11 @@
     std::string bytes = spoiled(whole, seed);
     EventCutter cutter;
     StreamCheck check("key", "call", "r1", 7);
-    Dice dice(seed);
+    RandomGenerator random(seed);
     std::string taken;
     bool is_sealed = false, is_broken = false;
     for (std::size_t at = 0; at < bytes.size();) {
-      auto size = static_cast<std::size_t>(1 + dice.below(30));
+      auto size = static_cast<std::size_t>(1 + random.below(30));
       for (const auto& event : cutter.feed(bytes.substr(at, size))) {
         auto step = check.take(event);
         if (step == StreamCheck::Step::piece && !is_broken) taken += event.data + "\n";
--- a/packages/segmented-log/include/emberdale/file_system.hpp
+++ b/packages/segmented-log/include/emberdale/file_system.hpp
@@ -40,9 +40,9 @@
   bool is_off = false;          // after a power cut every act fails until power_on
   std::string last_act;         // what the faulty point was, for the test's report
 
-  // What is not synced is lost, or part of it is: the dice say which part.
-  // Example: disk.power_on(dice); SegmentedLog log(disk);
-  void power_on(Dice& dice);
+  // What is not synced is lost, or part of it is: the random generator say which part.
+  // Example: disk.power_on(random generator); SegmentedLog log(disk);
+  void power_on(RandomGenerator& random);
   void wipe();
   // Example: disk.flip_bit("segment-1", 40);
   void flip_bit(const std::string& file, std::size_t position);
--- a/packages/segmented-log/src/memory_file_system.cpp
+++ b/packages/segmented-log/src/memory_file_system.cpp
@@ -11,17 +11,17 @@
   return fault;
 }
 
-void MemoryFileSystem::power_on(Dice& dice) {
+void MemoryFileSystem::power_on(RandomGenerator& random) {
   // Names that were not synced may or may not have reached the disk.
   Folder kept = synced_;
   for (const auto& [name, file] : now_)
-    if (synced_.count(name) == 0 && dice.chance(0.5)) kept[name] = file;
+    if (synced_.count(name) == 0 && random.chance(0.5)) kept[name] = file;
   for (const auto& [name, file] : synced_)
-    if (now_.count(name) == 0 && dice.chance(0.5)) kept.erase(name);
+    if (now_.count(name) == 0 && random.chance(0.5)) kept.erase(name);
   for (const auto& [name, file] : kept) {
     std::size_t loose = file->content.size() - file->synced;
-    std::size_t keep = loose == 0 ? 0 : static_cast<std::size_t>(dice.below(static_cast<std::int64_t>(loose) + 1));
-    bool is_zero_filled = dice.chance(0.25);
+    std::size_t keep = loose == 0 ? 0 : static_cast<std::size_t>(random.below(static_cast<std::int64_t>(loose) + 1));
+    bool is_zero_filled = random.chance(0.25);
     std::size_t whole = file->content.size();
     file->content.resize(file->synced + keep);
     if (is_zero_filled) file->content.resize(whole, '\0');
--- a/packages/segmented-log/tests/segmented_log_test.cpp
+++ b/packages/segmented-log/tests/segmented_log_test.cpp
@@ -31,7 +31,7 @@
       auto disk = std::make_shared<MemoryFileSystem>();
       disk->fault_at = point;
       disk->fault = fault;
-      Dice dice(static_cast<std::uint64_t>(point));
+      RandomGenerator random(static_cast<std::uint64_t>(point));
       std::int64_t durable = 0;
       StoreId store;
       {
@@ -44,7 +44,7 @@
       }
       if (disk->last_act.empty()) break;  // past the last point
       ++points_hit;
-      disk->power_on(dice);
+      disk->power_on(random);
       SegmentedLog again(disk, 300);
       auto opening = again.open("second");
       ASSERT_TRUE(opening) << disk->last_act << ": " << opening.reason;
--- a/packages/serving-plans/include/emberdale/serving_plans.hpp
+++ b/packages/serving-plans/include/emberdale/serving_plans.hpp
@@ -34,7 +34,7 @@
   std::int64_t spill_percent = 0;
   bool is_repeatable = false;
   bool is_streaming = false;
-  std::int64_t horizon_ms = 10000;
+  std::int64_t deadline_ms = 10000;
   std::int64_t prefix_bytes = 0;
   std::int64_t max_body_bytes = 1 << 20;
 };
--- a/packages/serving-plans/src/serving_plans.cpp
+++ b/packages/serving-plans/src/serving_plans.cpp
@@ -317,7 +317,7 @@
   plan.spill_percent = reader.number("/spill/limit_percent", plan.may_spill ? 50 : 0, 0, 100);
   plan.is_repeatable = reader.answer("/repeatable", false);
   plan.is_streaming = reader.answer("/streaming", false);
-  plan.horizon_ms = reader.number("/horizon_ms", 10000, 50, 600000);
+  plan.deadline_ms = reader.number("/horizon_ms", 10000, 50, 600000);
   plan.prefix_bytes = reader.number("/prefix_bytes", 0, 0, 1 << 20);
   plan.max_body_bytes = reader.number("/max_body_bytes", 1 << 20, 1, 8 << 20);
   if (plan.may_spill && !plan.home.empty()) reader.error("/spill/allowed", "spill contradicts a home region: homed work never leaves it");
--- a/packages/small-types/include/emberdale/bounded_pending.hpp
+++ b/packages/small-types/include/emberdale/bounded_queue.hpp
@@ -8,11 +8,11 @@
 
 namespace emberdale {
 
-// Example: BoundedPending<int> pending(2); pending.offer(1) == true; pending.take() == 1;
+// Example: BoundedQueue<int> pending(2); pending.offer(1) == true; pending.take() == 1;
 template <class T>
-class BoundedPending {
+class BoundedQueue {
  public:
-  explicit BoundedPending(std::size_t bound) : bound_(bound) {}
+  explicit BoundedQueue(std::size_t bound) : bound_(bound) {}
 
   // Refuses at once when full or closed. Example: if (!pending.offer(call)) refuse(call);
   bool offer(T item) {
--- a/packages/small-types/include/emberdale/small_types.hpp
+++ b/packages/small-types/include/emberdale/small_types.hpp
@@ -55,7 +55,7 @@
   }
 };
 
-using Address = SmallText<struct AddressTag>;  // "ip:port" of a process's sibling link; its id too
+using Address = SmallText<struct AddressTag>;  // "ip:port" of a process's peer link; its id too
 using ZoneName = SmallText<struct ZoneTag>;
 using RegionName = SmallText<struct RegionTag>;
 using StoreId = SmallText<struct StoreTag>;
@@ -86,10 +86,10 @@
 inline Failure failure(std::string reason) { return Failure{std::move(reason)}; }
 
 // A small seeded generator: the same seed gives the same numbers on every machine.
-// Example: Dice dice{7}; dice.below(100) is a number from 0 to 99.
-class Dice {
+// Example: Dice random generator{7}; random generator.below(100) is a number from 0 to 99.
+class RandomGenerator {
  public:
-  explicit Dice(std::uint64_t seed) : state_(seed * 2 + 0x9E3779B97F4A7C15ull) {}
+  explicit RandomGenerator(std::uint64_t seed) : state_(seed * 2 + 0x9E3779B97F4A7C15ull) {}
   std::uint64_t next() {
     state_ += 0x9E3779B97F4A7C15ull;
     std::uint64_t mixed = state_;
@@ -108,15 +108,15 @@
 
 // Where a process begins to number its asks: elsewhere in each life, so that an answer to a former life's
 // ask, held up on its way, is never taken for an answer to this one's.
-// Example: std::int64_t last_ask = first_ask(dice);
-inline std::int64_t first_ask(Dice& dice) { return dice.below(std::int64_t{1} << 46); }
+// Example: std::int64_t last_ask = first_ask(random generator);
+inline std::int64_t first_ask(RandomGenerator& random) { return random.below(std::int64_t{1} << 46); }
 
 // A hash that is the same in every process, for rendezvous ranking (FNV-1a, then mixed).
 // Example: stable_hash("a") == stable_hash("a") in any two daemons.
 inline std::uint64_t stable_hash(const std::string& text, std::uint64_t seed = 0) {
   std::uint64_t mixed = 1469598103934665603ull ^ seed;
   for (unsigned char letter : text) mixed = (mixed ^ letter) * 1099511628211ull;
-  return Dice(mixed).next();
+  return RandomGenerator(mixed).next();
 }
 
 }  // namespace emberdale
--- a/packages/small-types/tests/small_types_test.cpp
+++ b/packages/small-types/tests/small_types_test.cpp
@@ -4,7 +4,7 @@
 #include <list>
 #include <thread>
 
-#include "emberdale/bounded_pending.hpp"
+#include "emberdale/bounded_queue.hpp"
 #include "emberdale/event_journal.hpp"
 #include "emberdale/pool.hpp"
 
@@ -19,17 +19,17 @@
 
 TEST(SmallTypes, AnIntrusiveListBehavesLikeAListThroughReuseOfSlots) {
   EXPECT_TRUE(rc::check([](std::uint64_t seed) {
-    Dice dice(seed);
+    RandomGenerator random(seed);
     Pool<Element> pool;
     IntrusiveList<Element> list;
     std::list<std::pair<int, PoolIndex>> model;
     for (int number = 0; number < 200; ++number) {
-      if (dice.chance(0.6) || model.empty()) {
+      if (random.chance(0.6) || model.empty()) {
         PoolIndex at = pool.take({number, {}});
         list.push_back(pool, at);
         model.push_back({number, at});
       } else {
-        auto victim = std::next(model.begin(), dice.below(static_cast<std::int64_t>(model.size())));
+        auto victim = std::next(model.begin(), random.below(static_cast<std::int64_t>(model.size())));
         list.remove(pool, victim->second);
         pool.give_back(victim->second);
         model.erase(victim);
@@ -46,16 +46,16 @@
 }
 
 TEST(SmallTypes, APendingQueueRefusesWhenFullAndDrainsWhenClosed) {
-  BoundedPending<int> pending(2);
-  EXPECT_TRUE(pending.offer(1));
-  EXPECT_TRUE(pending.offer(2));
-  EXPECT_FALSE(pending.offer(3));
-  std::thread closer([&] { pending.close(); });
-  EXPECT_EQ(pending.take(), 1);
-  EXPECT_EQ(pending.take(), 2);
-  EXPECT_EQ(pending.take(), std::nullopt);  // waits for the close, then ends
+  BoundedQueue<int> queue(2);
+  EXPECT_TRUE(queue.offer(1));
+  EXPECT_TRUE(queue.offer(2));
+  EXPECT_FALSE(queue.offer(3));
+  std::thread closer([&] { queue.close(); });
+  EXPECT_EQ(queue.take(), 1);
+  EXPECT_EQ(queue.take(), 2);
+  EXPECT_EQ(queue.take(), std::nullopt);  // waits for the close, then ends
   closer.join();
-  EXPECT_FALSE(pending.offer(4));
+  EXPECT_FALSE(queue.offer(4));
 }
 
 TEST(SmallTypes, TheJournalIsBoundedAndItsCountsAreNot) {
--- a/packages/stand-ins/src/caller_stand_in.cpp
+++ b/packages/stand-ins/src/caller_stand_in.cpp
@@ -55,7 +55,7 @@
 class Callers {
  public:
   Callers(const std::vector<Kind>& kinds, std::map<std::string, std::vector<std::string>> gateways, std::uint64_t seed, double moving)
-      : kinds_(kinds), gateways_(std::move(gateways)), dice_(seed), moving_(moving) {
+      : kinds_(kinds), gateways_(std::move(gateways)), random_(seed), moving_(moving) {
     for (const auto& [region, list] : gateways_) regions_.push_back(region);
   }
   std::ofstream outcomes;
@@ -102,7 +102,7 @@
   };
 
   void call(std::int64_t number) {
-    double share = static_cast<double>(dice_.below(100000)) / 100000.0;
+    double share = static_cast<double>(random_.below(100000)) / 100000.0;
     const Kind* kind = &kinds_.back();
     for (const auto& candidate : kinds_) {
       if (share < candidate.share) {
@@ -113,23 +113,23 @@
     }
     auto made = std::make_shared<Call>();
     made->kind = kind;
-    made->home = regions_[static_cast<std::size_t>(dice_.chance(0.55) ? 0 : dice_.below(static_cast<std::int64_t>(regions_.size())))];
+    made->home = regions_[static_cast<std::size_t>(random_.chance(0.55) ? 0 : random_.below(static_cast<std::int64_t>(regions_.size())))];
     made->region = made->home;
-    if (dice_.chance(moving_)) made->region = regions_[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(regions_.size())))];
+    if (random_.chance(moving_)) made->region = regions_[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(regions_.size())))];
     made->id = kind->name + "." + (kind->is_homed ? made->home : "free") + "." + std::to_string(number) + "." + random_id().substr(0, 8);
     // A long shared opening, then what is the caller's own.
-    std::string opening = "opening " + std::to_string(dice_.below(40)) + " ";
+    std::string opening = "opening " + std::to_string(random_.below(40)) + " ";
     opening.resize(kind->is_repeatable ? 40 : 3000, 'm');
     Json body{{"opening", opening}, {"question", made->id}};
     if (kind->is_streaming) {
-      made->pieces = 10 + dice_.below(30);
+      made->pieces = 10 + random_.below(30);
       body["pieces"] = made->pieces;
     }
     made->body = body.dump();
     made->begun = std::chrono::steady_clock::now();
     ++in_hand_;
     const auto& list = gateways_.at(made->region);
-    send(made, list[static_cast<std::size_t>(dice_.below(static_cast<std::int64_t>(list.size())))]);
+    send(made, list[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(list.size())))]);
   }
 
   void send(std::shared_ptr<Call> call, const std::string& gateway) {
@@ -279,7 +279,7 @@
   const std::vector<Kind>& kinds_;
   std::map<std::string, std::vector<std::string>> gateways_;
   std::vector<std::string> regions_;
-  Dice dice_;
+  RandomGenerator random_;
   double moving_;
   std::chrono::steady_clock::time_point start_;
   std::atomic<std::int64_t> in_hand_{0};
--- a/packages/stand-ins/src/runner_stand_in.cpp
+++ b/packages/stand-ins/src/runner_stand_in.cpp
@@ -1,5 +1,5 @@
 // A stand-in for a model runner (or a small record service): real HTTP, made-up answers.
-// It reports its burden, keeps prefixes warm, comes back cold, seals each answer, refuses when
+// It reports its load, keeps prefixes warm, comes back cold, seals each answer, refuses when
 // full, and writes every execution into a ledger so that a second run of a call is seen.
 #include <cpprest/http_listener.h>
 #include <cpprest/producerconsumerstream.h>
@@ -114,8 +114,8 @@
   }
 
   void later(std::int64_t ms, std::function<void()> act) {
-    auto alarm = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::milliseconds(ms));
-    alarm->async_wait([alarm, act](boost::system::error_code) { act(); });
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::milliseconds(ms));
+    timer->async_wait([timer, act](boost::system::error_code) { act(); });
   }
 
   void refuse(const http_request& request, const std::string& why) {
--- a/packages/traffic-table/include/emberdale/traffic_table.hpp
+++ b/packages/traffic-table/include/emberdale/traffic_table.hpp
@@ -24,7 +24,7 @@
   std::string name, host, path_prefix;  // the prefix begins and ends with a slash
   bool is_repeatable = false;           // kind "retry_safe", or "streaming" that may be resumed
   bool is_streaming = false, is_resumable = false, is_sticky = false;
-  std::int64_t horizon_ms = 10000;  // the longest a call is held
+  std::int64_t deadline_ms = 10000;  // the longest a call is held
   std::int64_t target_ms = 1000;    // within which an answer earns its full worth
   std::int64_t gap_ms = 0;          // longest pause between events that is still in time; 0: none stated
   std::int64_t rank = 5;            // 0 is first
@@ -54,7 +54,7 @@
 
 // Reads one document in our words, e.g.
 //   {"revision":7,
-//    "routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","horizon_ms":8000,"target_ms":1000,
+//    "routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","deadline_ms":8000,"target_ms":1000,
 //      "rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],"max_sends":1,"sticky":true,
 //      "resumable":false,"gap_ms":400,"home_regions":["north"]},
 //     {"name":"r2", ..., "pool":"m"}],
@@ -65,12 +65,12 @@
 // with its place; a value comes only without errors. An error is: not readable as JSON (or nested too deep),
 // a field missing (of the lists and parts of the document, "limits" alone may be) or of the wrong kind, a route that
 // names an unknown pool, two routes with the same host and prefix, two items of one name, shares that sum to 0, a
-// horizon of 0, a revision that is no positive integer.
+// deadline of 0, a revision that is no positive integer.
 // Example: auto table = read_traffic_table(body, findings); if (!table) report(findings);
 std::optional<TrafficTable> read_traffic_table(const std::string& body, std::vector<Finding>& findings);
 
 // One route or pool alone, as it travels in a row of the map; nothing if it can't be read.
-// Example: read_traffic_route(R"({"name":"r1",...})")->horizon_ms == 8000
+// Example: read_traffic_route(R"({"name":"r1",...})")->deadline_ms == 8000
 std::optional<TrafficRoute> read_traffic_route(const std::string& body);
 std::optional<TrafficPool> read_traffic_pool(const std::string& body);
 TrafficLimits read_traffic_limits(const std::string& body);  // what can't be read keeps its default
--- a/packages/traffic-table/src/traffic_table.cpp
+++ b/packages/traffic-table/src/traffic_table.cpp
@@ -280,7 +280,7 @@
   route.is_resumable = reader.answer(item, at, "resumable", route.is_resumable);
   route.is_sticky = reader.answer(item, at, "sticky", route.is_sticky);
   route.is_repeatable = kind == "retry_safe" || (route.is_streaming && route.is_resumable);
-  route.horizon_ms = reader.required_number(item, at, "horizon_ms", route.horizon_ms, 1);
+  route.deadline_ms = reader.required_number(item, at, "horizon_ms", route.deadline_ms, 1);
   route.target_ms = reader.number(item, at, "target_ms", route.target_ms, 0);
   route.gap_ms = reader.number(item, at, "gap_ms", route.gap_ms, 0);
   route.rank = reader.number(item, at, "rank", route.rank, 0);
--- a/packages/traffic-table/tests/traffic_table_test.cpp
+++ b/packages/traffic-table/tests/traffic_table_test.cpp
@@ -61,7 +61,7 @@
   EXPECT_EQ(table->revision, 7);
   const auto& full = table->routes[0];
   EXPECT_TRUE(full.is_streaming && full.is_resumable && full.is_repeatable && full.is_sticky);
-  EXPECT_EQ(std::tie(full.horizon_ms, full.target_ms, full.gap_ms, full.rank, full.max_sends), std::tuple(8000, 900, 400, 1, 2));
+  EXPECT_EQ(std::tie(full.deadline_ms, full.target_ms, full.gap_ms, full.rank, full.max_sends), std::tuple(8000, 900, 400, 1, 2));
   EXPECT_EQ(full.pools[1].pool.text, "n");
   EXPECT_EQ(full.pools[1].share, 10);
   EXPECT_EQ(full.homes.at(0).text, "north");
@@ -412,25 +412,25 @@
 
 TEST(TrafficTable, AmendingThenReadingEqualsAModel) {
   EXPECT_TRUE(rc::check([](std::uint64_t seed) {
-    Dice dice(seed);
-    std::map<std::string, std::int64_t> model;  // route: its horizon
+    RandomGenerator random(seed);
+    std::map<std::string, std::int64_t> model;  // route: its deadline
     std::string stored;
     Integer revision = 0;
     for (int step = 0; step < 12; ++step) {
-      Integer next = revision + 1 + dice.below(5);
+      Integer next = revision + 1 + random.below(5);
       Json change{{"revision", next}};
       if (step == 0) change["upsert"]["pools"] = Json::array({Json{{"name", "m"}}});
       auto wanted = model;
       bool is_good = true;
       for (int i = 0; i < 6; ++i) {
         std::string name = "r" + std::to_string(i);
-        std::int64_t horizon = 1 + dice.below(1000);
-        if (dice.chance(0.4)) {
+        std::int64_t deadline = 1 + random.below(1000);
+        if (random.chance(0.4)) {
           Json item = route(name, "/" + name + "/");
-          item["horizon_ms"] = horizon;
+          item["horizon_ms"] = deadline;
           change["upsert"]["routes"].push_back(item);
-          wanted[name] = horizon;
-        } else if (dice.chance(model.count(name) ? 0.4 : 0.05)) {
+          wanted[name] = deadline;
+        } else if (random.chance(model.count(name) ? 0.4 : 0.05)) {
           change["remove"]["routes"].push_back(name);
           is_good = wanted.erase(name) == 1 && is_good;
         }
@@ -447,7 +447,7 @@
       RC_ASSERT(table.has_value());
       RC_ASSERT(table->revision == revision);
       std::map<std::string, std::int64_t> seen;
-      for (const auto& each : table->routes) seen[each.name] = each.horizon_ms;
+      for (const auto& each : table->routes) seen[each.name] = each.deadline_ms;
       RC_ASSERT(seen == model);
       RC_ASSERT(table->routes.size() == model.size());
     }
