--- a/packages/call-matching/include/emberdale/call_dispatcher.hpp
+++ b/packages/call-matching/include/emberdale/call_dispatcher.hpp
@@ -45,17 +45,17 @@
   CallIndex call = 0;  // 0: refused at the gate, never taken in
   int code = 503;
   std::string reason;
-  bool may_have_run = false;  // false: it surely did not run and never will
-  Span retry_after{0};        // 0: asking again is of no use
+  bool may_have_run = false;       // false: it surely did not run and never will
+  Span retry_after{0};             // 0: asking again is of no use
   std::vector<std::string> homes;  // 421: where the call belongs
 };
 
 enum class SendEndKind {
-  answered,      // complete, sealed, handed over
-  refused,       // the runner refused it before running it
-  unsent,        // the link never came up: nothing left this daemon
-  lost,          // sent, and no sound answer came back
-  caller_gone,   // the caller left; the send was given up
+  answered,     // complete, sealed, handed over
+  refused,      // the runner refused it before running it
+  unsent,       // the link never came up: nothing left this daemon
+  lost,         // sent, and no sound answer came back
+  caller_gone,  // the caller left; the send was given up
 };
 
 struct SendEnd {
@@ -70,12 +70,12 @@
 struct DispatcherSettings {
   Address self;
   RegionName region;
-  std::size_t queue_bound = 128;       // per plan
-  Span queue_patience{600};            // no call waits longer for a free runner, or for the grant
-  int admission_step = 2;                     // of those that waited for the grant, so many are let in...
-  Span admission_interval{25};                    // ...in each of these
-  Span grant_hope{1000};                 // so long after start or wake the grant is waited for
-  double retry_share = 0.12;             // retries earned by each first send
+  std::size_t queue_bound = 128;  // per plan
+  Span queue_patience{600};       // no call waits longer for a free runner, or for the grant
+  int admission_step = 2;         // of those that waited for the grant, so many are let in...
+  Span admission_interval{25};    // ...in each of these
+  Span grant_hope{1000};          // so long after start or wake the grant is waited for
+  double retry_share = 0.12;      // retries earned by each first send
   double retry_start = 2, retry_bound = 5;
 };
 
@@ -86,7 +86,8 @@
 //   dispatcher.end_send(end, now); dispatcher.on_timer(now); for (auto& act : dispatcher.take_finals()) answer(act);
 class CallDispatcher {
  public:
-  explicit CallDispatcher(DispatcherSettings settings) : settings_(std::move(settings)), retry_tokens_(settings_.retry_start) {}
+  explicit CallDispatcher(DispatcherSettings settings)
+      : settings_(std::move(settings)), retry_tokens_(settings_.retry_start) {}
 
   void see(std::shared_ptr<const TrafficView> view, Moment now);
   void set_grant(const Grant& grant) { grant_ = grant; }
@@ -132,8 +133,8 @@
     Integer reported_load = 0, own_at_report = 0, capacity = 0;
     Integer incarnation = 0;
     bool has_report = false;
-    MapVersion shunned_at;  // not used until the map moves past this version...
-    Moment shunned_until;   // ...or this moment is past
+    MapVersion shunned_at;     // not used until the map moves past this version...
+    Moment shunned_until;      // ...or this moment is past
     bool is_reachable = true;  // false: no link came up; else it is the last resort while shunned
   };
   // A call that came while the grant was being asked for.
--- a/packages/call-matching/src/traffic_view.cpp
+++ b/packages/call-matching/src/traffic_view.cpp
@@ -8,14 +8,13 @@
 namespace emberdale {
 
 bool SliceBook::apply(const SliceNews& news) {
-  if (!holders_[news.topic].apply(news)) return false;
+  if (!holders_[news.topic].apply(news))
+    return false;
   fold();
   return true;
 }
 
-std::vector<std::string> SliceBook::topics() const {
-  return {topics_.begin(), topics_.end()};
-}
+std::vector<std::string> SliceBook::topics() const { return {topics_.begin(), topics_.end()}; }
 
 std::vector<TopicKnown> SliceBook::known() const {
   std::vector<TopicKnown> known;
@@ -32,12 +31,14 @@
     auto& known = read_routes_[key];
     if (known.first != body) {
       auto route = read_traffic_route(body);
-      if (!route) return;
+      if (!route)
+        return;
       known = {body, std::move(*route)};
     }
     view.routes.push_back(known.second);
   } else if (key.rfind("pool/", 0) == 0) {
-    if (auto pool = read_traffic_pool(body)) view.traffic_pools[pool->name] = std::move(*pool);
+    if (auto pool = read_traffic_pool(body))
+      view.traffic_pools[pool->name] = std::move(*pool);
   } else if (key == "limits") {
     view.limits = read_traffic_limits(body);
   } else if (key == "revision") {
@@ -55,17 +56,21 @@
   for (const auto& [key, body] : plans.rows()) {
     if (key.rfind("plan/", 0) == 0) {
       auto row = decode_plan_row(body);
-      if (!row) continue;
+      if (!row)
+        continue;
       if (auto plan = read_plan(row->name.text, row->body, findings)) {
         view->plan_versions[plan->name] = row->version;
         view->plans.push_back(std::move(*plan));
       }
     } else if (key.rfind("gateway/", 0) == 0) {
-      if (auto row = decode_gateway_row(body)) view->gateways.push_back(std::move(*row));
+      if (auto row = decode_gateway_row(body))
+        view->gateways.push_back(std::move(*row));
     } else if (key == "master") {
-      if (auto row = decode_gateway_row(body)) view->master = row->daemon;
+      if (auto row = decode_gateway_row(body))
+        view->master = row->daemon;
     } else if (key.rfind("edge/", 0) == 0) {
-      if (auto row = decode_gateway_row(body)) view->edges.push_back(std::move(*row));
+      if (auto row = decode_gateway_row(body))
+        view->edges.push_back(std::move(*row));
     } else if (key.rfind("traffic/", 0) == 0) {
       fold_traffic(key.substr(8), body, *view);
     } else if (auto row = decode_region_row(body)) {
@@ -74,21 +79,29 @@
   }
   topics_ = {plans_topic};
   std::set<PoolName> pools;
-  for (const auto& plan : view->plans) pools.insert(plan.pool);
-  for (const auto& [name, pool] : view->traffic_pools) pools.insert(name);
-  for (const auto& pool : pools) topics_.insert(pool_topic(pool));
+  for (const auto& plan : view->plans)
+    pools.insert(plan.pool);
+  for (const auto& [name, pool] : view->traffic_pools)
+    pools.insert(name);
+  for (const auto& pool : pools)
+    topics_.insert(pool_topic(pool));
   for (auto entry = read_routes_.begin(); entry != read_routes_.end();) {
-    if (plans.rows().count("traffic/" + entry->first) == 0) entry = read_routes_.erase(entry);
-    else ++entry;
+    if (plans.rows().count("traffic/" + entry->first) == 0)
+      entry = read_routes_.erase(entry);
+    else
+      ++entry;
   }
   for (auto entry = holders_.begin(); entry != holders_.end();) {
-    if (topics_.count(entry->first) == 0) entry = holders_.erase(entry);
-    else ++entry;
+    if (topics_.count(entry->first) == 0)
+      entry = holders_.erase(entry);
+    else
+      ++entry;
   }
   // A plan that names a new pool is not looked at before the pool is here: until then the old view
   // serves, as long as its grant lasts. (Folding it at once sent every daemon back to version 0.)
   for (const auto& topic : topics_)
-    if (holders_[topic].version() == MapVersion{}) return;
+    if (holders_[topic].version() == MapVersion{})
+      return;
   for (const auto& name : pools) {
     const auto& holder = holders_[pool_topic(name)];
     view->version = std::min(view->version, holder.version());
@@ -96,13 +109,15 @@
     auto& pool = view->pools[name];
     for (const auto& [key, body] : holder.rows()) {
       auto row = decode_runner_row(body);
-      if (!row) continue;
+      if (!row)
+        continue;
       pool.push_back(row->name);
       view->runners[row->name] = std::move(*row);
     }
   }
   // A pool that has just come in from a home that lags would take the whole back.
-  if (view->version < view_->version) return;
+  if (view->version < view_->version)
+    return;
   view_ = std::move(view);
 }
 
--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-const std::vector<AcceptorEntry> cores{{StoreId{"s1"}, Address{"c1"}}, {StoreId{"s2"}, Address{"c2"}}, {StoreId{"s3"}, Address{"c3"}}};
+const std::vector<AcceptorEntry> cores{
+    {StoreId{"s1"}, Address{"c1"}}, {StoreId{"s2"}, Address{"c2"}}, {StoreId{"s3"}, Address{"c3"}}};
 
 ReadAnswer answer(Integer ask, const std::string& store, MapVersion minimum_version, Integer ballot = 5) {
   ReadAnswer made;
@@ -24,7 +25,8 @@
   auto view = std::make_shared<TrafficView>();
   view->version = version;
   std::vector<Finding> findings;
-  view->plans.push_back(*read_plan("plan", R"({"service":"s","match":{"path":"/x"},"pool":"p")" + plan_extra + "}", findings));
+  view->plans.push_back(
+      *read_plan("plan", R"({"service":"s","match":{"path":"/x"},"pool":"p")" + plan_extra + "}", findings));
   for (int i = 0; i < warm; ++i) {
     RunnerRow row;
     row.name.text = "r" + std::to_string(i);
@@ -95,7 +97,8 @@
   CallDispatcher dispatcher(here());
   dispatcher.see(view_with(2, ""), Moment{0});
   auto step = [&](std::int64_t from, std::int64_t to) {
-    for (std::int64_t ms = from; ms <= to; ms += 100) dispatcher.on_timer(Moment{ms});
+    for (std::int64_t ms = from; ms <= to; ms += 100)
+      dispatcher.on_timer(Moment{ms});
   };
   step(0, 1000);  // awake for a second without a grant
   EXPECT_EQ(dispatcher.arrive(call("a"), Moment{1000}, 1)->code, 503);
@@ -121,7 +124,8 @@
   // Nine seconds asleep: the grant has run out, and is asked for anew.
   EXPECT_FALSE(dispatcher.arrive(call("b"), Moment{9100}, 2));
   EXPECT_TRUE(dispatcher.take_sends().empty());
-  for (std::int64_t ms = 9100; ms < 9700; ms += 50) dispatcher.on_timer(Moment{ms});
+  for (std::int64_t ms = 9100; ms < 9700; ms += 50)
+    dispatcher.on_timer(Moment{ms});
   EXPECT_TRUE(dispatcher.take_finals().empty());
   dispatcher.on_timer(Moment{9700});  // its patience is over: the final answer comes now, not at its deadline
   auto finals = dispatcher.take_finals();
@@ -137,13 +141,18 @@
   dispatcher.set_grant(always);
   dispatcher.see(view_with(12, R"(,"prefix_bytes":8)"), Moment{0});
   std::map<std::string, int> by_runner;
-  for (CallIndex i = 1; i <= 2; ++i) dispatcher.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
-  for (auto& act : dispatcher.take_sends()) ++by_runner[act.runner.text];
+  for (CallIndex i = 1; i <= 2; ++i)
+    dispatcher.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
+  for (auto& act : dispatcher.take_sends())
+    ++by_runner[act.runner.text];
   EXPECT_EQ(by_runner.size(), 1u);
-  for (CallIndex i = 3; i <= 14; ++i) dispatcher.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
-  for (auto& act : dispatcher.take_sends()) ++by_runner[act.runner.text];
+  for (CallIndex i = 3; i <= 14; ++i)
+    dispatcher.arrive(call("c" + std::to_string(i), "the same opening"), Moment{0}, i);
+  for (auto& act : dispatcher.take_sends())
+    ++by_runner[act.runner.text];
   EXPECT_GT(by_runner.size(), 2u);  // a crowd with one opening is spread
-  for (auto& [runner, count] : by_runner) EXPECT_LE(count, 4) << runner;
+  for (auto& [runner, count] : by_runner)
+    EXPECT_LE(count, 4) << runner;
 }
 
 TEST(CallDispatcher, AColdRunnerGetsNoMoreThanThisDaemonsGrant) {
@@ -155,7 +164,8 @@
   row.allowance = 3;
   row.grants = {{Address{"d1"}, 2}, {Address{"d2"}, 1}};
   dispatcher.see(view, Moment{0});
-  for (CallIndex i = 1; i <= 6; ++i) dispatcher.arrive(call("c" + std::to_string(i)), Moment{0}, i);
+  for (CallIndex i = 1; i <= 6; ++i)
+    dispatcher.arrive(call("c" + std::to_string(i)), Moment{0}, i);
   EXPECT_EQ(dispatcher.take_sends().size(), 2u);
 }
 
@@ -172,13 +182,15 @@
     at_home.headers["x-home"] = "here";
     homed.arrive(at_home, Moment{0}, i);
   }
-  for (auto& act : homed.take_sends()) EXPECT_TRUE(act.runner.text == "r0" || act.runner.text == "r2") << act.runner.text;
+  for (auto& act : homed.take_sends())
+    EXPECT_TRUE(act.runner.text == "r0" || act.runner.text == "r2") << act.runner.text;
 
   CallDispatcher free_dispatcher(here());
   free_dispatcher.set_grant(always);
   free_dispatcher.see(view_with(4, R"(,"spill":{"allowed":true,"limit_percent":25})"), Moment{0});
   int spilled = 0, sent = 0;
-  for (CallIndex i = 1; i <= 30; ++i) free_dispatcher.arrive(call("s" + std::to_string(i)), Moment{0}, i);
+  for (CallIndex i = 1; i <= 30; ++i)
+    free_dispatcher.arrive(call("s" + std::to_string(i)), Moment{0}, i);
   for (auto& act : free_dispatcher.take_sends()) {
     ++sent;
     spilled += act.runner.text == "r1" || act.runner.text == "r3";
--- a/packages/call-routing/include/emberdale/route_dispatcher.hpp
+++ b/packages/call-routing/include/emberdale/route_dispatcher.hpp
@@ -25,7 +25,7 @@
 struct RoutedCall {
   CallId id;
   std::string host, path;  // the path without its query
-  Span deadline{0};         // the caller's; 0: as the route says
+  Span deadline{0};        // the caller's; 0: as the route says
   std::vector<PromptPart> prompt;
   Integer tokens_in = 0, tokens_out = 0;
   std::string resume_after;  // the caller continues a stream after this event; empty: from the start
@@ -64,8 +64,8 @@
   int turn = 0;
   RoutedEndKind kind = RoutedEndKind::lost;
   std::string reason;
-  std::string last_event;            // broken: the id of the last event that went to the caller
-  bool has_report = false;           // the runner told its load along
+  std::string last_event;   // broken: the id of the last event that went to the caller
+  bool has_report = false;  // the runner told its load along
   Integer running = 0, waiting = 0, slots = 0;
   bool was_link_refused = false;     // a definite word: no one listens there
   bool was_slow_to_connect = false;  // the link did not come up in time: silent machine
@@ -75,10 +75,10 @@
   Address self;
   RegionName region;
   ZoneName zone;
-  std::size_t queue_bound = 256;   // calls that wait for a free runner, all together
-  double resend_share = 0.08;        // resends earned by each first send
+  std::size_t queue_bound = 256;  // calls that wait for a free runner, all together
+  double resend_share = 0.08;     // resends earned by each first send
   double resend_start = 1, resend_bound = 3;
-  Integer region_ms = 60;            // what a call to another region costs more than one nearby, in waiting
+  Integer region_ms = 60;  // what a call to another region costs more than one nearby, in waiting
 };
 
 // Example:
@@ -114,8 +114,8 @@
 
   struct Counts {
     std::int64_t arrived = 0, sends = 0, resends = 0, resumed = 0, answered = 0, refused_route = 0, refused_full = 0,
-                 refused_no_view = 0, unknown = 0, pended = 0, cold_sends = 0, resend_denied = 0, stopped = 0, far_sends = 0,
-                 kept_tokens = 0, read_tokens = 0;
+                 refused_no_view = 0, unknown = 0, pended = 0, cold_sends = 0, resend_denied = 0, stopped = 0,
+                 far_sends = 0, kept_tokens = 0, read_tokens = 0;
   };
   const Counts& counts() const { return counts_; }
 
@@ -143,13 +143,13 @@
   // What this daemon itself knows of one runner.
   struct Link {
     Integer in_flight = 0;
-    Integer prompt_tokens = 0;     // of sends without a first piece yet
+    Integer prompt_tokens = 0;  // of sends without a first piece yet
     Integer reported = 0, own_at_report = 0;
     Moment reported_at{-100000};
-    Moment shunned_until{-100000}; // it refused, reset or kept silent
-    int troubles = 0;              // in a row
-    Moment heard{-100000};         // anything came from it
-    std::deque<Moment> sent;       // the sends of the last second, for cold runners
+    Moment shunned_until{-100000};         // it refused, reset or kept silent
+    int troubles = 0;                      // in a row
+    Moment heard{-100000};                 // anything came from it
+    std::deque<Moment> sent;               // the sends of the last second, for cold runners
     std::map<std::uint64_t, Moment> kept;  // parts that it was sent before, and when last
   };
   std::set<RunnerName> runners_for_long(const std::vector<RunnerName>& pool, Moment now);
@@ -183,7 +183,7 @@
   absl::flat_hash_map<CallIndex, Call> calls_;
   std::map<RunnerName, Link> links_;
   std::map<std::pair<PoolName, RegionName>, Moment> short_seen_;  // where short calls went lately
-  std::map<std::pair<Integer, CallIndex>, CallIndex> queue_;  // by rank, then arrival
+  std::map<std::pair<Integer, CallIndex>, CallIndex> queue_;      // by rank, then arrival
   std::map<PoolName, double> resend_tokens_;
   std::vector<RoutedSend> sends_;
   std::vector<StopSend> stops_;
--- a/packages/call-routing/src/route_dispatcher.cpp
+++ b/packages/call-routing/src/route_dispatcher.cpp
@@ -10,19 +10,21 @@
 
 constexpr Span second{1000};
 constexpr Span young{400}, map_patience{150};  // a daemon that has just started; how long a call waits for its map
-constexpr Integer long_prompt = 2000;        // calls with more tokens hold the others up at a runner
+constexpr Integer long_prompt = 2000;          // calls with more tokens hold the others up at a runner
 constexpr double apart_cost = 40, mixed_cost = 250;  // a short call among long ones, a long one among short ones; ms
 constexpr Span short_memory{10000};
-constexpr double read_weight = 5;            // what is read again is paid for as well
-constexpr Integer tokens_a_ms = 60;          // read of a prompt, until something better is known
-constexpr Span report_life{700};             // a runner's word on its load counts that long
-constexpr Span kept_life{60000};             // parts that a runner was sent are taken for kept that long
+constexpr double read_weight = 5;    // what is read again is paid for as well
+constexpr Integer tokens_a_ms = 60;  // read of a prompt, until something better is known
+constexpr Span report_life{700};     // a runner's word on its load counts that long
+constexpr Span kept_life{60000};     // parts that a runner was sent are taken for kept that long
 constexpr Span silent_shun{1500}, refused_shun{700}, reset_shun{250}, wrong_life_shun{4000}, full_shun{60};
 
 std::uint64_t mix(std::uint64_t a, std::uint64_t b) { return RandomGenerator(a * 0x9E3779B97F4A7C15ull ^ b).next(); }
 
 Span silence_of(const TrafficRoute& route) { return Span{std::max<std::int64_t>(250, route.target_ms / 2)}; }
-Span gap_silence_of(const TrafficRoute& route) { return Span{std::max<std::int64_t>(250, (route.gap_ms > 0 ? route.gap_ms : 1000) * 3 / 4)}; }
+Span gap_silence_of(const TrafficRoute& route) {
+  return Span{std::max<std::int64_t>(250, (route.gap_ms > 0 ? route.gap_ms : 1000) * 3 / 4)};
+}
 // Held for less than a quarter of its target: the caller, told at once, still has time for another try.
 Span patience_of(const TrafficRoute& route) { return Span{route.target_ms * 22 / 100}; }
 
@@ -32,12 +34,15 @@
 
 void RouteDispatcher::see(std::shared_ptr<const TrafficView> view, Moment now) {
   view_ = std::move(view);
-  if (!began_) began_ = now;
+  if (!began_)
+    began_ = now;
   for (auto entry = links_.begin(); entry != links_.end();) {
     const Link& link = entry->second;
     bool is_fresh = !link.sent.empty() && now - link.sent.back() < second;  // it may be back at once, and cold
-    if (view_->runners.count(entry->first) == 0 && link.in_flight == 0 && !is_fresh) entry = links_.erase(entry);
-    else ++entry;
+    if (view_->runners.count(entry->first) == 0 && link.in_flight == 0 && !is_fresh)
+      entry = links_.erase(entry);
+    else
+      ++entry;
   }
   take_unmapped(now);
   pump(now);
@@ -49,8 +54,10 @@
 
 std::optional<FinalAct> RouteDispatcher::arrive(const RoutedCall& arriving, Moment now, CallIndex index) {
   ++counts_.arrived;
-  if (!began_) began_ = now;
-  if (view_->has_traffic) return take_in(arriving, now, now, index);
+  if (!began_)
+    began_ = now;
+  if (view_->has_traffic)
+    return take_in(arriving, now, now, index);
   // Who has just started knows its map within a moment, and the call waits for it; else it is told at once when to
   // come back.
   bool is_young = now - *began_ < young;
@@ -81,7 +88,8 @@
   }
 }
 
-std::optional<FinalAct> RouteDispatcher::take_in(const RoutedCall& arriving, Moment arrived, Moment now, CallIndex index) {
+std::optional<FinalAct> RouteDispatcher::take_in(const RoutedCall& arriving, Moment arrived, Moment now,
+                                                 CallIndex index) {
   const TrafficRoute* route = find_route(view_->routes, arriving.host, arriving.path);
   if (route == nullptr) {
     ++counts_.refused_route;
@@ -98,16 +106,20 @@
   call.tokens_out = arriving.tokens_out;
   call.resume_after = arriving.resume_after;
   // The last part is the call's own; the one before it tells which shared parts it has.
-  if (call.prompt.size() >= 2) call.key = call.prompt[call.prompt.size() - 2].id | 1;
+  if (call.prompt.size() >= 2)
+    call.key = call.prompt[call.prompt.size() - 2].id | 1;
   if (call.tokens_in == 0)
-    for (const auto& part : call.prompt) call.tokens_in += part.tokens;
+    for (const auto& part : call.prompt)
+      call.tokens_in += part.tokens;
   call.arrived = arrived;
   Span deadline{route->deadline_ms};
-  if (arriving.deadline.value > 0) deadline = std::min(deadline, arriving.deadline);
+  if (arriving.deadline.value > 0)
+    deadline = std::min(deadline, arriving.deadline);
   call.deadline = arrived + deadline;
   call.queued_until = arrived + std::min(patience_of(*route), Span{deadline.value / 3});
   auto entry = calls_.insert_or_assign(index, std::move(call)).first;
-  if (try_send(entry->second, now)) return std::nullopt;
+  if (try_send(entry->second, now))
+    return std::nullopt;
   if (queue_.size() >= settings_.queue_bound) {
     calls_.erase(entry);
     ++counts_.refused_full;
@@ -125,7 +137,8 @@
 
 Integer RouteDispatcher::cold_share(const RunnerRow& row) const {
   for (const auto& grant : row.grants)
-    if (grant.daemon == settings_.self) return grant.calls;
+    if (grant.daemon == settings_.self)
+      return grant.calls;
   return 0;
 }
 
@@ -136,7 +149,8 @@
   for (const auto& part : call.prompt) {
     auto kept = link.kept.find(part.id);
     is_kept = is_kept && kept != link.kept.end() && now - kept->second < kept_life;
-    if (!is_kept) unread += part.tokens;
+    if (!is_kept)
+      unread += part.tokens;
   }
   return unread;
 }
@@ -150,27 +164,34 @@
   std::size_t warm = 0;
   for (const auto& name : pool) {
     const RunnerRow& row = view_->runners.at(name);
-    if (row.status != "warm") continue;
+    if (row.status != "warm")
+      continue;
     ++warm;
     auto seen = short_seen_.find({row.pool, row.region});
     bool has_short = seen != short_seen_.end() && now - seen->second <= short_memory;
-    if (has_short) ranked[row.region].emplace_back(mix(stable_hash(name.text), 0x10a9), name);
-    else quiet.insert(name);
+    if (has_short)
+      ranked[row.region].emplace_back(mix(stable_hash(name.text), 0x10a9), name);
+    else
+      quiet.insert(name);
   }
-  if (quiet.size() * 3 >= warm * 2) return quiet;
+  if (quiet.size() * 3 >= warm * 2)
+    return quiet;
   std::set<RunnerName> apart = std::move(quiet);
   for (auto& [region, runners] : ranked) {
-    if (runners.size() < 2) continue;
+    if (runners.size() < 2)
+      continue;
     std::sort(runners.begin(), runners.end());
     std::size_t count = std::max<std::size_t>(1, runners.size() * 2 / 5);
-    for (std::size_t i = 0; i < count; ++i) apart.insert(runners[i].second);
+    for (std::size_t i = 0; i < count; ++i)
+      apart.insert(runners[i].second);
   }
   return apart;
 }
 
 std::optional<RunnerName> RouteDispatcher::match(Call& call, Moment now) {
   auto pool = view_->pools.find(call.pool);
-  if (pool == view_->pools.end()) return std::nullopt;
+  if (pool == view_->pools.end())
+    return std::nullopt;
   const Link blank;
   struct Choice {
     const RunnerRow* row = nullptr;
@@ -183,11 +204,14 @@
     // Short calls that are bound to no region come in all of them.
     if (call.route->homes.empty())
       for (const auto& [where, region] : view_->regions)
-        if (where.first == call.pool) short_seen_[{call.pool, where.second}] = now;
-    for (const auto& home : call.route->homes) short_seen_[{call.pool, home}] = now;
+        if (where.first == call.pool)
+          short_seen_[{call.pool, where.second}] = now;
+    for (const auto& home : call.route->homes)
+      short_seen_[{call.pool, home}] = now;
   }
   std::set<RunnerName> for_long;
-  if (call.tokens_in > 0) for_long = runners_for_long(pool->second, now);
+  if (call.tokens_in > 0)
+    for_long = runners_for_long(pool->second, now);
   auto may_go = [&](const RunnerRow& row) {
     const auto& homes = call.route->homes;
     return homes.empty() || std::find(homes.begin(), homes.end(), row.region) != homes.end();
@@ -199,11 +223,15 @@
   if (call.key != 0)
     for (const auto& name : pool->second) {
       const RunnerRow& row = view_->runners.at(name);
-      if (row.status != "warm" || !may_go(row)) continue;
-      if (!is_long && call.route->homes.empty() && row.region != settings_.region) continue;
-      if (!for_long.empty() && is_long != (for_long.count(name) != 0)) continue;
+      if (row.status != "warm" || !may_go(row))
+        continue;
+      if (!is_long && call.route->homes.empty() && row.region != settings_.region)
+        continue;
+      if (!for_long.empty() && is_long != (for_long.count(name) != 0))
+        continue;
       auto link = links_.find(name);
-      if (link != links_.end() && now < link->second.shunned_until) continue;
+      if (link != links_.end() && now < link->second.shunned_until)
+        continue;
       std::uint64_t weight = mix(stable_hash(name.text), call.key);
       if (keeper == nullptr || weight > keeper_weight) {
         stand_in = std::exchange(keeper, &row);
@@ -216,42 +244,62 @@
   for (const auto& name : pool->second) {
     const RunnerRow& row = view_->runners.at(name);
     bool is_cold = row.status == "cold";
-    if (row.status != "warm" && !is_cold) continue;
-    if (!may_go(row)) continue;
-    if (call.tried.count(name) != 0) continue;
+    if (row.status != "warm" && !is_cold)
+      continue;
+    if (!may_go(row))
+      continue;
+    if (call.tried.count(name) != 0)
+      continue;
     auto entry = links_.find(name);
     const Link& link = entry == links_.end() ? blank : entry->second;
-    if (now < link.shunned_until) continue;
-    if (link.troubles > 0 && link.in_flight > 0) continue;  // one at a time, until it has answered
+    if (now < link.shunned_until)
+      continue;
+    if (link.troubles > 0 && link.in_flight > 0)
+      continue;  // one at a time, until it has answered
     if (is_cold) {
-      if (!(now < cold_until_) || !began_ || now - *began_ < second) continue;
+      if (!(now < cold_until_) || !began_ || now - *began_ < second)
+        continue;
       auto recent = std::count_if(link.sent.begin(), link.sent.end(), [&](Moment at) { return now - at < second; });
-      if (recent >= cold_share(row)) continue;
+      if (recent >= cold_share(row))
+        continue;
     }
     Integer slots = row.capacity > 0 ? row.capacity : 8;
     Integer load = link.in_flight;
-    if (now - link.reported_at < report_life) load = std::max(load, link.reported + link.in_flight - link.own_at_report);
-    if (load >= slots + slots / 2 + 2) continue;  // full, with a queue
+    if (now - link.reported_at < report_life)
+      load = std::max(load, link.reported + link.in_flight - link.own_at_report);
+    if (load >= slots + slots / 2 + 2)
+      continue;  // full, with a queue
     double cost = 0;
-    if (row.region != settings_.region) cost += 2.0 * static_cast<double>(settings_.region_ms);
-    else if (row.zone != settings_.zone) cost += 2.0;
-    if (load >= slots) cost += 300.0 * static_cast<double>(load - slots + 1) / static_cast<double>(slots);
+    if (row.region != settings_.region)
+      cost += 2.0 * static_cast<double>(settings_.region_ms);
+    else if (row.zone != settings_.zone)
+      cost += 2.0;
+    if (load >= slots)
+      cost += 300.0 * static_cast<double>(load - slots + 1) / static_cast<double>(slots);
     // A model runner bears many at once at nearly the same pace; others serve each slot by itself.
     double crowd = static_cast<double>(load) - static_cast<double>(slots) / 4;
-    cost += call.tokens_in > 0 ? 0.2 * static_cast<double>(load) + 2 * std::max(0.0, crowd) : 60.0 * static_cast<double>(load) / static_cast<double>(slots);
-    if (!for_long.empty() && is_long != (for_long.count(name) != 0)) cost += is_long ? mixed_cost : apart_cost;
+    cost += call.tokens_in > 0 ? 0.2 * static_cast<double>(load) + 2 * std::max(0.0, crowd)
+                               : 60.0 * static_cast<double>(load) / static_cast<double>(slots);
+    if (!for_long.empty() && is_long != (for_long.count(name) != 0))
+      cost += is_long ? mixed_cost : apart_cost;
     cost += static_cast<double>(link.prompt_tokens) / tokens_a_ms;
-    if (is_cold) cost += 40;
+    if (is_cold)
+      cost += 40;
     if (!call.prompt.empty()) {
       // The keeper alone is believed to have the shared parts: elsewhere they may have given way since.
       Integer shared = call.tokens_in - call.prompt.back().tokens;
-      Integer unread = call.key == 0 ? call.tokens_in : keeper == &row ? call.tokens_in - shared : stand_in == &row ? call.tokens_in - shared / 5 : call.tokens_in;
+      Integer unread = call.key == 0      ? call.tokens_in
+                       : keeper == &row   ? call.tokens_in - shared
+                       : stand_in == &row ? call.tokens_in - shared / 5
+                                          : call.tokens_in;
       cost += read_weight * static_cast<double>(unread) / tokens_a_ms;
     }
     cost += static_cast<double>(mix(call_seed, stable_hash(name.text)) % 1000) / 250.0;
-    if (!best || cost < best->cost) best = Choice{&row, cost};
+    if (!best || cost < best->cost)
+      best = Choice{&row, cost};
   }
-  if (!best) return std::nullopt;
+  if (!best)
+    return std::nullopt;
   return best->row->name;
 }
 
@@ -261,21 +309,27 @@
     call.tried.clear();
     runner = match(call, now);
   }
-  if (!runner) return false;
+  if (!runner)
+    return false;
   const RunnerRow& row = view_->runners.at(*runner);
   Link& link = links_[*runner];
-  while (!link.sent.empty() && now - link.sent.front() >= Span{1200}) link.sent.pop_front();
+  while (!link.sent.empty() && now - link.sent.front() >= Span{1200})
+    link.sent.pop_front();
   link.sent.push_back(now);
   ++link.in_flight;
   Integer unread = unread_tokens(call, link, now);
   link.prompt_tokens += unread;
   counts_.read_tokens += unread;
   counts_.kept_tokens += call.tokens_in - std::min(call.tokens_in, unread);
-  for (const auto& part : call.prompt) link.kept[part.id] = now;
+  for (const auto& part : call.prompt)
+    link.kept[part.id] = now;
   if (link.kept.size() > 4096)
-    for (auto part = link.kept.begin(); part != link.kept.end();) part = now - part->second > Span{kept_life.value / 4} ? link.kept.erase(part) : std::next(part);
-  if (row.status == "cold") ++counts_.cold_sends;
-  if (row.region != settings_.region) ++counts_.far_sends;
+    for (auto part = link.kept.begin(); part != link.kept.end();)
+      part = now - part->second > Span{kept_life.value / 4} ? link.kept.erase(part) : std::next(part);
+  if (row.status == "cold")
+    ++counts_.cold_sends;
+  if (row.region != settings_.region)
+    ++counts_.far_sends;
   call.unread = unread;
   call.runner = *runner;
   call.is_queued = false;
@@ -288,33 +342,40 @@
     double& tokens = resend_tokens_.try_emplace(call.pool, settings_.resend_start).first->second;
     tokens = std::min(settings_.resend_bound, tokens + settings_.resend_share);
   }
-  sends_.push_back({call.index, call.turn, row.name, row.http, call.route->is_repeatable, call.route->is_streaming, call.route->rank, call.deadline, call.resume_after});
+  sends_.push_back({call.index, call.turn, row.name, row.http, call.route->is_repeatable, call.route->is_streaming,
+                    call.route->rank, call.deadline, call.resume_after});
   return true;
 }
 
 void RouteDispatcher::unlink(Call& call) {
-  if (!call.is_sent) return;
+  if (!call.is_sent)
+    return;
   call.is_sent = false;
   Link& link = links_[call.runner];
-  if (link.in_flight > 0) --link.in_flight;
-  if (!call.has_piece_here) link.prompt_tokens = std::max<Integer>(0, link.prompt_tokens - call.unread);
+  if (link.in_flight > 0)
+    --link.in_flight;
+  if (!call.has_piece_here)
+    link.prompt_tokens = std::max<Integer>(0, link.prompt_tokens - call.unread);
   call.has_piece_here = false;
 }
 
 // Is there a runner that may take such calls, busy or not?
 bool RouteDispatcher::has_living(const Call& call) const {
   auto pool = view_->pools.find(call.pool);
-  if (pool == view_->pools.end()) return false;
+  if (pool == view_->pools.end())
+    return false;
   const auto& homes = call.route->homes;
   return std::any_of(pool->second.begin(), pool->second.end(), [&](const RunnerName& name) {
     const RunnerRow& row = view_->runners.at(name);
-    return (row.status == "warm" || row.status == "cold") && (homes.empty() || std::find(homes.begin(), homes.end(), row.region) != homes.end());
+    return (row.status == "warm" || row.status == "cold") &&
+           (homes.empty() || std::find(homes.begin(), homes.end(), row.region) != homes.end());
   });
 }
 
 void RouteDispatcher::answer_begun(CallIndex index, int turn, Moment now) {
   auto entry = calls_.find(index);
-  if (entry == calls_.end() || entry->second.turn != turn || !entry->second.is_sent) return;
+  if (entry == calls_.end() || entry->second.turn != turn || !entry->second.is_sent)
+    return;
   Call& call = entry->second;
   call.has_answer = true;
   call.heard_at = now;
@@ -326,10 +387,12 @@
 void RouteDispatcher::first_piece(CallIndex index, int turn, Moment now) {
   answer_begun(index, turn, now);
   auto entry = calls_.find(index);
-  if (entry == calls_.end() || entry->second.turn != turn || !entry->second.is_sent) return;
+  if (entry == calls_.end() || entry->second.turn != turn || !entry->second.is_sent)
+    return;
   Call& call = entry->second;
   call.has_piece = true;
-  if (call.has_piece_here) return;
+  if (call.has_piece_here)
+    return;
   call.has_piece_here = true;
   Link& link = links_[call.runner];
   link.prompt_tokens = std::max<Integer>(0, link.prompt_tokens - call.unread);
@@ -345,7 +408,8 @@
 
 // May this call be sent once more, and is it paid for?
 bool RouteDispatcher::may_resend(Call& call, Moment now) {
-  if (call.turn - call.unsent >= std::max<Integer>(1, call.route->max_sends) || now >= call.deadline) return false;
+  if (call.turn - call.unsent >= std::max<Integer>(1, call.route->max_sends) || now >= call.deadline)
+    return false;
   double& tokens = resend_tokens_.try_emplace(call.pool, settings_.resend_start).first->second;
   if (tokens < 1) {
     ++counts_.resend_denied;
@@ -361,7 +425,8 @@
     if (try_send(call, now)) {
       resend_tokens_[call.pool] -= 1;
       ++counts_.resends;
-      if (call.has_piece) ++counts_.resumed;
+      if (call.has_piece)
+        ++counts_.resumed;
       return;
     }
     if (!call.has_piece && now < call.queued_until) {
@@ -380,7 +445,8 @@
 
 void RouteDispatcher::end_send(const RoutedEnd& end, Moment now) {
   auto entry = calls_.find(end.call);
-  if (entry == calls_.end() || entry->second.turn != end.turn || !entry->second.is_sent) return;
+  if (entry == calls_.end() || entry->second.turn != end.turn || !entry->second.is_sent)
+    return;
   Call& call = entry->second;
   unlink(call);
   Link& link = links_[call.runner];
@@ -389,12 +455,15 @@
     link.own_at_report = link.in_flight;
     link.reported_at = now;
   }
-  auto shun = [&](Span span) { link.shunned_until = std::max(link.shunned_until, now + span); };
+  auto shun = [&](Span span) {
+    link.shunned_until = std::max(link.shunned_until, now + span);
+  };
   auto trouble = [&](Span span) {
     ++link.troubles;
     shun(Span{span.value * std::min(link.troubles, 4)});
   };
-  if (end.kind != RoutedEndKind::unsent && end.kind != RoutedEndKind::caller_gone) call.tried.insert(call.runner);
+  if (end.kind != RoutedEndKind::unsent && end.kind != RoutedEndKind::caller_gone)
+    call.tried.insert(call.runner);
   switch (end.kind) {
     case RoutedEndKind::answered:
       ++counts_.answered;
@@ -419,8 +488,10 @@
       ++call.unsent;  // nothing left this daemon: another runner costs no resend
       bool is_sent_again = call.unsent <= 3 && now < call.deadline && try_send(call, now);
       if (!is_sent_again) {
-        if (now < call.queued_until && !call.has_piece) pend(call, now);
-        else resend_or_end(call, true, end.reason, now);
+        if (now < call.queued_until && !call.has_piece)
+          pend(call, now);
+        else
+          resend_or_end(call, true, end.reason, now);
       }
       break;
     }
@@ -428,7 +499,8 @@
     case RoutedEndKind::broken:
       trouble(reset_shun);
       call.may_have_run = true;
-      if (!end.last_event.empty()) call.resume_after = end.last_event;
+      if (!end.last_event.empty())
+        call.resume_after = end.last_event;
       resend_or_end(call, false, end.reason, now);
       break;
   }
@@ -436,9 +508,12 @@
 }
 
 void RouteDispatcher::caller_gone(CallIndex index, Moment now) {
-  unmapped_.erase(std::remove_if(unmapped_.begin(), unmapped_.end(), [&](const Unmapped& waiting) { return waiting.index == index; }), unmapped_.end());
+  unmapped_.erase(std::remove_if(unmapped_.begin(), unmapped_.end(),
+                                 [&](const Unmapped& waiting) { return waiting.index == index; }),
+                  unmapped_.end());
   auto entry = calls_.find(index);
-  if (entry == calls_.end()) return;
+  if (entry == calls_.end())
+    return;
   Call& call = entry->second;
   if (call.is_sent) {
     stops_.push_back({index, call.turn});
@@ -457,12 +532,16 @@
     bool is_resend = call.turn > call.unsent;
     if (call.queued_until <= now || call.deadline <= now) {
       ++counts_.refused_full;
-      if (call.may_have_run) finish(index, FinalAct{index, 502, "no runner came free to repeat it", true, Span{0}, {}});
-      else finish(index, refusal(index, "no runner came free for it", has_living(call) ? Span{250} : Span{1000}));
+      if (call.may_have_run)
+        finish(index, FinalAct{index, 502, "no runner came free to repeat it", true, Span{0}, {}});
+      else
+        finish(index, refusal(index, "no runner came free for it", has_living(call) ? Span{250} : Span{1000}));
       continue;
     }
-    if (is_resend && !may_resend(call, now)) continue;
-    if (!try_send(call, now)) continue;
+    if (is_resend && !may_resend(call, now))
+      continue;
+    if (!try_send(call, now))
+      continue;
     if (is_resend) {
       resend_tokens_[call.pool] -= 1;
       ++counts_.resends;
@@ -477,7 +556,8 @@
   // it is taken for dead. What may be repeated goes elsewhere; the rest waits for it.
   std::vector<CallIndex> silent;
   for (auto& [index, call] : calls_) {
-    if (!call.is_sent) continue;
+    if (!call.is_sent)
+      continue;
     if (call.deadline <= now) {
       silent.push_back(index);
       continue;
@@ -485,12 +565,14 @@
     Span patience = call.has_piece_here ? gap_silence_of(*call.route) : silence_of(*call.route);
     patience.value += unread_patience(call).value;
     const Link& link = links_[call.runner];
-    if (now - call.heard_at < patience || now - link.heard < patience || call.has_ended_silence) continue;
+    if (now - call.heard_at < patience || now - link.heard < patience || call.has_ended_silence)
+      continue;
     silent.push_back(index);
   }
   for (CallIndex index : silent) {
     auto entry = calls_.find(index);
-    if (entry == calls_.end() || !entry->second.is_sent) continue;
+    if (entry == calls_.end() || !entry->second.is_sent)
+      continue;
     Call& call = entry->second;
     Link& link = links_[call.runner];
     if (call.deadline <= now) {
@@ -505,12 +587,14 @@
       link.shunned_until = now + silent_shun;
     }
     call.has_ended_silence = true;  // once: what can't be repeated goes on waiting
-    if (!call.route->is_repeatable || !may_resend(call, now)) continue;
+    if (!call.route->is_repeatable || !may_resend(call, now))
+      continue;
     call.tried.insert(call.runner);
     RunnerName before = call.runner;
     int turn = call.turn;
     auto other = match(call, now);
-    if (!other) continue;  // no one else is there: it may yet answer
+    if (!other)
+      continue;  // no one else is there: it may yet answer
     stops_.push_back({index, turn});
     unlink(call);
     ++counts_.stopped;
@@ -519,7 +603,8 @@
     if (try_send(call, now)) {
       resend_tokens_[call.pool] -= 1;
       ++counts_.resends;
-      if (call.has_piece) ++counts_.resumed;
+      if (call.has_piece)
+        ++counts_.resumed;
     } else {
       ++counts_.unknown;
       finish(index, FinalAct{index, 502, "the runner fell silent", true, Span{0}, {}});
@@ -528,10 +613,13 @@
   pump(now);
 }
 
-Span RouteDispatcher::unread_patience(const Call& call) { return Span{call.has_piece_here ? 0 : call.unread / tokens_a_ms * 2}; }
+Span RouteDispatcher::unread_patience(const Call& call) {
+  return Span{call.has_piece_here ? 0 : call.unread / tokens_a_ms * 2};
+}
 
 Moment RouteDispatcher::timer_next(Moment now) const {
-  if (!queue_.empty() || !unmapped_.empty()) return now + Span{15};
+  if (!queue_.empty() || !unmapped_.empty())
+    return now + Span{15};
   return now + (calls_.empty() ? Span{500} : Span{60});
 }
 
--- a/packages/call-routing/tests/route_dispatcher_test.cpp
+++ b/packages/call-routing/tests/route_dispatcher_test.cpp
@@ -28,7 +28,8 @@
   return route;
 }
 
-RunnerRow runner_of(const std::string& name, const std::string& region, const std::string& status = "warm", Integer capacity = 8) {
+RunnerRow runner_of(const std::string& name, const std::string& region, const std::string& status = "warm",
+                    Integer capacity = 8) {
   RunnerRow row;
   row.name.text = name;
   row.http = name + ":80";
@@ -80,11 +81,14 @@
 
 // One dispatcher of region "north", on a clock that the test sets.
 struct Bench {
-  explicit Bench(const RouteDispatcherSettings& settings = settings_of("d1", "north")) : dispatcher(settings) { dispatcher.set_cold_until(Moment{INT64_MAX}); }
+  explicit Bench(const RouteDispatcherSettings& settings = settings_of("d1", "north")) : dispatcher(settings) {
+    dispatcher.set_cold_until(Moment{INT64_MAX});
+  }
   void see(const std::vector<RunnerRow>& runners, std::vector<TrafficRoute> routes = usual_routes()) {
     dispatcher.see(std::make_shared<TrafficView>(view_of(runners, routes)), now);
   }
-  std::optional<FinalAct> arrive(const std::string& route, CallIndex index, const std::vector<PromptPart>& prompt = {}) {
+  std::optional<FinalAct> arrive(const std::string& route, CallIndex index,
+                                 const std::vector<PromptPart>& prompt = {}) {
     RoutedCall call;
     call.id.text = "call-" + std::to_string(index);
     call.host = "a.example";
@@ -111,7 +115,8 @@
   std::optional<RoutedSend> sent() {
     auto sends = dispatcher.take_sends();
     EXPECT_LE(sends.size(), 1u);
-    if (sends.empty()) return std::nullopt;
+    if (sends.empty())
+      return std::nullopt;
     return sends.front();
   }
   RouteDispatcher dispatcher;
@@ -185,10 +190,12 @@
   bench.see({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("s1", "south")});
   for (CallIndex index = 1; index <= 40; ++index) {
     bench.arrive("homed", index);
-    for (const auto& send : bench.dispatcher.take_sends()) EXPECT_EQ(send.runner.text, "s1");
+    for (const auto& send : bench.dispatcher.take_sends())
+      EXPECT_EQ(send.runner.text, "s1");
   }
   bench.run_to(bench.now + Span{2000});
-  for (const auto& send : bench.dispatcher.take_sends()) EXPECT_EQ(send.runner.text, "s1");
+  for (const auto& send : bench.dispatcher.take_sends())
+    EXPECT_EQ(send.runner.text, "s1");
 }
 
 TEST(RouteDispatcher, HomesAreNotLeftWhenTheHomeHasNoRunner) {
@@ -211,7 +218,8 @@
   ASSERT_TRUE(send);
   bench.end(*send, RoutedEndKind::lost);
   bench.run_to(bench.now + Span{1000});
-  for (const auto& again : bench.dispatcher.take_sends()) EXPECT_EQ(again.runner.text, "s1");
+  for (const auto& again : bench.dispatcher.take_sends())
+    EXPECT_EQ(again.runner.text, "s1");
 }
 
 TEST(RouteDispatcher, RunnersThatTheViewTakesOutGetNothingFromThatMomentOn) {
@@ -219,12 +227,15 @@
     Bench bench;
     bench.see(two_north);
     bench.see({runner_of("n1", "north", status), runner_of("n2", "north")});
-    for (CallIndex index = 1; index <= 30; ++index) bench.arrive(index % 2 == 0 ? "free" : "once", index);
+    for (CallIndex index = 1; index <= 30; ++index)
+      bench.arrive(index % 2 == 0 ? "free" : "once", index);
     auto sends = bench.dispatcher.take_sends();
     EXPECT_FALSE(sends.empty());
-    for (const auto& send : sends) EXPECT_EQ(send.runner.text, "n2") << status;
+    for (const auto& send : sends)
+      EXPECT_EQ(send.runner.text, "n2") << status;
     bench.see({runner_of("n1", "north", status), runner_of("n2", "north", status)});
-    for (const auto& send : sends) bench.end(send, RoutedEndKind::refused);
+    for (const auto& send : sends)
+      bench.end(send, RoutedEndKind::refused);
     bench.run_to(bench.now + Span{1000});
     EXPECT_TRUE(bench.dispatcher.take_sends().empty()) << status;
     EXPECT_EQ(bench.dispatcher.in_hand(), 0u);
@@ -260,7 +271,8 @@
 TEST(RouteDispatcher, LongPromptsKeepOffTheRunnersOfShortCalls) {
   std::vector<RunnerRow> runners;
   for (int i = 1; i <= 5; ++i)
-    for (const char* region : {"north", "south"}) runners.push_back(runner_of(std::string(1, *region) + std::to_string(i), region, "warm", 64));
+    for (const char* region : {"north", "south"})
+      runners.push_back(runner_of(std::string(1, *region) + std::to_string(i), region, "warm", 64));
   Bench bench;
   bench.see(runners);
   std::set<std::string> for_short, for_long;
@@ -281,7 +293,8 @@
     bench.now = bench.now + Span{20};
   }
   EXPECT_FALSE(for_long.empty());
-  for (const auto& runner : for_long) EXPECT_EQ(for_short.count(runner), 0u) << runner;
+  for (const auto& runner : for_long)
+    EXPECT_EQ(for_short.count(runner), 0u) << runner;
 }
 
 TEST(RouteDispatcher, AColdRunnerGetsNoMoreThanItsShareInAnySecondAndNothingWithoutTheMastersWord) {
@@ -304,7 +317,8 @@
     }
   }
   EXPECT_GT(sent.size(), 9u);
-  for (std::size_t i = 3; i < sent.size(); ++i) EXPECT_GE(sent[i] - sent[i - 3], Span{1000});
+  for (std::size_t i = 3; i < sent.size(); ++i)
+    EXPECT_GE(sent[i] - sent[i - 3], Span{1000});
   bench.run_to(bench.now + Span{1500});
   bench.dispatcher.set_cold_until(bench.now);
   bench.arrive("free", 1000);
@@ -320,12 +334,14 @@
   before.see({cold});
   before.run_to(before.now + Span{1500});
   std::size_t sent = 0;
-  for (CallIndex index = 1; index <= 6; ++index) before.arrive("free", index);
+  for (CallIndex index = 1; index <= 6; ++index)
+    before.arrive("free", index);
   sent += before.dispatcher.take_sends().size();
   Bench after;
   after.now = before.now + Span{200};
   after.see({cold});
-  for (CallIndex index = 1; index <= 6; ++index) after.arrive("free", index);
+  for (CallIndex index = 1; index <= 6; ++index)
+    after.arrive("free", index);
   after.run_to(before.now + Span{999});
   sent += after.dispatcher.take_sends().size();
   EXPECT_LE(sent, 3u);
@@ -359,7 +375,8 @@
   bench.see({runner_of("n1", "north", "warm", 1)});
   Moment begun = bench.now;
   std::size_t sent = 0, refused = 0;
-  for (CallIndex index = 1; index <= 20; ++index) bench.arrive("free", index);
+  for (CallIndex index = 1; index <= 20; ++index)
+    bench.arrive("free", index);
   sent = bench.dispatcher.take_sends().size();
   bench.run_to(begun + Span{250});
   for (const auto& act : bench.dispatcher.take_finals()) {
@@ -374,7 +391,8 @@
 
 TEST(RouteDispatcher, NothingIsRefusedWhileARunnerThatMayTakeItIsFree) {
   Bench bench;
-  std::vector<RunnerRow> runners{runner_of("n1", "north", "warm", 4), runner_of("s1", "south", "warm", 4), runner_of("w1", "west", "warm", 4)};
+  std::vector<RunnerRow> runners{runner_of("n1", "north", "warm", 4), runner_of("s1", "south", "warm", 4),
+                                 runner_of("w1", "west", "warm", 4)};
   bench.see(runners);
   for (CallIndex index = 1; index <= 12; ++index) {  // as many as all have slots, whatever is nearer
     EXPECT_FALSE(bench.arrive("free", index));
@@ -390,7 +408,8 @@
   std::vector<RoutedSend> sends;
   while (bench.dispatcher.counts().pended == 0) {
     bench.arrive("free", ++index);
-    for (const auto& send : bench.dispatcher.take_sends()) sends.push_back(send);
+    for (const auto& send : bench.dispatcher.take_sends())
+      sends.push_back(send);
   }
   bench.now = bench.now + Span{100};
   bench.end(sends.front(), RoutedEndKind::answered);
@@ -412,10 +431,12 @@
   Bench bench;
   bench.see({});
   int at = 0;
-  for (const char* name : {"last", "free", "first", "last", "free", "first"}) EXPECT_FALSE(bench.arrive(name, ++at));
+  for (const char* name : {"last", "free", "first", "last", "free", "first"})
+    EXPECT_FALSE(bench.arrive(name, ++at));
   bench.see({runner_of("n1", "north", "warm", 64)});
   std::vector<CallIndex> order;
-  for (const auto& send : bench.dispatcher.take_sends()) order.push_back(send.call);
+  for (const auto& send : bench.dispatcher.take_sends())
+    order.push_back(send.call);
   EXPECT_EQ(order, (std::vector<CallIndex>{3, 6, 2, 5, 1, 4}));
 }
 
@@ -424,7 +445,8 @@
   settings.queue_bound = 5;
   Bench bench(settings);
   bench.see({});
-  for (CallIndex index = 1; index <= 5; ++index) EXPECT_FALSE(bench.arrive("free", index));
+  for (CallIndex index = 1; index <= 5; ++index)
+    EXPECT_FALSE(bench.arrive("free", index));
   auto refusal = bench.arrive("free", 6);
   ASSERT_TRUE(refusal);
   EXPECT_EQ(refusal->code, 503);
@@ -478,7 +500,8 @@
     auto once = route_of("once", false);
     once.max_sends = max_sends;
     std::vector<RunnerRow> runners;
-    for (int i = 1; i <= 6; ++i) runners.push_back(runner_of("n" + std::to_string(i), "north"));
+    for (int i = 1; i <= 6; ++i)
+      runners.push_back(runner_of("n" + std::to_string(i), "north"));
     bench.see(runners, {once});
     bench.arrive("once", 1);
     Integer sends = 0;
@@ -578,7 +601,8 @@
   EXPECT_NE(second->runner, first->runner);
   for (CallIndex index = 2; index <= 9; ++index) {
     bench.arrive("free", index);
-    for (const auto& send : bench.dispatcher.take_sends()) EXPECT_NE(send.runner, first->runner);
+    for (const auto& send : bench.dispatcher.take_sends())
+      EXPECT_NE(send.runner, first->runner);
     bench.now = bench.now + Span{100};
   }
 }
@@ -675,7 +699,8 @@
   bench.end(*first, RoutedEndKind::refused);
   auto second = bench.sent();
   ASSERT_TRUE(second);
-  for (auto kind : {RoutedEndKind::answered, RoutedEndKind::lost, RoutedEndKind::unsent, RoutedEndKind::caller_gone}) bench.end(*first, kind);
+  for (auto kind : {RoutedEndKind::answered, RoutedEndKind::lost, RoutedEndKind::unsent, RoutedEndKind::caller_gone})
+    bench.end(*first, kind);
   EXPECT_EQ(bench.dispatcher.in_hand(), 1u);
   EXPECT_FALSE(bench.sent());
   EXPECT_TRUE(bench.dispatcher.take_finals().empty());
@@ -713,7 +738,8 @@
   ASSERT_TRUE(second);
   bench.end(*second, RoutedEndKind::refused);
   auto finals = bench.dispatcher.take_finals();
-  for (const auto& act : finals) EXPECT_FALSE(act.may_have_run);
+  for (const auto& act : finals)
+    EXPECT_FALSE(act.may_have_run);
 }
 
 // --- properties over random days ---------------------------------------------------------------------
@@ -739,7 +765,8 @@
       start(daemons.back());
     }
     auto count = 3 + random.below(16);
-    for (int i = 0; i < count; ++i) add_runner();
+    for (int i = 0; i < count; ++i)
+      add_runner();
     calls_a_tick = 1 + random.below(4);
     trouble = random.below(4) == 0 ? 0.6 : 0.03 + 0.1 * static_cast<double>(random.below(3));
     is_refusing = random.below(3) == 0;
@@ -781,7 +808,8 @@
 
   void add_runner() {
     const char* regions[] = {"north", "south", "west"};
-    auto row = runner_of("r" + std::to_string(++last_runner), regions[random.below(3)], random.chance(0.5) ? "warm" : "cold", 2 + random.below(12));
+    auto row = runner_of("r" + std::to_string(++last_runner), regions[random.below(3)],
+                         random.chance(0.5) ? "warm" : "cold", 2 + random.below(12));
     row.pool.text = random.chance(0.8) ? "p" : "q";
     row.allowance = 1 + random.below(30);
     runners[row.name] = row;
@@ -796,42 +824,53 @@
         continue;
       }
       // Cold again only after every old share has run out; else another life comes.
-      if (drawn == 1 && now - warm_since[row.name] > Span{4000}) row.status = "cold";
+      if (drawn == 1 && now - warm_since[row.name] > Span{4000})
+        row.status = "cold";
       if (drawn <= 4 && drawn >= 2 && row.status == "cold") {
         row.status = "warm";
         warm_since[row.name] = now;
       }
-      if (drawn == 5) row.status = "leaving";
-      if (drawn == 6) row.status = "emptied";
-      if (drawn == 7) row.status = "down";
+      if (drawn == 5)
+        row.status = "leaving";
+      if (drawn == 6)
+        row.status = "emptied";
+      if (drawn == 7)
+        row.status = "down";
       ++entry;
     }
-    if (runners.size() < 3 || (runners.size() < 20 && random.chance(0.1))) add_runner();
+    if (runners.size() < 3 || (runners.size() < 20 && random.chance(0.1)))
+      add_runner();
   }
 
   void publish() {
     change_runners();
     std::vector<std::string> all;
     for (const auto& daemon : daemons)
-      if (daemon.down_until <= now && now >= daemon.cut_until) all.push_back(daemon.address);
+      if (daemon.down_until <= now && now >= daemon.cut_until)
+        all.push_back(daemon.address);
     TrafficView view;
     {
       std::vector<RunnerRow> rows;
       for (auto& [name, row] : runners) {
         row.grants.clear();
-        if (row.status == "cold") row.grants = shares.share(row, all, all, now);
-        else if (row.status == "warm") shares.forget(name);
+        if (row.status == "cold")
+          row.grants = shares.share(row, all, all, now);
+        else if (row.status == "warm")
+          shares.forget(name);
         rows.push_back(row);
       }
       auto routes = usual_routes();
-      for (auto& route : routes) route.pools = {{PoolName{"p"}, 3}, {PoolName{"q"}, 1}};
+      for (auto& route : routes)
+        route.pools = {{PoolName{"p"}, 3}, {PoolName{"q"}, 1}};
       view = view_of(rows, routes);
     }
     auto shared = std::make_shared<const TrafficView>(std::move(view));
     for (auto& daemon : daemons) {
-      if (now < daemon.cut_until || now < daemon.down_until) continue;
+      if (now < daemon.cut_until || now < daemon.down_until)
+        continue;
       Moment at = now + Span{1 + random.below(120)};
-      if (!daemon.mail.empty()) at = std::max(at, daemon.mail.back().at);
+      if (!daemon.mail.empty())
+        at = std::max(at, daemon.mail.back().at);
       daemon.mail.push_back({at, shared, now});
     }
   }
@@ -844,9 +883,9 @@
     auto entry = daemon.calls.find(send.call);
     RC_ASSERT(entry != daemon.calls.end());
     InHand& call = entry->second;
-    RC_ASSERT(!call.is_sent);                          // (d)
+    RC_ASSERT(!call.is_sent);  // (d)
     RC_ASSERT(send.turn == call.turn + 1);
-    RC_ASSERT(call.is_repeatable || call.all_sure);    // (c)
+    RC_ASSERT(call.is_repeatable || call.all_sure);  // (c)
     const auto& row = daemon.view->runners.at(send.runner);
     RC_ASSERT(row.status == "warm" || (row.status == "cold" && now < daemon.cold_until));
     call.is_sent = true;
@@ -858,19 +897,26 @@
     if (random.chance(trouble)) {
       auto drawn = is_refusing ? 0 : random.below(7);
       is_silent = drawn == 6;
-      const RoutedEndKind kinds[] = {RoutedEndKind::refused, RoutedEndKind::wrong_life, RoutedEndKind::unsent, RoutedEndKind::lost, RoutedEndKind::broken, RoutedEndKind::lost, RoutedEndKind::lost};
+      const RoutedEndKind kinds[] = {RoutedEndKind::refused, RoutedEndKind::wrong_life, RoutedEndKind::unsent,
+                                     RoutedEndKind::lost,    RoutedEndKind::broken,     RoutedEndKind::lost,
+                                     RoutedEndKind::lost};
       kind = kinds[drawn];
     }
     bool reaches = kind != RoutedEndKind::unsent;
-    if (reaches) ++call.arrivals;
+    if (reaches)
+      ++call.arrivals;
     all_sends.push_back({now, static_cast<int>(&daemon - daemons.data()), call.arrivals <= 1, reaches, row.pool});
-    if (row.status == "cold") cold_sends[send.runner].push_back(all_sends.back());
-    if (is_silent) return;
+    if (row.status == "cold")
+      cold_sends[send.runner].push_back(all_sends.back());
+    if (is_silent)
+      return;
     bool has_pieces = kind == RoutedEndKind::answered || kind == RoutedEndKind::broken;
     Span takes{1 + random.below(kind == RoutedEndKind::answered ? 400 : 60)};
     CallIndex index = send.call;
     int turn = send.turn;
-    if (has_pieces) plan(daemon, Span{takes.value / 2}, [this, index, turn](Daemon& at) { at.dispatcher->first_piece(index, turn, now); });
+    if (has_pieces)
+      plan(daemon, Span{takes.value / 2},
+           [this, index, turn](Daemon& at) { at.dispatcher->first_piece(index, turn, now); });
     int ends = random.chance(0.05) ? 2 : 1;  // told twice, now and then
     for (int i = 0; i < ends; ++i)
       plan(daemon, takes, [this, index, turn, kind](Daemon& at) {
@@ -885,20 +931,24 @@
         end.running = random.below(10);
         if (is_current) {
           found->second.is_sent = false;
-          bool is_sure = kind == RoutedEndKind::refused || kind == RoutedEndKind::wrong_life || kind == RoutedEndKind::unsent;
+          bool is_sure =
+              kind == RoutedEndKind::refused || kind == RoutedEndKind::wrong_life || kind == RoutedEndKind::unsent;
           found->second.all_sure = found->second.all_sure && is_sure;
-          if (kind == RoutedEndKind::answered) at.calls.erase(found);
+          if (kind == RoutedEndKind::answered)
+            at.calls.erase(found);
         }
         at.dispatcher->end_send(end, now);
       });
-    if (random.chance(0.02)) plan(daemon, Span{random.below(300)}, [this, index](Daemon& at) {
-      at.dispatcher->caller_gone(index, now);
-      auto found = at.calls.find(index);
-      if (found == at.calls.end()) return;
-      auto stops = at.dispatcher->take_stops();
-      RC_ASSERT(stops.size() == (found->second.is_sent ? 1u : 0u));
-      at.calls.erase(found);
-    });
+    if (random.chance(0.02))
+      plan(daemon, Span{random.below(300)}, [this, index](Daemon& at) {
+        at.dispatcher->caller_gone(index, now);
+        auto found = at.calls.find(index);
+        if (found == at.calls.end())
+          return;
+        auto stops = at.dispatcher->take_stops();
+        RC_ASSERT(stops.size() == (found->second.is_sent ? 1u : 0u));
+        at.calls.erase(found);
+      });
   }
 
   void collect(Daemon& daemon) {
@@ -907,7 +957,8 @@
       RC_ASSERT(entry != daemon.calls.end() && entry->second.is_sent && entry->second.turn == stop.turn);
       entry->second.is_sent = entry->second.all_sure = false;
     }
-    for (const auto& send : daemon.dispatcher->take_sends()) take_send(daemon, send);
+    for (const auto& send : daemon.dispatcher->take_sends())
+      take_send(daemon, send);
     for (const auto& act : daemon.dispatcher->take_finals()) {
       auto entry = daemon.calls.find(act.call);
       RC_ASSERT(entry != daemon.calls.end());  // ends once
@@ -926,11 +977,14 @@
     call.id.text = "c" + std::to_string(index);
     call.host = "a.example";
     call.path = "/" + name + "/";
-    if (random.chance(0.3)) call.prompt = {{static_cast<std::uint64_t>(random.below(5)), 500 + random.below(4000)}, {static_cast<std::uint64_t>(index) + 1000, 100}};
+    if (random.chance(0.3))
+      call.prompt = {{static_cast<std::uint64_t>(random.below(5)), 500 + random.below(4000)},
+                     {static_cast<std::uint64_t>(index) + 1000, 100}};
     InHand known;
     known.is_repeatable = name != "once";
     daemon.calls[index] = known;
-    if (daemon.dispatcher->arrive(call, now, index)) daemon.calls.erase(index);
+    if (daemon.dispatcher->arrive(call, now, index))
+      daemon.calls.erase(index);
     collect(daemon);
   }
 
@@ -944,8 +998,10 @@
         publish_at = now + Span{60 + random.below(200)};
       }
       for (auto& daemon : daemons) {
-        if (now < daemon.down_until) continue;
-        if (!is_evening && random.below(4000) == 0) daemon.cut_until = now + Span{random.below(4000)};
+        if (now < daemon.down_until)
+          continue;
+        if (!is_evening && random.below(4000) == 0)
+          daemon.cut_until = now + Span{random.below(4000)};
         if (!is_evening && random.below(3000) == 0) {
           start(daemon);
           daemon.down_until = now + Span{random.below(600)};
@@ -960,7 +1016,8 @@
           for (const auto& [name, row] : letter.view->runners) {
             Integer calls = 0;
             for (const auto& grant : row.grants)
-              if (grant.daemon.text == daemon.address) calls = grant.calls;
+              if (grant.daemon.text == daemon.address)
+                calls = grant.calls;
             daemon.shares[name].emplace_back(now, row.status == "cold" ? calls : 0);
           }
           daemon.dispatcher->see(letter.view, now);
@@ -971,14 +1028,16 @@
         Event event = events.begin()->second;
         events.erase(events.begin());
         Daemon& daemon = daemons[static_cast<std::size_t>(event.daemon)];
-        if (daemon.life != event.life) continue;
+        if (daemon.life != event.life)
+          continue;
         event.act(daemon);
         collect(daemon);
       }
       if (!is_evening)
         for (auto i = random.below(calls_a_tick + 1); i > 0; --i) {
           Daemon& daemon = daemons[static_cast<std::size_t>(random.below(12))];
-          if (daemon.down_until <= now) arrive(daemon);
+          if (daemon.down_until <= now)
+            arrive(daemon);
         }
       if (now.value % 15 == 0)
         for (auto& daemon : daemons) {
@@ -992,11 +1051,13 @@
   Integer share_within(const Daemon& daemon, const RunnerName& runner, Moment from, Moment to) const {
     auto held = daemon.shares.find(runner);
     Integer most = 0;
-    if (held == daemon.shares.end()) return 0;
+    if (held == daemon.shares.end())
+      return 0;
     for (std::size_t i = 0; i < held->second.size(); ++i) {
       auto [since, calls] = held->second[i];
       Moment until = i + 1 < held->second.size() ? held->second[i + 1].first : Moment{INT64_MAX};
-      if (since <= to && until >= from) most = std::max(most, calls);
+      if (since <= to && until >= from)
+        most = std::max(most, calls);
     }
     return most;
   }
@@ -1005,13 +1066,16 @@
   void check_cold() const {
     for (const auto& [runner, sends] : cold_sends) {
       for (std::size_t end = 0, begin = 0; end < sends.size(); ++end) {
-        while (sends[end].at - sends[begin].at >= Span{1000}) ++begin;
+        while (sends[end].at - sends[begin].at >= Span{1000})
+          ++begin;
         std::map<int, Integer> by_daemon;
-        for (std::size_t i = begin; i <= end; ++i) ++by_daemon[sends[i].dispatcher];
+        for (std::size_t i = begin; i <= end; ++i)
+          ++by_daemon[sends[i].dispatcher];
         Integer sum = 0, granted = 0;
         for (const auto& [index, count] : by_daemon) {
           sum += count;
-          granted += share_within(daemons[static_cast<std::size_t>(index)], runner, sends[end].at + Span{-999}, sends[end].at);
+          granted +=
+              share_within(daemons[static_cast<std::size_t>(index)], runner, sends[end].at + Span{-999}, sends[end].at);
         }
         RC_ASSERT(sum <= granted);
       }
@@ -1022,12 +1086,14 @@
   void check_resends() const {
     std::map<PoolName, std::vector<Sent>> by_pool;
     for (const auto& sent : all_sends)
-      if (sent.reaches) by_pool[sent.of].push_back(sent);
+      if (sent.reaches)
+        by_pool[sent.of].push_back(sent);
     for (const auto& [name, sends] : by_pool) {
       Integer first = 0, again = 0;
       for (std::size_t end = 0, begin = 0; end < sends.size(); ++end) {
         ++(sends[end].is_first ? first : again);
-        for (; sends[end].at - sends[begin].at >= Span{10000}; ++begin) --(sends[begin].is_first ? first : again);
+        for (; sends[end].at - sends[begin].at >= Span{10000}; ++begin)
+          --(sends[begin].is_first ? first : again);
         RC_ASSERT(static_cast<double>(again) < 0.2 * static_cast<double>(first) + 64);
       }
     }
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -41,7 +41,8 @@
 //   proposer.on_message(from, message, now); proposer.on_timer(now); for (auto& s : proposer.take_out()) send(s);
 class RegisterProposer {
  public:
-  RegisterProposer(Address self, RandomGenerator random) : self_(std::move(self)), random_(random), last_ask_(first_ask(random_)) {}
+  RegisterProposer(Address self, RandomGenerator random)
+      : self_(std::move(self)), random_(random), last_ask_(first_ask(random_)) {}
 
   // The set as others tell of it: taken while none is known, else asked as well when the known one has not
   // answered for a while (it may have been replaced whole). Example: proposer.learn_acceptors(answer.acceptors)
@@ -112,7 +113,7 @@
   Address self_;
   RandomGenerator random_;
   std::vector<AcceptorEntry> acceptors_, next_acceptors_;
-  Address value_at_;          // a copy that holds a newer value than is known here
+  Address value_at_;         // a copy that holds a newer value than is known here
   std::set<Address> hints_;  // where others say copies are
   Ballot highest_seen_;
   bool has_state_ = false;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -16,9 +16,11 @@
 
 Outcome<AcceptorRecord> unpack_record(const std::string& bytes) {
   auto message = decode_message(bytes);
-  if (!message) return failure(message.reason);
+  if (!message)
+    return failure(message.reason);
   const auto* shape = std::get_if<Promise>(&*message);
-  if (shape == nullptr) return failure("not an acceptor record");
+  if (shape == nullptr)
+    return failure("not an acceptor record");
   return AcceptorRecord{shape->promised, shape->granted, shape->accepted, shape->value};
 }
 
@@ -28,12 +30,14 @@
   std::map<Ballot, Bytes> values{{Ballot{}, Bytes{}}};
   for (const auto& bytes : records) {
     auto record = unpack_record(bytes);
-    if (!record) return failure(record.reason);
+    if (!record)
+      return failure(record.reason);
     if (record->has_value) {
       values[record->accepted] = record->value;
     } else {
       auto stands_on = values.find(record->accepted);
-      if (stands_on == values.end()) return failure("a promise stands on a value that is not in the log");
+      if (stands_on == values.end())
+        return failure("a promise stands on a value that is not in the log");
       record->value = stands_on->second;
     }
     settle(*record);
@@ -47,7 +51,8 @@
   synced_ = record;
   if (is_new_value) {
     auto state = decode_state(record.value.data);
-    if (state) state_ = std::move(*state);
+    if (state)
+      state_ = std::move(*state);
   }
 }
 
@@ -55,15 +60,18 @@
   ahead_ = after;
   AcceptorRecord lean = after;
   lean.has_value = has_value;
-  if (!has_value) lean.value = Bytes{};
+  if (!has_value)
+    lean.value = Bytes{};
   held_.push_back({++last_token_, std::move(after), std::move(answer)});
   writes_.push_back({last_token_, pack_record(lean)});
 }
 
 bool RegisterAcceptor::on_message(const Address& from, const Message& message, Moment now) {
-  if (!awake_since_) awake_since_ = now;
+  if (!awake_since_)
+    awake_since_ = now;
   if (const auto* prepare = std::get_if<Prepare>(&message)) {
-    if (prepare->store != store_) return true;  // meant for the store that was here before
+    if (prepare->store != store_)
+      return true;  // meant for the store that was here before
     if (prepare->ballot < ahead_.promised || prepare->ballot == ahead_.promised) {
       out_.push_back({from, Promise{prepare->ask, store_, false, ahead_.promised, Ballot{}, Bytes{}}});
       return true;
@@ -76,15 +84,18 @@
     return true;
   }
   if (const auto* accept = std::get_if<Accept>(&message)) {
-    if (accept->store != store_) return true;
+    if (accept->store != store_)
+      return true;
     if (accept->ballot < ahead_.promised) {
       out_.push_back({from, Accepted{accept->ask, store_, false, ahead_.promised}});
       return true;
     }
     Sending answer{from, Accepted{accept->ask, store_, true, accept->ballot}};
     if (accept->ballot == ahead_.accepted) {  // a copy that is already here, or on its way to disk
-      if (held_.empty()) out_.push_back(std::move(answer));
-      else write(ahead_, false, std::move(answer));
+      if (held_.empty())
+        out_.push_back(std::move(answer));
+      else
+        write(ahead_, false, std::move(answer));
       return true;
     }
     AcceptorRecord after{accept->ballot, true, accept->ballot, accept->value};
@@ -92,7 +103,8 @@
     return true;
   }
   if (const auto* read = std::get_if<ReadAsk>(&message)) {
-    if (read->role == "edge") heard_[from] = now;
+    if (read->role == "edge")
+      heard_[from] = now;
     ReadAnswer answer;
     answer.ask = read->ask;
     answer.store = store_;
@@ -102,16 +114,20 @@
     answer.acceptors = state_.acceptors;
     answer.next_acceptors = state_.next_acceptors;
     answer.awake = (now - *awake_since_).value;
-    if (read->role != "data" && !read->lean && read->known != synced_.accepted) answer.value = synced_.value;
+    if (read->role != "data" && !read->lean && read->known != synced_.accepted)
+      answer.value = synced_.value;
     if (read->wants_heard)
-      for (const auto& [daemon, moment] : heard_) answer.heard.push_back({daemon, (now - moment).value});
+      for (const auto& [daemon, moment] : heard_)
+        answer.heard.push_back({daemon, (now - moment).value});
     out_.push_back({from, std::move(answer)});
     return true;
   }
   if (const auto* found = std::get_if<Found>(&message)) {
     FoundAnswer answer{found->ask, store_, false, ""};
-    if (found->store != store_) answer.reason = "another store";
-    else if (ahead_.accepted != Ballot{} && !(ahead_.value == found->value)) answer.reason = "this store already holds a register";
+    if (found->store != store_)
+      answer.reason = "another store";
+    else if (ahead_.accepted != Ballot{} && !(ahead_.value == found->value))
+      answer.reason = "this store already holds a register";
     if (!answer.reason.empty()) {
       out_.push_back({from, answer});
       return true;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -15,14 +15,16 @@
 
 bool holds_majority(const std::vector<AcceptorEntry>& set, const std::set<StoreId>& answered) {
   std::size_t count = 0;
-  for (const auto& entry : set) count += answered.count(entry.store);
+  for (const auto& entry : set)
+    count += answered.count(entry.store);
   return count >= set.size() / 2 + 1;
 }
 
 bool same_set(const std::vector<AcceptorEntry>& a, const std::vector<AcceptorEntry>& b) {
   auto ids = [](const std::vector<AcceptorEntry>& set) {
     std::set<std::pair<StoreId, Address>> names;
-    for (const auto& entry : set) names.insert({entry.store, entry.address});
+    for (const auto& entry : set)
+      names.insert({entry.store, entry.address});
     return names;
   };
   return ids(a) == ids(b);
@@ -31,14 +33,18 @@
 
 bool has_majority(const std::vector<AcceptorEntry>& acceptors, const std::vector<AcceptorEntry>& next,
                   const std::set<StoreId>& answered) {
-  if (acceptors.empty()) return false;
+  if (acceptors.empty())
+    return false;
   return holds_majority(acceptors, answered) && (next.empty() || holds_majority(next, answered));
 }
 
 void RegisterProposer::learn_acceptors(const std::vector<AcceptorEntry>& acceptors) {
-  if (!has_state_ && acceptors_.empty() && !acceptors.empty()) acceptors_ = acceptors;
-  if (hints_.size() > hint_bound) hints_.clear();
-  for (const auto& entry : acceptors) hints_.insert(entry.address);
+  if (!has_state_ && acceptors_.empty() && !acceptors.empty())
+    acceptors_ = acceptors;
+  if (hints_.size() > hint_bound)
+    hints_.clear();
+  for (const auto& entry : acceptors)
+    hints_.insert(entry.address);
 }
 
 std::vector<AcceptorEntry> RegisterProposer::everyone() const {
@@ -51,16 +57,19 @@
 
 void RegisterProposer::send_each(const std::vector<AcceptorEntry>& stores,
                                  const std::function<Message(const StoreId&)>& make) {
-  for (const auto& entry : stores) out_.push_back({entry.address, make(entry.store)});
+  for (const auto& entry : stores)
+    out_.push_back({entry.address, make(entry.store)});
 }
 
 void RegisterProposer::change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience) {
   waiting_.push_back({std::move(change), std::move(done), now + patience});
-  if (!current_) start_next(now);
+  if (!current_)
+    start_next(now);
 }
 
 void RegisterProposer::start_next(Moment now) {
-  if (current_ || waiting_.empty()) return;
+  if (current_ || waiting_.empty())
+    return;
   current_.emplace();
   current_->job = std::move(waiting_.front());
   waiting_.pop_front();
@@ -130,7 +139,8 @@
   round.granted.clear();
   round.value.data = encode_state(round.proposed);
   round.phase_end = now + patience_for(round.value.data.size());
-  if (verdict.kind == Verdict::Kind::apply) round.job.was_accept_sent = true;
+  if (verdict.kind == Verdict::Kind::apply)
+    round.job.was_accept_sent = true;
   std::vector<AcceptorEntry> stores = everyone();
   for (const auto& set : {round.proposed.acceptors, round.proposed.next_acceptors})
     for (const auto& entry : set)
@@ -148,17 +158,22 @@
     acceptors_ = state.acceptors;
     next_acceptors_ = state.next_acceptors;
   }
-  if (confirmed_at_ < proven_from) confirmed_at_ = proven_from;
-  if (highest_seen_ < ballot) highest_seen_ = ballot;
+  if (confirmed_at_ < proven_from)
+    confirmed_at_ = proven_from;
+  if (highest_seen_ < ballot)
+    highest_seen_ = ballot;
 }
 
 void RegisterProposer::finish(ChangeEnd end, Moment now) {
   auto done = std::move(current_->job.done);
   current_.reset();
-  if (end.kind == ChangeEnd::Kind::committed) ++counts_.committed;
-  if (end.kind == ChangeEnd::Kind::unknown) ++counts_.unknown;
+  if (end.kind == ChangeEnd::Kind::committed)
+    ++counts_.committed;
+  if (end.kind == ChangeEnd::Kind::unknown)
+    ++counts_.unknown;
   start_next(now);
-  if (done) done(end);
+  if (done)
+    done(end);
 }
 
 void RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
@@ -170,7 +185,8 @@
   read_values_.clear();
   ReadAsk ask{read_->ask, role, state_ballot_, wants_heard, false};
   // A large value is asked of one copy: this machine's own, or where the last read saw a newer one.
-  bool has_own = std::any_of(acceptors_.begin(), acceptors_.end(), [&](const auto& entry) { return entry.address == self_; });
+  bool has_own =
+      std::any_of(acceptors_.begin(), acceptors_.end(), [&](const auto& entry) { return entry.address == self_; });
   if (has_own && state_bytes_.data.size() >= large_value) {
     Address full = value_at_.empty() ? self_ : value_at_;
     value_at_ = Address{};
@@ -182,10 +198,13 @@
     return;
   }
   std::set<Address> hints;
-  if (!has_state_ || now - confirmed_at_ > hint_patience) hints = hints_;
-  for (const auto& entry : everyone()) hints.erase(entry.address);
+  if (!has_state_ || now - confirmed_at_ > hint_patience)
+    hints = hints_;
+  for (const auto& entry : everyone())
+    hints.erase(entry.address);
   send_each(everyone(), [&](const StoreId&) { return ask; });
-  for (const auto& hint : hints) out_.push_back({hint, ask});
+  for (const auto& hint : hints)
+    out_.push_back({hint, ask});
 }
 
 void RegisterProposer::settle_read(Moment now) {
@@ -193,9 +212,11 @@
   std::set<StoreId> same, all;
   for (const auto& [store, ballot] : read.answers) {
     all.insert(store);
-    if (ballot == read.highest) same.insert(store);
+    if (ballot == read.highest)
+      same.insert(store);
   }
-  if (read.highest == Ballot{}) return;
+  if (read.highest == Ballot{})
+    return;
   if (!has_majority(read.acceptors, read.next, all)) {
     // The newest answer may name other copies than those asked.
     if (!same_set(read.acceptors, acceptors_) || !same_set(read.next, next_acceptors_)) {
@@ -211,11 +232,13 @@
     // The most recent sign of life that any copy of this majority has seen, once all have watched.
     std::map<Address, Span> silences;
     Span watched{INT64_MAX};
-    for (const auto& [store, span] : read.awake) watched = std::min(watched, span);
+    for (const auto& [store, span] : read.awake)
+      watched = std::min(watched, span);
     for (const auto& [store, heard] : read.heard)
       for (const auto& [daemon, age] : heard) {
         auto [entry, is_new] = silences.insert({daemon, age});
-        if (!is_new) entry->second = std::min(entry->second, age);
+        if (!is_new)
+          entry->second = std::min(entry->second, age);
       }
     silences[Address{}] = watched;
     silences_ = std::move(silences);
@@ -226,7 +249,11 @@
       split_reads_ = 0;
       if (!current_ && waiting_.empty()) {
         ++counts_.mended;
-        change([](const FleetState&) { return Verdict{Verdict::Kind::already_there, {}, ""}; }, nullptr, now, Span{1500});
+        change(
+            [](const FleetState&) {
+              return Verdict{Verdict::Kind::already_there, {}, ""};
+            },
+            nullptr, now, Span{1500});
       }
     }
     return;
@@ -234,23 +261,29 @@
   split_reads_ = 0;
   Bytes* value = nullptr;
   auto entry = read_values_.find(read.highest);
-  if (entry != read_values_.end()) value = &entry->second;
+  if (entry != read_values_.end())
+    value = &entry->second;
   if (read.highest == state_ballot_) {
     adopt(state_ballot_, state_, read.begun);
   } else if (value != nullptr) {
     auto state = decode_state(value->data);
-    if (!state) return;
+    if (!state)
+      return;
     adopt(read.highest, *state, read.begun);
   } else {
     for (const auto& [store, ballot] : read.answers)
-      if (ballot == read.highest) value_at_ = read.places[store];  // the next read asks there
+      if (ballot == read.highest)
+        value_at_ = read.places[store];  // the next read asks there
     return;
   }
   for (const auto& [store, ballot] : read.answers) {  // a read mends the copies that it finds old
-    if (!(ballot < read.highest)) continue;
+    if (!(ballot < read.highest))
+      continue;
     bool is_member = false;
-    for (const auto& member : everyone()) is_member = is_member || member.store == store;
-    if (!is_member) continue;
+    for (const auto& member : everyone())
+      is_member = is_member || member.store == store;
+    if (!is_member)
+      continue;
     ++counts_.mended;
     out_.push_back({read.places[store], Accept{0, store, state_ballot_, state_bytes_}});
     read.answers[store] = read.highest;
@@ -259,8 +292,10 @@
 
 bool RegisterProposer::on_message(const Address& from, const Message& message, Moment now) {
   if (const auto* promise = std::get_if<Promise>(&message)) {
-    if (highest_seen_ < promise->promised) highest_seen_ = promise->promised;
-    if (!current_ || current_->phase != Round::Phase::preparing || promise->ask != current_->ask) return true;
+    if (highest_seen_ < promise->promised)
+      highest_seen_ = promise->promised;
+    if (!current_ || current_->phase != Round::Phase::preparing || promise->ask != current_->ask)
+      return true;
     Round& round = *current_;
     if (!promise->granted) {
       ++counts_.conflicts;
@@ -273,21 +308,26 @@
       round.highest = promise->accepted;
       round.value = promise->value;
       // Left out because it is known here; if it is not any more, the round begins anew.
-      if (round.value.data.empty() && promise->accepted == state_ballot_) round.value = state_bytes_;
+      if (round.value.data.empty() && promise->accepted == state_ballot_)
+        round.value = state_bytes_;
       if (round.value.data.empty()) {
         pause(now);
         return true;
       }
     }
     if (has_majority(acceptors_, next_acceptors_, round.granted)) {
-      if (round.highest == Ballot{}) finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
-      else begin_accept(now);
+      if (round.highest == Ballot{})
+        finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
+      else
+        begin_accept(now);
     }
     return true;
   }
   if (const auto* accepted = std::get_if<Accepted>(&message)) {
-    if (highest_seen_ < accepted->promised) highest_seen_ = accepted->promised;
-    if (!current_ || current_->phase != Round::Phase::accepting || accepted->ask != current_->ask) return true;
+    if (highest_seen_ < accepted->promised)
+      highest_seen_ = accepted->promised;
+    if (!current_ || current_->phase != Round::Phase::accepting || accepted->ask != current_->ask)
+      return true;
     Round& round = *current_;
     if (!accepted->granted) {
       ++counts_.conflicts;
@@ -304,19 +344,23 @@
     return true;
   }
   if (const auto* answer = std::get_if<ReadAnswer>(&message)) {
-    if (!read_ || answer->ask != read_->ask) return true;
+    if (!read_ || answer->ask != read_->ask)
+      return true;
     Read& read = *read_;
     read.answers[answer->store] = answer->accepted;
     read.places[answer->store] = from;
-    if (!answer->value.data.empty()) read_values_[answer->accepted] = answer->value;
-    if (answer->accepted == state_ballot_) read_values_[answer->accepted] = state_bytes_;
+    if (!answer->value.data.empty())
+      read_values_[answer->accepted] = answer->value;
+    if (answer->accepted == state_ballot_)
+      read_values_[answer->accepted] = state_bytes_;
     if (read.highest < answer->accepted) {
       read.highest = answer->accepted;
       read.acceptors = answer->acceptors;
       read.next = answer->next_acceptors;
     }
     if (read.wants_heard) {
-      for (const auto& heard : answer->heard) read.heard[answer->store][heard.daemon] = Span{heard.age};
+      for (const auto& heard : answer->heard)
+        read.heard[answer->store][heard.daemon] = Span{heard.age};
       read.awake[answer->store] = Span{answer->awake};
     }
     settle_read(now);
@@ -331,7 +375,8 @@
     if (waiting_[i].deadline <= now) {
       auto done = std::move(waiting_[i].done);
       waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
-      if (done) done({ChangeEnd::Kind::no_majority, {}, "the register gave no answer in time"});
+      if (done)
+        done({ChangeEnd::Kind::no_majority, {}, "the register gave no answer in time"});
     } else {
       ++i;
     }
@@ -343,13 +388,17 @@
   Round& round = *current_;
   if (round.job.deadline <= now) {
     bool was_sent = round.job.was_accept_sent;
-    finish({was_sent ? ChangeEnd::Kind::unknown : ChangeEnd::Kind::no_majority, {},
-            was_sent ? "no majority confirmed the change in time" : "no majority of core machines answered"}, now);
+    finish({was_sent ? ChangeEnd::Kind::unknown : ChangeEnd::Kind::no_majority,
+            {},
+            was_sent ? "no majority confirmed the change in time" : "no majority of core machines answered"},
+           now);
     return;
   }
   if (round.phase_end <= now) {
-    if (round.phase == Round::Phase::pausing) begin_prepare(now);
-    else pause(now);
+    if (round.phase == Round::Phase::pausing)
+      begin_prepare(now);
+    else
+      pause(now);
   }
 }
 
--- a/packages/configuration-register/tests/configuration_register_test.cpp
+++ b/packages/configuration-register/tests/configuration_register_test.cpp
@@ -29,13 +29,15 @@
       state.acceptors.push_back({copies_[place(i)].acceptor->store(), place(i)});
     }
     founding_ = state;
-    for (auto& [address, copy] : copies_) post(Address{"founder"}, address, Found{1, copy.acceptor->store(), {encode_state(state)}});
+    for (auto& [address, copy] : copies_)
+      post(Address{"founder"}, address, Found{1, copy.acceptor->store(), {encode_state(state)}});
     settle(200);
   }
   static Address place(int i) { return Address{"core-" + std::to_string(i)}; }
 
   void add_proposer(const std::string& name) {
-    proposers_.emplace(Address{name}, std::make_unique<RegisterProposer>(Address{name}, RandomGenerator(random_.next())));
+    proposers_.emplace(Address{name},
+                       std::make_unique<RegisterProposer>(Address{name}, RandomGenerator(random_.next())));
     proposers_.at(Address{name})->learn_acceptors(founding_.acceptors);
   }
   RegisterProposer& proposer(const std::string& name) { return *proposers_.at(Address{name}); }
@@ -43,22 +45,24 @@
   // Adds one uniquely named mark; what is told of its end is kept.
   void add_mark(const std::string& proposer_name) {
     std::string mark = "mark-" + std::to_string(++last_mark_);
-    proposer(proposer_name).change(
-        [mark](const FleetState& state) -> Verdict {
-          for (const auto& done : state.done)
-            if (done.change == mark) return {Verdict::Kind::already_there, {}, ""};
-          FleetState next = state;
-          next.done.push_back({mark, 0, 0});
-          return {Verdict::Kind::apply, next, ""};
-        },
-        [this, mark](const ChangeEnd& end) {
-          if (end.kind == ChangeEnd::Kind::committed) {
-            acked_.insert(mark);
-          } else if (end.kind != ChangeEnd::Kind::unknown) {
-            refused_.insert(mark);
-          }
-        },
-        Moment{now_}, Span{4000});
+    proposer(proposer_name)
+        .change(
+            [mark](const FleetState& state) -> Verdict {
+              for (const auto& done : state.done)
+                if (done.change == mark)
+                  return {Verdict::Kind::already_there, {}, ""};
+              FleetState next = state;
+              next.done.push_back({mark, 0, 0});
+              return {Verdict::Kind::apply, next, ""};
+            },
+            [this, mark](const ChangeEnd& end) {
+              if (end.kind == ChangeEnd::Kind::committed) {
+                acked_.insert(mark);
+              } else if (end.kind != ChangeEnd::Kind::unknown) {
+                refused_.insert(mark);
+              }
+            },
+            Moment{now_}, Span{4000});
   }
 
   void start(const Address& address) {
@@ -69,7 +73,8 @@
       copy.acceptor.reset();
       return;
     }
-    if (opening->was_corrupt) ++corrupt;
+    if (opening->was_corrupt)
+      ++corrupt;
     copy.acceptor = std::make_unique<RegisterAcceptor>(opening->store);
     auto restored = copy.acceptor->restore(opening->records);
     EXPECT_TRUE(restored) << restored.reason;
@@ -78,7 +83,8 @@
     Copy& copy = copies_[address];
     copy.acceptor.reset();
     copy.log.reset();
-    if (is_power_cut) copy.files->power_on(random_);
+    if (is_power_cut)
+      copy.files->power_on(random_);
     copy.files->is_off = false;
   }
   MemoryFileSystem& disk(int i) { return *copies_[place(i)].files; }
@@ -90,19 +96,23 @@
     if (!net_.empty() && random_.chance(0.85)) {
       auto index = static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(net_.size())));
       auto letter = net_[index];
-      if (!random_.chance(twice)) net_.erase(net_.begin() + static_cast<std::ptrdiff_t>(index));
-      if (!random_.chance(loss)) bring(letter);
+      if (!random_.chance(twice))
+        net_.erase(net_.begin() + static_cast<std::ptrdiff_t>(index));
+      if (!random_.chance(loss))
+        bring(letter);
     } else {
       now_ += 5;
       for (auto& [address, proposer] : proposers_) {
         proposer->on_timer(Moment{now_});
-        if (now_ % 150 == 0) proposer->poll(Moment{now_}, "core", false);
+        if (now_ % 150 == 0)
+          proposer->poll(Moment{now_}, "core", false);
         collect(address);
       }
     }
   }
   void settle(int steps) {
-    for (int i = 0; i < steps; ++i) step(0, 0);
+    for (int i = 0; i < steps; ++i)
+      step(0, 0);
   }
 
   // What must hold of the whole history, given the register as it is read at the end.
@@ -112,18 +122,25 @@
     const std::set<std::string> acked = acked_, refused = refused_;
     bool is_read = false;
     FleetState final_state;
-    proposer("reader").change([](const FleetState&) { return Verdict{Verdict::Kind::already_there, {}, ""}; },
-                              [&](const ChangeEnd& end) {
-                                is_read = end.kind == ChangeEnd::Kind::committed;
-                                final_state = end.state;
-                              },
-                              Moment{now_}, Span{100000});
-    for (int i = 0; i < 20000 && !is_read; ++i) step(0, 0);
+    proposer("reader").change(
+        [](const FleetState&) {
+          return Verdict{Verdict::Kind::already_there, {}, ""};
+        },
+        [&](const ChangeEnd& end) {
+          is_read = end.kind == ChangeEnd::Kind::committed;
+          final_state = end.state;
+        },
+        Moment{now_}, Span{100000});
+    for (int i = 0; i < 20000 && !is_read; ++i)
+      step(0, 0);
     ASSERT_TRUE(is_read) << "the register gives no answer any more";
     std::set<std::string> there;
-    for (const auto& done : final_state.done) EXPECT_TRUE(there.insert(done.change).second) << done.change << " twice";
-    for (const auto& mark : acked) EXPECT_TRUE(there.count(mark)) << mark << " was acknowledged and is lost";
-    for (const auto& mark : refused) EXPECT_FALSE(there.count(mark)) << mark << " was refused and is in force";
+    for (const auto& done : final_state.done)
+      EXPECT_TRUE(there.insert(done.change).second) << done.change << " twice";
+    for (const auto& mark : acked)
+      EXPECT_TRUE(there.count(mark)) << mark << " was acknowledged and is lost";
+    for (const auto& mark : refused)
+      EXPECT_FALSE(there.count(mark)) << mark << " was refused and is in force";
     // Linearizable: each value is the one before it and one mark more; so versions count the marks.
     EXPECT_EQ(final_state.version, 1 + static_cast<Integer>(final_state.done.size()));
   }
@@ -150,14 +167,16 @@
       return;
     }
     auto entry = copies_.find(letter.to);
-    if (entry == copies_.end() || !entry->second.acceptor) return;
+    if (entry == copies_.end() || !entry->second.acceptor)
+      return;
     Copy& copy = entry->second;
     copy.acceptor->on_message(letter.from, letter.message, Moment{now_});
     for (auto& write : copy.acceptor->take_writes()) {
       auto written = copy.log->append({write.record});
       if (written && copy.log->sync()) {
         copy.acceptor->synced(write.token);
-        if (copy.log->wants_snapshot()) copy.log->snapshot(copy.acceptor->picture());
+        if (copy.log->wants_snapshot())
+          copy.log->snapshot(copy.acceptor->picture());
       } else {
         copy.acceptor->refused(write.token);
       }
@@ -168,10 +187,12 @@
         return;
       }
     }
-    for (auto& sending : copy.acceptor->take_out()) post(letter.to, sending.to, std::move(sending.message));
+    for (auto& sending : copy.acceptor->take_out())
+      post(letter.to, sending.to, std::move(sending.message));
   }
   void collect(const Address& address) {
-    for (auto& sending : proposers_.at(address)->take_out()) post(address, sending.to, std::move(sending.message));
+    for (auto& sending : proposers_.at(address)->take_out())
+      post(address, sending.to, std::move(sending.message));
   }
 
   RandomGenerator random_;
@@ -199,16 +220,21 @@
       for (int i = 0; i < 6; ++i) {
         bench.add_mark("one");
         bench.add_mark("other");
-        for (int j = 0; j < 150; ++j) bench.step(0.02, 0.02);
+        for (int j = 0; j < 150; ++j)
+          bench.step(0.02, 0.02);
       }
-      if (bench.disk(1).last_act.empty()) break;
+      if (bench.disk(1).last_act.empty())
+        break;
       ++points;
-      SCOPED_TRACE("point " + std::to_string(point) + " (" + bench.disk(1).last_act + "), fault " + std::to_string(static_cast<int>(fault)));
-      if (!bench.is_up(1)) bench.start(RegisterBench::place(1));
+      SCOPED_TRACE("point " + std::to_string(point) + " (" + bench.disk(1).last_act + "), fault " +
+                   std::to_string(static_cast<int>(fault)));
+      if (!bench.is_up(1))
+        bench.start(RegisterBench::place(1));
       EXPECT_EQ(bench.corrupt, 0);
       EXPECT_GT(bench.acked(), 4u);
       bench.check();
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
     EXPECT_GT(points, 20) << static_cast<int>(fault);
   }
@@ -218,16 +244,21 @@
   EXPECT_TRUE(rc::check([](std::uint64_t seed) {
     RegisterBench bench(seed);
     RandomGenerator random(seed + 1);
-    for (const char* name : {"one", "other", "third"}) bench.add_proposer(name);
+    for (const char* name : {"one", "other", "third"})
+      bench.add_proposer(name);
     for (int i = 0; i < 12; ++i) {
       bench.add_mark("one");
-      if (random.chance(0.7)) bench.add_mark("other");
-      if (random.chance(0.4)) bench.add_mark("third");
-      for (int j = 0; j < 120; ++j) bench.step(0.1, 0.1);
+      if (random.chance(0.7))
+        bench.add_mark("other");
+      if (random.chance(0.4))
+        bench.add_mark("third");
+      for (int j = 0; j < 120; ++j)
+        bench.step(0.1, 0.1);
       if (random.chance(0.3)) {
         Address address = RegisterBench::place(static_cast<int>(random.below(3)));
         bench.stop(address, random.chance(0.7));
-        for (int j = 0; j < 80; ++j) bench.step(0.1, 0.1);
+        for (int j = 0; j < 80; ++j)
+          bench.step(0.1, 0.1);
         bench.start(address);
       }
     }
@@ -251,7 +282,8 @@
   // One true copy and one wiped one are no majority: nothing may be decided.
   bench.stop(RegisterBench::place(1), false);
   bench.add_mark("one");
-  for (int j = 0; j < 6000; ++j) bench.step(0, 0);
+  for (int j = 0; j < 6000; ++j)
+    bench.step(0, 0);
   EXPECT_EQ(bench.acked(), 1u);
   bench.start(RegisterBench::place(1));
   bench.add_mark("one");
@@ -273,35 +305,43 @@
     bench.start(RegisterBench::place(2));
     AcceptorEntry fresh{bench.store(2), RegisterBench::place(2)};
     int ended = 0;
-    auto count_end = [&](const ChangeEnd& end) { ended += end.kind == ChangeEnd::Kind::committed; };
+    auto count_end = [&](const ChangeEnd& end) {
+      ended += end.kind == ChangeEnd::Kind::committed;
+    };
     bench.proposer("one").change(
         [=](const FleetState& state) -> Verdict {
-          if (!state.next_acceptors.empty()) return {Verdict::Kind::already_there, {}, ""};
+          if (!state.next_acceptors.empty())
+            return {Verdict::Kind::already_there, {}, ""};
           FleetState next = state;
           next.next_acceptors = state.acceptors;
           for (auto& entry : next.next_acceptors)
-            if (entry.store == old_store) entry = fresh;
+            if (entry.store == old_store)
+              entry = fresh;
           return {Verdict::Kind::apply, next, ""};
         },
         count_end, Moment{1000}, Span{100000});
     bench.add_mark("late");  // races with the change of the set
-    for (int j = 0; j < 900; ++j) bench.step(0.03, 0.03);
+    for (int j = 0; j < 900; ++j)
+      bench.step(0.03, 0.03);
     bench.proposer("one").change(
         [](const FleetState& state) -> Verdict {
-          if (state.next_acceptors.empty()) return {Verdict::Kind::already_there, {}, ""};
+          if (state.next_acceptors.empty())
+            return {Verdict::Kind::already_there, {}, ""};
           FleetState next = state;
           next.acceptors = state.next_acceptors;
           next.next_acceptors.clear();
           return {Verdict::Kind::apply, next, ""};
         },
         count_end, Moment{1000}, Span{100000});
-    for (int j = 0; j < 900; ++j) bench.step(0.03, 0.03);
+    for (int j = 0; j < 900; ++j)
+      bench.step(0.03, 0.03);
     ASSERT_EQ(ended, 2) << seed;
     // Now the new copy votes: with it and one old one alone, changes go on; an old one alone can't.
     bench.stop(RegisterBench::place(0), false);
     std::size_t before = bench.acked();
     bench.add_mark("late");
-    for (int j = 0; j < 2500; ++j) bench.step(0, 0);
+    for (int j = 0; j < 2500; ++j)
+      bench.step(0, 0);
     EXPECT_EQ(bench.acked(), before + 1) << seed;
     bench.start(RegisterBench::place(0));
   }
@@ -331,12 +371,15 @@
   ASSERT_EQ(bench.acked(), 1u);
   bench.add_proposer("other");
   bool has_seen = false;
-  bench.proposer("other").change([](const FleetState&) { return Verdict{Verdict::Kind::already_there, {}, ""}; },
-                                 [&](const ChangeEnd& end) {
-                                   const auto& proposer = bench.proposer("other");
-                                   has_seen = proposer.has_state() && proposer.state().version == end.state.version;
-                                 },
-                                 Moment{1000}, Span{100000});
+  bench.proposer("other").change(
+      [](const FleetState&) {
+        return Verdict{Verdict::Kind::already_there, {}, ""};
+      },
+      [&](const ChangeEnd& end) {
+        const auto& proposer = bench.proposer("other");
+        has_seen = proposer.has_state() && proposer.state().version == end.state.version;
+      },
+      Moment{1000}, Span{100000});
   bench.settle(60);
   EXPECT_TRUE(has_seen);
 }
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -10,14 +10,14 @@
 
 #include "emberdale/cold_shares.hpp"
 #include "emberdale/core_founder.hpp"
-#include "emberdale/membership_reconciler.hpp"
 #include "emberdale/core_set.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
+#include "emberdale/leader_lease.hpp"
 #include "emberdale/map_slices.hpp"
 #include "emberdale/master_edits.hpp"
 #include "emberdale/master_election.hpp"
-#include "emberdale/leader_lease.hpp"
+#include "emberdale/membership_reconciler.hpp"
 #include "emberdale/placement_map.hpp"
 #include "emberdale/register_acceptor.hpp"
 #include "emberdale/register_proposer.hpp"
@@ -36,11 +36,11 @@
   ElectionTimes election;
   // For deployments of one process a machine (docs/design.md): role "edge" with an acceptor.
   bool founds_itself = false;          // true only on the very first start of the whole system, on empty disks
-  bool reconciles_membership = false;         // newcomers replace silent core machines, or are added, by themselves
+  bool reconciles_membership = false;  // newcomers replace silent core machines, or are added, by themselves
   bool acknowledges_at_once = false;   // data daemons serve on without grants: no elder's word is waited for
-  bool reads_runner_list = false;  // runners come from an outside list, not from operators' documents
-  Span probe_pace{400};            // between two probes of one runner
-  Span dead_member_span{30000};          // who is silent for so long leaves the roster by the master's hand
+  bool reads_runner_list = false;      // runners come from an outside list, not from operators' documents
+  Span probe_pace{400};                // between two probes of one runner
+  Span dead_member_span{30000};        // who is silent for so long leaves the roster by the master's hand
 };
 
 // Example:
@@ -67,13 +67,18 @@
 
   // True when the outside list of runners is to be read now: at the master, if it reads one at all.
   // Example: if (daemon.takes_list(now)) read_list([&](auto runners) { daemon.on_runner_list(runners, begun, now); });
-  bool takes_list(Moment now) { return settings_.reads_runner_list && election_.is_master() && runner_list_.is_read_due(now); }
-  // The list as read from `begun` on; nothing: it could not be read. Example: daemon.on_runner_list(std::nullopt, begun, now)
+  bool takes_list(Moment now) {
+    return settings_.reads_runner_list && election_.is_master() && runner_list_.is_read_due(now);
+  }
+  // The list as read from `begun` on; nothing: it could not be read. Example: daemon.on_runner_list(std::nullopt,
+  // begun, now)
   void on_runner_list(std::optional<std::vector<ListedRunner>> runners, Moment begun, Moment now);
   // Where callers near that place should go: the ready data daemons of their zone, else of their region, else all.
   // Example: daemon.front_addresses({"north"}, {"north-1"}, 64, now)
-  std::vector<std::string> front_addresses(const RegionName& region, const ZoneName& zone, std::size_t most, Moment now);
-  // What the traffic table says of a pool; nothing if it isn't in force here. Example: daemon.traffic_pool({"m"})->health_path
+  std::vector<std::string> front_addresses(const RegionName& region, const ZoneName& zone, std::size_t most,
+                                           Moment now);
+  // What the traffic table says of a pool; nothing if it isn't in force here. Example:
+  // daemon.traffic_pool({"m"})->health_path
   const TrafficPool* traffic_pool(const PoolName& pool) const;
 
   // The wall clock, for maintenance windows alone. Example: daemon.set_wall_clock(time(nullptr));
@@ -154,7 +159,9 @@
   Integer version_of(const EditAsk& ask) const;
   void keep_windows(Moment now);
   // Long enough a master for every data daemon to have told what it holds, or to have lost an elder's word.
-  bool is_settled(Moment now) const { return election_.is_master() && now - lease_.leading_since() >= Span{lease_.ack_wait().value + 3000}; }
+  bool is_settled(Moment now) const {
+    return election_.is_master() && now - lease_.leading_since() >= Span{lease_.ack_wait().value + 3000};
+  }
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
--- a/packages/control-plane/include/emberdale/core_founder.hpp
+++ b/packages/control-plane/include/emberdale/core_founder.hpp
@@ -17,7 +17,8 @@
 //   founder.on_message(from, message, now); founder.on_timer(now); for (auto& s : founder.take_out()) send(s);
 class CoreFounder {
  public:
-  CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds, RandomGenerator random);
+  CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds,
+              RandomGenerator random);
 
   // Begins if this daemon is the smallest of the seeds; else it does nothing, ever. Example: founder.start(now)
   void start(Moment now);
--- a/packages/control-plane/include/emberdale/core_set.hpp
+++ b/packages/control-plane/include/emberdale/core_set.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "emberdale/membership_reconciler.hpp"
 #include "emberdale/event_journal.hpp"
+#include "emberdale/membership_reconciler.hpp"
 #include "emberdale/register_proposer.hpp"
 
 namespace emberdale {
@@ -20,11 +20,20 @@
 class CoreSet {
  public:
   using Done = std::function<void(int code, const std::string& reason)>;
-  CoreSet(RegisterProposer& proposer, EventJournal& journal, std::string role, bool has_acceptor, RandomGenerator random)
-      : proposer_(proposer), journal_(journal), role_(std::move(role)), has_acceptor_(has_acceptor), random_(random), last_ask_(first_ask(random_)) {}
+  CoreSet(RegisterProposer& proposer, EventJournal& journal, std::string role, bool has_acceptor,
+          RandomGenerator random)
+      : proposer_(proposer),
+        journal_(journal),
+        role_(std::move(role)),
+        has_acceptor_(has_acceptor),
+        random_(random),
+        last_ask_(first_ask(random_)) {}
 
-  void start(Moment now) { mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1000)} : Span{random_.below(200)}); }
-  // From now on the set minds itself, and is looked after several times a second. Example: cores.set_reconciler(reconciler)
+  void start(Moment now) {
+    mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1000)} : Span{random_.below(200)});
+  }
+  // From now on the set minds itself, and is looked after several times a second. Example:
+  // cores.set_reconciler(reconciler)
   void set_reconciler(MembershipReconciler& reconciler) { reconciler_ = &reconciler; }
   // Founds a fleet on blank core machines, once. Example: cores.found("caspian", addresses, done, now)
   void found(const std::string& fleet, const std::vector<Address>& cores, Done done, Moment now);
--- a/packages/control-plane/include/emberdale/edit_forwarder.hpp
+++ b/packages/control-plane/include/emberdale/edit_forwarder.hpp
@@ -50,7 +50,8 @@
   std::vector<Sending> send(const Address& master, Integer term, Moment now);
   // This daemon has become master: it does them itself. Example: for (auto& mine : forwarder.take_back()) ...
   std::vector<Waiting> take_back();
-  // True when an edit ended: its hold may have to be lifted. Example: if (auto ended = forwarder.on_answer(answer, now)) ...
+  // True when an edit ended: its hold may have to be lifted. Example: if (auto ended = forwarder.on_answer(answer,
+  // now)) ...
   std::optional<Waiting> on_answer(const EditAnswer& answer, Moment now);
   // Those whose time is over have been answered: refused where no copy can be done any more, else unknown.
   std::vector<std::pair<Waiting, EditAnswer>> on_timer(Moment now);
--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -33,7 +33,8 @@
     EditAnswer answer;
     bool is_committed = false;
   };
-  MasterEdits(RegisterProposer& proposer, const MasterElection& election, const LeaderLease& lease, EventJournal& journal, Address self)
+  MasterEdits(RegisterProposer& proposer, const MasterElection& election, const LeaderLease& lease,
+              EventJournal& journal, Address self)
       : proposer_(proposer), election_(election), lease_(lease), journal_(journal), self_(std::move(self)) {}
 
   void begin();
--- a/packages/control-plane/include/emberdale/membership_reconciler.hpp
+++ b/packages/control-plane/include/emberdale/membership_reconciler.hpp
@@ -23,7 +23,8 @@
 //   if (auto due = reconciler.due_change(now)) proposer.change(due->change, ...);
 class MembershipReconciler {
  public:
-  MembershipReconciler(const RegisterProposer& proposer, Address self, RandomGenerator random) : proposer_(proposer), self_(std::move(self)), random_(random), ask_(first_ask(random_)) {}
+  MembershipReconciler(const RegisterProposer& proposer, Address self, RandomGenerator random)
+      : proposer_(proposer), self_(std::move(self)), random_(random), ask_(first_ask(random_)) {}
 
   void start(Moment now) { timer_at_ = awake_since_ = now; }
   // Daemons that were heard of: those outside the set are asked for their stores, at most once a second each.
--- a/packages/control-plane/include/emberdale/roster_keeper.hpp
+++ b/packages/control-plane/include/emberdale/roster_keeper.hpp
@@ -15,8 +15,13 @@
 class RosterKeeper {
  public:
   // dead_member_span: a daemon silent for so long leaves the roster by the master's hand.
-  RosterKeeper(RegisterProposer& proposer, EventJournal& journal, DaemonEntry self, RandomGenerator random, Span dead_member_span = Span{30000})
-      : proposer_(proposer), journal_(journal), self_(std::move(self)), random_(random), dead_member_span_(dead_member_span) {}
+  RosterKeeper(RegisterProposer& proposer, EventJournal& journal, DaemonEntry self, RandomGenerator random,
+               Span dead_member_span = Span{30000})
+      : proposer_(proposer),
+        journal_(journal),
+        self_(std::move(self)),
+        random_(random),
+        dead_member_span_(dead_member_span) {}
 
   void start(Moment now) { enrol_next_ = evict_next_ = now; }
   // Enrols this daemon, and along with it peers that were just heard and are not enrolled either: a fleet
--- a/packages/control-plane/include/emberdale/runner_list.hpp
+++ b/packages/control-plane/include/emberdale/runner_list.hpp
@@ -44,7 +44,8 @@
   std::vector<RunnerEntry> entries() const;
   // What the list adds to the homes' probes: who is cold, slots, what a cold one bears a second.
   // Example: auto statuses = watch.statuses(); list.fill(statuses, pools, now);
-  void fill(std::map<RunnerName, RunnerStatus>& statuses, const std::map<PoolName, TrafficPool>& pools, Moment now) const;
+  void fill(std::map<RunnerName, RunnerStatus>& statuses, const std::map<PoolName, TrafficPool>& pools,
+            Moment now) const;
   // Work may go to the zone again: its runners count as cold until the list has caught up.
   // Example: list.zone_taken_back({"a"}, now)
   void zone_taken_back(const ZoneName& zone, Moment now) { taken_back_[zone] = now; }
--- a/packages/control-plane/include/emberdale/runner_watch.hpp
+++ b/packages/control-plane/include/emberdale/runner_watch.hpp
@@ -22,11 +22,13 @@
 class RunnerWatch {
  public:
   static constexpr Span status_span{1500};  // a status older than this is nobody's word any more
-  explicit RunnerWatch(DaemonEntry self, Span probe_pace = Span{400}) : self_(std::move(self)), probe_pace_(probe_pace) {}
+  explicit RunnerWatch(DaemonEntry self, Span probe_pace = Span{400})
+      : self_(std::move(self)), probe_pace_(probe_pace) {}
 
   // Each service's home in a zone is the first of its living edge daemons by rendezvous; it probes the service's
   // runners there. A master looks itself where no home reports.
-  void wish_probes(const Configuration& configuration, const std::vector<std::string>& live_edges, bool is_master, Moment now);
+  void wish_probes(const Configuration& configuration, const std::vector<std::string>& live_edges, bool is_master,
+                   Moment now);
   std::vector<ProbeWish> take_probes() { return std::exchange(probes_, {}); }
   // True when it says something new. Example: if (watch.on_probe(status, now)) send_follow(now);
   bool on_probe(const RunnerStatus& status, Moment now);
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -5,8 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "emberdale/program_settings.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/program_settings.hpp"
 
 namespace emberdale {
 namespace {
@@ -21,8 +21,10 @@
 void answer(const http_request& request, int code, const std::string& body, Integer version = 0, int retry_after = 0,
             const char* kind = "application/json") {
   http_response response(static_cast<web::http::status_code>(code));
-  if (version > 0) response.headers().add("ETag", "\"" + std::to_string(version) + "\"");
-  if (retry_after > 0) response.headers().add("Retry-After", std::to_string(retry_after));
+  if (version > 0)
+    response.headers().add("ETag", "\"" + std::to_string(version) + "\"");
+  if (retry_after > 0)
+    response.headers().add("Retry-After", std::to_string(retry_after));
   response.set_body(body, kind);
   request.reply(response).then([](pplx::task<void> ended) {
     try {
@@ -32,13 +34,15 @@
   });
 }
 
-void answer_reason(const http_request& request, int code, const std::string& reason, const std::string& outcome = "refused") {
+void answer_reason(const http_request& request, int code, const std::string& reason,
+                   const std::string& outcome = "refused") {
   answer(request, code, json_text(Json{{"reason", reason}, {"outcome", outcome}}), 0, code == 503 ? 1 : 0);
 }
 
 std::vector<std::string> path_parts(const http_request& request) {
   std::vector<std::string> parts;
-  for (auto& part : web::uri::split_path(web::uri::decode(request.relative_uri().path()))) parts.push_back(part);
+  for (auto& part : web::uri::split_path(web::uri::decode(request.relative_uri().path())))
+    parts.push_back(part);
   return parts;
 }
 
@@ -59,24 +63,38 @@
     bool is_there = report.config_revision >= revision;
     bool is_silent = report.age > 3000;
     std::string state = is_there ? "in_force" : is_silent ? "silent" : report.granted ? "pending" : "not_serving";
-    count.daemons.push_back({{"daemon", report.daemon.address.text}, {"zone", report.daemon.zone.text}, {"state", state},
-                             {"map_version", show(report.version)}, {"config_revision", report.config_revision}, {"age_ms", report.age}});
-    if (state == "pending") count.is_everywhere = false;
+    count.daemons.push_back({{"daemon", report.daemon.address.text},
+                             {"zone", report.daemon.zone.text},
+                             {"state", state},
+                             {"map_version", show(report.version)},
+                             {"config_revision", report.config_revision},
+                             {"age_ms", report.age}});
+    if (state == "pending")
+      count.is_everywhere = false;
   }
-  if (reports.empty()) count.is_everywhere = false;
+  if (reports.empty())
+    count.is_everywhere = false;
   return count;
 }
 
 Json daemon_json(const DaemonEntry& entry) {
-  return {{"address", entry.address.text}, {"http", entry.http}, {"role", entry.role}, {"zone", entry.zone.text}, {"region", entry.region.text}};
+  return {{"address", entry.address.text},
+          {"http", entry.http},
+          {"role", entry.role},
+          {"zone", entry.zone.text},
+          {"region", entry.region.text}};
 }
 
 }  // namespace
 
 ControlInterface::ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, PeerConnections& links,
                                    const std::string& http, bool may_fault_links, std::function<void()> flush)
-    : context_(context), daemon_(daemon), links_(links), listener_("http://" + http + "/"),
-      may_fault_links_(may_fault_links), flush_(std::move(flush)) {
+    : context_(context),
+      daemon_(daemon),
+      links_(links),
+      listener_("http://" + http + "/"),
+      may_fault_links_(may_fault_links),
+      flush_(std::move(flush)) {
   listener_.support([this](http_request request) { handle(std::move(request)); });
 }
 
@@ -99,7 +117,8 @@
 
 void ControlInterface::handle(http_request request) {
   std::size_t length = request.headers().content_length();
-  if (length > max_body) return answer_reason(request, 413, "the body is larger than 1 MiB");
+  if (length > max_body)
+    return answer_reason(request, 413, "the body is larger than 1 MiB");
   request.extract_string(true).then([this, request](pplx::task<utility::string_t> reading) {
     std::string body;
     try {
@@ -123,37 +142,50 @@
       return parts.size() == wanted.size() && std::equal(parts.begin(), parts.end(), wanted.begin());
     };
     if (is_path({"health"})) {
-      if (method != methods::GET) return answer_reason(request, 405, "only GET here");
+      if (method != methods::GET)
+        return answer_reason(request, 405, "only GET here");
       return post([this, request] {
-        Json health{{"status", "alive"}, {"has_register", daemon_.proposer().has_state()}, {"master", daemon_.election().master().text},
-                    {"is_master", daemon_.election().is_master()}, {"map_version", show(daemon_.map().version)}};
+        Json health{{"status", "alive"},
+                    {"has_register", daemon_.proposer().has_state()},
+                    {"master", daemon_.election().master().text},
+                    {"is_master", daemon_.election().is_master()},
+                    {"map_version", show(daemon_.map().version)}};
         answer(request, 200, json_text(health));
       });
     }
-    if (is_path({"metrics"})) return post([this, request] { metrics(request); });
-    if (is_path({"v1", "fleet"}) && method == methods::GET) return post([this, request] { fleet(request); });
+    if (is_path({"metrics"}))
+      return post([this, request] { metrics(request); });
+    if (is_path({"v1", "fleet"}) && method == methods::GET)
+      return post([this, request] { fleet(request); });
     if (is_path({"v1", "events"}) && method == methods::GET)
       return post([this, request] {
         Json events = daemon_.journal().fold(Json::array(), [](Json list, const JournalEvent& event) {
-          list.push_back({{"number", event.number}, {"at_ms", event.at.value}, {"kind", event.kind}, {"detail", event.detail}});
+          list.push_back(
+              {{"number", event.number}, {"at_ms", event.at.value}, {"kind", event.kind}, {"detail", event.detail}});
           return list;
         });
         answer(request, 200, json_text(events));
       });
-    if (is_path({"v1", "faults"}) && method == methods::POST) return post([this, request, body] { faults(request, body); });
+    if (is_path({"v1", "faults"}) && method == methods::POST)
+      return post([this, request, body] { faults(request, body); });
     if (is_path({"v1", "fleet", "found"}) && method == methods::POST) {
       Json wish = Json::parse(body, nullptr, false);
-      if (!wish.is_object() || !wish.contains("fleet") || !wish["fleet"].is_string() || !wish.contains("cores") || !wish["cores"].is_array())
+      if (!wish.is_object() || !wish.contains("fleet") || !wish["fleet"].is_string() || !wish.contains("cores") ||
+          !wish["cores"].is_array())
         return answer_reason(request, 400, R"(the body must be {"fleet": NAME, "cores": [IP:PORT, ...]})");
       std::vector<Address> cores;
       for (const auto& core : wish["cores"]) {
-        if (!core.is_string() || !split_address(core.get<std::string>())) return answer_reason(request, 400, "a core address must be IP:PORT");
+        if (!core.is_string() || !split_address(core.get<std::string>()))
+          return answer_reason(request, 400, "a core address must be IP:PORT");
         cores.push_back({core.get<std::string>()});
       }
       return post([this, request, fleet = wish["fleet"].get<std::string>(), cores] {
-        daemon_.found(fleet, cores, [request](int code, const std::string& reason) {
-          answer(request, code, json_text(Json{{"reason", reason}}), 0, code == 503 ? 1 : 0);
-        }, steady_now());
+        daemon_.found(
+            fleet, cores,
+            [request](int code, const std::string& reason) {
+              answer(request, code, json_text(Json{{"reason", reason}}), 0, code == 503 ? 1 : 0);
+            },
+            steady_now());
       });
     }
     if (is_path({"v1", "fleet", "replace-core"}) && method == methods::POST) {
@@ -161,11 +193,15 @@
       if (!wish.is_object() || !wish.value("old", Json()).is_string() || !wish.value("new", Json()).is_string() ||
           !split_address(wish["new"].get<std::string>()))
         return answer_reason(request, 400, R"(the body must be {"old": IP:PORT, "new": IP:PORT})");
-      return post([this, request, old_core = wish["old"].get<std::string>(), new_core = wish["new"].get<std::string>()] {
-        daemon_.replace_core({old_core}, {new_core}, [request](int code, const std::string& reason) {
-          answer(request, code, json_text(Json{{"reason", reason}}), 0, code == 503 ? 1 : 0);
-        }, steady_now());
-      });
+      return post(
+          [this, request, old_core = wish["old"].get<std::string>(), new_core = wish["new"].get<std::string>()] {
+            daemon_.replace_core(
+                {old_core}, {new_core},
+                [request](int code, const std::string& reason) {
+                  answer(request, code, json_text(Json{{"reason", reason}}), 0, code == 503 ? 1 : 0);
+                },
+                steady_now());
+          });
     }
     if (parts.size() >= 2 && parts.size() <= 3 && parts[0] == "v1" &&
         (parts[1] == plans_kind || parts[1] == orders_kind || parts[1] == runners_kind)) {
@@ -174,13 +210,19 @@
         auto query = web::uri::split_query(request.relative_uri().query());
         bool is_watch = query.count("watch") != 0 && query["watch"] == "true";
         return post([this, request, kind, name, is_watch] {
-          if (is_watch) watch(request, kind, name);
-          else list(request, kind, name);
+          if (is_watch)
+            watch(request, kind, name);
+          else
+            list(request, kind, name);
         });
       }
       EditAsk ask;
-      ask.act = method == methods::PUT ? "put" : method == methods::PATCH ? "patch" : method == methods::DEL ? "delete" : "";
-      if (ask.act.empty() || name.empty()) return answer_reason(request, 405, "GET, PUT, PATCH or DELETE of one resource, or GET of a list");
+      ask.act = method == methods::PUT     ? "put"
+                : method == methods::PATCH ? "patch"
+                : method == methods::DEL   ? "delete"
+                                           : "";
+      if (ask.act.empty() || name.empty())
+        return answer_reason(request, 405, "GET, PUT, PATCH or DELETE of one resource, or GET of a list");
       ask.kind = kind;
       ask.name = name;
       ask.body = body;
@@ -196,7 +238,8 @@
         ask.expected = std::stoll(tag);
       }
       auto if_none = headers.find("If-None-Match");
-      if (if_none != headers.end() && if_none->second == "*") ask.expected = 0;
+      if (if_none != headers.end() && if_none->second == "*")
+        ask.expected = 0;
       return post([this, request, ask] { edit(request, ask); });
     }
     answer_reason(request, 404, "there is nothing at " + request.relative_uri().path());
@@ -204,25 +247,36 @@
 }
 
 void ControlInterface::edit(http_request request, EditAsk ask) {
-  daemon_.edit(ask, [request](const EditAnswer& done) {
-    answer(request, static_cast<int>(done.code), done.body, done.version, done.code == 503 ? 1 : 0);
-  }, steady_now());
+  daemon_.edit(
+      ask,
+      [request](const EditAnswer& done) {
+        answer(request, static_cast<int>(done.code), done.body, done.version, done.code == 503 ? 1 : 0);
+      },
+      steady_now());
 }
 
 void ControlInterface::list(http_request request, const std::string& kind, const std::string& name) {
-  daemon_.read([request, kind, name](const FleetState* state) {
-    if (state == nullptr) return answer_reason(request, 503, "no register majority answers", "unread");
-    Json items = Json::array();
-    for (const auto& resource : state->resources) {
-      if (resource.kind != kind || (!name.empty() && resource.name != name)) continue;
-      Json item{{"name", resource.name}, {"version", resource.version}, {"config_revision", resource.config_revision},
-                {"spec", json_or_text(resource.body)}};
-      if (!name.empty()) return answer(request, 200, json_text(item, 2), resource.version);
-      items.push_back(std::move(item));
-    }
-    if (!name.empty()) return answer_reason(request, 404, kind + "/" + name + " does not exist");
-    answer(request, 200, json_text(Json{{"items", items}, {"config_revision", state->config_revision}}, 2));
-  }, steady_now());
+  daemon_.read(
+      [request, kind, name](const FleetState* state) {
+        if (state == nullptr)
+          return answer_reason(request, 503, "no register majority answers", "unread");
+        Json items = Json::array();
+        for (const auto& resource : state->resources) {
+          if (resource.kind != kind || (!name.empty() && resource.name != name))
+            continue;
+          Json item{{"name", resource.name},
+                    {"version", resource.version},
+                    {"config_revision", resource.config_revision},
+                    {"spec", json_or_text(resource.body)}};
+          if (!name.empty())
+            return answer(request, 200, json_text(item, 2), resource.version);
+          items.push_back(std::move(item));
+        }
+        if (!name.empty())
+          return answer_reason(request, 404, kind + "/" + name + " does not exist");
+        answer(request, 200, json_text(Json{{"items", items}, {"config_revision", state->config_revision}}, 2));
+      },
+      steady_now());
 }
 
 struct ControlInterface::Watch {
@@ -256,87 +310,122 @@
     watch->buffer.close(std::ios_base::out);
     return;
   }
-  daemon_.view([this, watch](const ViewAnswer& view) {
-    const auto& proposer = daemon_.proposer();
-    Json items = Json::array();
-    for (const auto& resource : proposer.state().resources) {
-      if (resource.kind != watch->kind || (!watch->name.empty() && resource.name != watch->name)) continue;
-      auto count = count_in_force(view.in_force, resource.config_revision);
-      bool is_mapped = view.master && view.settled && view.map.config_revision >= resource.config_revision;
-      for (auto& daemon : count.daemons) daemon.erase("age_ms");
-      for (auto& daemon : count.daemons) daemon.erase("map_version");
-      items.push_back({{"name", resource.name}, {"version", resource.version}, {"config_revision", resource.config_revision},
-                       {"in_force", is_mapped && count.is_everywhere}, {"daemons", count.daemons}});
-    }
-    std::string line = json_text(Json{{"kind", watch->kind}, {"master_known", view.master}, {"items", items}});
-    std::string out;
-    if (line != watch->last) {
-      watch->last = line;
-      out = line + "\n";
-    } else if (++watch->quiet_steps % 20 == 0) {
-      out = "\n";
-    }
-    auto wait_and_step = [this, watch] {
-      auto timer = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::milliseconds(100));
-      timer->async_wait([this, watch, timer](boost::system::error_code) {
-        step_watch(watch);
-        flush_();
-      });
-    };
-    if (out.empty()) return wait_and_step();
-    if (watch->buffer.in_avail() > max_body) {  // a watcher that does not read is let go
-      watch->buffer.close(std::ios_base::out);
-      return;
-    }
-    auto bytes = std::make_shared<std::string>(std::move(out));
-    watch->buffer.putn_nocopy(reinterpret_cast<const std::uint8_t*>(bytes->data()), bytes->size())
-        .then([this, bytes, watch, wait_and_step](pplx::task<std::size_t> put) {
-          try {
-            put.get();
-            watch->buffer.sync();
-          } catch (const std::exception&) {
-          }
-          boost::asio::post(context_, wait_and_step);
-        });
-  }, steady_now());
+  daemon_.view(
+      [this, watch](const ViewAnswer& view) {
+        const auto& proposer = daemon_.proposer();
+        Json items = Json::array();
+        for (const auto& resource : proposer.state().resources) {
+          if (resource.kind != watch->kind || (!watch->name.empty() && resource.name != watch->name))
+            continue;
+          auto count = count_in_force(view.in_force, resource.config_revision);
+          bool is_mapped = view.master && view.settled && view.map.config_revision >= resource.config_revision;
+          for (auto& daemon : count.daemons)
+            daemon.erase("age_ms");
+          for (auto& daemon : count.daemons)
+            daemon.erase("map_version");
+          items.push_back({{"name", resource.name},
+                           {"version", resource.version},
+                           {"config_revision", resource.config_revision},
+                           {"in_force", is_mapped && count.is_everywhere},
+                           {"daemons", count.daemons}});
+        }
+        std::string line = json_text(Json{{"kind", watch->kind}, {"master_known", view.master}, {"items", items}});
+        std::string out;
+        if (line != watch->last) {
+          watch->last = line;
+          out = line + "\n";
+        } else if (++watch->quiet_steps % 20 == 0) {
+          out = "\n";
+        }
+        auto wait_and_step = [this, watch] {
+          auto timer = std::make_shared<boost::asio::steady_timer>(context_, std::chrono::milliseconds(100));
+          timer->async_wait([this, watch, timer](boost::system::error_code) {
+            step_watch(watch);
+            flush_();
+          });
+        };
+        if (out.empty())
+          return wait_and_step();
+        if (watch->buffer.in_avail() > max_body) {  // a watcher that does not read is let go
+          watch->buffer.close(std::ios_base::out);
+          return;
+        }
+        auto bytes = std::make_shared<std::string>(std::move(out));
+        watch->buffer.putn_nocopy(reinterpret_cast<const std::uint8_t*>(bytes->data()), bytes->size())
+            .then([this, bytes, watch, wait_and_step](pplx::task<std::size_t> put) {
+              try {
+                put.get();
+                watch->buffer.sync();
+              } catch (const std::exception&) {
+              }
+              boost::asio::post(context_, wait_and_step);
+            });
+      },
+      steady_now());
 }
 
 void ControlInterface::fleet(http_request request) {
-  daemon_.view([this, request](const ViewAnswer& view) {
-    const auto& proposer = daemon_.proposer();
-    const auto& state = proposer.state();
-    Json fleet{{"fleet", state.fleet}, {"state_version", state.version}, {"config_revision", state.config_revision},
-               {"reign", state.term}, {"master", state.master.text}, {"map_floor", show(state.minimum_version)},
-               {"master_answers", view.master}, {"map_version", show(view.map.version)}, {"map_config_revision", view.map.config_revision}};
-    fleet["state_age_ms"] = (steady_now() - proposer.confirmed_at()).value;
-    fleet["acceptors"] = Json::array();
-    for (const auto& entry : state.acceptors) fleet["acceptors"].push_back({{"store", entry.store.text}, {"address", entry.address.text}});
-    if (!state.next_acceptors.empty()) {
-      fleet["next_acceptors"] = Json::array();
-      for (const auto& entry : state.next_acceptors) fleet["next_acceptors"].push_back({{"store", entry.store.text}, {"address", entry.address.text}});
-    }
-    fleet["roster"] = Json::array();
-    for (const auto& entry : state.roster) fleet["roster"].push_back(daemon_json(entry));
-    fleet["known"] = Json::array();
-    for (const auto& entry : daemon_.known()) fleet["known"].push_back(daemon_json(entry));
-    fleet["daemons"] = count_in_force(view.in_force, view.map.config_revision).daemons;
-    fleet["emptied_zones"] = Json::array();
-    for (const auto& zone : view.map.emptied) fleet["emptied_zones"].push_back(zone.text);
-    fleet["gateways"] = Json::array();
-    for (const auto& row : view.map.gateways) fleet["gateways"].push_back({{"http", row.http}, {"zone", row.zone.text}, {"region", row.region.text}});
-    fleet["regions"] = Json::array();
-    for (const auto& row : view.map.regions)
-      fleet["regions"].push_back({{"pool", row.pool.text}, {"region", row.region.text}, {"capacity", row.capacity}, {"burden", row.load}, {"spills", row.spills}});
-    fleet["runners"] = Json::array();
-    for (const auto& row : view.map.runners) {
-      Json grants = Json::object();
-      for (const auto& grant : row.grants) grants[grant.daemon.text] = grant.calls;
-      fleet["runners"].push_back({{"name", row.name.text}, {"address", row.http}, {"pool", row.pool.text}, {"zone", row.zone.text},
-                                  {"region", row.region.text}, {"status", row.status}, {"incarnation", row.incarnation},
-                                  {"capacity", row.capacity}, {"burden", row.load}, {"cold_grants", grants}});
-    }
-    answer(request, 200, json_text(fleet, 2));
-  }, steady_now());
+  daemon_.view(
+      [this, request](const ViewAnswer& view) {
+        const auto& proposer = daemon_.proposer();
+        const auto& state = proposer.state();
+        Json fleet{{"fleet", state.fleet},
+                   {"state_version", state.version},
+                   {"config_revision", state.config_revision},
+                   {"reign", state.term},
+                   {"master", state.master.text},
+                   {"map_floor", show(state.minimum_version)},
+                   {"master_answers", view.master},
+                   {"map_version", show(view.map.version)},
+                   {"map_config_revision", view.map.config_revision}};
+        fleet["state_age_ms"] = (steady_now() - proposer.confirmed_at()).value;
+        fleet["acceptors"] = Json::array();
+        for (const auto& entry : state.acceptors)
+          fleet["acceptors"].push_back({{"store", entry.store.text}, {"address", entry.address.text}});
+        if (!state.next_acceptors.empty()) {
+          fleet["next_acceptors"] = Json::array();
+          for (const auto& entry : state.next_acceptors)
+            fleet["next_acceptors"].push_back({{"store", entry.store.text}, {"address", entry.address.text}});
+        }
+        fleet["roster"] = Json::array();
+        for (const auto& entry : state.roster)
+          fleet["roster"].push_back(daemon_json(entry));
+        fleet["known"] = Json::array();
+        for (const auto& entry : daemon_.known())
+          fleet["known"].push_back(daemon_json(entry));
+        fleet["daemons"] = count_in_force(view.in_force, view.map.config_revision).daemons;
+        fleet["emptied_zones"] = Json::array();
+        for (const auto& zone : view.map.emptied)
+          fleet["emptied_zones"].push_back(zone.text);
+        fleet["gateways"] = Json::array();
+        for (const auto& row : view.map.gateways)
+          fleet["gateways"].push_back({{"http", row.http}, {"zone", row.zone.text}, {"region", row.region.text}});
+        fleet["regions"] = Json::array();
+        for (const auto& row : view.map.regions)
+          fleet["regions"].push_back({{"pool", row.pool.text},
+                                      {"region", row.region.text},
+                                      {"capacity", row.capacity},
+                                      {"burden", row.load},
+                                      {"spills", row.spills}});
+        fleet["runners"] = Json::array();
+        for (const auto& row : view.map.runners) {
+          Json grants = Json::object();
+          for (const auto& grant : row.grants)
+            grants[grant.daemon.text] = grant.calls;
+          fleet["runners"].push_back({{"name", row.name.text},
+                                      {"address", row.http},
+                                      {"pool", row.pool.text},
+                                      {"zone", row.zone.text},
+                                      {"region", row.region.text},
+                                      {"status", row.status},
+                                      {"incarnation", row.incarnation},
+                                      {"capacity", row.capacity},
+                                      {"burden", row.load},
+                                      {"cold_grants", grants}});
+        }
+        answer(request, 200, json_text(fleet, 2));
+      },
+      steady_now());
 }
 
 void ControlInterface::metrics(http_request request) {
@@ -344,32 +433,57 @@
   const auto& p = daemon_.proposer().counts();
   const auto& e = daemon_.election().counts();
   const auto& l = links_.counts();
-  std::map<std::string, std::int64_t> counters{
-      {"maps_published", c.maps_published}, {"maps_taken", c.maps_taken}, {"maps_fenced", c.maps_fenced}, {"edits", daemon_.edit_counts().edits},
-      {"edits_unknown", daemon_.edit_counts().unknown}, {"probes", daemon_.probes_made()}, {"enrolled", daemon_.roster_counts().enrolled},
-      {"ghosts_evicted", daemon_.roster_counts().dead_members_evicted},
-      {"messages_in", c.messages_in}, {"bars_passed", c.holds_passed}, {"register_rounds", p.rounds}, {"register_conflicts", p.conflicts},
-      {"register_committed", p.committed}, {"register_unknown", p.unknown}, {"register_mended", p.mended}, {"register_reads", p.reads},
-      {"election_rounds", e.rounds}, {"election_starved_rounds", e.starved}, {"election_joins_failed", e.joins_failed},
-      {"election_won", e.elected}, {"election_stepped_down", e.stepped_down}, {"is_master", daemon_.election().is_master() ? 1 : 0},
-      {"reign", daemon_.election().term()}, {"link_frames_out", l.frames_out}, {"link_frames_in", l.frames_in},
-      {"link_frames_dropped", l.frames_dropped}, {"link_bytes_out", l.bytes_out}, {"link_frames_refused", l.refused_frames}};
-  for (const auto& [kind, count] : daemon_.journal().counts()) counters["event_" + kind] = count;
+  std::map<std::string, std::int64_t> counters{{"maps_published", c.maps_published},
+                                               {"maps_taken", c.maps_taken},
+                                               {"maps_fenced", c.maps_fenced},
+                                               {"edits", daemon_.edit_counts().edits},
+                                               {"edits_unknown", daemon_.edit_counts().unknown},
+                                               {"probes", daemon_.probes_made()},
+                                               {"enrolled", daemon_.roster_counts().enrolled},
+                                               {"ghosts_evicted", daemon_.roster_counts().dead_members_evicted},
+                                               {"messages_in", c.messages_in},
+                                               {"bars_passed", c.holds_passed},
+                                               {"register_rounds", p.rounds},
+                                               {"register_conflicts", p.conflicts},
+                                               {"register_committed", p.committed},
+                                               {"register_unknown", p.unknown},
+                                               {"register_mended", p.mended},
+                                               {"register_reads", p.reads},
+                                               {"election_rounds", e.rounds},
+                                               {"election_starved_rounds", e.starved},
+                                               {"election_joins_failed", e.joins_failed},
+                                               {"election_won", e.elected},
+                                               {"election_stepped_down", e.stepped_down},
+                                               {"is_master", daemon_.election().is_master() ? 1 : 0},
+                                               {"reign", daemon_.election().term()},
+                                               {"link_frames_out", l.frames_out},
+                                               {"link_frames_in", l.frames_in},
+                                               {"link_frames_dropped", l.frames_dropped},
+                                               {"link_bytes_out", l.bytes_out},
+                                               {"link_frames_refused", l.refused_frames}};
+  for (const auto& [kind, count] : daemon_.journal().counts())
+    counters["event_" + kind] = count;
   if (more_counters)
-    for (const auto& [name, count] : more_counters()) counters[name] = count;
+    for (const auto& [name, count] : more_counters())
+      counters[name] = count;
   answer(request, 200, counters_text("emberdale_control", counters), 0, 0, "text/plain; version=0.0.4");
 }
 
 void ControlInterface::faults(http_request request, const std::string& body) {
-  if (!may_fault_links_) return answer_reason(request, 403, "started without --allow-link-faults");
+  if (!may_fault_links_)
+    return answer_reason(request, 403, "started without --allow-link-faults");
   Json wish = Json::parse(body, nullptr, false);
-  if (!wish.is_object()) return answer_reason(request, 400, "not a JSON object");
-  if (wish.value("clear", false)) links_.clear_faults();
-  if (wish.contains("disk") && (!wish["disk"].is_string() || !set_disk_fault || !set_disk_fault(wish["disk"].get<std::string>(), wish.value("disk_ms", 250))))
+  if (!wish.is_object())
+    return answer_reason(request, 400, "not a JSON object");
+  if (wish.value("clear", false))
+    links_.clear_faults();
+  if (wish.contains("disk") && (!wish["disk"].is_string() || !set_disk_fault ||
+                                !set_disk_fault(wish["disk"].get<std::string>(), wish.value("disk_ms", 250))))
     return answer_reason(request, 400, "there is no such fault, or no disk here");
   if (wish.contains("siblings"))
     for (const auto& peer : wish["siblings"])
-      links_.set_fault({peer.get<std::string>()}, {wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}});
+      links_.set_fault({peer.get<std::string>()},
+                       {wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}});
   answer(request, 200, "{}");
 }
 
--- a/packages/control-plane/src/control_interface.hpp
+++ b/packages/control-plane/src/control_interface.hpp
@@ -16,8 +16,8 @@
 // Every act on the daemon is posted to the control thread; answers come back from there.
 class ControlInterface {
  public:
-  ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, PeerConnections& links, const std::string& http,
-                   bool may_fault_links, std::function<void()> flush);
+  ControlInterface(boost::asio::io_context& context, ControlDaemon& daemon, PeerConnections& links,
+                   const std::string& http, bool may_fault_links, std::function<void()> flush);
   Outcome<bool> open();
   void close();
   std::function<bool(const std::string& fault, std::int64_t ms)> set_disk_fault;  // tests only
--- a/packages/control-plane/src/control_process.cpp
+++ b/packages/control-plane/src/control_process.cpp
@@ -14,21 +14,29 @@
   std::unique_ptr<RegisterAcceptor> acceptor;
   if (!settings_.data_folder.empty()) {
     auto files = open_disk_folder(settings_.data_folder);
-    if (!files) return failure(files.reason);
+    if (!files)
+      return failure(files.reason);
     std::shared_ptr<FileSystem> disk = *files;
-    if (settings_.may_fault_links) disk = faulty_disk_ = std::make_shared<FaultyFileSystem>(disk);
+    if (settings_.may_fault_links)
+      disk = faulty_disk_ = std::make_shared<FaultyFileSystem>(disk);
     log_ = std::make_unique<SegmentedLog>(disk, 1 << 20);
     auto opening = log_->open(random_id());
-    if (!opening) return failure(opening.reason);
-    if (!opening->finding.empty()) LOG(WARNING) << opening->finding;
-    LOG(INFO) << "store " << opening->store << (opening->is_new ? " (new)" : "") << ", " << opening->records.size() << " records";
+    if (!opening)
+      return failure(opening.reason);
+    if (!opening->finding.empty())
+      LOG(WARNING) << opening->finding;
+    LOG(INFO) << "store " << opening->store << (opening->is_new ? " (new)" : "") << ", " << opening->records.size()
+              << " records";
     acceptor = std::make_unique<RegisterAcceptor>(opening->store);
     auto restored = acceptor->restore(opening->records);
-    if (!restored) return failure("the log can't be replayed: " + restored.reason);
+    if (!restored)
+      return failure("the log can't be replayed: " + restored.reason);
   }
   const Address self = settings_.daemon.self.address;
   daemon_ = std::make_unique<ControlDaemon>(settings_.daemon, std::move(acceptor));
-  daemon_->journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
+  daemon_->journal().on_event = [](const JournalEvent& event) {
+    LOG(INFO) << event.kind << ": " << event.detail;
+  };
   links_ = std::make_unique<PeerConnections>(context_, self, [this](const Address& from, Message message) {
     daemon_->on_message(from, message, steady_now());
     flush();
@@ -41,7 +49,8 @@
 }
 
 void ControlProcess::start() {
-  if (log_) disk_ = std::thread([this] { run_disk(); });
+  if (log_)
+    disk_ = std::thread([this] { run_disk(); });
   control_ = std::thread([this] {
     daemon_->start(steady_now());
     flush();
@@ -58,7 +67,8 @@
   boost::asio::post(context_, [this] { context_.stop(); });
   control_.join();
   jobs_.close();
-  if (disk_.joinable()) disk_.join();
+  if (disk_.joinable())
+    disk_.join();
 }
 
 void ControlProcess::post(std::function<void(ControlDaemon&)> act) {
@@ -71,11 +81,13 @@
 void ControlProcess::tick() {
   timer_.expires_after(std::chrono::milliseconds(settings_.timer_interval.value));
   timer_.async_wait([this](boost::system::error_code fault) {
-    if (fault) return;
+    if (fault)
+      return;
     daemon_->set_wall_clock(static_cast<std::int64_t>(::time(nullptr)));
     daemon_->on_timer(steady_now());
     flush();
-    if (on_timer) on_timer();
+    if (on_timer)
+      on_timer();
     tick();
   });
 }
@@ -88,7 +100,8 @@
     auto writes = daemon_->take_writes();
     if (!writes.empty()) {
       was_quiet = false;
-      if (!jobs_.offer({std::move(writes), epoch_})) LOG(FATAL) << "the disk is " << 4096 << " writes behind";
+      if (!jobs_.offer({std::move(writes), epoch_}))
+        LOG(FATAL) << "the disk is " << 4096 << " writes behind";
     }
     for (auto& sending : daemon_->take_out()) {
       was_quiet = false;
@@ -102,8 +115,10 @@
       }
     }
     for (auto& wish : daemon_->take_probes())
-      if (on_probe_wish) on_probe_wish(wish);
-    if (was_quiet) return;
+      if (on_probe_wish)
+        on_probe_wish(wish);
+    if (was_quiet)
+      return;
   }
 }
 
@@ -111,13 +126,16 @@
 void ControlProcess::run_disk() {
   while (auto job = jobs_.take()) {
     std::vector<std::string> records;
-    for (auto& write : job->writes) records.push_back(std::move(write.record));
+    for (auto& write : job->writes)
+      records.push_back(std::move(write.record));
     std::int64_t last = job->writes.back().token;
-    if (job->epoch <= refused_epoch_) continue;
+    if (job->epoch <= refused_epoch_)
+      continue;
     auto written = log_->append(records);
     if (written) {
       auto synced = log_->sync();
-      if (!synced) LOG(FATAL) << "the data folder can't be synced, nothing is known of it: " << synced.reason;
+      if (!synced)
+        LOG(FATAL) << "the data folder can't be synced, nothing is known of it: " << synced.reason;
       disk_writes_ += static_cast<std::int64_t>(records.size());
       post([last](ControlDaemon& daemon) { daemon.synced(last, steady_now()); });
       if (log_->wants_snapshot()) {
@@ -125,9 +143,11 @@
         auto fresh = std::make_shared<std::promise<std::string>>();
         auto result = fresh->get_future();
         boost::asio::post(context_, [this, fresh] { fresh->set_value(daemon_->acceptor()->picture()); });
-        if (result.wait_for(std::chrono::seconds(5)) != std::future_status::ready) continue;
+        if (result.wait_for(std::chrono::seconds(5)) != std::future_status::ready)
+          continue;
         auto taken = log_->snapshot(result.get());
-        if (!taken) LOG(WARNING) << "no snapshot: " << taken.reason;
+        if (!taken)
+          LOG(WARNING) << "no snapshot: " << taken.reason;
       }
     } else {
       ++disk_refused_;
@@ -138,7 +158,8 @@
         ++epoch_;
       });
     }
-    if (log_->must_stop()) LOG(FATAL) << "the data folder can't be trusted any more: stopping";
+    if (log_->must_stop())
+      LOG(FATAL) << "the data folder can't be trusted any more: stopping";
   }
 }
 
--- a/packages/control-plane/src/control_process.hpp
+++ b/packages/control-plane/src/control_process.hpp
@@ -9,8 +9,8 @@
 #include "emberdale/bounded_queue.hpp"
 #include "emberdale/control_daemon.hpp"
 #include "emberdale/faulty_file_system.hpp"
-#include "emberdale/segmented_log.hpp"
 #include "emberdale/peer_connections.hpp"
+#include "emberdale/segmented_log.hpp"
 
 namespace emberdale {
 
@@ -30,7 +30,8 @@
   // Opens the data folder and the peer links; the reason tells what can't be had.
   Outcome<bool> open();
   void start();
-  // Lays down what can be laid down, waits for `patience`, ends the threads. Example: process.stop(Span{300}, [&] { interface.close(); });
+  // Lays down what can be laid down, waits for `patience`, ends the threads. Example: process.stop(Span{300}, [&] {
+  // interface.close(); });
   void stop(Span patience, std::function<void()> before_end);
 
   // On the control thread: a probe is wished for; an timer has passed.
@@ -47,7 +48,9 @@
   std::int64_t disk_writes() const { return disk_writes_; }
   std::int64_t disk_refused() const { return disk_refused_; }
   // Tests only. Example: process.set_disk_fault("full", 0)
-  bool set_disk_fault(const std::string& fault, std::int64_t ms) { return faulty_disk_ && faulty_disk_->set_fault(fault, ms); }
+  bool set_disk_fault(const std::string& fault, std::int64_t ms) {
+    return faulty_disk_ && faulty_disk_->set_fault(fault, ms);
+  }
 
  private:
   struct DiskJob {
--- a/packages/control-plane/src/core_founder.cpp
+++ b/packages/control-plane/src/core_founder.cpp
@@ -10,22 +10,32 @@
 const char* const fleet_name = "emberdale";
 }  // namespace
 
-CoreFounder::CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds, RandomGenerator random)
-    : proposer_(proposer), journal_(journal), self_(std::move(self)), seeds_(seeds.begin(), seeds.end()), random_(random), ask_(first_ask(random_)) {}
+CoreFounder::CoreFounder(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds,
+                         RandomGenerator random)
+    : proposer_(proposer),
+      journal_(journal),
+      self_(std::move(self)),
+      seeds_(seeds.begin(), seeds.end()),
+      random_(random),
+      ask_(first_ask(random_)) {}
 
 void CoreFounder::start(Moment now) {
-  if (phase_ != Phase::idle || seeds_.empty() || *seeds_.begin() != self_) return;
+  if (phase_ != Phase::idle || seeds_.empty() || *seeds_.begin() != self_)
+    return;
   phase_ = Phase::asking;
   started_ = ask_next_ = now;
 }
 
 void CoreFounder::on_message(const Address& from, const Message& message, Moment now) {
-  if (const auto* answer = std::get_if<ReadAnswer>(&message)) on_read(from, *answer, now);
-  if (const auto* answer = std::get_if<FoundAnswer>(&message)) on_founded(*answer, now);
+  if (const auto* answer = std::get_if<ReadAnswer>(&message))
+    on_read(from, *answer, now);
+  if (const auto* answer = std::get_if<FoundAnswer>(&message))
+    on_founded(*answer, now);
 }
 
 void CoreFounder::on_read(const Address& from, const ReadAnswer& answer, Moment now) {
-  if (phase_ != Phase::asking || answer.ask != ask_ || seeds_.count(from) == 0) return;
+  if (phase_ != Phase::asking || answer.ask != ask_ || seeds_.count(from) == 0)
+    return;
   if (answer.blank) {
     blanks_[from] = {answer.store, now};
     return;
@@ -42,7 +52,8 @@
   FleetState state;
   state.fleet = fleet_name;
   state.version = 1;
-  for (const auto& [address, blank] : blanks_) acceptors_.push_back({blank.store, address});
+  for (const auto& [address, blank] : blanks_)
+    acceptors_.push_back({blank.store, address});
   state.acceptors = acceptors_;
   value_.data = encode_state(state);
   ask_next_ = now + ask_pace;
@@ -51,36 +62,48 @@
 
 void CoreFounder::send_found() {
   for (const auto& entry : acceptors_)
-    if (answered_.count(entry.store) == 0) out_.push_back({entry.address, Found{ask_, entry.store, value_}});
+    if (answered_.count(entry.store) == 0)
+      out_.push_back({entry.address, Found{ask_, entry.store, value_}});
 }
 
 void CoreFounder::on_founded(const FoundAnswer& answer, Moment now) {
-  if (phase_ != Phase::founding || answer.ask != ask_) return;
-  bool is_named = std::any_of(acceptors_.begin(), acceptors_.end(), [&](const auto& entry) { return entry.store == answer.store; });
-  if (!is_named) return;
+  if (phase_ != Phase::founding || answer.ask != ask_)
+    return;
+  bool is_named =
+      std::any_of(acceptors_.begin(), acceptors_.end(), [&](const auto& entry) { return entry.store == answer.store; });
+  if (!is_named)
+    return;
   // A refusal says that the founding has gone on from there already: a read by another daemon carried it on.
   answered_.insert(answer.store);
-  if (answer.granted) granted_.insert(answer.store);
-  if (answered_.size() == acceptors_.size()) phase_ = Phase::over;
-  if (was_founded_ || !has_majority(acceptors_, {}, granted_) || !proposer_.acceptors().empty()) return;
+  if (answer.granted)
+    granted_.insert(answer.store);
+  if (answered_.size() == acceptors_.size())
+    phase_ = Phase::over;
+  if (was_founded_ || !has_majority(acceptors_, {}, granted_) || !proposer_.acceptors().empty())
+    return;
   proposer_.learn_acceptors(acceptors_);
   was_founded_ = true;
   journal_.append(now, "founded", fleet_name);
 }
 
 void CoreFounder::on_timer(Moment now) {
-  if (phase_ == Phase::asking && (proposer_.has_state() || !proposer_.acceptors().empty())) phase_ = Phase::over;
+  if (phase_ == Phase::asking && (proposer_.has_state() || !proposer_.acceptors().empty()))
+    phase_ = Phase::over;
   if (phase_ == Phase::asking && now - started_ >= founding_wait) {
     bool has_all = std::all_of(seeds_.begin(), seeds_.end(), [&](const auto& seed) {
       auto blank = blanks_.find(seed);
       return blank != blanks_.end() && now - blank->second.heard <= answer_age;
     });
-    if (has_all) begin_founding(now);
+    if (has_all)
+      begin_founding(now);
   }
-  if (!is_at_work() || now < ask_next_) return;
+  if (!is_at_work() || now < ask_next_)
+    return;
   ask_next_ = now + ask_pace;
-  if (phase_ == Phase::founding) return send_found();
-  for (const auto& seed : seeds_) out_.push_back({seed, ReadAsk{ask_, "data", Ballot{}, false, false}});
+  if (phase_ == Phase::founding)
+    return send_found();
+  for (const auto& seed : seeds_)
+    out_.push_back({seed, ReadAsk{ask_, "data", Ballot{}, false, false}});
 }
 
 }  // namespace emberdale
--- a/packages/control-plane/src/core_set.cpp
+++ b/packages/control-plane/src/core_set.cpp
@@ -7,25 +7,34 @@
 namespace emberdale {
 
 void CoreSet::found(const std::string& fleet, const std::vector<Address>& cores, Done done, Moment now) {
-  if (founding_) return done(409, "a founding is under way");
-  if (proposer_.has_state() || !proposer_.acceptors().empty()) return done(409, "a fleet is known here already: it is never founded again");
-  if (fleet.empty()) return done(400, "the fleet must have a name");
+  if (founding_)
+    return done(409, "a founding is under way");
+  if (proposer_.has_state() || !proposer_.acceptors().empty())
+    return done(409, "a fleet is known here already: it is never founded again");
+  if (fleet.empty())
+    return done(400, "the fleet must have a name");
   std::set<Address> distinct(cores.begin(), cores.end());
-  if (cores.size() < 3 || distinct.size() != cores.size()) return done(400, "three different core machines must be named");
+  if (cores.size() < 3 || distinct.size() != cores.size())
+    return done(400, "three different core machines must be named");
   founding_ = Founding{fleet, cores, {}, {}, {}, now + Span{3000}, std::move(done), ++last_ask_};
-  for (const auto& core : cores) out_.push_back({core, ReadAsk{founding_->ask, role_, Ballot{}, false, false}});
+  for (const auto& core : cores)
+    out_.push_back({core, ReadAsk{founding_->ask, role_, Ballot{}, false, false}});
 }
 
 void CoreSet::replace(const Address& old_address, const Address& new_address, Done done, Moment now) {
-  if (replacing_) return done(409, "a replacement is under way here");
-  if (!proposer_.has_state()) return done(503, "no register is known here");
+  if (replacing_)
+    return done(409, "a replacement is under way here");
+  if (!proposer_.has_state())
+    return done(503, "no register is known here");
   replacing_ = Replacing{old_address, new_address, {}, now + Span{8000}, std::move(done), ++last_ask_, false};
   out_.push_back({new_address, ReadAsk{replacing_->ask, role_, Ballot{}, false, false}});
 }
 
 void CoreSet::on_message(const Address& from, const Message& message, Moment now) {
-  if (const auto* answer = std::get_if<ReadAnswer>(&message)) on_read(from, *answer, now);
-  if (const auto* answer = std::get_if<FoundAnswer>(&message)) on_founded(from, *answer, now);
+  if (const auto* answer = std::get_if<ReadAnswer>(&message))
+    on_read(from, *answer, now);
+  if (const auto* answer = std::get_if<FoundAnswer>(&message))
+    on_founded(from, *answer, now);
 }
 
 void CoreSet::end_founding(int code, const std::string& reason) {
@@ -36,33 +45,45 @@
 
 void CoreSet::on_read(const Address& from, const ReadAnswer& answer, Moment now) {
   if (founding_ && answer.ask == founding_->ask) {
-    if (!answer.blank) return end_founding(409, from.text + " already holds a register");
+    if (!answer.blank)
+      return end_founding(409, from.text + " already holds a register");
     founding_->stores[from] = answer.store;
     if (founding_->stores.size() == founding_->cores.size() && founding_->value.data.empty()) {
       FleetState state;
       state.fleet = founding_->fleet;
       state.version = 1;
-      for (const auto& [address, store] : founding_->stores) state.acceptors.push_back({store, address});
+      for (const auto& [address, store] : founding_->stores)
+        state.acceptors.push_back({store, address});
       founding_->value.data = encode_state(state);
-      for (const auto& [address, store] : founding_->stores) out_.push_back({address, Found{founding_->ask, store, founding_->value}});
+      for (const auto& [address, store] : founding_->stores)
+        out_.push_back({address, Found{founding_->ask, store, founding_->value}});
     }
   }
-  if (replacing_ && !replacing_->is_asked && answer.ask == replacing_->ask && from == replacing_->new_address) begin_replacing(answer, now);
+  if (replacing_ && !replacing_->is_asked && answer.ask == replacing_->ask && from == replacing_->new_address)
+    begin_replacing(answer, now);
   // A core machine's address that answers as another, blank store: the old one is gone.
   for (const auto& entry : proposer_.acceptors())
     if (entry.address == from) {
-      if ((answer.blank || (reconciler_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < answer.accepted))) && entry.store != answer.store) blank_stores_[from] = answer.store;
-      else blank_stores_.erase(from);
+      if ((answer.blank ||
+           (reconciler_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < answer.accepted))) &&
+          entry.store != answer.store)
+        blank_stores_[from] = answer.store;
+      else
+        blank_stores_.erase(from);
     }
 }
 
 void CoreSet::on_founded(const Address& from, const FoundAnswer& answer, Moment now) {
-  if (!founding_ || answer.ask != founding_->ask) return;
-  if (!answer.granted) return end_founding(409, from.text + ": " + answer.reason);
+  if (!founding_ || answer.ask != founding_->ask)
+    return;
+  if (!answer.granted)
+    return end_founding(409, from.text + ": " + answer.reason);
   founding_->granted.insert(answer.store);
-  if (founding_->granted.size() != founding_->cores.size()) return;
+  if (founding_->granted.size() != founding_->cores.size())
+    return;
   auto state = decode_state(founding_->value.data);
-  if (state) proposer_.learn_acceptors(state->acceptors);
+  if (state)
+    proposer_.learn_acceptors(state->acceptors);
   was_founded_ = true;
   journal_.append(now, "founded", founding_->fleet);
   end_founding(201, "founded");
@@ -71,50 +92,70 @@
 void CoreSet::begin_replacing(const ReadAnswer& answer, Moment now) {
   replacing_->is_asked = true;
   replacing_->new_store = answer.store;
-  auto change = [old = replacing_->old_address, fresh = AcceptorEntry{answer.store, replacing_->new_address}, is_blank = answer.blank](const FleetState& state) -> Verdict {
-    auto refuse = [](const std::string& why) { return Verdict{Verdict::Kind::refuse, {}, why}; };
+  auto change = [old = replacing_->old_address, fresh = AcceptorEntry{answer.store, replacing_->new_address},
+                 is_blank = answer.blank](const FleetState& state) -> Verdict {
+    auto refuse = [](const std::string& why) {
+      return Verdict{Verdict::Kind::refuse, {}, why};
+    };
     auto holds_store = [&](const std::vector<AcceptorEntry>& set) {
       return std::any_of(set.begin(), set.end(), [&](const auto& entry) { return entry.store == fresh.store; });
     };
     auto is_core = [&](const Address& address) {
-      return std::any_of(state.acceptors.begin(), state.acceptors.end(), [&](const auto& entry) { return entry.address == address; });
+      return std::any_of(state.acceptors.begin(), state.acceptors.end(),
+                         [&](const auto& entry) { return entry.address == address; });
     };
-    if (holds_store(state.next_acceptors)) return {Verdict::Kind::already_there, {}, ""};
+    if (holds_store(state.next_acceptors))
+      return {Verdict::Kind::already_there, {}, ""};
     if (holds_store(state.acceptors)) {
-      if (!is_core(old)) return {Verdict::Kind::already_there, {}, ""};
+      if (!is_core(old))
+        return {Verdict::Kind::already_there, {}, ""};
       return refuse(fresh.address.text + " is a core machine already");
     }
-    if (!state.next_acceptors.empty()) return refuse("another change of core machines is under way");
-    if (!is_blank) return refuse(fresh.address.text + " holds another register: it must be empty");
-    if (!is_core(old)) return refuse(old.text + " is no core machine of this fleet");
-    if (fresh.address != old && is_core(fresh.address)) return refuse(fresh.address.text + " is a core machine already");
+    if (!state.next_acceptors.empty())
+      return refuse("another change of core machines is under way");
+    if (!is_blank)
+      return refuse(fresh.address.text + " holds another register: it must be empty");
+    if (!is_core(old))
+      return refuse(old.text + " is no core machine of this fleet");
+    if (fresh.address != old && is_core(fresh.address))
+      return refuse(fresh.address.text + " is a core machine already");
     FleetState next = state;
     next.next_acceptors = state.acceptors;
     for (auto& entry : next.next_acceptors)
-      if (entry.address == old) entry = fresh;
+      if (entry.address == old)
+        entry = fresh;
     return {Verdict::Kind::apply, next, ""};
   };
-  proposer_.change(std::move(change), [this](const ChangeEnd& end) { end_replacing(end); }, now, Span{4000});
+  proposer_.change(
+      std::move(change), [this](const ChangeEnd& end) { end_replacing(end); }, now, Span{4000});
 }
 
 void CoreSet::end_replacing(const ChangeEnd& end) {
-  if (!replacing_) return;
+  if (!replacing_)
+    return;
   mend_next_ = Moment{0};  // the second half at once
   bool is_whole = end.kind == ChangeEnd::Kind::committed && end.state.next_acceptors.empty();
-  if (end.kind == ChangeEnd::Kind::committed && !is_whole) return;  // answered once the new set stands alone
+  if (end.kind == ChangeEnd::Kind::committed && !is_whole)
+    return;  // answered once the new set stands alone
   auto done = std::move(replacing_->done);
   replacing_.reset();
-  if (is_whole) done(200, "replaced already");
-  else if (end.kind == ChangeEnd::Kind::refused) done(409, end.reason);
-  else if (end.kind == ChangeEnd::Kind::no_majority) done(503, end.reason);
-  else done(504, end.reason);
+  if (is_whole)
+    done(200, "replaced already");
+  else if (end.kind == ChangeEnd::Kind::refused)
+    done(409, end.reason);
+  else if (end.kind == ChangeEnd::Kind::no_majority)
+    done(503, end.reason);
+  else
+    done(504, end.reason);
 }
 
 void CoreSet::on_state() {
   const FleetState& state = proposer_.state();
   bool is_whole = replacing_ && state.next_acceptors.empty() &&
-                  std::any_of(state.acceptors.begin(), state.acceptors.end(), [&](const auto& entry) { return entry.store == replacing_->new_store; });
-  if (!is_whole) return;
+                  std::any_of(state.acceptors.begin(), state.acceptors.end(),
+                              [&](const auto& entry) { return entry.store == replacing_->new_store; });
+  if (!is_whole)
+    return;
   auto done = std::move(replacing_->done);
   replacing_.reset();
   done(200, "replaced");
@@ -122,14 +163,17 @@
 
 // The daemons with an acceptor finish a joint change that was left half-way, and admit a wiped machine's new store.
 void CoreSet::mend(Moment now) {
-  if (!has_acceptor_ && !replacing_) return;
-  if (is_mending_ || now < mend_next_ || !proposer_.has_state()) return;
+  if (!has_acceptor_ && !replacing_)
+    return;
+  if (is_mending_ || now < mend_next_ || !proposer_.has_state())
+    return;
   mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1500)} : Span{100 + random_.below(200)});
   const FleetState& state = proposer_.state();
   Change change;
   if (!state.next_acceptors.empty()) {
     change = [](const FleetState& found) -> Verdict {
-      if (found.next_acceptors.empty()) return {Verdict::Kind::already_there, {}, ""};
+      if (found.next_acceptors.empty())
+        return {Verdict::Kind::already_there, {}, ""};
       FleetState next = found;
       next.acceptors = found.next_acceptors;
       next.next_acceptors.clear();
@@ -138,15 +182,20 @@
   } else {
     for (const auto& entry : state.acceptors) {
       auto fresh = blank_stores_.find(entry.address);
-      if (fresh == blank_stores_.end() || fresh->second == entry.store) continue;
-      change = [old = entry, renewed = AcceptorEntry{fresh->second, entry.address}](const FleetState& found) -> Verdict {
-        auto is_old = [&](const auto& e) { return e.store == old.store; };
+      if (fresh == blank_stores_.end() || fresh->second == entry.store)
+        continue;
+      change = [old = entry,
+                renewed = AcceptorEntry{fresh->second, entry.address}](const FleetState& found) -> Verdict {
+        auto is_old = [&](const auto& e) {
+          return e.store == old.store;
+        };
         if (!found.next_acceptors.empty() || std::none_of(found.acceptors.begin(), found.acceptors.end(), is_old))
           return {Verdict::Kind::already_there, {}, ""};
         FleetState next = found;
         next.next_acceptors = found.acceptors;
         for (auto& e : next.next_acceptors)
-          if (is_old(e)) e = renewed;
+          if (is_old(e))
+            e = renewed;
         return {Verdict::Kind::apply, next, ""};
       };
       journal_.append(now, "admitting", fresh->second.text + " at " + entry.address.text);
@@ -158,25 +207,32 @@
         journal_.append(now, due->kind, due->detail);
       }
   }
-  if (!change) return;
+  if (!change)
+    return;
   is_mending_ = true;
-  proposer_.change(std::move(change), [this](const ChangeEnd&) {
-    is_mending_ = false;
-    mend_next_ = Moment{0};
-  }, now, Span{3000});
+  proposer_.change(
+      std::move(change),
+      [this](const ChangeEnd&) {
+        is_mending_ = false;
+        mend_next_ = Moment{0};
+      },
+      now, Span{3000});
 }
 
 void CoreSet::on_timer(Moment now) {
   mend(now);
   if (founding_ && founding_->deadline <= now) {
     bool was_sent = !founding_->value.data.empty();
-    end_founding(was_sent ? 504 : 503, was_sent ? "not all core machines confirmed in time; found again with the same words" : "not all core machines answered");
+    end_founding(was_sent ? 504 : 503, was_sent
+                                           ? "not all core machines confirmed in time; found again with the same words"
+                                           : "not all core machines answered");
   }
   if (replacing_ && replacing_->deadline <= now) {
     auto done = std::move(replacing_->done);
     bool was_sent = replacing_->is_asked;
     replacing_.reset();
-    done(was_sent ? 504 : 503, was_sent ? "not finished in time; look at the fleet" : "the new core machine does not answer");
+    done(was_sent ? 504 : 503,
+         was_sent ? "not finished in time; look at the fleet" : "the new core machine does not answer");
   }
 }
 
--- a/packages/control-plane/src/edit_forwarder.cpp
+++ b/packages/control-plane/src/edit_forwarder.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "emberdale/serving_plans.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/serving_plans.hpp"
 
 namespace emberdale {
 namespace {
@@ -14,23 +14,31 @@
 constexpr Span hold_patience{3000};
 }  // namespace
 
-std::string reason_body(const std::string& reason, const std::string& outcome) { return json_text(Json{{"reason", reason}, {"outcome", outcome}}); }
+std::string reason_body(const std::string& reason, const std::string& outcome) {
+  return json_text(Json{{"reason", reason}, {"outcome", outcome}});
+}
 
 PassedHold hold_of(const EditAsk& ask, Integer version, Moment now) {
   PassedHold passed;
-  if (ask.act == "delete" || (ask.kind != runners_kind && ask.kind != orders_kind)) return passed;
+  if (ask.act == "delete" || (ask.kind != runners_kind && ask.kind != orders_kind))
+    return passed;
   Json body = Json::parse(ask.body, nullptr, false);
-  if (!body.is_object()) return passed;
+  if (!body.is_object())
+    return passed;
   Hold hold;
   hold.change = ask.change;
-  if (ask.kind == runners_kind && body.value("leaving", Json()) == true) hold.runner.text = ask.name;
-  else if (ask.kind == orders_kind && body.value("state", Json()) == "emptied") hold.zone.text = ask.name;
-  else return passed;
+  if (ask.kind == runners_kind && body.value("leaving", Json()) == true)
+    hold.runner.text = ask.name;
+  else if (ask.kind == orders_kind && body.value("state", Json()) == "emptied")
+    hold.zone.text = ask.name;
+  else
+    return passed;
   return PassedHold{hold, now + hold_pace, now + hold_patience, version};
 }
 
 bool PassedHold::is_due(Integer current_version, Moment now) {
-  if (!hold || now < next) return false;
+  if (!hold || now < next)
+    return false;
   if (is_over(now) || current_version != version) {  // done, or overtaken by another edit
     hold.reset();
     return false;
@@ -47,10 +55,12 @@
 std::vector<Sending> EditForwarder::send(const Address& master, Integer term, Moment now) {
   std::vector<Sending> sendings;
   for (auto& [number, edit] : waiting_) {
-    if (master.empty() || now < edit.send_next) continue;
+    if (master.empty() || now < edit.send_next)
+      continue;
     // A large one takes its time on a narrow link, and so does its answer.
     edit.send_next = now + Span{send_pace.value + static_cast<std::int64_t>(edit.ask.body.size() / 200)};
-    if (edit.copies.empty()) edit.deadline = now + forward_patience;
+    if (edit.copies.empty())
+      edit.deadline = now + forward_patience;
     edit.ask.term = term;
     ++edit.copies[term];
     sendings.push_back({master, edit.ask});
@@ -60,20 +70,24 @@
 
 std::vector<EditForwarder::Waiting> EditForwarder::take_back() {
   std::vector<Waiting> mine;
-  for (auto& [number, edit] : waiting_) mine.push_back(std::move(edit));
+  for (auto& [number, edit] : waiting_)
+    mine.push_back(std::move(edit));
   waiting_.clear();
   return mine;
 }
 
 std::optional<EditForwarder::Waiting> EditForwarder::on_answer(const EditAnswer& answer, Moment now) {
   auto entry = waiting_.find(answer.ask);
-  if (entry == waiting_.end()) return std::nullopt;
+  if (entry == waiting_.end())
+    return std::nullopt;
   auto& copies = entry->second.copies;
   if (answer.code == 0) {
     // That copy does nothing: it came to one that does not lead that term.
     auto copy = copies.find(answer.term);
-    if (copy != copies.end() && --copy->second == 0) copies.erase(copy);
-    if (copies.empty()) entry->second.deadline = std::min(entry->second.deadline, now + master_patience);
+    if (copy != copies.end() && --copy->second == 0)
+      copies.erase(copy);
+    if (copies.empty())
+      entry->second.deadline = std::min(entry->second.deadline, now + master_patience);
     return std::nullopt;
   }
   // A refusal settles its own term: asked again, that master says the same. One that was worked out on the
@@ -81,9 +95,12 @@
   // that is out may yet turn out to be done.
   bool is_refusal = answer.code != 200 && answer.code != 201 && answer.code != 504;
   if (is_refusal) {
-    if (answer.code == 503) copies.erase(answer.term);
-    else copies.erase(copies.begin(), copies.upper_bound(answer.term));
-    if (!copies.empty()) return std::nullopt;
+    if (answer.code == 503)
+      copies.erase(answer.term);
+    else
+      copies.erase(copies.begin(), copies.upper_bound(answer.term));
+    if (!copies.empty())
+      return std::nullopt;
   }
   Waiting ended = std::move(entry->second);
   waiting_.erase(entry);
@@ -100,11 +117,14 @@
     }
     bool is_refused = entry->second.copies.empty();
     EditAnswer answer{entry->first, is_refused ? 503 : 504, 0,
-                      is_refused ? reason_body("no master is known here", "refused") : reason_body("the master did not answer in time; read it back", "unknown"), 0};
+                      is_refused ? reason_body("no master is known here", "refused")
+                                 : reason_body("the master did not answer in time; read it back", "unknown"),
+                      0};
     over.emplace_back(std::move(entry->second), std::move(answer));
     entry = waiting_.erase(entry);
   }
-  for (auto& [edit, answer] : over) edit.done(answer);
+  for (auto& [edit, answer] : over)
+    edit.done(answer);
   return over;
 }
 
--- a/packages/control-plane/src/leader_lease.cpp
+++ b/packages/control-plane/src/leader_lease.cpp
@@ -4,25 +4,30 @@
 namespace {
 std::vector<Address> addresses(const std::vector<DaemonEntry>& roster) {
   std::vector<Address> list;
-  for (const auto& entry : roster) list.push_back(entry.address);
+  for (const auto& entry : roster)
+    list.push_back(entry.address);
   return list;
 }
 }  // namespace
 
-FleetState LeaderLease::claimed(const FleetState& state, const TermClaim& claim, const Address& self, bool is_promise_off, bool is_at_once) {
+FleetState LeaderLease::claimed(const FleetState& state, const TermClaim& claim, const Address& self,
+                                bool is_promise_off, bool is_at_once) {
   FleetState next = state;
   next.term = claim.expected_term + 1;
   next.master = self;
   next.minimum_version = MapVersion{next.term, 1};
   // An elder may still grant leases for its maps, unless it laid its term down or was this daemon itself. A majority
-  // of those without whose acknowledges it can't has promised to acknowledge nothing more: then a short wait is enough. A
-  // long one that began before us goes on.
+  // of those without whose acknowledges it can't has promised to acknowledge nothing more: then a short wait is enough.
+  // A long one that began before us goes on.
   std::size_t promised = 0;
-  for (const auto& daemon : state.lease_roster) promised += claim.promised.count(daemon);
+  for (const auto& daemon : state.lease_roster)
+    promised += claim.promised.count(daemon);
   bool is_bound = promised > state.lease_roster.size() / 2 || is_promise_off;
   bool was_laid_down = state.master.empty() || state.master == self;
-  if (state.ack_wait <= quick_ack_wait.value) next.ack_wait = was_laid_down ? 0 : is_bound ? quick_ack_wait.value : late_ack_wait.value;
-  if (is_at_once) next.ack_wait = 0;
+  if (state.ack_wait <= quick_ack_wait.value)
+    next.ack_wait = was_laid_down ? 0 : is_bound ? quick_ack_wait.value : late_ack_wait.value;
+  if (is_at_once)
+    next.ack_wait = 0;
   next.lease_roster = addresses(state.roster);
   return next;
 }
@@ -35,11 +40,13 @@
 bool LeaderLease::may_grant_lease(Moment now) const {
   const FleetState& state = proposer_.state();
   return is_in_force() && now - proposer_.confirmed_at() <= lease_length && !state.lease_roster.empty() &&
-         election_.is_acknowledged(state.lease_roster, acknowledgement_length, now) && (tried_roster_.empty() || election_.is_acknowledged(tried_roster_, acknowledgement_length, now));
+         election_.is_acknowledged(state.lease_roster, acknowledgement_length, now) &&
+         (tried_roster_.empty() || election_.is_acknowledged(tried_roster_, acknowledgement_length, now));
 }
 
 void LeaderLease::keep(Moment now) {
-  if (is_writing_ || now < keep_next_ || !is_in_force()) return;
+  if (is_writing_ || now < keep_next_ || !is_in_force())
+    return;
   const FleetState& state = proposer_.state();
   std::vector<Address> roster = addresses(state.roster);
   bool is_wait_over = state.ack_wait > 0 && !is_waiting(now);
@@ -52,10 +59,12 @@
   tried_roster_ = roster;
   proposer_.change(
       [roster, is_wait_over, term = state.term, self = self_](const FleetState& found) -> Verdict {
-        if (found.term != term || found.master != self) return {Verdict::Kind::refuse, {}, "master no more"};
+        if (found.term != term || found.master != self)
+          return {Verdict::Kind::refuse, {}, "master no more"};
         FleetState next = found;
         next.lease_roster = roster;
-        if (is_wait_over) next.ack_wait = 0;
+        if (is_wait_over)
+          next.ack_wait = 0;
         return {Verdict::Kind::apply, next, ""};
       },
       [this](const ChangeEnd&) { is_writing_ = false; }, now, Span{2000});
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -43,18 +43,27 @@
 
   int run() {
     auto opened = process_.open();
-    if (!opened) return refuse(opened.reason);
-    interface_ = std::make_unique<ControlInterface>(process_.context(), process_.daemon(), process_.links(), settings_.self.http,
-                                                    settings_.may_fault_links, [this] { process_.flush(); });
+    if (!opened)
+      return refuse(opened.reason);
+    interface_ =
+        std::make_unique<ControlInterface>(process_.context(), process_.daemon(), process_.links(), settings_.self.http,
+                                           settings_.may_fault_links, [this] { process_.flush(); });
     interface_->more_counters = [this] {
-      return std::map<std::string, std::int64_t>{{"disk_writes", process_.disk_writes()}, {"disk_refused", process_.disk_refused()}};
+      return std::map<std::string, std::int64_t>{{"disk_writes", process_.disk_writes()},
+                                                 {"disk_refused", process_.disk_refused()}};
+    };
+    interface_->set_disk_fault = [this](const std::string& fault, std::int64_t ms) {
+      return process_.set_disk_fault(fault, ms);
+    };
+    process_.on_probe_wish = [this](const ProbeWish& wish) {
+      probe(wish);
     };
-    interface_->set_disk_fault = [this](const std::string& fault, std::int64_t ms) { return process_.set_disk_fault(fault, ms); };
-    process_.on_probe_wish = [this](const ProbeWish& wish) { probe(wish); };
     auto listens = interface_->open();
-    if (!listens) return refuse(listens.reason);
+    if (!listens)
+      return refuse(listens.reason);
     process_.start();
-    LOG(INFO) << "serving as " << settings_.self.role << " " << settings_.self.address << ", http " << settings_.self.http;
+    LOG(INFO) << "serving as " << settings_.self.role << " " << settings_.self.address << ", http "
+              << settings_.self.http;
     int signal = wait_for_stop();
     LOG(INFO) << "stopping on signal " << signal;
     process_.stop(Span{300}, [this] { interface_->close(); });
@@ -66,7 +75,8 @@
     ControlProcessSettings wish;
     wish.daemon.self = settings.self;
     wish.daemon.seeds = settings.seeds;
-    wish.daemon.random_seed = static_cast<std::uint64_t>(settings.self.incarnation) ^ stable_hash(settings.self.address.text);
+    wish.daemon.random_seed =
+        static_cast<std::uint64_t>(settings.self.incarnation) ^ stable_hash(settings.self.address.text);
     wish.data_folder = settings.data_folder;
     wish.may_fault_links = settings.may_fault_links;
     return wish;
@@ -121,7 +131,8 @@
   ProgramSettings settings = read_settings(arguments, "edge", findings);
   settings.self.role = is_core || !settings.data_folder.empty() ? "core" : "edge";
   if (!findings.empty()) {
-    for (const auto& finding : findings) std::cerr << "emberdale-control-plane: " << finding << "\n";
+    for (const auto& finding : findings)
+      std::cerr << "emberdale-control-plane: " << finding << "\n";
     return 2;
   }
   start_program("emberdale-control-plane");
--- a/packages/control-plane/src/roster_keeper.cpp
+++ b/packages/control-plane/src/roster_keeper.cpp
@@ -12,9 +12,11 @@
 }  // namespace
 
 void RosterKeeper::enrol(const std::vector<DaemonEntry>& heard, Moment now) {
-  if (is_enrolling_ || !proposer_.has_state() || now < enrol_next_) return;
+  if (is_enrolling_ || !proposer_.has_state() || now < enrol_next_)
+    return;
   auto is_same = [self = self_](const DaemonEntry& entry) {
-    return entry.address == self.address && entry.zone == self.zone && entry.region == self.region && entry.http == self.http;
+    return entry.address == self.address && entry.zone == self.zone && entry.region == self.region &&
+           entry.http == self.http;
   };
   const auto& roster = proposer_.state().roster;
   if (std::any_of(roster.begin(), roster.end(), is_same)) {
@@ -30,24 +32,31 @@
   is_enrolling_ = true;
   std::vector<DaemonEntry> newcomers{self_};
   for (const auto& entry : heard)
-    if (!has_daemon(roster, entry.address)) newcomers.push_back(entry);
+    if (!has_daemon(roster, entry.address))
+      newcomers.push_back(entry);
   proposer_.change(
       [newcomers, is_same](const FleetState& state) -> Verdict {
-        if (std::any_of(state.roster.begin(), state.roster.end(), is_same)) return {Verdict::Kind::already_there, {}, ""};
+        if (std::any_of(state.roster.begin(), state.roster.end(), is_same))
+          return {Verdict::Kind::already_there, {}, ""};
         FleetState next = state;
         for (const auto& entry : newcomers) {
           bool is_self = entry.address == newcomers.front().address;
-          if (!is_self && has_daemon(next.roster, entry.address)) continue;
-          next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(), [&](const auto& e) { return e.address == entry.address; }), next.roster.end());
+          if (!is_self && has_daemon(next.roster, entry.address))
+            continue;
+          next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(),
+                                           [&](const auto& e) { return e.address == entry.address; }),
+                            next.roster.end());
           next.roster.push_back(entry);
         }
-        std::sort(next.roster.begin(), next.roster.end(), [](const auto& a, const auto& b) { return a.address < b.address; });
+        std::sort(next.roster.begin(), next.roster.end(),
+                  [](const auto& a, const auto& b) { return a.address < b.address; });
         return {Verdict::Kind::apply, next, ""};
       },
       [this, now](const ChangeEnd& end) {
         is_enrolling_ = false;
         enrol_next_ = now + Span{200 + random_.below(400)};
-        if (end.kind != ChangeEnd::Kind::committed) return;
+        if (end.kind != ChangeEnd::Kind::committed)
+          return;
         ++counts_.enrolled;
         journal_.append(now, "enrolled", self_.address.text);
       },
@@ -55,32 +64,42 @@
 }
 
 void RosterKeeper::evict_dead_members(int starved_rounds, bool is_master, Moment now) {
-  if (is_evicting_ || now < evict_next_ || !proposer_.silences()) return;
+  if (is_evicting_ || now < evict_next_ || !proposer_.silences())
+    return;
   bool is_starved = starved_rounds >= 1;
-  if (!is_starved && !is_master) return;
+  if (!is_starved && !is_master)
+    return;
   evict_next_ = now + Span{500 + random_.below(500)};
   Span span = is_starved ? std::min(dead_member_span_starved, dead_member_span_) : dead_member_span_;
   const auto& silences = *proposer_.silences();
   auto watched = silences.find(Address{});
-  if (watched == silences.end() || watched->second < span) return;
+  if (watched == silences.end() || watched->second < span)
+    return;
   std::set<Address> dead_members;
   for (const auto& entry : proposer_.state().roster) {
-    if (entry.address == self_.address) continue;
+    if (entry.address == self_.address)
+      continue;
     auto silence = silences.find(entry.address);
-    if (silence == silences.end() || silence->second >= span) dead_members.insert(entry.address);
+    if (silence == silences.end() || silence->second >= span)
+      dead_members.insert(entry.address);
   }
-  if (dead_members.empty()) return;
+  if (dead_members.empty())
+    return;
   is_evicting_ = true;
   proposer_.change(
       [dead_members](const FleetState& state) -> Verdict {
         FleetState next = state;
-        next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(), [&](const auto& e) { return dead_members.count(e.address) != 0; }), next.roster.end());
-        if (next.roster.size() == state.roster.size()) return {Verdict::Kind::already_there, {}, ""};
+        next.roster.erase(std::remove_if(next.roster.begin(), next.roster.end(),
+                                         [&](const auto& e) { return dead_members.count(e.address) != 0; }),
+                          next.roster.end());
+        if (next.roster.size() == state.roster.size())
+          return {Verdict::Kind::already_there, {}, ""};
         return {Verdict::Kind::apply, next, ""};
       },
       [this, dead_members, now](const ChangeEnd& end) {
         is_evicting_ = false;
-        if (end.kind != ChangeEnd::Kind::committed) return;
+        if (end.kind != ChangeEnd::Kind::committed)
+          return;
         counts_.dead_members_evicted += static_cast<std::int64_t>(dead_members.size());
         for (const auto& dead_member : dead_members) {
           evicted_.insert(dead_member);
--- a/packages/control-plane/src/runner_list.cpp
+++ b/packages/control-plane/src/runner_list.cpp
@@ -13,7 +13,8 @@
 }
 
 bool RunnerList::is_read_due(Moment now) {
-  if (now < read_next_ || (is_reading_ && now < read_until_)) return false;
+  if (now < read_next_ || (is_reading_ && now < read_until_))
+    return false;
   is_reading_ = true;
   read_next_ = now + read_pace;
   read_until_ = now + Span{3000};  // a reading that never ends is begun anew
@@ -22,15 +23,19 @@
 
 void RunnerList::take(std::vector<ListedRunner> runners, Moment begun, Moment now) {
   is_reading_ = false;
-  if (runners.empty() && !runners_.empty() && ++empty_lists_ < 3) return;
+  if (runners.empty() && !runners_.empty() && ++empty_lists_ < 3)
+    return;
   empty_lists_ = 0;
   std::map<RunnerName, Listed> next;
   for (auto& runner : runners) {
-    if (runner.name.empty() || runner.http.empty()) continue;
+    if (runner.name.empty() || runner.http.empty())
+      continue;
     Listed listed;
     auto known = runners_.find(runner.name);
-    if (known != runners_.end()) listed = known->second;
-    else listed.listed = now;
+    if (known != runners_.end())
+      listed = known->second;
+    else
+      listed.listed = now;
     Moment cold_until = runner.cold_left.value > 0 ? begun + runner.cold_left : Moment{0};
     listed.cold_until = std::max(listed.cold_until, cold_until);
     listed.runner = std::move(runner);
@@ -40,8 +45,10 @@
   runners_ = std::move(next);
   is_known_ = true;
   for (auto entry = taken_back_.begin(); entry != taken_back_.end();) {
-    if (entry->second + lag_allowed <= begun) entry = taken_back_.erase(entry);
-    else ++entry;
+    if (entry->second + lag_allowed <= begun)
+      entry = taken_back_.erase(entry);
+    else
+      ++entry;
   }
 }
 
@@ -60,7 +67,8 @@
   return entries;
 }
 
-void RunnerList::fill(std::map<RunnerName, RunnerStatus>& statuses, const std::map<PoolName, TrafficPool>& pools, Moment now) const {
+void RunnerList::fill(std::map<RunnerName, RunnerStatus>& statuses, const std::map<PoolName, TrafficPool>& pools,
+                      Moment now) const {
   for (const auto& [name, listed] : runners_) {
     auto known = statuses.find(name);
     RunnerStatus status;
--- a/packages/control-plane/src/traffic_edits.cpp
+++ b/packages/control-plane/src/traffic_edits.cpp
@@ -5,7 +5,8 @@
 namespace emberdale {
 namespace {
 const Resource* table_of(const std::vector<Resource>& resources) {
-  auto found = std::find_if(resources.begin(), resources.end(), [](const Resource& r) { return r.kind == traffic_kind && r.name == traffic_name; });
+  auto found = std::find_if(resources.begin(), resources.end(),
+                            [](const Resource& r) { return r.kind == traffic_kind && r.name == traffic_name; });
   return found == resources.end() ? nullptr : &*found;
 }
 }  // namespace
@@ -21,10 +22,13 @@
   result.edit.findings = change.findings;
   result.edit.reason = change.reason;
   result.is_repeat = change.is_repeat;
-  if (change.code != 200 || change.is_repeat) return result;
+  if (change.code != 200 || change.is_repeat)
+    return result;
   Resource next{traffic_kind, traffic_name, change.revision, config_revision, change.stored};
-  if (known == nullptr) result.edit.resources.push_back(std::move(next));
-  else result.edit.resources[static_cast<std::size_t>(known - state.resources.data())] = std::move(next);
+  if (known == nullptr)
+    result.edit.resources.push_back(std::move(next));
+  else
+    result.edit.resources[static_cast<std::size_t>(known - state.resources.data())] = std::move(next);
   return result;
 }
 
--- a/packages/control-plane/tests/edit_forwarder_test.cpp
+++ b/packages/control-plane/tests/edit_forwarder_test.cpp
@@ -23,10 +23,14 @@
 
 struct Bench {
   Bench() {
-    forwarder.take(ask_of(plans_kind, "p", "{}"), [this](const EditAnswer& answer) { told.push_back(answer.code); }, {}, Moment{0});
+    forwarder.take(
+        ask_of(plans_kind, "p", "{}"), [this](const EditAnswer& answer) { told.push_back(answer.code); }, {},
+        Moment{0});
   }
   void send(Integer term, std::int64_t at) { forwarder.send(Address{"m"}, term, Moment{at}); }
-  void answer(Integer code, Integer term, std::int64_t at = 3000) { forwarder.on_answer(EditAnswer{7, code, 0, "", term}, Moment{at}); }
+  void answer(Integer code, Integer term, std::int64_t at = 3000) {
+    forwarder.on_answer(EditAnswer{7, code, 0, "", term}, Moment{at});
+  }
   EditForwarder forwarder;
   std::vector<Integer> told;
 };
