--- a/packages/control-plane/tests/one_process_test.cpp
+++ b/packages/control-plane/tests/one_process_test.cpp
@@ -62,8 +62,10 @@
     made->address.text = "10.0.0." + std::to_string(10 + machines_.size()) + ":7000";
     made->clock = 1000000 + random_.below(100000000);
     by_address_[made->address] = name;
-    if (is_seed) seeds_.push_back(made->address);
-    else if (!running().empty()) set_seeds(*made);
+    if (is_seed)
+      seeds_.push_back(made->address);
+    else if (!running().empty())
+      set_seeds(*made);
     machines_[name] = std::move(made);
   }
 
@@ -80,7 +82,8 @@
 
   void start(const std::string& name, bool founds_itself) {
     Machine& made = at(name);
-    if (made.is_up) return;
+    if (made.is_up)
+      return;
     made.is_up = made.has_power = true;
     made.is_writing = made.is_frozen = false;
     made.to_write.clear();
@@ -102,7 +105,8 @@
     settings.acknowledges_at_once = true;
     made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
-      if (event.kind == "founded") ++made.foundings;
+      if (event.kind == "founded")
+        ++made.foundings;
       story_ += std::to_string(now_) + " " + made.name + " " + event.kind + " " + event.detail + "\n";
     };
     made.control->start(clock(made));
@@ -114,12 +118,14 @@
   void set_seeds(Machine& made) {
     made.seeds.clear();
     for (const auto& name : running())
-      if (made.seeds.size() < 3) made.seeds.push_back(at(name).address);
+      if (made.seeds.size() < 3)
+        made.seeds.push_back(at(name).address);
   }
 
   void kill(const std::string& name) {
     Machine& made = at(name);
-    if (!made.is_up) return;
+    if (!made.is_up)
+      return;
     made.is_up = false;
     ++made.life;
     made.control.reset();
@@ -160,7 +166,8 @@
       events_.pop();
       now_ = event.at;
       event.act();
-      if (question()) return true;
+      if (question())
+        return true;
     }
     now_ = end;
     return question();
@@ -171,7 +178,8 @@
     std::string best;
     Integer term = 0;
     for (const auto& [name, made] : machines_)
-      if (made->is_up && !made->is_frozen && made->control->election().is_master() && made->control->election().term() > term) {
+      if (made->is_up && !made->is_frozen && made->control->election().is_master() &&
+          made->control->election().term() > term) {
         term = made->control->election().term();
         best = name;
       }
@@ -181,7 +189,8 @@
   std::vector<std::string> running() const {
     std::vector<std::string> names;
     for (const auto& [name, made] : machines_)
-      if (made->is_up && !made->is_frozen) names.push_back(name);
+      if (made->is_up && !made->is_frozen)
+        names.push_back(name);
     return names;
   }
 
@@ -189,19 +198,23 @@
 
   // Whether that daemon's state names just these machines' stores, as they are, as the set.
   bool has_set(const std::string& seen_by, std::vector<std::string> names) {
-    if (!at(seen_by).is_up) return false;
+    if (!at(seen_by).is_up)
+      return false;
     const FleetState& shown = state(seen_by);
-    if (!shown.next_acceptors.empty() || shown.acceptors.size() != names.size()) return false;
+    if (!shown.next_acceptors.empty() || shown.acceptors.size() != names.size())
+      return false;
     return std::all_of(names.begin(), names.end(), [&](const std::string& name) {
       return std::any_of(shown.acceptors.begin(), shown.acceptors.end(), [&](const auto& entry) {
-        return entry.address == at(name).address && (!at(name).is_up || at(name).control->acceptor()->store() == entry.store);
+        return entry.address == at(name).address &&
+               (!at(name).is_up || at(name).control->acceptor()->store() == entry.store);
       });
     });
   }
 
   bool is_settled(const std::vector<std::string>& names) {
     std::string leader = master();
-    if (leader.empty()) return false;
+    if (leader.empty())
+      return false;
     return std::all_of(names.begin(), names.end(), [&](const auto& name) {
       return has_set(name, names) && (name == leader || at(name).control->election().master() == at(leader).address);
     });
@@ -209,7 +222,8 @@
 
   int foundings() const {
     int count = 0;
-    for (const auto& [name, made] : machines_) count += made->foundings;
+    for (const auto& [name, made] : machines_)
+      count += made->foundings;
     return count;
   }
 
@@ -223,14 +237,19 @@
     ask.kind = "runners";
     ask.name = outcome->name;
     ask.expected = -1;
-    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20000 + last_edit_) + R"(","pool":"models","zone":"a","region":"north","seal_key":"k"})";
+    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20000 + last_edit_) +
+               R"(","pool":"models","zone":"a","region":"north","seal_key":"k"})";
     Machine& target = at(where);
-    target.control->edit(ask, [this, outcome](const EditAnswer& answer) {
-      outcome->is_over = true;
-      outcome->code = answer.code;
-      outcome->over = now_;
-      if (outcome->is_acknowledged()) acknowledged_.insert(outcome->name);
-    }, clock(target));
+    target.control->edit(
+        ask,
+        [this, outcome](const EditAnswer& answer) {
+          outcome->is_over = true;
+          outcome->code = answer.code;
+          outcome->over = now_;
+          if (outcome->is_acknowledged())
+            acknowledged_.insert(outcome->name);
+        },
+        clock(target));
     flush(target);
     return outcome;
   }
@@ -240,11 +259,14 @@
     std::int64_t end = now_ + ms;
     while (now_ < end) {
       auto names = running();
-      if (names.empty()) return false;
-      if (!where.empty()) names = {where};
+      if (names.empty())
+        return false;
+      if (!where.empty())
+        names = {where};
       auto outcome = edit(names[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(names.size())))]);
       run_until([&] { return outcome->is_over; }, end - now_);
-      if (outcome->is_acknowledged()) return true;
+      if (outcome->is_acknowledged())
+        return true;
       run(50);
     }
     return false;
@@ -255,16 +277,21 @@
   void expect_nothing_lost(const std::string& where) {
     std::shared_ptr<FleetState> shown;
     for (int tries = 0; tries < 5 && !shown; ++tries) {
-      at(where).control->read([&shown](const FleetState* read) {
-        if (read != nullptr) shown = std::make_shared<FleetState>(*read);
-      }, clock(at(where)));
+      at(where).control->read(
+          [&shown](const FleetState* read) {
+            if (read != nullptr)
+              shown = std::make_shared<FleetState>(*read);
+          },
+          clock(at(where)));
       flush(at(where));
       run_until([&] { return shown != nullptr; }, 2500);
     }
     ASSERT_TRUE(shown) << story();
     std::set<std::string> held;
-    for (const auto& resource : shown->resources) held.insert(resource.name);
-    for (const auto& name : acknowledged_) EXPECT_EQ(held.count(name), 1u) << name << " was acknowledged and is gone\n" << story();
+    for (const auto& resource : shown->resources)
+      held.insert(resource.name);
+    for (const auto& name : acknowledged_)
+      EXPECT_EQ(held.count(name), 1u) << name << " was acknowledged and is gone\n" << story();
     EXPECT_TRUE(split_.empty()) << split_ << story();
   }
 
@@ -275,11 +302,14 @@
       text += name + " " + made->address.text + (made->is_up ? made->is_frozen ? " frozen" : " up" : " down");
       if (made->is_up) {
         const auto& election = made->control->election();
-        text += " phase " + std::to_string(static_cast<int>(election.phase())) + " master " + election.master().text + " starved " +
-                std::to_string(election.starved_rounds()) + " state " + std::to_string(state(name).version) + " map " + show(made->control->map().version) + " roster " +
+        text += " phase " + std::to_string(static_cast<int>(election.phase())) + " master " + election.master().text +
+                " starved " + std::to_string(election.starved_rounds()) + " state " +
+                std::to_string(state(name).version) + " map " + show(made->control->map().version) + " roster " +
                 std::to_string(state(name).roster.size()) + " set";
-        for (const auto& entry : state(name).acceptors) text += " " + entry.address.text + "=" + entry.store.text;
-        for (const auto& entry : state(name).next_acceptors) text += " next " + entry.address.text + "=" + entry.store.text;
+        for (const auto& entry : state(name).acceptors)
+          text += " " + entry.address.text + "=" + entry.store.text;
+        for (const auto& entry : state(name).next_acceptors)
+          text += " next " + entry.address.text + "=" + entry.store.text;
       }
       text += "\n";
     }
@@ -299,7 +329,8 @@
 
   void tick(const std::string& name, int life) {
     Machine& made = at(name);
-    if (!made.is_up || made.life != life) return;
+    if (!made.is_up || made.life != life)
+      return;
     if (!made.is_frozen) {
       made.control->on_timer(clock(made));
       flush(made);
@@ -308,17 +339,22 @@
   }
 
   bool is_cut(const Machine& from, const Machine& to) const {
-    if (&from == &to) return false;
-    if (!cut_zone_.empty() && (from.zone.text == cut_zone_) != (to.zone.text == cut_zone_)) return true;
+    if (&from == &to)
+      return false;
+    if (!cut_zone_.empty() && (from.zone.text == cut_zone_) != (to.zone.text == cut_zone_))
+      return true;
     return cuts_.count({from.name, to.name}) != 0;
   }
 
   void deliver(const std::string& from, const Address& to, Message message) {
     auto target = by_address_.find(to);
-    if (target == by_address_.end()) return;
+    if (target == by_address_.end())
+      return;
     const std::string name = target->second;
-    if (is_cut(at(from), at(name))) return;
-    if (from != name && random_.chance(loss)) return;
+    if (is_cut(at(from), at(name)))
+      return;
+    if (from != name && random_.chance(loss))
+      return;
     std::int64_t wait = from == name ? 0 : delay + random_.below(delay + 1);
     Address sender = at(from).address;
     auto shared = std::make_shared<Message>(std::move(message));
@@ -331,38 +367,48 @@
         }
         return;
       }
-      if (awake.is_frozen) return;  // its buffers are small
+      if (awake.is_frozen)
+        return;  // its buffers are small
       awake.control->on_message(sender, *shared, clock(awake));
       flush(awake);
     });
   }
 
   void flush(Machine& made) {
-    for (auto& write : made.control->take_writes()) made.to_write.push_back(std::move(write));
+    for (auto& write : made.control->take_writes())
+      made.to_write.push_back(std::move(write));
     start_writing(made);
-    for (auto& sending : made.control->take_out()) deliver(made.name, sending.to, std::move(sending.message));
+    for (auto& sending : made.control->take_out())
+      deliver(made.name, sending.to, std::move(sending.message));
     made.control->take_probes();
-    if (!made.control->proposer().has_state()) return;
+    if (!made.control->proposer().has_state())
+      return;
     const FleetState& shown = state(made.name);
-    if (seen_[made.name] == shown.version) return;
+    if (seen_[made.name] == shown.version)
+      return;
     seen_[made.name] = shown.version;
     auto [entry, is_new] = versions_.insert({shown.version, encode_state(shown)});
-    if (!is_new && entry->second != encode_state(shown)) split_ += made.name + " holds another version " + std::to_string(shown.version) + "\n";
+    if (!is_new && entry->second != encode_state(shown))
+      split_ += made.name + " holds another version " + std::to_string(shown.version) + "\n";
   }
 
   void start_writing(Machine& made) {
-    if (made.is_writing || made.to_write.empty()) return;
+    if (made.is_writing || made.to_write.empty())
+      return;
     made.is_writing = true;
     std::vector<WriteWish> batch = std::exchange(made.to_write, {});
     std::vector<std::string> records;
-    for (auto& write : batch) records.push_back(write.record);
+    for (auto& write : batch)
+      records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
     later(2 + random_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
       Machine& awake = at(name);
-      if (!awake.is_up || awake.life != life) return;
+      if (!awake.is_up || awake.life != life)
+        return;
       ASSERT_TRUE(awake.log->sync());
       awake.control->synced(last, clock(awake));
-      if (awake.log->wants_snapshot()) awake.log->snapshot(awake.control->acceptor()->picture());
+      if (awake.log->wants_snapshot())
+        awake.log->snapshot(awake.control->acceptor()->picture());
       awake.is_writing = false;
       flush(awake);
     });
@@ -385,12 +431,14 @@
 };
 
 // More of them by hand: EMBERDALE_SEEDS=1000 one-process-test
-const std::uint64_t seeds = std::getenv("EMBERDALE_SEEDS") == nullptr ? 30 : std::strtoull(std::getenv("EMBERDALE_SEEDS"), nullptr, 10);
+const std::uint64_t seeds =
+    std::getenv("EMBERDALE_SEEDS") == nullptr ? 30 : std::strtoull(std::getenv("EMBERDALE_SEEDS"), nullptr, 10);
 
 // A fleet of so many machines, founded and led.
 std::vector<std::string> bring_up(MachineFleet& fleet, int count) {
   auto names = fleet.add_many(count);
-  for (const auto& name : names) fleet.start(name, true);
+  for (const auto& name : names)
+    fleet.start(name, true);
   EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, count <= 6 ? 4000 : 8000)) << fleet.story();
   EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
   fleet.run(fleet.random().below(1000));
@@ -409,7 +457,8 @@
       EXPECT_TRUE(fleet.is_settled(names)) << fleet.story();
       EXPECT_EQ(fleet.foundings(), 1) << fleet.story();
       fleet.expect_nothing_lost(names.back());
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -420,7 +469,8 @@
       MachineFleet fleet(seed);
       auto names = fleet.add_many(late == 5 || seed % 2 == 0 ? 6 : 3);
       for (const auto& name : names)
-        if (name != names[late]) fleet.start(name, true);
+        if (name != names[late])
+          fleet.start(name, true);
       fleet.run(2000);
       EXPECT_EQ(fleet.foundings(), late < 3 ? 0 : 1);
       fleet.start(names[late], true);
@@ -429,7 +479,8 @@
       EXPECT_EQ(fleet.foundings(), 1);
       EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
       fleet.expect_nothing_lost(names[0]);
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -440,7 +491,8 @@
       SCOPED_TRACE("lost " + std::to_string(lost) + " at " + std::to_string(at));
       MachineFleet fleet(static_cast<std::uint64_t>(at));
       auto names = fleet.add_many(at % 2 == 0 ? 3 : 6);
-      for (const auto& name : names) fleet.start(name, true);
+      for (const auto& name : names)
+        fleet.start(name, true);
       fleet.run(at);
       fleet.power_cut(names[lost]);
       fleet.run(1500);
@@ -449,7 +501,8 @@
       EXPECT_LE(fleet.foundings(), 1) << fleet.story();
       EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
       fleet.expect_nothing_lost(names[2]);
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -461,14 +514,16 @@
       fleet.loss = 0.15;
       fleet.delay = 20;
       auto names = fleet.add_many(count);
-      for (const auto& name : names) fleet.start(name, true);
+      for (const auto& name : names)
+        fleet.start(name, true);
       fleet.run(5000);
       fleet.loss = 0;
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 15000)) << fleet.story();
       EXPECT_LE(fleet.foundings(), 1) << fleet.story();
       EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
       fleet.expect_nothing_lost(names[0]);
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -498,7 +553,8 @@
     EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 8000)) << fleet.story();
     EXPECT_EQ(fleet.foundings(), 1) << fleet.story();
     fleet.expect_nothing_lost(names[0]);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -506,13 +562,16 @@
   for (int count : {3, 6})
     for (bool is_master_lost : {true, false})
       for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        SCOPED_TRACE(std::to_string(count) + (is_master_lost ? " machines, the master lost, seed " : " machines, a follower lost, seed ") + std::to_string(seed));
+        SCOPED_TRACE(std::to_string(count) +
+                     (is_master_lost ? " machines, the master lost, seed " : " machines, a follower lost, seed ") +
+                     std::to_string(seed));
         MachineFleet fleet(seed);
         auto names = bring_up(fleet, count);
         std::string lost = fleet.master();
         if (!is_master_lost)
           for (const auto& name : names)
-            if (name != fleet.master()) lost = name;
+            if (name != fleet.master())
+              lost = name;
         std::string zone = fleet.at(lost).zone.text;
         fleet.power_cut(lost);
         fleet.run(fleet.random().below(3000));
@@ -520,18 +579,24 @@
         std::int64_t begun = fleet.now();
         fleet.start("new", false);
         *std::find(names.begin(), names.end(), lost) = "new";
-        auto is_admitted = [&] { return !fleet.master().empty() && fleet.has_set(fleet.master(), names); };
+        auto is_admitted = [&] {
+          return !fleet.master().empty() && fleet.has_set(fleet.master(), names);
+        };
         EXPECT_TRUE(fleet.run_until([&] { return fleet.has_set("new", names); }, 4000)) << fleet.story();
-        std::int64_t patience = is_master_lost ? 9000 : 4500;  // from the newcomer's start; with its master, the fleet elects another first
-        EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, begun + patience - fleet.now())) << fleet.story();
+        std::int64_t patience =
+            is_master_lost ? 9000 : 4500;  // from the newcomer's start; with its master, the fleet elects another first
+        EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, begun + patience - fleet.now()))
+            << fleet.story();
         EXPECT_TRUE(is_admitted());
         EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
         // Another one dies: with the newcomer there is still a majority.
-        std::string second = names[static_cast<std::size_t>(fleet.random().below(static_cast<std::int64_t>(names.size())))];
+        std::string second =
+            names[static_cast<std::size_t>(fleet.random().below(static_cast<std::int64_t>(names.size())))];
         fleet.power_cut(second);
         EXPECT_TRUE(fleet.edit_until_done(20000)) << "killed " << second << "\n" << fleet.story();
         fleet.expect_nothing_lost(fleet.running().front());
-        if (HasFailure()) return;
+        if (HasFailure())
+          return;
       }
 }
 
@@ -551,12 +616,14 @@
       names[2] = "new1";
       auto others = names;
       others[2] = "new0";
-      EXPECT_TRUE(fleet.run_until([&] { return fleet.has_set("new0", names) || fleet.has_set("new1", others); }, 4000)) << fleet.story();
+      EXPECT_TRUE(fleet.run_until([&] { return fleet.has_set("new0", names) || fleet.has_set("new1", others); }, 4000))
+          << fleet.story();
       names.push_back("new0");
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 15000)) << fleet.story();
       EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
       fleet.expect_nothing_lost("new1");
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -569,7 +636,8 @@
       auto names = bring_up(fleet, 3);
       std::size_t lost = static_cast<std::size_t>(fleet.random().below(3));
       fleet.power_cut(names[lost]);
-      if (is_wiped) fleet.wipe(names[lost]);
+      if (is_wiped)
+        fleet.wipe(names[lost]);
       fleet.run(1000);
       fleet.add("new", "b", false);
       fleet.start("new", false);
@@ -579,7 +647,8 @@
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 20000)) << fleet.story();
       EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
       fleet.expect_nothing_lost(names[lost]);
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -587,7 +656,8 @@
 TEST(OneProcess, AStoreOfAnotherRegisterIsKeptOut) {
   FleetState state;
   state.fleet = "emberdale";
-  for (const char* name : {"a", "b", "c"}) state.acceptors.push_back({StoreId{name}, Address{name}});
+  for (const char* name : {"a", "b", "c"})
+    state.acceptors.push_back({StoreId{name}, Address{name}});
   RegisterProposer proposer(Address{"a"}, RandomGenerator(1));
   proposer.learn_acceptors(state.acceptors);
   auto hear_set = [&](MembershipReconciler& reconciler, const std::set<std::string>& living, Moment now) {
@@ -647,7 +717,8 @@
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 8000)) << fleet.story();
     }
     fleet.expect_nothing_lost(names[0]);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -665,7 +736,8 @@
       names[i] = fresh;
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 20000)) << fleet.story();
       EXPECT_TRUE(fleet.edit_until_done(8000)) << fleet.story();
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
     // Its disk names a set that is gone whole.
     fleet.set_seeds(fleet.at(old[0]));
@@ -674,7 +746,8 @@
     EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 20000)) << fleet.story();
     EXPECT_TRUE(fleet.edit_until_done(8000)) << fleet.story();
     fleet.expect_nothing_lost(old[0]);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -692,13 +765,16 @@
     EXPECT_TRUE(fleet.run_until([&] { return fleet.has_set(names[wiped], names); }, 1500)) << fleet.story();
     EXPECT_TRUE(fleet.edit_until_done(9000)) << fleet.story();
     for (std::size_t i = 0; i < 3; ++i)
-      if (i != wiped) fleet.power_cut(names[i]);
+      if (i != wiped)
+        fleet.power_cut(names[i]);
     fleet.run(fleet.random().below(3000));
     for (std::size_t i = 0; i < 3; ++i)
-      if (i != wiped) fleet.start(names[i], false);
+      if (i != wiped)
+        fleet.start(names[i], false);
     EXPECT_TRUE(fleet.edit_until_done(12000)) << fleet.story();
     fleet.expect_nothing_lost(names[wiped]);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -726,7 +802,8 @@
       EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 9000)) << fleet.story();
       EXPECT_TRUE(fleet.edit_until_done(4000));
       fleet.expect_nothing_lost(inside);
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
 
@@ -737,18 +814,22 @@
         SCOPED_TRACE(std::to_string(count) + " machines seed " + std::to_string(seed));
         MachineFleet fleet(seed);
         auto names = bring_up(fleet, count);
-        for (int i = 0; i < 3; ++i) EXPECT_TRUE(fleet.edit_until_done(4000));
+        for (int i = 0; i < 3; ++i)
+          EXPECT_TRUE(fleet.edit_until_done(4000));
         fleet.edit(names[0]);  // one more in hand
         fleet.run(fleet.random().below(30));
-        for (const auto& name : names) loses_power ? fleet.power_cut(name) : fleet.kill(name);
+        for (const auto& name : names)
+          loses_power ? fleet.power_cut(name) : fleet.kill(name);
         fleet.run(500);
-        for (const auto& name : names) fleet.start(name, false);
+        for (const auto& name : names)
+          fleet.start(name, false);
         EXPECT_TRUE(fleet.run_until([&] { return !fleet.master().empty(); }, 6000)) << fleet.story();
         EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
         fleet.run(4000);
         EXPECT_TRUE(fleet.is_settled(names)) << fleet.story();
         fleet.expect_nothing_lost(names[1]);
-        if (HasFailure()) return;
+        if (HasFailure())
+          return;
       }
 }
 
@@ -772,7 +853,8 @@
     EXPECT_EQ(fleet.state(names[0]).acceptors.size(), 3u);
     EXPECT_TRUE(fleet.edit_until_done(20000)) << fleet.story();
     fleet.expect_nothing_lost(names[0]);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -791,7 +873,8 @@
     EXPECT_EQ(fleet.story().find("replacing"), std::string::npos) << fleet.story();
     names.push_back("spare");
     EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 12000)) << fleet.story();
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -813,7 +896,8 @@
     names.push_back("spare");
     EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 15000)) << fleet.story();
     fleet.expect_nothing_lost(names[0]);
-    if (HasFailure()) return;
+    if (HasFailure())
+      return;
   }
 }
 
@@ -830,12 +914,14 @@
       for (int round = 0; round < 5; ++round) {
         std::size_t which = static_cast<std::size_t>(fleet.random().below(static_cast<std::int64_t>(names.size())));
         std::vector<std::shared_ptr<EditOutcome>> in_hand;
-        for (const auto& name : names) in_hand.push_back(fleet.edit(name));
+        for (const auto& name : names)
+          in_hand.push_back(fleet.edit(name));
         fleet.run(fleet.random().below(60));
         fleet.power_cut(names[which]);
         std::int64_t kind = fleet.random().below(3);
         fleet.run(fleet.random().below(kind == 2 ? 200 : 3500));
-        if (kind == 1) fleet.wipe(names[which]);
+        if (kind == 1)
+          fleet.wipe(names[which]);
         if (kind == 2) {
           std::string fresh = "new" + std::to_string(round);
           fleet.add(fresh, fleet.at(names[which]).zone.text, false);
@@ -844,11 +930,14 @@
         fleet.start(names[which], false);
         EXPECT_TRUE(fleet.edit_until_done(20000)) << fleet.story();
         EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 30000)) << fleet.story();
-        EXPECT_TRUE(std::all_of(in_hand.begin(), in_hand.end(), [](const auto& outcome) { return outcome->is_over || outcome->code == 0; }));
-        if (HasFailure()) return;
+        EXPECT_TRUE(std::all_of(in_hand.begin(), in_hand.end(),
+                                [](const auto& outcome) { return outcome->is_over || outcome->code == 0; }));
+        if (HasFailure())
+          return;
       }
       fleet.loss = 0;
       fleet.expect_nothing_lost(fleet.running().front());
-      if (HasFailure()) return;
+      if (HasFailure())
+        return;
     }
 }
--- a/packages/control-plane/tests/runner_list_test.cpp
+++ b/packages/control-plane/tests/runner_list_test.cpp
@@ -36,8 +36,8 @@
   return list;
 }
 
-RunnerStatus status_of(const RunnerList& list, const std::string& name, Moment now, std::map<RunnerName, RunnerStatus> statuses = {},
-                       double cold_per_s = 45) {
+RunnerStatus status_of(const RunnerList& list, const std::string& name, Moment now,
+                       std::map<RunnerName, RunnerStatus> statuses = {}, double cold_per_s = 45) {
   list.fill(statuses, pools(cold_per_s), now);
   return statuses.at(RunnerName{name});
 }
@@ -65,7 +65,9 @@
   EXPECT_TRUE(list.is_known());
   auto entries = list.entries();
   ASSERT_EQ(entries.size(), 2u);  // without a name or an address there is nothing to send to
-  EXPECT_EQ(entries[0].name.text + entries[0].http + entries[0].pool.text + entries[0].zone.text + entries[0].region.text, "r1r1:80modelsanorth");
+  EXPECT_EQ(
+      entries[0].name.text + entries[0].http + entries[0].pool.text + entries[0].zone.text + entries[0].region.text,
+      "r1r1:80modelsanorth");
   EXPECT_FALSE(entries[0].is_leaving);
   EXPECT_TRUE(entries[1].is_leaving);
   list.take({listed("r1")}, after(900), after(910));
@@ -135,7 +137,8 @@
     list.take({}, start, start);
     list.take({}, start, start);
     EXPECT_EQ(list.entries().size(), 1u);
-    if (round == 0) list.take({listed("r1")}, start, start);  // the count begins anew
+    if (round == 0)
+      list.take({listed("r1")}, start, start);  // the count begins anew
   }
   list.take({}, start, start);
   EXPECT_TRUE(list.entries().empty());
--- a/packages/control-plane/tests/traffic_edits_test.cpp
+++ b/packages/control-plane/tests/traffic_edits_test.cpp
@@ -12,11 +12,14 @@
 namespace {
 
 std::string table(Integer revision, const std::string& prefix = "/x/") {
-  return R"({"revision":)" + std::to_string(revision) + R"(,"routes":[{"name":"r1","host":"a.example","path_prefix":")" + prefix +
+  return R"({"revision":)" + std::to_string(revision) +
+         R"(,"routes":[{"name":"r1","host":"a.example","path_prefix":")" + prefix +
          R"(","kind":"retry_safe","horizon_ms":8000,"pool":"m"}],"pools":[{"name":"m"}]})";
 }
 
-EditAsk edit(const std::string& act, Integer base, const std::string& body) { return EditAsk{1, "change", act, traffic_kind, traffic_name, base, body}; }
+EditAsk edit(const std::string& act, Integer base, const std::string& body) {
+  return EditAsk{1, "change", act, traffic_kind, traffic_name, base, body};
+}
 
 // A state that holds other resources as well, which no change of the table may touch.
 FleetState blank_state() {
@@ -37,13 +40,16 @@
 }
 
 const Resource* table_in(const std::vector<Resource>& resources) {
-  auto found = std::find_if(resources.begin(), resources.end(), [](const Resource& r) { return r.kind == traffic_kind && r.name == traffic_name; });
+  auto found = std::find_if(resources.begin(), resources.end(),
+                            [](const Resource& r) { return r.kind == traffic_kind && r.name == traffic_name; });
   return found == resources.end() ? nullptr : &*found;
 }
 
 std::string shown(const std::vector<Resource>& resources) {
   std::string text;
-  for (const auto& r : resources) text += r.kind + "/" + r.name + " " + std::to_string(r.version) + " " + std::to_string(r.config_revision) + " " + r.body + "\n";
+  for (const auto& r : resources)
+    text += r.kind + "/" + r.name + " " + std::to_string(r.version) + " " + std::to_string(r.config_revision) + " " +
+            r.body + "\n";
   return text;
 }
 
@@ -92,13 +98,16 @@
 
 TEST(TrafficEdits, AnAmendmentChangesWhatItNames) {
   FleetState state = after(blank_state(), edit("replace", 0, table(7)));
-  state = after(state, edit("amend", 7, R"({"revision":9,"upsert":{"pools":[{"name":"n"}],"routes":[{"name":"r2","host":"b.example",
+  state = after(state, edit("amend", 7,
+                            R"({"revision":9,"upsert":{"pools":[{"name":"n"}],"routes":[{"name":"r2","host":"b.example",
     "path_prefix":"/","kind":"once_only","horizon_ms":5,"pool":"n"}]}})"));
   Json document = Json::parse(traffic_document_of(state));
   EXPECT_EQ(document["revision"], 9);
   EXPECT_EQ(document["routes"].size(), 2u);
   EXPECT_EQ(document["routes"][0], Json::parse(table(7))["routes"][0]);
-  EXPECT_EQ(std::count_if(state.resources.begin(), state.resources.end(), [](const Resource& r) { return r.kind == traffic_kind && r.name == traffic_name; }), 1);
+  EXPECT_EQ(std::count_if(state.resources.begin(), state.resources.end(),
+                          [](const Resource& r) { return r.kind == traffic_kind && r.name == traffic_name; }),
+            1);
   state = after(state, edit("amend", 9, R"({"revision":15,"remove":{"routes":["r1"]}})"));
   EXPECT_EQ(Json::parse(traffic_document_of(state))["routes"][0]["name"], "r2");
   EXPECT_EQ(table_in(state.resources)->version, 15);
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -66,8 +66,8 @@
   std::vector<Address> seeds_;
   RandomGenerator random_;
   std::map<Address, Known> known_;
-  std::map<std::string, Home> homes_;      // by topic
-  std::map<Address, Moment> shunned_;      // homes that went silent, until then
+  std::map<std::string, Home> homes_;  // by topic
+  std::map<Address, Moment> shunned_;  // homes that went silent, until then
   SliceBook book_;
   struct HeldHold {
     Hold hold;
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "emberdale/program_settings.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/program_settings.hpp"
 
 namespace emberdale {
 
@@ -17,8 +17,8 @@
 using web::http::methods;
 
 namespace {
-constexpr std::size_t max_being_read = 512;   // calls whose bodies are still coming in
-constexpr std::size_t max_in_hand = 2048;     // calls taken in and not yet answered
+constexpr std::size_t max_being_read = 512;  // calls whose bodies are still coming in
+constexpr std::size_t max_in_hand = 2048;    // calls taken in and not yet answered
 constexpr std::size_t max_headers = 64, max_header_bytes = 16384;
 constexpr std::size_t stream_bound = 256 * 1024;  // what a caller may lag behind its stream
 constexpr std::size_t max_answer = 16 << 20;
@@ -29,7 +29,8 @@
 }
 
 std::int64_t number_of(const std::string& text) {
-  if (text.empty() || text.size() > 18 || text.find_first_not_of("0123456789") != std::string::npos) return 0;
+  if (text.empty() || text.size() > 18 || text.find_first_not_of("0123456789") != std::string::npos)
+    return 0;
   return std::stoll(text);
 }
 
@@ -39,13 +40,15 @@
       ended.get();
     } catch (const std::exception&) {  // the caller left
     }
-    if (after) after();
+    if (after)
+      after();
   });
 }
 
 void refuse(const http_request& request, int code, const std::string& reason, int retry_after = 0) {
   http_response response(static_cast<web::http::status_code>(code));
-  if (retry_after > 0) response.headers().add("Retry-After", std::to_string(retry_after));
+  if (retry_after > 0)
+    response.headers().add("Retry-After", std::to_string(retry_after));
   response.set_body(json_text(Json{{"reason", reason}, {"outcome", "refused"}}), "application/json");
   reply_quietly(request, response);
 }
@@ -58,7 +61,8 @@
 
 CallRelay::~CallRelay() {
   events_.close();
-  if (traffic_.joinable()) traffic_.join();
+  if (traffic_.joinable())
+    traffic_.join();
 }
 
 Outcome<bool> CallRelay::open() {
@@ -74,13 +78,15 @@
 void CallRelay::stop(Span patience) {
   is_stopping_ = true;
   Moment end = steady_now() + patience;
-  while ((in_hand_ > 0 || being_read_ > 0) && steady_now() < end) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  while ((in_hand_ > 0 || being_read_ > 0) && steady_now() < end)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
   try {
     listener_.close().wait();
   } catch (const std::exception&) {
   }
   events_.close();
-  if (traffic_.joinable()) traffic_.join();
+  if (traffic_.joinable())
+    traffic_.join();
 }
 
 CallDispatcher::Counts CallRelay::counts() const {
@@ -92,18 +98,25 @@
 
 void CallRelay::handle(http_request request) {
   std::string path = web::uri::decode(request.relative_uri().path());
-  if (path.rfind("/emberdale", 0) == 0 && on_own_path) return on_own_path(std::move(request));
+  if (path.rfind("/emberdale", 0) == 0 && on_own_path)
+    return on_own_path(std::move(request));
   const auto& headers = request.headers();
   std::size_t header_bytes = 0;
-  for (const auto& [name, value] : headers) header_bytes += name.size() + value.size();
-  if (headers.size() > max_headers || header_bytes > max_header_bytes) return refuse(request, 431, "too many or too large headers");
-  if (is_stopping_) return refuse(request, 503, "this daemon is stopping", 1);
+  for (const auto& [name, value] : headers)
+    header_bytes += name.size() + value.size();
+  if (headers.size() > max_headers || header_bytes > max_header_bytes)
+    return refuse(request, 431, "too many or too large headers");
+  if (is_stopping_)
+    return refuse(request, 503, "this daemon is stopping", 1);
   bool has_body = request.method() == methods::POST || request.method() == methods::PUT;
-  if (has_body && !headers.has("Content-Length")) return refuse(request, 411, "a Content-Length is required");
+  if (has_body && !headers.has("Content-Length"))
+    return refuse(request, 411, "a Content-Length is required");
   std::size_t length = headers.content_length();
-  if (length > static_cast<std::size_t>(largest_body_)) return refuse(request, 413, "the body is larger than any plan takes");
+  if (length > static_cast<std::size_t>(largest_body_))
+    return refuse(request, 413, "the body is larger than any plan takes");
   std::string content_type = header_of(headers, "Content-Type");
-  if (has_body && content_type.rfind("application/json", 0) != 0) return refuse(request, 415, "the body must be application/json");
+  if (has_body && content_type.rfind("application/json", 0) != 0)
+    return refuse(request, 415, "the body must be application/json");
   if (being_read_ >= max_being_read || in_hand_ >= max_in_hand) {
     ++relay_counts_.accept_refused;
     return refuse(request, 503, "too many calls are in hand here", 1);
@@ -119,11 +132,14 @@
   auto handle = std::make_shared<CallHandle>();
   handle->id = random_id();
   handle->caller_id = header_of(headers, "X-Call-Id");
-  if (handle->caller_id.size() > 128) return refuse(request, 400, "X-Call-Id is longer than 128");
-  if (std::any_of(handle->caller_id.begin(), handle->caller_id.end(), [](unsigned char letter) { return letter < 0x20 || letter > 0x7e; }))
+  if (handle->caller_id.size() > 128)
+    return refuse(request, 400, "X-Call-Id is longer than 128");
+  if (std::any_of(handle->caller_id.begin(), handle->caller_id.end(),
+                  [](unsigned char letter) { return letter < 0x20 || letter > 0x7e; }))
     return refuse(request, 400, "X-Call-Id must be printable ASCII");
   std::string deadline = header_of(headers, "X-Horizon-Ms");
-  if (!deadline.empty() && number_of(deadline) <= 0) return refuse(request, 400, "X-Horizon-Ms must be a number of milliseconds");
+  if (!deadline.empty() && number_of(deadline) <= 0)
+    return refuse(request, 400, "X-Horizon-Ms must be a number of milliseconds");
   call.deadline = Span{number_of(deadline)};
   call.id.text = handle->id;
   call.body_bytes = static_cast<std::int64_t>(length);
@@ -138,8 +154,11 @@
       return;  // the caller left, or broke off within its body: the call never was
     }
     --being_read_;
-    if (handle->body.size() != length) return refuse(handle->request, 400, "the body is not as long as its Content-Length");
-    call.prefix.assign(handle->body.begin(), handle->body.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(handle->body.size(), static_cast<std::size_t>(widest_prefix_))));
+    if (handle->body.size() != length)
+      return refuse(handle->request, 400, "the body is not as long as its Content-Length");
+    call.prefix.assign(handle->body.begin(),
+                       handle->body.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(
+                                                  handle->body.size(), static_cast<std::size_t>(widest_prefix_))));
     handle->index = ++last_index_;
     ++in_hand_;
     if (!events_.offer(Arrived{handle, std::move(call)})) {
@@ -158,7 +177,8 @@
   auto refresh = [&](Moment now) {
     auto [view, grant] = snapshot_.get();
     dispatcher_.set_grant(grant);
-    if (view == seen) return;
+    if (view == seen)
+      return;
     seen = view;
     widest_prefix_ = 0;
     std::int64_t largest = 1 << 20;
@@ -189,8 +209,10 @@
         }
       } else if (auto* gone = std::get_if<Gone>(&*event)) {
         auto sent = sent_.find(gone->index);
-        if (sent != sent_.end()) sent->second.stop.cancel();
-        else dispatcher_.caller_gone(gone->index, now);
+        if (sent != sent_.end())
+          sent->second.stop.cancel();
+        else
+          dispatcher_.caller_gone(gone->index, now);
       } else if (auto* piece = std::get_if<Piece>(&*event)) {
         dispatcher_.first_piece(piece->index);
       }
@@ -217,10 +239,12 @@
 }
 
 void CallRelay::act(Moment now) {
-  for (const auto& wish : dispatcher_.take_sends()) send(wish, now);
+  for (const auto& wish : dispatcher_.take_sends())
+    send(wish, now);
   for (const auto& final_act : dispatcher_.take_finals()) {
     auto entry = handles_.find(final_act.call);
-    if (entry == handles_.end()) continue;
+    if (entry == handles_.end())
+      continue;
     auto handle = entry->second;
     handles_.erase(entry);
     answer_final(final_act, handle);
@@ -229,15 +253,18 @@
 
 void CallRelay::answer_final(const FinalAct& act, const std::shared_ptr<CallHandle>& handle) {
   --in_hand_;
-  if (handle->is_answered.exchange(true)) return;
+  if (handle->is_answered.exchange(true))
+    return;
   http_response response(static_cast<web::http::status_code>(act.code));
   Json body{{"reason", act.reason}, {"outcome", act.may_have_run ? "unknown" : "refused"}};
-  if (!act.homes.empty()) body["homes"] = act.homes;
+  if (!act.homes.empty())
+    body["homes"] = act.homes;
   if (act.retry_after.value > 0) {
     response.headers().add("Retry-After", std::to_string((act.retry_after.value + 999) / 1000));
     body["retry_after_ms"] = act.retry_after.value;
   }
-  if (!handle->caller_id.empty()) response.headers().add("X-Call-Id", handle->caller_id);
+  if (!handle->caller_id.empty())
+    response.headers().add("X-Call-Id", handle->caller_id);
   response.set_body(json_text(body), "application/json");
   reply_quietly(handle->request, response);
 }
@@ -249,15 +276,18 @@
   config.set_timeout(std::chrono::seconds(600));  // the deadline is kept by the timer
   // A call that must not run twice never goes over a link that was used before: the library would
   // send it again by itself when such a link turns out closed (HttpClientBehaviour shows it).
-  if (!act.is_repeatable) return std::make_shared<web::http::client::http_client>("http://" + act.http, config);
+  if (!act.is_repeatable)
+    return std::make_shared<web::http::client::http_client>("http://" + act.http, config);
   auto& client = clients_[act.http];
-  if (!client) client = std::make_shared<web::http::client::http_client>("http://" + act.http, config);
+  if (!client)
+    client = std::make_shared<web::http::client::http_client>("http://" + act.http, config);
   return client;
 }
 
 void CallRelay::send(const SendAct& act, Moment now) {
   auto entry = handles_.find(act.call);
-  if (entry == handles_.end()) return;
+  if (entry == handles_.end())
+    return;
   auto handle = entry->second;
   // Checked once more, at the moment of send: the grant may have run out since the gate.
   if (!dispatcher_.is_granted(steady_now())) {
@@ -267,7 +297,8 @@
   http_request request(act.method);
   request.set_request_uri(act.path);
   request.headers().add("X-Emberdale-Call", act.id.text);
-  if (!handle->caller_id.empty()) request.headers().add("X-Call-Id", handle->caller_id);
+  if (!handle->caller_id.empty())
+    request.headers().add("X-Call-Id", handle->caller_id);
   request.headers().add("X-Emberdale-Incarnation", std::to_string(act.incarnation));
   request.headers().add("X-Emberdale-Config", std::to_string(act.config_revision));
   request.headers().add("X-Emberdale-Horizon-Ms", std::to_string((act.deadline - now).value));
@@ -287,16 +318,22 @@
           response = answering.get();
         } catch (const web::http::http_exception& fault) {
           std::string what = fault.what();
-          bool is_unsent = what.find("Failed to connect") != std::string::npos || what.find("Error resolving") != std::string::npos;
-          if (handle->is_caller_gone) return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
-          if (stop.get_token().is_canceled()) return end(act.call, SendEndKind::lost, "no answer within the deadline", nullptr);
+          bool is_unsent =
+              what.find("Failed to connect") != std::string::npos || what.find("Error resolving") != std::string::npos;
+          if (handle->is_caller_gone)
+            return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
+          if (stop.get_token().is_canceled())
+            return end(act.call, SendEndKind::lost, "no answer within the deadline", nullptr);
           ++relay_counts_.links_broken;
-          return end(act.call, is_unsent ? SendEndKind::unsent : SendEndKind::lost, is_unsent ? "no link" : "link broke", nullptr);
+          return end(act.call, is_unsent ? SendEndKind::unsent : SendEndKind::lost,
+                     is_unsent ? "no link" : "link broke", nullptr);
         } catch (const std::exception&) {
-          if (handle->is_caller_gone) return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
+          if (handle->is_caller_gone)
+            return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
           return end(act.call, SendEndKind::lost, "no answer within the deadline", nullptr);
         }
-        if (header_of(response.headers(), "X-Runner") == act.runner.text && response.headers().has("X-Runner-Refused")) {
+        if (header_of(response.headers(), "X-Runner") == act.runner.text &&
+            response.headers().has("X-Runner-Refused")) {
           std::string why = header_of(response.headers(), "X-Runner-Refused");
           response.content_ready().then([](pplx::task<http_response> done) {
             try {
@@ -307,8 +344,10 @@
           return end(act.call, SendEndKind::refused, why, &response);
         }
         std::string type = header_of(response.headers(), "Content-Type");
-        if (act.is_streaming && response.status_code() == 200 && type.rfind("text/event-stream", 0) == 0) take_stream(act, handle, response, stop);
-        else take_answer(act, handle, response, stop.get_token());
+        if (act.is_streaming && response.status_code() == 200 && type.rfind("text/event-stream", 0) == 0)
+          take_stream(act, handle, response, stop);
+        else
+          take_answer(act, handle, response, stop.get_token());
       });
 }
 
@@ -325,23 +364,28 @@
     done.capacity = number_of(header_of(headers, "X-Runner-Capacity"));
     done.is_cold = header_of(headers, "X-Runner-Cold") == "true";
   }
-  if (kind == SendEndKind::answered || kind == SendEndKind::caller_gone) --in_hand_;
+  if (kind == SendEndKind::answered || kind == SendEndKind::caller_gone)
+    --in_hand_;
   events_.force(Ended{done});
 }
 
 // --- relay -----------------------------------------------------------------------------------------
 
 // A short answer is complete and its seal is checked before the first byte goes to the caller.
-void CallRelay::take_answer(const SendAct& act, std::shared_ptr<CallHandle> handle, http_response response, pplx::cancellation_token stop) {
-  if (response.headers().content_length() > max_answer) return end(act.call, SendEndKind::lost, "the answer is too large", &response);
+void CallRelay::take_answer(const SendAct& act, std::shared_ptr<CallHandle> handle, http_response response,
+                            pplx::cancellation_token stop) {
+  if (response.headers().content_length() > max_answer)
+    return end(act.call, SendEndKind::lost, "the answer is too large", &response);
   response.extract_vector().then([this, act, handle, response, stop](pplx::task<std::vector<unsigned char>> reading) {
     std::string body;
     try {
       auto bytes = reading.get();
       body.assign(bytes.begin(), bytes.end());
     } catch (const std::exception&) {
-      if (handle->is_caller_gone) return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
-      if (stop.is_canceled()) return end(act.call, SendEndKind::lost, "no whole answer within the deadline", nullptr);
+      if (handle->is_caller_gone)
+        return end(act.call, SendEndKind::caller_gone, "caller left", nullptr);
+      if (stop.is_canceled())
+        return end(act.call, SendEndKind::lost, "no whole answer within the deadline", nullptr);
       ++relay_counts_.links_broken;
       return end(act.call, SendEndKind::lost, "link broke", nullptr);
     }
@@ -349,11 +393,13 @@
     std::int64_t incarnation = number_of(header_of(headers, "X-Runner-Incarnation"));
     std::string seal = header_of(headers, "X-Runner-Seal");
     std::string sealed_text = std::to_string(response.status_code()) + "\n" + body;
-    if (header_of(headers, "X-Runner") != act.runner.text || seal != seal_of(act.seal_key, act.id.text, act.runner.text, incarnation, sealed_text)) {
+    if (header_of(headers, "X-Runner") != act.runner.text ||
+        seal != seal_of(act.seal_key, act.id.text, act.runner.text, incarnation, sealed_text)) {
       ++relay_counts_.bad_seals;
       return end(act.call, SendEndKind::lost, "the answer lacks the runner's seal", &response);
     }
-    if (handle->is_answered.exchange(true)) return end(act.call, SendEndKind::answered, "", &response);
+    if (handle->is_answered.exchange(true))
+      return end(act.call, SendEndKind::answered, "", &response);
     http_response out(response.status_code());
     std::string type = header_of(headers, "Content-Type");
     out.set_body(body, type.empty() ? "application/json" : type);
@@ -361,7 +407,8 @@
     out.headers().add("X-Runner-Incarnation", std::to_string(incarnation));
     out.headers().add("X-Runner-Seal", seal);
     out.headers().add("X-Emberdale-Call", act.id.text);
-    if (!handle->caller_id.empty()) out.headers().add("X-Call-Id", handle->caller_id);
+    if (!handle->caller_id.empty())
+      out.headers().add("X-Call-Id", handle->caller_id);
     reply_quietly(handle->request, out);
     end(act.call, SendEndKind::answered, "", &response);
   });
@@ -376,10 +423,12 @@
   EventCutter cutter;
   StreamCheck check;
   std::vector<std::uint8_t> bytes = std::vector<std::uint8_t>(16384);
-  Relay(const SendAct& a, std::int64_t incarnation) : act(a), check(a.seal_key, a.id.text, a.runner.text, incarnation) {}
+  Relay(const SendAct& a, std::int64_t incarnation)
+      : act(a), check(a.seal_key, a.id.text, a.runner.text, incarnation) {}
 };
 
-void CallRelay::take_stream(const SendAct& act, std::shared_ptr<CallHandle> handle, http_response response, pplx::cancellation_token_source stop) {
+void CallRelay::take_stream(const SendAct& act, std::shared_ptr<CallHandle> handle, http_response response,
+                            pplx::cancellation_token_source stop) {
   if (header_of(response.headers(), "X-Runner") != act.runner.text) {
     ++relay_counts_.bad_seals;
     stop.cancel();
@@ -402,7 +451,8 @@
       size = reading.get();
       if (size == 1) {
         std::size_t more = std::min(relay->source.in_avail(), relay->bytes.size() - 1);
-        for (; more > 0; --more) relay->bytes[size++] = static_cast<std::uint8_t>(relay->source.sbumpc());  // there already
+        for (; more > 0; --more)
+          relay->bytes[size++] = static_cast<std::uint8_t>(relay->source.sbumpc());  // there already
       }
     } catch (const std::exception&) {
       is_broken = true;
@@ -412,7 +462,8 @@
     bool is_sealed = false;
     std::string trouble;
     if (size > 0) {
-      for (const auto& event : relay->cutter.feed(std::string(relay->bytes.begin(), relay->bytes.begin() + static_cast<std::ptrdiff_t>(size)))) {
+      for (const auto& event : relay->cutter.feed(
+               std::string(relay->bytes.begin(), relay->bytes.begin() + static_cast<std::ptrdiff_t>(size)))) {
         auto step = relay->check.take(event);
         if (step == StreamCheck::Step::broken) {
           trouble = relay->check.reason();
@@ -422,7 +473,8 @@
         ++relay_counts_.pieces;
         is_sealed = is_sealed || step == StreamCheck::Step::sealed;
       }
-      if (relay->cutter.waiting() > stream_bound) trouble = "a piece is too large";
+      if (relay->cutter.waiting() > stream_bound)
+        trouble = "a piece is too large";
     } else {
       trouble = is_broken ? "the runner's link broke" : "the runner ended without its seal";
     }
@@ -430,7 +482,8 @@
       relay->stop.cancel();
       return end(relay->act.call, SendEndKind::caller_gone, "caller left", nullptr);
     }
-    if (relay->stop.get_token().is_canceled() && !is_sealed && trouble.empty()) trouble = "not ended within the deadline";
+    if (relay->stop.get_token().is_canceled() && !is_sealed && trouble.empty())
+      trouble = "not ended within the deadline";
     // Before the first piece nothing has been told to the caller: the dispatcher decides what comes.
     if (!handle->is_stream_open && out.empty() && !trouble.empty()) {
       relay->stop.cancel();
@@ -445,7 +498,8 @@
       response.headers().add("X-Runner", relay->act.runner.text);
       response.headers().add("X-Runner-Incarnation", header_of(relay->response.headers(), "X-Runner-Incarnation"));
       response.headers().add("X-Emberdale-Call", relay->act.id.text);
-      if (!handle->caller_id.empty()) response.headers().add("X-Call-Id", handle->caller_id);
+      if (!handle->caller_id.empty())
+        response.headers().add("X-Call-Id", handle->caller_id);
       response.set_body(handle->pieces.create_istream(), "text/event-stream");
       CallIndex index = relay->act.call;
       handle->request.reply(response).then([this, handle, index](pplx::task<void> ended) {
@@ -462,7 +516,8 @@
         }
       });
     }
-    if (!trouble.empty() && !is_sealed) out += event_text({"error", "", json_text(Json{{"reason", trouble}, {"outcome", "unknown"}})});
+    if (!trouble.empty() && !is_sealed)
+      out += event_text({"error", "", json_text(Json{{"reason", trouble}, {"outcome", "unknown"}})});
     if (handle->pieces.in_avail() > stream_bound) {
       trouble = "the caller reads too slowly";
       is_sealed = false;
--- a/packages/data-plane/src/call_relay.hpp
+++ b/packages/data-plane/src/call_relay.hpp
@@ -100,8 +100,10 @@
   void act(Moment now);
   void send(const SendAct& act, Moment now);
   void end(CallIndex index, SendEndKind kind, const std::string& reason, const web::http::http_response* response);
-  void take_answer(const SendAct& act, std::shared_ptr<CallHandle> handle, web::http::http_response response, pplx::cancellation_token stop);
-  void take_stream(const SendAct& act, std::shared_ptr<CallHandle> handle, web::http::http_response response, pplx::cancellation_token_source stop);
+  void take_answer(const SendAct& act, std::shared_ptr<CallHandle> handle, web::http::http_response response,
+                   pplx::cancellation_token stop);
+  void take_stream(const SendAct& act, std::shared_ptr<CallHandle> handle, web::http::http_response response,
+                   pplx::cancellation_token_source stop);
   void relay_next(std::shared_ptr<Relay> relay);
   void answer_final(const FinalAct& act, const std::shared_ptr<CallHandle>& handle);
   std::shared_ptr<web::http::client::http_client> client_for(const SendAct& act);
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 void DataDaemon::start(Moment now) {
-  for (const auto& seed : seeds_) known_[seed].entry.address = seed;
+  for (const auto& seed : seeds_)
+    known_[seed].entry.address = seed;
   ping_next_ = ask_next_ = subscribe_next_ = now;
   on_timer(now);
 }
@@ -23,13 +24,15 @@
   subscribe(now);
 }
 
-// The register shows a minimum version above this map and no home has brought it: they may follow a master that is cut off
-// with them. Others are asked.
+// The register shows a minimum version above this map and no home has brought it: they may follow a master that is cut
+// off with them. Others are asked.
 void DataDaemon::leave_outdated_homes(Moment now) {
   const auto& since = keeper_.behind_since();
-  if (keeps_outdated_homes || !since || now - *since < outdated_span) return;
+  if (keeps_outdated_homes || !since || now - *since < outdated_span)
+    return;
   for (auto& [topic, home] : homes_) {
-    if (home.address.empty() || now - home.since < outdated_span) continue;
+    if (home.address.empty() || now - home.since < outdated_span)
+      continue;
     shunned_[home.address] = now + shun_span;
     ++counts_.homes_outdated;
     journal_.append(now, "home_outdated", topic + " at " + home.address.text);
@@ -41,21 +44,28 @@
   // Who lives is the leader lease, in the map; before there is a map, whoever answered a ping.
   for (const auto& edge : view()->edges) {
     auto shunned = shunned_.find(edge.daemon);
-    if (shunned != shunned_.end() && now < shunned->second) continue;
+    if (shunned != shunned_.end() && now < shunned->second)
+      continue;
     all.push_back(edge.daemon.text);
-    if (edge.zone == self_.zone) near.push_back(edge.daemon.text);
+    if (edge.zone == self_.zone)
+      near.push_back(edge.daemon.text);
   }
-  if (!near.empty()) return near;
+  if (!near.empty())
+    return near;
   for (const auto& [address, known] : known_) {
-    if (known.entry.role != "edge" || now - known.heard > alive_span) continue;
+    if (known.entry.role != "edge" || now - known.heard > alive_span)
+      continue;
     auto shunned = shunned_.find(address);
-    if (shunned != shunned_.end() && now < shunned->second) continue;
+    if (shunned != shunned_.end() && now < shunned->second)
+      continue;
     all.push_back(address.text);
-    if (known.entry.zone == self_.zone) near.push_back(address.text);
+    if (known.entry.zone == self_.zone)
+      near.push_back(address.text);
   }
   if (near.empty() && all.empty()) {
     // All of them were shunned: one that is slow is still better than none.
-    for (const auto& edge : view()->edges) all.push_back(edge.daemon.text);
+    for (const auto& edge : view()->edges)
+      all.push_back(edge.daemon.text);
   }
   return near.empty() ? all : near;
 }
@@ -75,15 +85,18 @@
       home = Home{};
     }
     auto ranked = rendezvous_rank("home:" + known.topic, live);
-    if (!ranked.empty() && ranked.front() != home.address.text) home = Home{Address{ranked.front()}, now, Moment{-100000}};
-    if (!home.address.empty()) by_home[home.address].push_back(known);
+    if (!ranked.empty() && ranked.front() != home.address.text)
+      home = Home{Address{ranked.front()}, now, Moment{-100000}};
+    if (!home.address.empty())
+      by_home[home.address].push_back(known);
     homes[known.topic] = home;
   }
   homes_ = std::move(homes);
   keep_cold_shares();
   bool is_granted = now < grant().until && grant().minimum_version <= book_.version();
   for (auto& [home, topics] : by_home)
-    out_.push_back({home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted, is_leaving_}});
+    out_.push_back(
+        {home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted, is_leaving_}});
 }
 
 void DataDaemon::on_message(const Address& from, const Message& message, Moment now) {
@@ -106,13 +119,18 @@
     keeper_.learn_acceptors(answer->acceptors);
     // Until there is a map nothing waits for its pace: who answers is subscribed to, who is named is pinged.
     if (view()->edges.empty()) {
-      if (is_new) ping_near();
-      if (answer->sender.role == "edge") subscribe_next_ = now;
+      if (is_new)
+        ping_near();
+      if (answer->sender.role == "edge")
+        subscribe_next_ = now;
     }
   }
-  if (const auto* answer = std::get_if<ReadAnswer>(&message)) keeper_.on_answer(*answer, book_.version(), now);
-  if (const auto* lease_grant = std::get_if<LeaseGrant>(&message)) keeper_.on_lease_grant(*lease_grant, book_.version());
-  if (const auto* hold = std::get_if<Hold>(&message)) take_hold(*hold, now);
+  if (const auto* answer = std::get_if<ReadAnswer>(&message))
+    keeper_.on_answer(*answer, book_.version(), now);
+  if (const auto* lease_grant = std::get_if<LeaseGrant>(&message))
+    keeper_.on_lease_grant(*lease_grant, book_.version());
+  if (const auto* hold = std::get_if<Hold>(&message))
+    take_hold(*hold, now);
   if (const auto* news = std::get_if<SliceNews>(&message)) {
     ++counts_.news;
     auto home = homes_.find(news->topic);
@@ -141,39 +159,48 @@
 void DataDaemon::keep_cold_shares() {
   Moment until{INT64_MAX};
   for (const auto& [topic, home] : homes_)
-    if (topic != plans_topic) until = std::min(until, home.master_heard + ColdShares::lease);
+    if (topic != plans_topic)
+      until = std::min(until, home.master_heard + ColdShares::lease);
   keeper_.set_cold_until(until);
 }
 
 void DataDaemon::take_hold(const Hold& hold, Moment now) {
   if (hold.lifted) {
-    if (holds_.erase(hold.change) != 0) fold_view(now);
+    if (holds_.erase(hold.change) != 0)
+      fold_view(now);
     return;
   }
   auto [held, is_new] = holds_.insert({hold.change, {hold, {}}});
   held->second.until = now + hold_length;
-  if (!is_new) return;
+  if (!is_new)
+    return;
   ++counts_.holds_held;
   journal_.append(now, "barred", hold.runner.empty() ? "zone " + hold.zone.text : hold.runner.text);
   fold_view(now);
 }
 
 void DataDaemon::fold_view(Moment now) {
-  for (auto entry = holds_.begin(); entry != holds_.end();) entry = entry->second.until <= now ? holds_.erase(entry) : std::next(entry);
+  for (auto entry = holds_.begin(); entry != holds_.end();)
+    entry = entry->second.until <= now ? holds_.erase(entry) : std::next(entry);
   view_ = book_.view();
-  if (holds_.empty()) return;
+  if (holds_.empty())
+    return;
   auto barred = std::make_shared<TrafficView>(*view_);
   for (auto& [name, row] : barred->runners)
     for (const auto& [change, held] : holds_)
-      if (held.hold.runner == name || (!held.hold.zone.empty() && held.hold.zone == row.zone)) row.status = held.hold.runner == name ? "leaving" : "emptied";
+      if (held.hold.runner == name || (!held.hold.zone.empty() && held.hold.zone == row.zone))
+        row.status = held.hold.runner == name ? "leaving" : "emptied";
   view_ = barred;
 }
 
 void DataDaemon::on_refused(const Address& peer, Moment now) {
   auto known = known_.find(peer);
-  if (known != known_.end()) known->second.heard = Moment{now.value - alive_span.value - 1};
-  bool is_home = std::any_of(homes_.begin(), homes_.end(), [&](const auto& home) { return home.second.address == peer; });
-  if (!is_home) return;
+  if (known != known_.end())
+    known->second.heard = Moment{now.value - alive_span.value - 1};
+  bool is_home =
+      std::any_of(homes_.begin(), homes_.end(), [&](const auto& home) { return home.second.address == peer; });
+  if (!is_home)
+    return;
   shunned_[peer] = now + Span{1000};  // until it is back, or the map leaves it out
   ++counts_.homes_left;
   journal_.append(now, "home_gone", peer.text);
@@ -182,7 +209,8 @@
 
 void DataDaemon::ping_near() {
   for (const auto& [address, known] : known_)
-    if (known.entry.role == "edge" && known.entry.zone == self_.zone) out_.push_back({address, Ping{0, self_, {}, book_.version()}});
+    if (known.entry.role == "edge" && known.entry.zone == self_.zone)
+      out_.push_back({address, Ping{0, self_, {}, book_.version()}});
 }
 
 void DataDaemon::on_timer(Moment now) {
@@ -192,11 +220,14 @@
     for (const auto& [address, known] : known_) {
       bool is_near = view()->edges.empty() && known.entry.role == "edge" && known.entry.zone == self_.zone;
       bool is_seed = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
-      if (is_near || (is_seed && now - known.heard > alive_span)) out_.push_back({address, Ping{0, self_, {}, book_.version()}});
-      else others.push_back(address);
+      if (is_near || (is_seed && now - known.heard > alive_span))
+        out_.push_back({address, Ping{0, self_, {}, book_.version()}});
+      else
+        others.push_back(address);
     }
     for (int i = 0; i < 2 && !others.empty(); ++i)
-      out_.push_back({others[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(others.size())))], Ping{0, self_, {}, book_.version()}});
+      out_.push_back({others[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(others.size())))],
+                      Ping{0, self_, {}, book_.version()}});
   }
   bool lacks_grant = !(now < grant().until && grant().minimum_version <= book_.version());
   if (ask_next_ <= now || (lacks_grant && hurried_next_ <= now)) {
@@ -209,17 +240,20 @@
     leave_outdated_homes(now);
     subscribe(now);
   }
-  if (std::any_of(holds_.begin(), holds_.end(), [&](const auto& entry) { return entry.second.until <= now; })) fold_view(now);
+  if (std::any_of(holds_.begin(), holds_.end(), [&](const auto& entry) { return entry.second.until <= now; }))
+    fold_view(now);
   bool is_granted = now < grant().until && grant().minimum_version <= book_.version();
   if (is_granted != was_granted_) {
     was_granted_ = is_granted;
     journal_.append(now, is_granted ? "granted" : "grant_lapsed", show(book_.version()));
   }
-  for (auto& sending : keeper_.take_out()) out_.push_back(std::move(sending));
+  for (auto& sending : keeper_.take_out())
+    out_.push_back(std::move(sending));
 }
 
-std::vector<Sending> DataDaemon::take_out() { 
-  for (auto& sending : keeper_.take_out()) out_.push_back(std::move(sending));
+std::vector<Sending> DataDaemon::take_out() {
+  for (auto& sending : keeper_.take_out())
+    out_.push_back(std::move(sending));
   return std::exchange(out_, {});
 }
 
--- a/packages/data-plane/src/data_process.cpp
+++ b/packages/data-plane/src/data_process.cpp
@@ -7,8 +7,12 @@
 namespace emberdale {
 
 DataProcess::DataProcess(DaemonEntry self, std::vector<Address> seeds, Span timer_interval)
-    : self_(self), timer_interval_(timer_interval), daemon_(self, std::move(seeds), static_cast<std::uint64_t>(self.incarnation)) {
-  daemon_.journal().on_event = [](const JournalEvent& event) { LOG(INFO) << event.kind << ": " << event.detail; };
+    : self_(self),
+      timer_interval_(timer_interval),
+      daemon_(self, std::move(seeds), static_cast<std::uint64_t>(self.incarnation)) {
+  daemon_.journal().on_event = [](const JournalEvent& event) {
+    LOG(INFO) << event.kind << ": " << event.detail;
+  };
   links_ = std::make_unique<PeerConnections>(context_, self_.address, [this](const Address& from, Message message) {
     daemon_.on_message(from, message, steady_now());
     flush();
@@ -46,14 +50,17 @@
   snapshot_.put(daemon_.view(), daemon_.grant());
   bool is_new = seen_ != daemon_.view();
   seen_ = daemon_.view();
-  if (is_new && on_change) on_change();
-  for (auto& sending : daemon_.take_out()) links_->send(sending.to, sending.message);
+  if (is_new && on_change)
+    on_change();
+  for (auto& sending : daemon_.take_out())
+    links_->send(sending.to, sending.message);
 }
 
 void DataProcess::tick() {
   timer_.expires_after(std::chrono::milliseconds(timer_interval_.value));
   timer_.async_wait([this](boost::system::error_code fault) {
-    if (fault) return;
+    if (fault)
+      return;
     daemon_.on_timer(steady_now());
     flush();
     tick();
--- a/packages/data-plane/src/data_process.hpp
+++ b/packages/data-plane/src/data_process.hpp
@@ -21,7 +21,8 @@
   Outcome<bool> open();
   void start();
   void stop();
-  // Does something with the daemon on the control thread. Example: process.post([](DataDaemon& daemon) { daemon.leave(steady_now()); });
+  // Does something with the daemon on the control thread. Example: process.post([](DataDaemon& daemon) {
+  // daemon.leave(steady_now()); });
   void post(std::function<void(DataDaemon&)> act);
 
   // The view and the grant for the traffic thread; on_change is called (on the control thread) when they differ.
--- a/packages/data-plane/src/main.cpp
+++ b/packages/data-plane/src/main.cpp
@@ -8,8 +8,8 @@
 
 #include "call_relay.hpp"
 #include "data_process.hpp"
-#include "emberdale/program_settings.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/program_settings.hpp"
 
 using namespace emberdale;
 using Json = nlohmann::json;
@@ -36,7 +36,8 @@
   std::vector<std::string> findings;
   ProgramSettings settings = read_settings(arguments, "data", findings);
   if (!findings.empty()) {
-    for (const auto& finding : findings) std::cerr << "emberdale-data-plane: " << finding << "\n";
+    for (const auto& finding : findings)
+      std::cerr << "emberdale-data-plane: " << finding << "\n";
     return 2;
   }
   start_program("emberdale-data-plane");
@@ -69,34 +70,57 @@
     if (path == "/emberdale/health") {
       auto [view, grant] = snapshot.get();
       bool is_granted = steady_now() < grant.until && grant.minimum_version <= view->version;
-      Json health{{"status", is_granted ? "serving" : "not_serving"}, {"map_version", show(view->version)},
-                  {"config_revision", view->config_revision}, {"in_hand", relay.in_hand()}};
+      Json health{{"status", is_granted ? "serving" : "not_serving"},
+                  {"map_version", show(view->version)},
+                  {"config_revision", view->config_revision},
+                  {"in_hand", relay.in_hand()}};
       return reply(request, is_granted ? 200 : 503, json_text(health), "application/json");
     }
     if (path == "/emberdale/metrics") {
       auto c = relay.counts();
       const auto& r = relay.relay_counts();
-      return reply(request, 200, counters_text("emberdale_data", {
-          {"calls_arrived", c.arrived}, {"sends", c.sends}, {"retries", c.retries}, {"retries_denied", c.retry_denied},
-          {"calls_answered", c.answered}, {"refused_gate", c.refused_admission}, {"refused_full", c.refused_full},
-          {"refused_no_grant", c.refused_no_grant}, {"refused_other", c.refused_other}, {"outcome_unknown", c.unknown},
-          {"spilled", c.spilled}, {"misdirected", c.misdirected}, {"pended", c.pended}, {"cold_sends", c.cold_sends}, {"grant_awaited", c.grant_awaited},
-          {"bad_seals", r.bad_seals}, {"streams_broken", r.streams_broken}, {"links_broken", r.links_broken},
-          {"callers_gone", r.callers_gone}, {"stream_pieces", r.pieces}, {"horizons_passed", r.deadlines_passed},
-          {"accept_refused", r.accept_refused}, {"in_hand", static_cast<std::int64_t>(relay.in_hand())}}), "text/plain; version=0.0.4");
+      return reply(request, 200,
+                   counters_text("emberdale_data", {{"calls_arrived", c.arrived},
+                                                    {"sends", c.sends},
+                                                    {"retries", c.retries},
+                                                    {"retries_denied", c.retry_denied},
+                                                    {"calls_answered", c.answered},
+                                                    {"refused_gate", c.refused_admission},
+                                                    {"refused_full", c.refused_full},
+                                                    {"refused_no_grant", c.refused_no_grant},
+                                                    {"refused_other", c.refused_other},
+                                                    {"outcome_unknown", c.unknown},
+                                                    {"spilled", c.spilled},
+                                                    {"misdirected", c.misdirected},
+                                                    {"pended", c.pended},
+                                                    {"cold_sends", c.cold_sends},
+                                                    {"grant_awaited", c.grant_awaited},
+                                                    {"bad_seals", r.bad_seals},
+                                                    {"streams_broken", r.streams_broken},
+                                                    {"links_broken", r.links_broken},
+                                                    {"callers_gone", r.callers_gone},
+                                                    {"stream_pieces", r.pieces},
+                                                    {"horizons_passed", r.deadlines_passed},
+                                                    {"accept_refused", r.accept_refused},
+                                                    {"in_hand", static_cast<std::int64_t>(relay.in_hand())}}),
+                   "text/plain; version=0.0.4");
     }
     if (path == "/emberdale/faults" && request.method() == web::http::methods::POST) {
-      if (!settings.may_fault_links) return reply(request, 403, R"({"reason":"started without --allow-link-faults"})", "application/json");
+      if (!settings.may_fault_links)
+        return reply(request, 403, R"({"reason":"started without --allow-link-faults"})", "application/json");
       request.extract_string(true).then([&, request, reply](utility::string_t body) mutable {
         Json wish = Json::parse(body, nullptr, false);
-        if (!wish.is_object()) return reply(request, 400, R"({"reason":"not a JSON object"})", "application/json");
+        if (!wish.is_object())
+          return reply(request, 400, R"({"reason":"not a JSON object"})", "application/json");
         try {
           LinkFault fault{wish.value("cut_out", false), wish.value("cut_in", false), Span{wish.value("delay_ms", 0)}};
           auto peers = wish.value("siblings", std::vector<std::string>{});
           bool is_clear = wish.value("clear", false);
           boost::asio::post(context, [&process, peers, fault, is_clear] {
-            if (is_clear) process.links().clear_faults();
-            for (const auto& peer : peers) process.links().set_fault({peer}, fault);
+            if (is_clear)
+              process.links().clear_faults();
+            for (const auto& peer : peers)
+              process.links().set_fault({peer}, fault);
           });
         } catch (const Json::exception&) {
           return reply(request, 400, R"({"reason":"a field of the body is of the wrong kind"})", "application/json");
@@ -113,7 +137,8 @@
     return 1;
   }
   process.start();
-  LOG(INFO) << "serving in zone " << settings.self.zone << ", region " << settings.self.region << ", callers at " << settings.self.http;
+  LOG(INFO) << "serving in zone " << settings.self.zone << ", region " << settings.self.region << ", callers at "
+            << settings.self.http;
   int signal = wait_for_stop();
   LOG(INFO) << "stopping on signal " << signal << ": what is in hand is finished or refused";
   relay.stop(Span{8000});
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -30,7 +30,8 @@
 constexpr int silent_link_ms = 3000;
 
 std::string header_of(const http_headers& headers, const std::string& name) {
-  if (name.empty()) return "";
+  if (name.empty())
+    return "";
   auto entry = headers.find(name);
   return entry == headers.end() ? "" : entry->second;
 }
@@ -39,26 +40,34 @@
 
 std::string_view trimmed(std::string_view text) {
   auto begin = text.find_first_not_of(" \t");
-  if (begin == std::string_view::npos) return {};
+  if (begin == std::string_view::npos)
+    return {};
   return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
 }
 
 std::optional<std::int64_t> number_of(std::string_view text) {
-  if (text.empty() || text.size() > 15) return std::nullopt;
+  if (text.empty() || text.size() > 15)
+    return std::nullopt;
   std::int64_t number = 0;
   for (char letter : text) {
-    if (letter < '0' || letter > '9') return std::nullopt;
+    if (letter < '0' || letter > '9')
+      return std::nullopt;
     number = number * 10 + (letter - '0');
   }
   return number;
 }
 
 std::optional<std::uint64_t> hex_of(std::string_view text) {
-  if (text.empty() || text.size() > 16) return std::nullopt;
+  if (text.empty() || text.size() > 16)
+    return std::nullopt;
   std::uint64_t number = 0;
   for (char letter : text) {
-    int digit = letter >= '0' && letter <= '9' ? letter - '0' : letter >= 'a' && letter <= 'f' ? letter - 'a' + 10 : letter >= 'A' && letter <= 'F' ? letter - 'A' + 10 : -1;
-    if (digit < 0) return std::nullopt;
+    int digit = letter >= '0' && letter <= '9'   ? letter - '0'
+                : letter >= 'a' && letter <= 'f' ? letter - 'a' + 10
+                : letter >= 'A' && letter <= 'F' ? letter - 'A' + 10
+                                                 : -1;
+    if (digit < 0)
+      return std::nullopt;
     number = number << 4 | static_cast<std::uint64_t>(digit);
   }
   return number;
@@ -69,17 +78,21 @@
 void each_part(std::string_view text, Use use) {
   for (;;) {
     auto comma = text.find(',');
-    if (!use(trimmed(text.substr(0, comma))) || comma == std::string_view::npos) return;
+    if (!use(trimmed(text.substr(0, comma))) || comma == std::string_view::npos)
+      return;
     text.remove_prefix(comma + 1);
   }
 }
 
 // Headers of one link, not of the call. What a Connection header names is one as well.
 bool is_of_link(const std::string& name, const std::string& named) {
-  static const std::array<const char*, 8> names{"Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length", "Expect"};
+  static const std::array<const char*, 8> names{"Connection", "Keep-Alive", "Transfer-Encoding", "TE",
+                                                "Trailer",    "Upgrade",    "Content-Length",    "Expect"};
   for (const char* known : names)
-    if (strcasecmp(name.c_str(), known) == 0) return true;
-  if (strncasecmp(name.c_str(), "Proxy-", 6) == 0) return true;
+    if (strcasecmp(name.c_str(), known) == 0)
+      return true;
+  if (strncasecmp(name.c_str(), "Proxy-", 6) == 0)
+    return true;
   bool is_named = false;
   each_part(named, [&](std::string_view part) {
     is_named = part.size() == name.size() && strncasecmp(part.data(), name.data(), name.size()) == 0;
@@ -91,12 +104,14 @@
 // Numbers are compared as such, however long; other ids only as equal or not.
 bool is_above(const std::string& id, const std::string& last) {
   auto digits_of = [](const std::string& text) -> std::optional<std::string> {
-    if (text.empty() || text.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
+    if (text.empty() || text.find_first_not_of("0123456789") != std::string::npos)
+      return std::nullopt;
     auto begin = text.find_first_not_of('0');
     return begin == std::string::npos ? "" : text.substr(begin);
   };
   auto a = digits_of(id), b = digits_of(last);
-  if (!a || !b) return id != last;
+  if (!a || !b)
+    return id != last;
   return a->size() != b->size() ? a->size() > b->size() : *a > *b;
 }
 
@@ -133,8 +148,10 @@
       } catch (const std::exception&) {
         is_broken = true;
       }
-      if (is_broken || self->bytes.empty()) return self->on_end(is_broken);
-      if (self->on_bytes(self->bytes)) self->next();
+      if (is_broken || self->bytes.empty())
+        return self->on_end(is_broken);
+      if (self->on_bytes(self->bytes))
+        self->next();
     });
   }
 };
@@ -147,10 +164,12 @@
   std::vector<PromptPart> parts;
   each_part(text, [&](std::string_view part) {
     auto colon = part.find(':');
-    if (colon == std::string_view::npos) return false;
+    if (colon == std::string_view::npos)
+      return false;
     auto id = hex_of(trimmed(part.substr(0, colon)));
     auto tokens = number_of(trimmed(part.substr(colon + 1)));
-    if (!id || !tokens) return false;
+    if (!id || !tokens)
+      return false;
     parts.push_back({*id, *tokens});
     return parts.size() < max_parts;
   });
@@ -172,7 +191,8 @@
 
 std::optional<Span> read_deadline(const std::string& text) {
   auto number = number_of(trimmed(text));
-  if (!number || *number <= 0) return std::nullopt;
+  if (!number || *number <= 0)
+    return std::nullopt;
   return Span{*number};
 }
 
@@ -190,7 +210,8 @@
     std::string_view line = std::string_view(rest_).substr(from, size);
     if (line.rfind("id:", 0) == 0) {
       line.remove_prefix(3);
-      if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+      if (!line.empty() && line.front() == ' ')
+        line.remove_prefix(1);
       event.id = std::string(line);
     } else if (line.rfind("data", 0) == 0) {
       event.has_data = true;
@@ -198,8 +219,10 @@
   };
   for (std::size_t end; (end = rest_.find('\n', line_begin_)) != std::string::npos; line_begin_ = end + 1) {
     std::size_t size = end - line_begin_;
-    if (size > 0 && rest_[end - 1] == '\r') --size;
-    if (size > 0) continue;
+    if (size > 0 && rest_[end - 1] == '\r')
+      --size;
+    if (size > 0)
+      continue;
     for (std::size_t at = begin; at <= end;) {  // the lines of this event
       std::size_t stop = rest_.find('\n', at);
       look(at, stop - at - (stop > at && rest_[stop - 1] == '\r' ? 1 : 0));
@@ -221,9 +244,11 @@
   }
   bool is_waiting = !has_passed_ && (is_resumed_ ? event.id.empty() : !event.has_data);
   held_ += event.bytes;
-  if (is_waiting) return "";
+  if (is_waiting)
+    return "";
   has_passed_ = true;
-  if (!event.id.empty()) last_ = event.id;
+  if (!event.id.empty())
+    last_ = event.id;
   return std::exchange(held_, {});
 }
 
@@ -256,13 +281,15 @@
 };
 
 struct RoutedRelay::RunnerLink {
-  explicit RunnerLink(const std::string& http, const web::http::client::http_client_config& config) : client("http://" + http, config) {}
+  explicit RunnerLink(const std::string& http, const web::http::client::http_client_config& config)
+      : client("http://" + http, config) {}
   web::http::client::http_client client;
   std::atomic<bool> is_spoilt{false};  // bytes of another call came over it
 };
 
 struct RoutedRelay::Send {
-  Send(RoutedSend a, std::shared_ptr<Handle> h, std::string last) : act(std::move(a)), handle(std::move(h)), sieve(std::move(last)) {}
+  Send(RoutedSend a, std::shared_ptr<Handle> h, std::string last)
+      : act(std::move(a)), handle(std::move(h)), sieve(std::move(last)) {}
   RoutedSend act;
   std::shared_ptr<Handle> handle;
   std::shared_ptr<RunnerLink> link;
@@ -275,8 +302,13 @@
 
 // --- life ------------------------------------------------------------------------------------------
 
-RoutedRelay::RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot, const std::string& http)
-    : settings_(settings), words_(std::move(words)), snapshot_(snapshot), listener_("http://" + http + "/"), dispatcher_(std::move(settings)) {
+RoutedRelay::RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot,
+                         const std::string& http)
+    : settings_(settings),
+      words_(std::move(words)),
+      snapshot_(snapshot),
+      listener_("http://" + http + "/"),
+      dispatcher_(std::move(settings)) {
   listener_.support([this](http_request request) { handle(std::move(request)); });
 }
 
@@ -294,27 +326,32 @@
 }
 
 void RoutedRelay::wake() {
-  if (!is_woken_.exchange(true)) events_.force(Woken{});
+  if (!is_woken_.exchange(true))
+    events_.force(Woken{});
 }
 
 void RoutedRelay::stop(Span patience) {
   begin_stopping();
-  if (!is_open_.exchange(false)) return;
+  if (!is_open_.exchange(false))
+    return;
   auto wait_empty = [&](Span span) {
     std::unique_lock<std::mutex> guard(in_hand_->mutex);
-    return in_hand_->changed.wait_for(guard, std::chrono::milliseconds(span.value), [&] { return in_hand_->calls == 0; });
+    return in_hand_->changed.wait_for(guard, std::chrono::milliseconds(span.value),
+                                      [&] { return in_hand_->calls == 0; });
   };
   wait_empty(patience);
   is_closing_ = true;
   wake();
-  if (traffic_.joinable()) traffic_.join();  // what is left was broken off
+  if (traffic_.joinable())
+    traffic_.join();  // what is left was broken off
   wait_empty(Span{300});
   try {
     listener_.close().wait();
   } catch (const std::exception&) {
   }
   events_.close();
-  if (!wait_empty(Span{10000})) LOG(ERROR) << "calls are still in hand after the end";
+  if (!wait_empty(Span{10000}))
+    LOG(ERROR) << "calls are still in hand after the end";
 }
 
 RouteDispatcher::Counts RoutedRelay::counts() const {
@@ -330,7 +367,8 @@
 // --- answers to the caller ---------------------------------------------------------------------------
 
 void RoutedRelay::reply(const http_request& request, http_response response, std::function<void(bool)> on_end) {
-  if (is_stopping_) response.headers()["Connection"] = "close";
+  if (is_stopping_)
+    response.headers()["Connection"] = "close";
   try {
     request.reply(response).then([on_end](pplx::task<void> ended) {
       bool was_sent = true;
@@ -339,20 +377,27 @@
       } catch (const std::exception&) {  // the caller left
         was_sent = false;
       }
-      if (on_end) on_end(was_sent);
+      if (on_end)
+        on_end(was_sent);
     });
   } catch (const std::exception&) {
-    if (on_end) on_end(false);
+    if (on_end)
+      on_end(false);
   }
 }
 
 // Refused here: it surely did not run.
-void RoutedRelay::refuse(const http_request& request, int code, const std::string& reason, const std::string& call_id, Span retry_after, bool is_link_closed) {
+void RoutedRelay::refuse(const http_request& request, int code, const std::string& reason, const std::string& call_id,
+                         Span retry_after, bool is_link_closed) {
   http_response response(static_cast<web::http::status_code>(code));
-  if (!words_.not_run.empty()) response.headers().add(words_.not_run, words_.not_run_value);
-  if (!call_id.empty()) response.headers().add(words_.call_id, call_id);
-  if (retry_after.value > 0) response.headers().add("Retry-After", retry_after_text(retry_after));
-  if (is_link_closed) response.headers().add("Connection", "close");
+  if (!words_.not_run.empty())
+    response.headers().add(words_.not_run, words_.not_run_value);
+  if (!call_id.empty())
+    response.headers().add(words_.call_id, call_id);
+  if (retry_after.value > 0)
+    response.headers().add("Retry-After", retry_after_text(retry_after));
+  if (is_link_closed)
+    response.headers().add("Connection", "close");
   response.set_body(json_text(Json{{"reason", reason}}), "application/json");
   reply(request, response, nullptr);
 }
@@ -360,13 +405,15 @@
 void RoutedRelay::answer_final(const FinalAct& act, const std::shared_ptr<Handle>& handle) {
   std::unique_lock<std::mutex> guard(handle->mutex);
   handle->turn = 0;
-  if (std::exchange(handle->is_over, true)) return;
+  if (std::exchange(handle->is_over, true))
+    return;
   if (handle->is_stream_open) {  // its end must not look like one
     ++relay_counts_.streams_broken;
     handle->pieces->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error(act.reason)));
     return;
   }
-  auto on_end = [handle](bool) {};
+  auto on_end = [handle](bool) {
+  };
   if (handle->kept) {
     http_response response = *handle->kept;
     handle->kept.reset();
@@ -375,11 +422,15 @@
   }
   guard.unlock();
   http_response response(static_cast<web::http::status_code>(act.code));
-  if (!act.may_have_run && !words_.not_run.empty()) response.headers().add(words_.not_run, words_.not_run_value);
-  if (!handle->id.empty()) response.headers().add(words_.call_id, handle->id);
-  if (act.retry_after.value > 0) response.headers().add("Retry-After", retry_after_text(act.retry_after));
+  if (!act.may_have_run && !words_.not_run.empty())
+    response.headers().add(words_.not_run, words_.not_run_value);
+  if (!handle->id.empty())
+    response.headers().add(words_.call_id, handle->id);
+  if (act.retry_after.value > 0)
+    response.headers().add("Retry-After", retry_after_text(act.retry_after));
   Json body{{"reason", act.reason}};
-  if (!act.homes.empty()) body["homes"] = act.homes;
+  if (!act.homes.empty())
+    body["homes"] = act.homes;
   response.set_body(json_text(body), "application/json");
   reply(handle->request, response, on_end);
 }
@@ -387,7 +438,8 @@
 void RoutedRelay::copy_answer_headers(const http_headers& from, http_headers& to) const {
   std::string named = header_of(from, "Connection");
   for (const auto& [name, value] : from)
-    if (!is_of_link(name, named)) to.add(name, value);
+    if (!is_of_link(name, named))
+      to.add(name, value);
 }
 
 // --- accept ------------------------------------------------------------------------------------------
@@ -396,18 +448,23 @@
   const auto& headers = request.headers();
   std::string id = header_of(headers, words_.call_id);
   std::size_t header_bytes = 0;
-  for (const auto& [name, value] : headers) header_bytes += name.size() + value.size() + 4;
+  for (const auto& [name, value] : headers)
+    header_bytes += name.size() + value.size() + 4;
   bool is_chunked = headers.has("Transfer-Encoding");
   std::size_t length = is_chunked ? 0 : headers.content_length();
   auto refuse_unread = [&](int code, const std::string& reason, Span retry_after = Span{0}) {
     // Whatever is still coming of the body is not read: this link has no use afterwards.
     bool has_body = is_chunked || length > 0;
     refuse(request, code, reason, id, retry_after, has_body);
-    if (has_body) read_no_further(request);
+    if (has_body)
+      read_no_further(request);
   };
-  if (header_bytes > static_cast<std::size_t>(max_header_bytes_)) return refuse_unread(431, "the headers are too large");
-  if (id.empty()) return refuse_unread(400, "the header " + words_.call_id + " is missing");
-  if (length > static_cast<std::size_t>(max_body_bytes_)) return refuse_unread(413, "the body is too large");
+  if (header_bytes > static_cast<std::size_t>(max_header_bytes_))
+    return refuse_unread(431, "the headers are too large");
+  if (id.empty())
+    return refuse_unread(400, "the header " + words_.call_id + " is missing");
+  if (length > static_cast<std::size_t>(max_body_bytes_))
+    return refuse_unread(413, "the body is too large");
   {
     std::unique_lock<std::mutex> guard(in_hand_->mutex);
     if (in_hand_->calls >= max_in_hand || in_hand_->bytes + length > max_bytes_in_hand) {
@@ -426,9 +483,11 @@
   handle->target = request.request_uri();
   std::string named = header_of(headers, "Connection");
   for (const auto& [name, value] : headers)
-    if (!is_of_link(name, named)) handle->headers.add(name, value);
+    if (!is_of_link(name, named))
+      handle->headers.add(name, value);
   for (const auto* name : {&words_.life_expected, &words_.rank, &words_.deadline})
-    if (!name->empty()) handle->headers.remove(*name);
+    if (!name->empty())
+      handle->headers.remove(*name);
   handle->request = request;
   RoutedCall call;
   call.id.text = id;
@@ -440,15 +499,18 @@
   call.tokens_in = tokens_in;
   call.tokens_out = tokens_out;
   call.resume_after = header_of(headers, words_.resume);
-  if (is_chunked) return read_chunked(std::move(handle), std::move(call));
-  if (length == 0) return take_in(std::move(handle), std::move(call));
+  if (is_chunked)
+    return read_chunked(std::move(handle), std::move(call));
+  if (length == 0)
+    return take_in(std::move(handle), std::move(call));
   request.extract_vector().then([this, handle, call, length](pplx::task<std::vector<std::uint8_t>> reading) mutable {
     try {
       *handle->body = reading.get();
     } catch (const std::exception&) {
       return;  // the caller left, or broke off within its body: the call never was
     }
-    if (handle->body->size() != length) return refuse(handle->request, 400, "the body is not as long as its Content-Length", handle->id);
+    if (handle->body->size() != length)
+      return refuse(handle->request, 400, "the body is not as long as its Content-Length", handle->id);
     take_in(std::move(handle), std::move(call));
   });
 }
@@ -476,7 +538,8 @@
     return true;
   };
   reader->on_end = [this, handle, call = std::move(call)](bool is_broken) {
-    if (!is_broken) take_in(handle, call);
+    if (!is_broken)
+      take_in(handle, call);
   };
   reader->next();
 }
@@ -484,7 +547,8 @@
 void RoutedRelay::take_in(std::shared_ptr<Handle> handle, RoutedCall call) {
   http_request request = handle->request;
   std::string id = handle->id;
-  if (events_.offer(Arrived{std::move(handle), std::move(call)})) return;
+  if (events_.offer(Arrived{std::move(handle), std::move(call)}))
+    return;
   ++relay_counts_.accept_refused;
   refuse(request, 503, "too many calls are in hand here", id, Span{250});
 }
@@ -512,7 +576,8 @@
       on_event(*event, now);
       event = events_.take_within(std::chrono::milliseconds(0));
     }
-    if (event) on_event(*event, now);
+    if (event)
+      on_event(*event, now);
     if (timer_at <= now) {
       dispatcher_.on_timer(now);
       timer_at = std::max(dispatcher_.timer_next(now), now + Span{1});
@@ -535,10 +600,12 @@
     }
   } else if (auto* ended = std::get_if<RoutedEnd>(&event)) {
     auto entry = calls_.find(ended->call);
-    if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != ended->turn) return;  // of a send given up
+    if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != ended->turn)
+      return;  // of a send given up
     entry->second.send.reset();
     bool is_over = ended->kind == RoutedEndKind::answered || ended->kind == RoutedEndKind::caller_gone;
-    if (is_over) calls_.erase(entry);
+    if (is_over)
+      calls_.erase(entry);
     dispatcher_.end_send(*ended, now);
   } else if (auto* begun = std::get_if<Begun>(&event)) {
     dispatcher_.answer_begun(begun->index, begun->turn, now);
@@ -546,7 +613,8 @@
     dispatcher_.first_piece(piece->index, piece->turn, now);
   } else if (auto* gone = std::get_if<Gone>(&event)) {
     auto entry = calls_.find(gone->index);
-    if (entry == calls_.end()) return;
+    if (entry == calls_.end())
+      return;
     ++relay_counts_.callers_gone;
     give_up(entry->second);
     calls_.erase(entry);
@@ -556,7 +624,8 @@
 
 // Closes the link of the current send. Nothing of it is handed on from here.
 void RoutedRelay::give_up(Entry& entry) {
-  if (!entry.send) return;
+  if (!entry.send)
+    return;
   {
     std::lock_guard<std::mutex> guard(entry.handle->mutex);
     entry.handle->turn = 0;
@@ -568,14 +637,17 @@
 void RoutedRelay::act(Moment now) {
   for (const auto& stopped : dispatcher_.take_stops()) {
     auto entry = calls_.find(stopped.call);
-    if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != stopped.turn) continue;
+    if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != stopped.turn)
+      continue;
     ++relay_counts_.stops;
     give_up(entry->second);
   }
-  for (const auto& wish : dispatcher_.take_sends()) send(wish, now);
+  for (const auto& wish : dispatcher_.take_sends())
+    send(wish, now);
   for (const auto& final_act : dispatcher_.take_finals()) {
     auto found = calls_.find(final_act.call);
-    if (found == calls_.end()) continue;
+    if (found == calls_.end())
+      continue;
     Entry entry = found->second;
     calls_.erase(found);
     give_up(entry);
@@ -613,23 +685,28 @@
     // Called before the library opens the socket, which takes one that is open already.
     auto* socket = static_cast<boost::asio::ip::tcp::socket*>(handle);
     boost::system::error_code fault;
-    if (!socket->is_open() && is_number) socket->open(boost::asio::ip::tcp::v4(), fault);
-    if (!socket->is_open()) return;
+    if (!socket->is_open() && is_number)
+      socket->open(boost::asio::ip::tcp::v4(), fault);
+    if (!socket->is_open())
+      return;
     int on = 1, silent_ms = silent_link_ms;
     setsockopt(socket->native_handle(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     setsockopt(socket->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
   });
   // A call that must not run twice never goes over a link that was used before: the library would
   // send it again by itself when such a link turns out closed (HttpClientBehaviour shows it).
-  if (!act.is_repeatable) return std::make_shared<RunnerLink>(act.http, config);
+  if (!act.is_repeatable)
+    return std::make_shared<RunnerLink>(act.http, config);
   auto& link = links_[{act.http, act.runner}];
-  if (!link || link->is_spoilt) link = std::make_shared<RunnerLink>(act.http, config);
+  if (!link || link->is_spoilt)
+    link = std::make_shared<RunnerLink>(act.http, config);
   return link;
 }
 
 void RoutedRelay::send(const RoutedSend& act, Moment now) {
   auto entry = calls_.find(act.call);
-  if (entry == calls_.end()) return;
+  if (entry == calls_.end())
+    return;
   auto handle = entry->second.handle;
   give_up(entry->second);
   std::string last = act.resume_after;
@@ -638,28 +715,39 @@
     std::lock_guard<std::mutex> guard(handle->mutex);
     handle->turn = act.turn;
     is_over = handle->is_over;  // the answer of a send that was given up had just gone out
-    if (handle->is_stream_open) last = handle->last_event;
+    if (handle->is_stream_open)
+      last = handle->last_event;
     is_unresumable = handle->is_stream_open && last.empty();
   }
   auto sending = std::make_shared<Send>(act, handle, last);
   entry->second.send = sending;
-  if (is_over) return end(sending, RoutedEndKind::answered, "");
-  if (is_unresumable) return end(sending, RoutedEndKind::broken, "the stream has no ids to go on after");
+  if (is_over)
+    return end(sending, RoutedEndKind::answered, "");
+  if (is_unresumable)
+    return end(sending, RoutedEndKind::broken, "the stream has no ids to go on after");
   http_request request(handle->method);
   try {
     request.set_request_uri(handle->target);
-    for (const auto& [name, value] : handle->headers) request.headers().add(name, value);
-    if (!words_.life_expected.empty()) request.headers().add(words_.life_expected, act.runner.text);
-    if (!words_.rank.empty()) request.headers().add(words_.rank, std::to_string(act.rank));
-    if (!words_.deadline.empty()) request.headers().add(words_.deadline, std::to_string(std::max<std::int64_t>(1, (act.deadline - now).value)));
-    if (!last.empty() && !words_.resume.empty()) request.headers()[words_.resume] = last;
+    for (const auto& [name, value] : handle->headers)
+      request.headers().add(name, value);
+    if (!words_.life_expected.empty())
+      request.headers().add(words_.life_expected, act.runner.text);
+    if (!words_.rank.empty())
+      request.headers().add(words_.rank, std::to_string(act.rank));
+    if (!words_.deadline.empty())
+      request.headers().add(words_.deadline, std::to_string(std::max<std::int64_t>(1, (act.deadline - now).value)));
+    if (!last.empty() && !words_.resume.empty())
+      request.headers()[words_.resume] = last;
     if (!handle->body->empty()) {
       bool has_type = request.headers().has("Content-Type");
       const auto& body = *handle->body;
-      request.set_body(concurrency::streams::rawptr_stream<std::uint8_t>::open_istream(body.data(), body.size()), body.size());
-      if (!has_type) request.headers().remove("Content-Type");
+      request.set_body(concurrency::streams::rawptr_stream<std::uint8_t>::open_istream(body.data(), body.size()),
+                       body.size());
+      if (!has_type)
+        request.headers().remove("Content-Type");
       // The body is not copied: it lives as long as the request, through this handler.
-      request.set_progress_handler([kept = handle->body](web::http::message_direction::direction, utility::size64_t) {});
+      request.set_progress_handler(
+          [kept = handle->body](web::http::message_direction::direction, utility::size64_t) {});
     }
     sending->link = link_to(act);
   } catch (const std::exception& fault) {
@@ -667,14 +755,15 @@
   }
   sending->begun = now;
   try {
-    sending->link->client.request(request, sending->stop.get_token()).then([this, sending](pplx::task<http_response> answering) {
-      try {
-        sending->response = answering.get();
-      } catch (const std::exception& fault) {
-        return take_fault(sending, fault);
-      }
-      take_head(sending);
-    });
+    sending->link->client.request(request, sending->stop.get_token())
+        .then([this, sending](pplx::task<http_response> answering) {
+          try {
+            sending->response = answering.get();
+          } catch (const std::exception& fault) {
+            return take_fault(sending, fault);
+          }
+          take_head(sending);
+        });
   } catch (const std::exception& fault) {
     end(sending, RoutedEndKind::lost, fault.what());
   }
@@ -682,19 +771,25 @@
 
 void RoutedRelay::take_fault(const std::shared_ptr<Send>& send, const std::exception& fault) {
   std::string what = fault.what();
-  bool is_unsent = what.find("Failed to connect") != std::string::npos || what.find("Error resolving") != std::string::npos;
-  RoutedEnd over = end_of(*send, is_unsent ? RoutedEndKind::unsent : RoutedEndKind::lost, is_unsent ? "no link" : "the link broke");
-  if (const auto* http_fault = dynamic_cast<const web::http::http_exception*>(&fault); http_fault != nullptr && is_unsent) {
+  bool is_unsent =
+      what.find("Failed to connect") != std::string::npos || what.find("Error resolving") != std::string::npos;
+  RoutedEnd over =
+      end_of(*send, is_unsent ? RoutedEndKind::unsent : RoutedEndKind::lost, is_unsent ? "no link" : "the link broke");
+  if (const auto* http_fault = dynamic_cast<const web::http::http_exception*>(&fault);
+      http_fault != nullptr && is_unsent) {
     // The library tells a refused connection as an unreachable host; a real one takes its time.
     auto code = http_fault->error_code();
     bool was_quick = steady_now() - send->begun < Span{1000};
     over.was_link_refused = code == std::errc::connection_refused || (code == std::errc::host_unreachable && was_quick);
     over.was_slow_to_connect = !over.was_link_refused;
   }
-  if (!is_unsent) ++relay_counts_.links_broken;
+  if (!is_unsent)
+    ++relay_counts_.links_broken;
   std::lock_guard<std::mutex> guard(send->handle->mutex);
-  if (send->handle->turn != send->act.turn) return;
-  if (!is_unsent && send->handle->is_stream_open) over.kind = RoutedEndKind::broken;
+  if (send->handle->turn != send->act.turn)
+    return;
+  if (!is_unsent && send->handle->is_stream_open)
+    over.kind = RoutedEndKind::broken;
   over.last_event = send->handle->last_event;
   send->handle->turn = 0;
   events_.force(over);
@@ -721,10 +816,12 @@
 void RoutedRelay::end(const std::shared_ptr<Send>& send, RoutedEndKind kind, const std::string& reason) {
   auto over = end_of(*send, kind, reason);
   std::lock_guard<std::mutex> guard(send->handle->mutex);
-  if (send->handle->turn != send->act.turn) return;
+  if (send->handle->turn != send->act.turn)
+    return;
   send->handle->turn = 0;
   // After events went out there is no way back: the dispatcher goes on from the last of them, or breaks off.
-  if (over.kind == RoutedEndKind::lost && send->handle->is_stream_open) over.kind = RoutedEndKind::broken;
+  if (over.kind == RoutedEndKind::lost && send->handle->is_stream_open)
+    over.kind = RoutedEndKind::broken;
   over.last_event = send->handle->last_event;
   events_.force(over);
 }
@@ -748,7 +845,8 @@
   if (was_not_run) {
     end(send, status == 421 ? RoutedEndKind::wrong_life : RoutedEndKind::refused, "status " + std::to_string(status));
     // A short body is read off, so that the link can be used again.
-    if (!headers.has("Content-Length") || headers.content_length() > 65536) return send->stop.cancel();
+    if (!headers.has("Content-Length") || headers.content_length() > 65536)
+      return send->stop.cancel();
     send->response.content_ready().then([link = send->link](pplx::task<http_response> done) {
       try {
         done.get();
@@ -774,16 +872,19 @@
     ++relay_counts_.unsealed;
     return discard(RoutedEndKind::lost, "the answer lacks the runner's seal");
   }
-  if (send->act.is_repeatable && headers.has("Content-Encoding")) return discard(RoutedEndKind::lost, "the answer is encoded");
+  if (send->act.is_repeatable && headers.has("Content-Encoding"))
+    return discard(RoutedEndKind::lost, "the answer is encoded");
   events_.force(Begun{send->act.call, send->act.turn});
   bool is_stream = is_good && strncasecmp(header_of(headers, "Content-Type").c_str(), "text/event-stream", 17) == 0;
-  if (is_stream) return take_stream(send);
+  if (is_stream)
+    return take_stream(send);
   bool is_stream_open = false;
   {
     std::lock_guard<std::mutex> guard(send->handle->mutex);
     is_stream_open = send->handle->is_stream_open;
   }
-  if (is_stream_open) return discard(RoutedEndKind::broken, "the next runner gave no stream");
+  if (is_stream_open)
+    return discard(RoutedEndKind::broken, "the next runner gave no stream");
   take_answer(send);
 }
 
@@ -794,7 +895,8 @@
   bool is_framed = headers.has("Content-Length") || headers.has("Transfer-Encoding");
   if (send->handle->method == "HEAD" || status == 204 || status == 304) {
     hand_on(send, std::make_shared<std::vector<std::uint8_t>>());
-    if (!is_framed) send->stop.cancel();
+    if (!is_framed)
+      send->stop.cancel();
     return;
   }
   if (!is_framed || (headers.has("Content-Length") && headers.content_length() > max_answer)) {
@@ -811,7 +913,8 @@
     } catch (const std::exception&) {
       is_whole = false;
     }
-    if (is_whole) return hand_on(send, body);
+    if (is_whole)
+      return hand_on(send, body);
     ++relay_counts_.links_broken;
     end(send, RoutedEndKind::lost, "the answer was cut off");
   });
@@ -826,13 +929,15 @@
     bool has_type = response.headers().has("Content-Type");
     std::size_t size = body->size();
     response.set_body(concurrency::streams::bytestream::open_istream(std::move(*body)), size);
-    if (!has_type) response.headers().remove("Content-Type");
+    if (!has_type)
+      response.headers().remove("Content-Type");
   }
   bool is_failure = send->act.is_repeatable && send->response.status_code() >= 500;
   auto over = end_of(*send, is_failure ? RoutedEndKind::lost : RoutedEndKind::answered, is_failure ? "status" : "");
   {
     std::lock_guard<std::mutex> guard(handle->mutex);
-    if (handle->turn != send->act.turn || handle->is_over) return;
+    if (handle->turn != send->act.turn || handle->is_over)
+      return;
     handle->turn = 0;
     handle->is_over = !is_failure;
     if (is_failure) {
@@ -841,14 +946,19 @@
     }
     events_.force(over);
   }
-  if (!is_failure) reply(handle->request, response, [handle](bool) {});
+  if (!is_failure)
+    reply(handle->request, response, [handle](bool) {});
 }
 
 void RoutedRelay::take_stream(const std::shared_ptr<Send>& send) {
   auto reader = std::make_shared<PieceReader>();
   reader->source = send->response.body().streambuf();
-  reader->on_bytes = [this, send](const std::string& bytes) { return pass_events(send, bytes); };
-  reader->on_end = [this, send](bool is_broken) { end_stream(send, is_broken); };
+  reader->on_bytes = [this, send](const std::string& bytes) {
+    return pass_events(send, bytes);
+  };
+  reader->on_end = [this, send](bool is_broken) {
+    end_stream(send, is_broken);
+  };
   reader->next();
 }
 
@@ -857,7 +967,8 @@
   auto& handle = send->handle;
   auto events = send->cutter.feed(bytes);
   std::unique_lock<std::mutex> guard(handle->mutex);
-  if (handle->turn != send->act.turn) return false;
+  if (handle->turn != send->act.turn)
+    return false;
   std::string out;
   for (const auto& event : events) {
     out += send->sieve.pass(event);
@@ -869,13 +980,16 @@
     send->stop.cancel();
     return false;
   }
-  if (out.empty()) return true;
+  if (out.empty())
+    return true;
   bool is_first = !handle->is_stream_open;
-  if (is_first) open_stream(send);
+  if (is_first)
+    open_stream(send);
   if (handle->pieces->in_avail() > stream_bound) {
     handle->is_over = true;
     handle->turn = 0;
-    handle->pieces->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("the caller reads too slowly")));
+    handle->pieces->close(std::ios_base::out,
+                          std::make_exception_ptr(std::runtime_error("the caller reads too slowly")));
     events_.force(Gone{handle->index});
     guard.unlock();
     send->stop.cancel();
@@ -903,7 +1017,8 @@
   copy_answer_headers(send->response.headers(), response.headers());
   response.set_body(handle->pieces->create_istream(), header_of(send->response.headers(), "Content-Type"));
   reply(handle->request, response, [this, handle](bool was_sent) {
-    if (was_sent) return;
+    if (was_sent)
+      return;
     events_.force(Gone{handle->index});
   });
 }
@@ -918,11 +1033,14 @@
     return;
   }
   std::lock_guard<std::mutex> guard(handle->mutex);
-  if (handle->turn != send->act.turn) return;
+  if (handle->turn != send->act.turn)
+    return;
   // A whole answer whose last event lacks its blank line is passed on as it is.
   std::string out = send->sieve.finish() + send->cutter.rest();
-  if (!handle->is_stream_open) open_stream(send);
-  if (!out.empty()) handle->pieces->putn_nocopy(reinterpret_cast<const std::uint8_t*>(out.data()), out.size());
+  if (!handle->is_stream_open)
+    open_stream(send);
+  if (!out.empty())
+    handle->pieces->putn_nocopy(reinterpret_cast<const std::uint8_t*>(out.data()), out.size());
   handle->pieces->close(std::ios_base::out);
   handle->is_over = true;
   handle->turn = 0;
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -26,15 +26,15 @@
 // The names of headers; a layer that translates fills them in. An empty name: that header is not used.
 // Example: words.call_id = "X-Call"; words.seal = "X-Seal";
 struct RelayWords {
-  std::string call_id;        // of a call and of its answer
-  std::string deadline;        // ms left, to this daemon and from it to a runner
-  std::string prompt;         // HEXID:TOKENS,HEXID:TOKENS,..
-  std::string tokens;         // IN,OUT
-  std::string life_expected;  // to a runner: only this one runs the call, every other answers 421
-  std::string rank;           // to a runner
-  std::string life;           // of an answer: who ran it
-  std::string seal;           // of an answer: without it none counts as given
-  std::string load;         // of an answer: running,waiting,slots
+  std::string call_id;                       // of a call and of its answer
+  std::string deadline;                      // ms left, to this daemon and from it to a runner
+  std::string prompt;                        // HEXID:TOKENS,HEXID:TOKENS,..
+  std::string tokens;                        // IN,OUT
+  std::string life_expected;                 // to a runner: only this one runs the call, every other answers 421
+  std::string rank;                          // to a runner
+  std::string life;                          // of an answer: who ran it
+  std::string seal;                          // of an answer: without it none counts as given
+  std::string load;                          // of an answer: running,waiting,slots
   std::string not_run, not_run_value = "1";  // of an answer: it surely did not run
   std::string resume = "Last-Event-Id";
 };
@@ -69,7 +69,8 @@
 };
 
 // What of one runner's stream may go to the caller: on a resumed one nothing that went there before.
-// Example: EventSieve sieve("7"); sieve.pass({"id: 7\n\n", "7", true}) == ""; sieve.pass({"id: 8\n\n", "8", true}) == "id: 8\n\n"
+// Example: EventSieve sieve("7"); sieve.pass({"id: 7\n\n", "7", true}) == ""; sieve.pass({"id: 8\n\n", "8", true}) ==
+// "id: 8\n\n"
 class EventSieve {
  public:
   explicit EventSieve(std::string last) : last_(std::move(last)), is_resumed_(!last_.empty()) {}
@@ -93,10 +94,12 @@
 };
 
 // The stages accept -> gate -> match -> send -> relay of routed calls, joined by bounded queues.
-// Example: RoutedRelay relay(dispatcher_settings, words, word, "127.0.0.1:80"); relay.open(); ... relay.stop(Span{5000});
+// Example: RoutedRelay relay(dispatcher_settings, words, word, "127.0.0.1:80"); relay.open(); ...
+// relay.stop(Span{5000});
 class RoutedRelay {
  public:
-  RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot, const std::string& http);
+  RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot,
+              const std::string& http);
   ~RoutedRelay();
   Outcome<bool> open();
   // The control word has changed. Example: word.put(view, grant); relay.wake();
@@ -108,8 +111,8 @@
   void stop(Span patience);
   RouteDispatcher::Counts counts() const;
   struct RelayCounts {
-    std::atomic<std::int64_t> unsealed{0}, foreign_answers{0}, streams_broken{0}, links_broken{0}, callers_gone{0}, pieces{0},
-        pieces_dropped{0}, stops{0}, accept_refused{0}, own_answers_kept{0};
+    std::atomic<std::int64_t> unsealed{0}, foreign_answers{0}, streams_broken{0}, links_broken{0}, callers_gone{0},
+        pieces{0}, pieces_dropped{0}, stops{0}, accept_refused{0}, own_answers_kept{0};
   };
   const RelayCounts& relay_counts() const { return relay_counts_; }
   std::size_t in_hand() const;
@@ -163,9 +166,10 @@
   bool pass_events(const std::shared_ptr<Send>& send, const std::string& bytes);
   void end_stream(const std::shared_ptr<Send>& send, bool is_broken);
   void open_stream(const std::shared_ptr<Send>& send);
-  void refuse(const web::http::http_request& request, int code, const std::string& reason, const std::string& call_id = "",
-              Span retry_after = Span{0}, bool is_link_closed = false);
-  void reply(const web::http::http_request& request, web::http::http_response response, std::function<void(bool)> on_end);
+  void refuse(const web::http::http_request& request, int code, const std::string& reason,
+              const std::string& call_id = "", Span retry_after = Span{0}, bool is_link_closed = false);
+  void reply(const web::http::http_request& request, web::http::http_response response,
+             std::function<void(bool)> on_end);
   void copy_answer_headers(const web::http::http_headers& from, web::http::http_headers& to) const;
 
   RouteDispatcherSettings settings_;
@@ -181,7 +185,8 @@
   std::shared_ptr<InHand> in_hand_ = std::make_shared<InHand>();
   std::atomic<CallIndex> last_index_{0};
   std::atomic<bool> is_open_{false}, is_stopping_{false}, is_closing_{false}, is_woken_{false};
-  std::atomic<std::int64_t> max_header_bytes_{TrafficLimits{}.max_header_bytes}, max_body_bytes_{TrafficLimits{}.max_body_bytes};
+  std::atomic<std::int64_t> max_header_bytes_{TrafficLimits{}.max_header_bytes},
+      max_body_bytes_{TrafficLimits{}.max_body_bytes};
   RelayCounts relay_counts_;
   mutable std::mutex counts_mutex_;
   RouteDispatcher::Counts counts_;
--- a/packages/data-plane/tests/call_relay_test.cpp
+++ b/packages/data-plane/tests/call_relay_test.cpp
@@ -70,19 +70,21 @@
   }
   ~Bench() { relay_->stop(Span{3000}); }
 
-  pplx::task<Told> ask_later(const std::string& path, const std::string& body = "{}", const std::string& method = "POST",
-                             const std::string& type = "application/json") {
+  pplx::task<Told> ask_later(const std::string& path, const std::string& body = "{}",
+                             const std::string& method = "POST", const std::string& type = "application/json") {
     auto client = std::make_shared<web::http::client::http_client>("http://" + place_);
     web::http::http_request request(method);
     request.set_request_uri(path);
-    if (method != "GET") request.set_body(body, type);
+    if (method != "GET")
+      request.set_body(body, type);
     return client->request(request).then([client](web::http::http_response response) {
       return response.extract_string(true).then([response, client](std::string text) {
         return Told{response.status_code(), text, response.headers()};
       });
     });
   }
-  Told ask(const std::string& path, const std::string& body = "{}", const std::string& method = "POST", const std::string& type = "application/json") {
+  Told ask(const std::string& path, const std::string& body = "{}", const std::string& method = "POST",
+           const std::string& type = "application/json") {
     return ask_later(path, body, method, type).get();
   }
   void take_grant() { snapshot_.put(snapshot_.get().first, Grant{Moment{0}, {1, 1}}); }
@@ -94,9 +96,12 @@
   std::unique_ptr<CallRelay> relay_;
 };
 
-std::string answer_bytes(const Asked& asked, const std::string& runner, const std::string& body, const std::string& seal_body, const std::string& key = "key") {
-  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Runner: " + runner + "\r\nX-Runner-Incarnation: 7\r\nX-Runner-Seal: " +
-         seal_of(key, asked.header("X-Emberdale-Call"), runner, 7, "200\n" + seal_body) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+std::string answer_bytes(const Asked& asked, const std::string& runner, const std::string& body,
+                         const std::string& seal_body, const std::string& key = "key") {
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Runner: " + runner +
+         "\r\nX-Runner-Incarnation: 7\r\nX-Runner-Seal: " +
+         seal_of(key, asked.header("X-Emberdale-Call"), runner, 7, "200\n" + seal_body) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string refusal_bytes(const std::string& runner, const std::string& why) {
@@ -174,7 +179,8 @@
     ASSERT_FALSE(events.empty());
     std::vector<std::string> pieces;
     for (const auto& event : events)
-      if (event.event.empty()) pieces.push_back(event.data);
+      if (event.event.empty())
+        pieces.push_back(event.data);
     EXPECT_LE(pieces.size(), 2u);
     if (!pieces.empty()) {
       EXPECT_EQ(pieces[0], "one");
@@ -201,12 +207,16 @@
   std::atomic<int> kind{0};
   CountingServer runner([&](const Asked& asked) {
     std::string body = R"({"v":1})";
-    if (kind == 0) return std::make_pair(answer_bytes(asked, "r1", body, R"({"v":2})"), true);            // seal of another body
-    if (kind == 1) return std::make_pair(answer_bytes(asked, "r1", body, body, "other key"), true);       // not the runner's
-    if (kind == 2) return std::make_pair(answer_bytes(asked, "r9", body, body), true);                    // another runner
+    if (kind == 0)
+      return std::make_pair(answer_bytes(asked, "r1", body, R"({"v":2})"), true);  // seal of another body
+    if (kind == 1)
+      return std::make_pair(answer_bytes(asked, "r1", body, body, "other key"), true);  // not the runner's
+    if (kind == 2)
+      return std::make_pair(answer_bytes(asked, "r9", body, body), true);  // another runner
     Asked other = asked;
     other.head = "\r\nX-Emberdale-Call: some-other-call\r\n";
-    if (kind == 3) return std::make_pair(answer_bytes(other, "r1", body, body), true);                    // another call's answer
+    if (kind == 3)
+      return std::make_pair(answer_bytes(other, "r1", body, body), true);  // another call's answer
     return std::make_pair(std::string("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"v\":1}"), true);  // no seal
   });
   for (kind = 0; kind < 5; ++kind) {
@@ -223,7 +233,9 @@
   CountingServer broken([](const Asked&) { return std::make_pair(std::string(), true); });
   CountingServer full([](const Asked&) { return std::make_pair(refusal_bytes("r1", "full"), false); });
   std::string nobody = free_place();
-  auto good_script = [](const Asked& asked) { return std::make_pair(answer_bytes(asked, "r2", "{}", "{}"), true); };
+  auto good_script = [](const Asked& asked) {
+    return std::make_pair(answer_bytes(asked, "r2", "{}", "{}"), true);
+  };
   for (int i = 0; i < 6; ++i) {  // which runner comes first is the ranking's to say: try several calls
     CountingServer good(good_script);
     Bench refused({full.place(), good.place()});
@@ -250,7 +262,8 @@
   }
   Bench bench({hung.place()}, 1);
   std::vector<pplx::task<Told>> calls;
-  for (int i = 0; i < 6; ++i) calls.push_back(bench.ask_later("/once"));
+  for (int i = 0; i < 6; ++i)
+    calls.push_back(bench.ask_later("/once"));
   int refused = 0, unknown = 0;
   for (auto& call : calls) {
     Told told = call.get();
@@ -289,8 +302,9 @@
   // Answers the first call of a link and keeps it; reads the second and closes. Over a reused link the
   // library sends such a call again by itself.
   CountingServer runner([](const Asked& asked) {
-    return asked.number_on_link == 1 && asked.body == "{}" ? std::make_pair(answer_bytes(asked, "r1", "{}", "{}"), false)
-                                                           : std::make_pair(std::string(), true);
+    return asked.number_on_link == 1 && asked.body == "{}"
+               ? std::make_pair(answer_bytes(asked, "r1", "{}", "{}"), false)
+               : std::make_pair(std::string(), true);
   });
   Bench bench({runner.place()});
   EXPECT_EQ(bench.ask("/once").code, 200);
@@ -313,8 +327,10 @@
   Bench bench({runner.place()}, 64);
   for (int round = 0; round < 8; ++round) {
     std::vector<pplx::task<Told>> calls;
-    for (int i = 0; i < 40; ++i) calls.push_back(bench.ask_later("/stream"));
-    for (auto& call : calls) EXPECT_NE(call.get().body.find("event: sealed"), std::string::npos);
+    for (int i = 0; i < 40; ++i)
+      calls.push_back(bench.ask_later("/stream"));
+    for (auto& call : calls)
+      EXPECT_NE(call.get().body.find("event: sealed"), std::string::npos);
   }
   EXPECT_EQ(asked, 320);
 }
--- a/packages/data-plane/tests/counting_server.hpp
+++ b/packages/data-plane/tests/counting_server.hpp
@@ -20,7 +20,8 @@
   // Example: asked.header("X-Emberdale-Call")
   std::string header(const std::string& name) const {
     auto mark = head.find("\r\n" + name + ":");
-    if (mark == std::string::npos) return "";
+    if (mark == std::string::npos)
+      return "";
     mark += name.size() + 3;
     return head.substr(mark, head.find("\r\n", mark) - mark);
   }
@@ -31,7 +32,8 @@
  public:
   // Gets a whole request; gives the bytes to send and whether to close the link then.
   using Script = std::function<std::pair<std::string, bool>(const Asked&)>;
-  explicit CountingServer(Script script) : script_(std::move(script)), acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+  explicit CountingServer(Script script)
+      : script_(std::move(script)), acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
     accept();
     thread_ = std::thread([this] { context_.run(); });
   }
@@ -56,47 +58,57 @@
   };
   void accept() {
     acceptor_.async_accept([this](boost::system::error_code fault, tcp::socket socket) {
-      if (fault) return;
+      if (fault)
+        return;
       read(std::make_shared<Link>(std::move(socket)));
       accept();
     });
   }
   void read(std::shared_ptr<Link> link) {
-    asio::async_read_until(link->socket, link->in, "\r\n\r\n", [this, link](boost::system::error_code fault, std::size_t size) {
-      if (fault) return;
-      std::string head(asio::buffers_begin(link->in.data()), asio::buffers_begin(link->in.data()) + static_cast<std::ptrdiff_t>(size));
-      link->in.consume(size);
-      std::size_t body = 0;
-      auto mark = head.find("Content-Length:");
-      if (mark != std::string::npos) body = static_cast<std::size_t>(std::atoi(head.c_str() + mark + 15));
-      std::size_t missing = body > link->in.size() ? body - link->in.size() : 0;
-      asio::async_read(link->socket, link->in, asio::transfer_exactly(missing), [this, link, head, body](boost::system::error_code broken, std::size_t) {
-        if (broken) return;
-        Asked asked;
-        asked.body.assign(asio::buffers_begin(link->in.data()), asio::buffers_begin(link->in.data()) + static_cast<std::ptrdiff_t>(body));
-        asked.head = head;
-        link->in.consume(body);
-        std::string path = head.substr(head.find(' ') + 1);
-        path = path.substr(0, path.find(' '));
-        {
-          std::lock_guard<std::mutex> guard(mutex_);
-          ++executions_[path];  // the whole call has arrived: a back end would run it now
-        }
-        asked.path = path;
-        asked.number_on_link = ++link->number;
-        auto [out, is_close] = script_(asked);
-        link->out = out;
-        asio::async_write(link->socket, asio::buffer(link->out), [this, link, closes = is_close](boost::system::error_code, std::size_t) {
-          if (closes) {
-            boost::system::error_code ignored;
-            link->socket.shutdown(tcp::socket::shutdown_both, ignored);
-            link->socket.close(ignored);
-          } else {
-            read(link);
-          }
+    asio::async_read_until(
+        link->socket, link->in, "\r\n\r\n", [this, link](boost::system::error_code fault, std::size_t size) {
+          if (fault)
+            return;
+          std::string head(asio::buffers_begin(link->in.data()),
+                           asio::buffers_begin(link->in.data()) + static_cast<std::ptrdiff_t>(size));
+          link->in.consume(size);
+          std::size_t body = 0;
+          auto mark = head.find("Content-Length:");
+          if (mark != std::string::npos)
+            body = static_cast<std::size_t>(std::atoi(head.c_str() + mark + 15));
+          std::size_t missing = body > link->in.size() ? body - link->in.size() : 0;
+          asio::async_read(link->socket, link->in, asio::transfer_exactly(missing),
+                           [this, link, head, body](boost::system::error_code broken, std::size_t) {
+                             if (broken)
+                               return;
+                             Asked asked;
+                             asked.body.assign(
+                                 asio::buffers_begin(link->in.data()),
+                                 asio::buffers_begin(link->in.data()) + static_cast<std::ptrdiff_t>(body));
+                             asked.head = head;
+                             link->in.consume(body);
+                             std::string path = head.substr(head.find(' ') + 1);
+                             path = path.substr(0, path.find(' '));
+                             {
+                               std::lock_guard<std::mutex> guard(mutex_);
+                               ++executions_[path];  // the whole call has arrived: a back end would run it now
+                             }
+                             asked.path = path;
+                             asked.number_on_link = ++link->number;
+                             auto [out, is_close] = script_(asked);
+                             link->out = out;
+                             asio::async_write(link->socket, asio::buffer(link->out),
+                                               [this, link, closes = is_close](boost::system::error_code, std::size_t) {
+                                                 if (closes) {
+                                                   boost::system::error_code ignored;
+                                                   link->socket.shutdown(tcp::socket::shutdown_both, ignored);
+                                                   link->socket.close(ignored);
+                                                 } else {
+                                                   read(link);
+                                                 }
+                                               });
+                           });
         });
-      });
-    });
   }
   Script script_;
   asio::io_context context_;
--- a/packages/data-plane/tests/data_daemon_test.cpp
+++ b/packages/data-plane/tests/data_daemon_test.cpp
@@ -13,11 +13,13 @@
 namespace {
 
 DataDaemon started(std::uint64_t random_seed) {
-  DataDaemon daemon(DaemonEntry{Address{"d"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1}, {Address{"seed"}}, random_seed);
+  DataDaemon daemon(DaemonEntry{Address{"d"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1},
+                    {Address{"seed"}}, random_seed);
   daemon.start(Moment{0});
   PingAnswer answer;
   answer.sender = DaemonEntry{Address{"e"}, "http-e", "edge", ZoneName{"a"}, RegionName{"north"}, 1};
-  for (const char* name : {"s1", "s2", "s3"}) answer.acceptors.push_back({StoreId{name}, Address{name}});
+  for (const char* name : {"s1", "s2", "s3"})
+    answer.acceptors.push_back({StoreId{name}, Address{name}});
   daemon.on_message(Address{"e"}, answer, Moment{10});
   daemon.on_timer(Moment{20});
   daemon.on_timer(Moment{150});  // asks: it has no grant yet
@@ -49,12 +51,15 @@
   daemon.on_message(Address{"e"}, pool, now);
 }
 
-std::string status(const DataDaemon& daemon, const std::string& runner) { return daemon.view()->runners.at(RunnerName{runner}).status; }
+std::string status(const DataDaemon& daemon, const std::string& runner) {
+  return daemon.view()->runners.at(RunnerName{runner}).status;
+}
 
 Integer last_ask(DataDaemon& daemon) {
   Integer ask = 0;
   for (const auto& sending : daemon.take_out())
-    if (const auto* read = std::get_if<ReadAsk>(&sending.message)) ask = read->ask;
+    if (const auto* read = std::get_if<ReadAsk>(&sending.message))
+      ask = read->ask;
   return ask;
 }
 
@@ -64,7 +69,8 @@
   answer.store.text = store;
   answer.accepted = {5, Address{"p"}};
   answer.minimum_version = {1, 1};
-  for (const char* name : {"s1", "s2", "s3"}) answer.acceptors.push_back({StoreId{name}, Address{name}});
+  for (const char* name : {"s1", "s2", "s3"})
+    answer.acceptors.push_back({StoreId{name}, Address{name}});
   return answer;
 }
 
@@ -79,16 +85,19 @@
   news.config_revision = version.number;
   news.whole = true;
   for (const char* name : {"e1", "e2"})
-    news.rows.push_back({std::string("edge/") + name, {encode_gateway_row({Address{name}, "", ZoneName{"a"}, RegionName{"north"}})}});
+    news.rows.push_back(
+        {std::string("edge/") + name, {encode_gateway_row({Address{name}, "", ZoneName{"a"}, RegionName{"north"}})}});
   return news;
 }
 
 DataDaemon with_two_homes() {
-  DataDaemon daemon(DaemonEntry{Address{"d"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1}, {Address{"seed"}}, 1);
+  DataDaemon daemon(DaemonEntry{Address{"d"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1},
+                    {Address{"seed"}}, 1);
   daemon.start(Moment{0});
   PingAnswer answer;
   answer.sender = DaemonEntry{Address{"e1"}, "http-e1", "edge", ZoneName{"a"}, RegionName{"north"}, 1};
-  for (const char* name : {"s1", "s2", "s3"}) answer.acceptors.push_back({StoreId{name}, Address{name}});
+  for (const char* name : {"s1", "s2", "s3"})
+    answer.acceptors.push_back({StoreId{name}, Address{name}});
   daemon.on_message(Address{"e1"}, answer, Moment{with_map_at});
   daemon.on_message(Address{"e1"}, plans_news(old_map), Moment{with_map_at});
   return daemon;
@@ -99,14 +108,17 @@
   std::vector<ReadAsk> asks;
 };
 
-// One step of its time: the core's majority shows `minimum version`, and the home it has subscribed to feeds it what `home_tells` says.
+// One step of its time: the core's majority shows `minimum version`, and the home it has subscribed to feeds it what
+// `home_tells` says.
 template <class Tell>
 Told step(DataDaemon& daemon, const MapVersion& minimum_version, Moment now, Tell home_tells) {
   daemon.on_timer(now);
   Told told;
   for (const auto& sending : daemon.take_out()) {
-    if (const auto* subscribe = std::get_if<Subscribe>(&sending.message)) told.subscriptions.push_back({sending.to, *subscribe});
-    if (const auto* ask = std::get_if<ReadAsk>(&sending.message)) told.asks.push_back(*ask);
+    if (const auto* subscribe = std::get_if<Subscribe>(&sending.message))
+      told.subscriptions.push_back({sending.to, *subscribe});
+    if (const auto* ask = std::get_if<ReadAsk>(&sending.message))
+      told.asks.push_back(*ask);
   }
   for (const auto& ask : told.asks)
     for (const char* store : {"s1", "s2"}) {
@@ -115,7 +127,8 @@
       daemon.on_message(Address{store}, answer, now);
     }
   for (const auto& [home, subscribe] : told.subscriptions)
-    if (auto news = home_tells(home)) daemon.on_message(home, *news, now);
+    if (auto news = home_tells(home))
+      daemon.on_message(home, *news, now);
   return told;
 }
 
@@ -123,16 +136,21 @@
 
 TEST(DataDaemon, LeavingIsToldToItsHomesAtOnceAndEverAfter) {
   DataDaemon daemon = with_two_homes();
-  auto feed = [](const Address&) { return std::optional<SliceNews>(plans_news(old_map)); };
+  auto feed = [](const Address&) {
+    return std::optional<SliceNews>(plans_news(old_map));
+  };
   Moment now{with_map_at};
   Told before;
-  while (before.subscriptions.empty() && now.value < 2000) before = step(daemon, old_map, now = now + Span{50}, feed);
+  while (before.subscriptions.empty() && now.value < 2000)
+    before = step(daemon, old_map, now = now + Span{50}, feed);
   ASSERT_FALSE(before.subscriptions.empty());
   EXPECT_FALSE(before.subscriptions.front().second.leaving);
   Address home = before.subscriptions.front().first;
   daemon.leave(now);
   auto out = daemon.take_out();  // without an timer in between
-  auto told = std::find_if(out.begin(), out.end(), [&](const Sending& s) { return s.to == home && std::holds_alternative<Subscribe>(s.message); });
+  auto told = std::find_if(out.begin(), out.end(), [&](const Sending& s) {
+    return s.to == home && std::holds_alternative<Subscribe>(s.message);
+  });
   ASSERT_NE(told, out.end());
   EXPECT_TRUE(std::get<Subscribe>(told->message).leaving);
   // It stays subscribed while it finishes what is in hand: also a home that missed the first word hears it.
@@ -148,28 +166,35 @@
 
 TEST(DataDaemon, HomesThatKeepFeedingAnOutdatedMapAreLeft) {
   DataDaemon daemon = with_two_homes();
-  auto feed_old = [](const Address&) { return std::optional<SliceNews>(plans_news(old_map)); };
+  auto feed_old = [](const Address&) {
+    return std::optional<SliceNews>(plans_news(old_map));
+  };
   Moment now{with_map_at};
   Address first;
   while (now.value < 2000)
-    for (const auto& [to, subscribe] : step(daemon, old_map, now = now + Span{50}, feed_old).subscriptions) first = to;
+    for (const auto& [to, subscribe] : step(daemon, old_map, now = now + Span{50}, feed_old).subscriptions)
+      first = to;
   ASSERT_FALSE(first.empty());
   EXPECT_EQ(daemon.counts().homes_outdated, 0);  // nothing newer: it stays
   Moment risen = now;
   Address other;
   while (other.empty() && now < risen + Span{4000})
     for (const auto& [to, subscribe] : step(daemon, next_map, now = now + Span{50}, feed_old).subscriptions)
-      if (to != first) other = to;
+      if (to != first)
+        other = to;
   ASSERT_FALSE(other.empty()) << "it stayed with a home that feeds an outdated map";
-  EXPECT_GE(now, risen + Span{700});   // the news may just be under way
+  EXPECT_GE(now, risen + Span{700});  // the news may just be under way
   EXPECT_LE(now, risen + Span{1500});
   EXPECT_EQ(daemon.counts().homes_outdated, 1);
   EXPECT_EQ(daemon.counts().homes_left, 0);  // it was never silent
   // The other has the newer map: with it this daemon is behind no more, and stays there.
-  auto feed_next = [&](const Address& home) { return std::optional<SliceNews>(plans_news(home == other ? next_map : old_map)); };
+  auto feed_next = [&](const Address& home) {
+    return std::optional<SliceNews>(plans_news(home == other ? next_map : old_map));
+  };
   Moment fed = now;
   while (now < fed + Span{2500})
-    for (const auto& [to, subscribe] : step(daemon, next_map, now = now + Span{50}, feed_next).subscriptions) EXPECT_EQ(to, other);
+    for (const auto& [to, subscribe] : step(daemon, next_map, now = now + Span{50}, feed_next).subscriptions)
+      EXPECT_EQ(to, other);
   EXPECT_EQ(daemon.counts().homes_outdated, 1);
   EXPECT_EQ(daemon.view()->config_revision, next_map.number);
   EXPECT_GT(daemon.grant().until, now);
@@ -177,15 +202,19 @@
 
 TEST(DataDaemon, AHomeThatBringsTheNewerMapInTimeIsKept) {
   DataDaemon daemon = with_two_homes();
-  auto feed_old = [](const Address&) { return std::optional<SliceNews>(plans_news(old_map)); };
+  auto feed_old = [](const Address&) {
+    return std::optional<SliceNews>(plans_news(old_map));
+  };
   const Moment risen{2010}, pushed = risen + Span{600};  // a home tells of its own accord
   Address home;
   for (Moment now{with_map_at}; now < risen + Span{3000}; now = now + Span{50}) {
     for (const auto& [to, subscribe] : step(daemon, now < risen ? old_map : next_map, now, feed_old).subscriptions) {
-      if (home.empty()) home = to;
+      if (home.empty())
+        home = to;
       EXPECT_EQ(to, home) << now.value;
     }
-    if (now == pushed) daemon.on_message(home, plans_news(next_map), now);
+    if (now == pushed)
+      daemon.on_message(home, plans_news(next_map), now);
   }
   EXPECT_FALSE(home.empty());
   EXPECT_EQ(daemon.view()->config_revision, next_map.number);
@@ -216,8 +245,10 @@
   give_map(present, Moment{160});
   Integer asked_before = last_ask(former), asked_now = last_ask(present);
   ASSERT_NE(asked_before, 0);
-  for (const char* store : {"s1", "s2"}) present.on_message(Address{store}, answer_to(asked_before, store), Moment{170});
+  for (const char* store : {"s1", "s2"})
+    present.on_message(Address{store}, answer_to(asked_before, store), Moment{170});
   EXPECT_LT(present.grant().until.value, 0);
-  for (const char* store : {"s1", "s2"}) present.on_message(Address{store}, answer_to(asked_now, store), Moment{180});
+  for (const char* store : {"s1", "s2"})
+    present.on_message(Address{store}, answer_to(asked_now, store), Moment{180});
   EXPECT_GT(present.grant().until.value, 1000);
 }
--- a/packages/data-plane/tests/http_client_behaviour_test.cpp
+++ b/packages/data-plane/tests/http_client_behaviour_test.cpp
@@ -23,7 +23,8 @@
   try {
     web::http::http_request request(method);
     request.set_request_uri(path);
-    if (method == "POST") request.set_body(std::string("{}"), "application/json");
+    if (method == "POST")
+      request.set_body(std::string("{}"), "application/json");
     client.request(request).get().extract_string(true).get();
     return true;
   } catch (const std::exception&) {
@@ -46,7 +47,8 @@
 
 TEST(HttpClientBehaviour, AFreshLinkSendsACallOnce) {
   CountingServer server([](const Asked& asked) {
-    return asked.path == "/first" && asked.number_on_link == 1 ? std::make_pair(good, false) : std::make_pair(std::string(), true);
+    return asked.path == "/first" && asked.number_on_link == 1 ? std::make_pair(good, false)
+                                                               : std::make_pair(std::string(), true);
   });
   for (int i = 0; i < 20; ++i) {
     std::string path = "/call-" + std::to_string(i);
@@ -58,7 +60,8 @@
 
 TEST(HttpClientBehaviour, ABodyCutShortOfItsContentLengthIsAnError) {
   CountingServer server([](const Asked&) {
-    return std::make_pair(std::string("HTTP/1.1 200 OK\r\nContent-Length: 100\r\nContent-Type: text/plain\r\n\r\nonly this"), true);
+    return std::make_pair(
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 100\r\nContent-Type: text/plain\r\n\r\nonly this"), true);
   });
   http_client client(server.url());
   EXPECT_FALSE(ask(client, "/cut"));
@@ -66,7 +69,9 @@
 
 TEST(HttpClientBehaviour, AChunkedBodyWithoutItsLastChunkIsAnError) {
   CountingServer server([](const Asked&) {
-    return std::make_pair(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n\r\n4\r\nonly\r\n"), true);
+    return std::make_pair(
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n\r\n4\r\nonly\r\n"),
+        true);
   });
   http_client client(server.url());
   EXPECT_FALSE(ask(client, "/cut"));
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -29,7 +29,8 @@
   void write(const std::string& bytes) {
     for (std::size_t at = 0; at < bytes.size();) {
       auto sent = ::send(socket_.native_handle(), bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
-      if (sent <= 0) return;
+      if (sent <= 0)
+        return;
       at += static_cast<std::size_t>(sent);
     }
   }
@@ -37,13 +38,16 @@
   std::string read_to(const std::string& mark) {
     for (;;) {
       auto found = in_.find(mark);
-      if (found != std::string::npos) return take(found + mark.size());
-      if (!read_some()) return "";
+      if (found != std::string::npos)
+        return take(found + mark.size());
+      if (!read_some())
+        return "";
     }
   }
   std::string read_size(std::size_t size) {
     while (in_.size() < size)
-      if (!read_some()) return "";
+      if (!read_some())
+        return "";
     return take(size);
   }
   std::string read_all() {
@@ -69,8 +73,10 @@
   bool read_some() {
     char bytes[4096];
     auto got = ::recv(socket_.native_handle(), bytes, sizeof bytes, 0);
-    if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) is_closed_ = true;
-    if (got <= 0) return false;
+    if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+      is_closed_ = true;
+    if (got <= 0)
+      return false;
     in_.append(bytes, static_cast<std::size_t>(got));
     return true;
   }
@@ -83,7 +89,8 @@
   std::string start, head, body;
   std::string header(const std::string& name) const {
     auto mark = head.find("\r\n" + name + ":");
-    if (mark == std::string::npos) return "";
+    if (mark == std::string::npos)
+      return "";
     mark = head.find_first_not_of(' ', mark + name.size() + 3);
     return head.substr(mark, head.find("\r\n", mark) - mark);
   }
@@ -93,10 +100,12 @@
 std::optional<RawMessage> read_request(RawLink& link) {
   RawMessage message;
   message.head = link.read_to("\r\n\r\n");
-  if (message.head.empty()) return std::nullopt;
+  if (message.head.empty())
+    return std::nullopt;
   message.start = message.head.substr(0, message.head.find("\r\n"));
   std::string length = message.header("Content-Length");
-  if (!length.empty()) message.body = link.read_size(static_cast<std::size_t>(std::stoul(length)));
+  if (!length.empty())
+    message.body = link.read_size(static_cast<std::size_t>(std::stoul(length)));
   return message;
 }
 
@@ -105,18 +114,21 @@
  public:
   // False: the link is closed.
   using Script = std::function<bool(RawLink&, const RawMessage&)>;
-  explicit ScriptedRunner(Script script) : script_(std::move(script)), acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+  explicit ScriptedRunner(Script script)
+      : script_(std::move(script)), acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
     thread_ = std::thread([this] {
       for (;;) {
         boost::system::error_code fault;
         tcp::socket socket(context_);
         acceptor_.accept(socket, fault);
-        if (fault || is_over_) return;
+        if (fault || is_over_)
+          return;
         std::lock_guard<std::mutex> guard(mutex_);
         links_.emplace_back(std::move(socket));
         serving_.emplace_back([this, link = &links_.back()] {
           while (auto request = read_request(*link))
-            if (!script_(*link, *request)) break;
+            if (!script_(*link, *request))
+              break;
           link->close();
         });
       }
@@ -128,9 +140,11 @@
     thread_.join();
     {
       std::lock_guard<std::mutex> guard(mutex_);
-      for (auto& link : links_) link.close();
+      for (auto& link : links_)
+        link.close();
     }
-    for (auto& serving : serving_) serving.join();
+    for (auto& serving : serving_)
+      serving.join();
   }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   std::string place() const { return "127.0.0.1:" + std::to_string(port()); }
@@ -177,7 +191,8 @@
 Told read_answer(RawLink& link) {
   Told told;
   std::string head = link.read_to("\r\n\r\n");
-  if (head.empty()) return told;
+  if (head.empty())
+    return told;
   told.message.head = head;
   told.code = std::atoi(head.substr(9, 3).c_str());
   std::string length = told.message.header("Content-Length");
@@ -188,10 +203,12 @@
   }
   for (;;) {
     std::string line = link.read_to("\r\n");
-    if (line.empty()) return told;
+    if (line.empty())
+      return told;
     std::size_t size = std::stoul(line, nullptr, 16);
     std::string chunk = link.read_size(size + 2);
-    if (chunk.empty()) return told;
+    if (chunk.empty())
+      return told;
     told.body += chunk.substr(0, size);
     if (size == 0) {
       told.is_whole = true;
@@ -257,12 +274,14 @@
   std::unique_ptr<RawLink> connect() {
     tcp::socket socket(context_);
     auto colon = place_.find(':');
-    socket.connect(tcp::endpoint(boost::asio::ip::make_address(place_.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(place_.substr(colon + 1)))));
+    socket.connect(tcp::endpoint(boost::asio::ip::make_address(place_.substr(0, colon)),
+                                 static_cast<std::uint16_t>(std::stoi(place_.substr(colon + 1)))));
     return std::make_unique<RawLink>(std::move(socket));
   }
-  static std::string call(const std::string& path, const std::string& id = "call-1", const std::string& headers = "", const std::string& body = "{}",
-                          const std::string& method = "POST") {
-    return method + " " + path + " HTTP/1.1\r\nHost: front.example\r\nT-Call: " + id + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  static std::string call(const std::string& path, const std::string& id = "call-1", const std::string& headers = "",
+                          const std::string& body = "{}", const std::string& method = "POST") {
+    return method + " " + path + " HTTP/1.1\r\nHost: front.example\r\nT-Call: " + id + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   Told tell(const std::string& bytes) {
     auto link = connect();
@@ -279,14 +298,16 @@
   std::unique_ptr<RoutedRelay> relay_;
 };
 
-std::string answer(const RawMessage& asked, const std::string& body, const std::string& status = "200 OK", const std::string& headers = "") {
-  return "HTTP/1.1 " + status + "\r\nT-Call: " + asked.header("T-Call") + "\r\nT-Life: " + asked.header("T-Life-Expected") + "\r\nT-Seal: seal-of-" +
-         asked.header("T-Life-Expected") + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+std::string answer(const RawMessage& asked, const std::string& body, const std::string& status = "200 OK",
+                   const std::string& headers = "") {
+  return "HTTP/1.1 " + status + "\r\nT-Call: " + asked.header("T-Call") +
+         "\r\nT-Life: " + asked.header("T-Life-Expected") + "\r\nT-Seal: seal-of-" + asked.header("T-Life-Expected") +
+         "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string stream_head(const RawMessage& asked, const std::string& seal = "seal") {
-  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\nT-Call: " + asked.header("T-Call") + "\r\nT-Seal: " + seal +
-         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\nT-Call: " + asked.header("T-Call") +
+         "\r\nT-Seal: " + seal + "\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string chunk(const std::string& bytes) {
@@ -303,12 +324,18 @@
   RawMessage seen;
   ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
     seen = asked;
-    link.write(answer(asked, std::string("a\0b", 3), "207 Many", "Content-Type: application/x-own\r\nX-Own: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\nT-Burden: 1,0,8\r\n"));
+    link.write(
+        answer(asked, std::string("a\0b", 3), "207 Many",
+               "Content-Type: application/x-own\r\nX-Own: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\nT-Burden: 1,0,8\r\n"));
     return true;
   });
   Bench bench({runner.place()});
   std::string target = "/once/a%2Fb%20c/../d?x=%41&y=a+b&x=";
-  Told told = bench.tell(Bench::call(target, "call-1", "X-Mine: 1\r\nConnection: keep-alive, X-Link\r\nX-Link: 1\r\nT-Horizon: 2000\r\nT-Rank: 99\r\nT-Prompt: 9c:600,x\r\nT-Tokens: 7,oops\r\nProxy-Thing: 1\r\nAccept: */*\r\nT-Life-Expected: mine\r\n", "body", "PATCH"));
+  Told told = bench.tell(Bench::call(
+      target, "call-1",
+      "X-Mine: 1\r\nConnection: keep-alive, X-Link\r\nX-Link: 1\r\nT-Horizon: 2000\r\nT-Rank: 99\r\nT-Prompt: "
+      "9c:600,x\r\nT-Tokens: 7,oops\r\nProxy-Thing: 1\r\nAccept: */*\r\nT-Life-Expected: mine\r\n",
+      "body", "PATCH"));
   EXPECT_EQ(told.code, 207);
   EXPECT_EQ(told.body, std::string("a\0b", 3));
   EXPECT_EQ(told.message.header("T-Call"), "call-1");
@@ -340,8 +367,8 @@
     return true;
   });
   Bench bench({runner.place()});
-  for (const std::string target : {"/once/x", "/once/", "/once/x/", "/once//x", "/once/x?a?b", "/once/%e4%c3?q=%7e", "/once/x?a=/b/../c", "/once/a:b@c;d=1,2",
-                                   "/once/x?http://y//z"}) {
+  for (const std::string target : {"/once/x", "/once/", "/once/x/", "/once//x", "/once/x?a?b", "/once/%e4%c3?q=%7e",
+                                   "/once/x?a=/b/../c", "/once/a:b@c;d=1,2", "/once/x?http://y//z"}) {
     EXPECT_EQ(bench.ask(target).code, 200) << target;
     EXPECT_EQ(seen, "POST " + target + " HTTP/1.1");
   }
@@ -352,7 +379,8 @@
   std::atomic<bool> is_closing{false};
   ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
     ++runs;
-    if (is_closing) return false;
+    if (is_closing)
+      return false;
     link.write(answer(asked, "{}"));
     return true;  // the link would be there for another call
   });
@@ -393,8 +421,10 @@
   std::atomic<int> runs{0};
   auto script = [&](RawLink& link, const RawMessage& asked) {
     ++runs;
-    if (asked.start.find("/moved") != std::string::npos) link.write(answer(asked, "", "307 Moved", "Location: /once/other\r\n"));
-    else link.write(answer(asked, "\x1f\x8b not really", "200 OK", "Content-Encoding: gzip\r\n"));
+    if (asked.start.find("/moved") != std::string::npos)
+      link.write(answer(asked, "", "307 Moved", "Location: /once/other\r\n"));
+    else
+      link.write(answer(asked, "\x1f\x8b not really", "200 OK", "Content-Encoding: gzip\r\n"));
     return true;
   };
   ScriptedRunner one(script), two(script);
@@ -438,14 +468,16 @@
 
 TEST(RoutedRelay, AStreamCutAtAnyByteHandsOnWholeEventsOnlyAndGoesOnElsewhere) {
   std::string whole, plain;
-  for (int id = 1; id <= 4; ++id) plain += event(id);
+  for (int id = 1; id <= 4; ++id)
+    plain += event(id);
   std::atomic<int> runs{0};
   std::atomic<std::size_t> cut{0};
   std::string resume;
   auto script = [&](RawLink& link, const RawMessage& asked) {
     if (++runs == 1) {
       std::string bytes = stream_head(asked, "first");
-      for (std::size_t at = 0; at < plain.size(); at += 13) bytes += chunk(plain.substr(at, 13));
+      for (std::size_t at = 0; at < plain.size(); at += 13)
+        bytes += chunk(plain.substr(at, 13));
       bytes += "0\r\n\r\n";
       whole = bytes;
       link.write(bytes.substr(0, cut));
@@ -454,13 +486,15 @@
     resume = asked.header("Last-Event-Id");
     int last = resume.empty() ? 0 : std::stoi(resume);
     std::string rest = ": again\n\n";
-    for (int id = std::max(1, last); id <= 4; ++id) rest += event(id);  // one of them was there before
+    for (int id = std::max(1, last); id <= 4; ++id)
+      rest += event(id);  // one of them was there before
     link.write(stream_head(asked, "second") + chunk(rest) + "0\r\n\r\n");
     return true;
   };
   int resumed = 0;
   for (cut = 100; runs < 2 || cut < whole.size(); cut += 11) {
-    if (cut > 1000) break;
+    if (cut > 1000)
+      break;
     runs = 0;
     resume.clear();
     ScriptedRunner one(script), two(script);
@@ -469,11 +503,13 @@
     EXPECT_EQ(told.code, 200);
     EXPECT_TRUE(told.is_whole) << cut;
     std::string body = told.body;
-    if (auto mark = body.find(": again\n\n"); mark != std::string::npos) body.erase(mark, 9);
+    if (auto mark = body.find(": again\n\n"); mark != std::string::npos)
+      body.erase(mark, 9);
     EXPECT_EQ(body, plain) << cut;
     EXPECT_EQ(told.message.header("T-Seal"), resume.empty() && runs == 2 ? "second" : "first") << cut;
     resumed += !resume.empty();
-    if (cut >= whole.size()) break;
+    if (cut >= whole.size())
+      break;
   }
   EXPECT_GT(resumed, 5);
 }
@@ -540,8 +576,10 @@
   for (const std::string refusal : {"421 Other", "503 Full\r\nT-Not-Run: yes", "429 Busy\r\nT-Not-Run: yes"}) {
     std::atomic<int> runs{0};
     auto script = [&](RawLink& link, const RawMessage& asked) {
-      if (++runs == 1) link.write("HTTP/1.1 " + refusal + "\r\nT-Burden: 8,3,8\r\nContent-Length: 4\r\n\r\nfull");
-      else link.write(answer(asked, "{}"));
+      if (++runs == 1)
+        link.write("HTTP/1.1 " + refusal + "\r\nT-Burden: 8,3,8\r\nContent-Length: 4\r\n\r\nfull");
+      else
+        link.write(answer(asked, "{}"));
       return true;
     };
     ScriptedRunner one(script), two(script);
@@ -573,8 +611,10 @@
 TEST(RoutedRelay, AnAnswerWithoutASealIsNeverHandedOn) {
   std::atomic<int> runs{0};
   auto script = [&](RawLink& link, const RawMessage& asked) {
-    if (++runs == 1) link.write("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nunsealed");
-    else link.write(answer(asked, "sealed"));
+    if (++runs == 1)
+      link.write("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nunsealed");
+    else
+      link.write(answer(asked, "sealed"));
     return true;
   };
   ScriptedRunner one(script), two(script);
@@ -592,8 +632,10 @@
   std::atomic<int> runs{0};
   std::atomic<int> failing{1};
   auto script = [&](RawLink& link, const RawMessage& asked) {
-    if (++runs <= failing) link.write(answer(asked, "own words", "500 Own", "X-Own: 1\r\n"));
-    else link.write(answer(asked, "{}"));
+    if (++runs <= failing)
+      link.write(answer(asked, "own words", "500 Own", "X-Own: 1\r\n"));
+    else
+      link.write(answer(asked, "{}"));
     return true;
   };
   ScriptedRunner one(script), two(script);
@@ -625,8 +667,10 @@
     return true;
   });
   Bench bench({runner.place()});
-  std::string chunked = "POST /once/x HTTP/1.1\r\nHost: front.example\r\nT-Call: c\r\nTransfer-Encoding: chunked\r\n\r\n";
-  EXPECT_EQ(bench.tell(chunked + chunk("one,") + chunk(std::string(9000, 'x')) + chunk(",two") + "0\r\n\r\n").code, 200);
+  std::string chunked =
+      "POST /once/x HTTP/1.1\r\nHost: front.example\r\nT-Call: c\r\nTransfer-Encoding: chunked\r\n\r\n";
+  EXPECT_EQ(bench.tell(chunked + chunk("one,") + chunk(std::string(9000, 'x')) + chunk(",two") + "0\r\n\r\n").code,
+            200);
   EXPECT_EQ(seen, "one," + std::string(9000, 'x') + ",two");
   EXPECT_EQ(bench.tell(Bench::call("/once/x", "c", "", std::string(100000, 'y'))).code, 200);
   EXPECT_EQ(seen.size(), 100000u);
@@ -635,7 +679,8 @@
   EXPECT_EQ(declared.code, 413);
   EXPECT_TRUE(declared.message.has("T-Not-Run"));
   std::string many;
-  for (int i = 0; i < 40; ++i) many += chunk(std::string(4000, 'z'));
+  for (int i = 0; i < 40; ++i)
+    many += chunk(std::string(4000, 'z'));
   Told endless = bench.tell(chunked + many);  // the last chunk never comes
   EXPECT_EQ(endless.code, 413);
   EXPECT_EQ(bench.tell(Bench::call("/once/x", "c", "X-Long: " + std::string(8000, 'l') + "\r\n")).code, 431);
@@ -645,7 +690,8 @@
 TEST(RoutedRelay, ABodyThatIsAnnouncedAndNeverSentIsRefusedAtOnceIfTooLarge) {
   Bench bench({free_place()});
   auto link = bench.connect();
-  link->write("POST /once/x HTTP/1.1\r\nHost: front.example\r\nT-Call: c\r\nContent-Length: 99999999\r\n\r\n" + std::string(5000, 'x'));
+  link->write("POST /once/x HTTP/1.1\r\nHost: front.example\r\nT-Call: c\r\nContent-Length: 99999999\r\n\r\n" +
+              std::string(5000, 'x'));
   Told told = read_answer(*link);
   EXPECT_EQ(told.code, 413);
   EXPECT_TRUE(link->is_closed_by_other());
@@ -693,7 +739,8 @@
     left.get_future().wait();
     // Two more: the first meets the closed link, the second its reset.
     std::thread writing([&] {
-      for (int id = 2; id < 400; ++id) link.write(chunk(event(id) + std::string(4000, ':') + "\n\n"));
+      for (int id = 2; id < 400; ++id)
+        link.write(chunk(event(id) + std::string(4000, ':') + "\n\n"));
     });
     closed.set_value(link.is_closed_by_other());
     writing.join();
@@ -711,8 +758,10 @@
 
 TEST(RoutedRelay, ACallerLinkServesManyCalls) {
   ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
-    if (asked.start.find("/stream/") != std::string::npos) link.write(stream_head(asked) + chunk(event(1)) + "0\r\n\r\n");
-    else link.write(answer(asked, "for " + asked.header("T-Call")));
+    if (asked.start.find("/stream/") != std::string::npos)
+      link.write(stream_head(asked) + chunk(event(1)) + "0\r\n\r\n");
+    else
+      link.write(answer(asked, "for " + asked.header("T-Call")));
     return true;
   });
   Bench bench({runner.place()});
@@ -729,8 +778,10 @@
 
 TEST(RoutedRelay, AnswersWithoutABodyEndAtOnce) {
   ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
-    if (asked.start.rfind("HEAD", 0) == 0) link.write("HTTP/1.1 200 OK\r\nT-Call: c\r\nT-Seal: s\r\nContent-Length: 77\r\n\r\n");
-    else link.write("HTTP/1.1 204 None\r\nT-Call: c\r\nT-Seal: s\r\n\r\n");
+    if (asked.start.rfind("HEAD", 0) == 0)
+      link.write("HTTP/1.1 200 OK\r\nT-Call: c\r\nT-Seal: s\r\nContent-Length: 77\r\n\r\n");
+    else
+      link.write("HTTP/1.1 204 None\r\nT-Call: c\r\nT-Seal: s\r\n\r\n");
     return true;
   });
   Bench bench({runner.place()});
@@ -800,7 +851,8 @@
   for (int file = 3; file < 200; ++file) {
     sockaddr_in other{};
     socklen_t size = sizeof other;
-    if (getpeername(file, reinterpret_cast<sockaddr*>(&other), &size) != 0 || ntohs(other.sin_port) != runner.port()) continue;
+    if (getpeername(file, reinterpret_cast<sockaddr*>(&other), &size) != 0 || ntohs(other.sin_port) != runner.port())
+      continue;
     ++found;
     size = sizeof no_delay;
     getsockopt(file, IPPROTO_TCP, TCP_NODELAY, &no_delay, &size);
@@ -826,28 +878,34 @@
   EXPECT_EQ((read_numbers<3>("1, 2,3,4")), (std::array<Integer, 3>{1, 2, 3}));
   EXPECT_EQ((read_numbers<2>("-1,x")), (std::array<Integer, 2>{0, 0}));
   EXPECT_EQ(read_deadline(" 250 ")->value, 250);
-  for (const std::string text : {"", "0", "-5", "1e3", "99999999999999999999", "5ms"}) EXPECT_FALSE(read_deadline(text)) << text;
+  for (const std::string text : {"", "0", "-5", "1e3", "99999999999999999999", "5ms"})
+    EXPECT_FALSE(read_deadline(text)) << text;
   EXPECT_EQ(retry_after_text(Span{250}), "0.250");
   EXPECT_EQ(retry_after_text(Span{12005}), "12.005");
 }
 
 RC_GTEST_PROP(RoutedRelayReaders, NoTextIsThrownAt, (const std::string& text)) {
-  for (const auto& part : read_prompt(text)) RC_ASSERT(part.tokens >= 0);
-  for (auto number : read_numbers<3>(text)) RC_ASSERT(number >= 0);
+  for (const auto& part : read_prompt(text))
+    RC_ASSERT(part.tokens >= 0);
+  for (auto number : read_numbers<3>(text))
+    RC_ASSERT(number >= 0);
   auto deadline = read_deadline(text);
   RC_ASSERT(!deadline || deadline->value > 0);
 }
 
-RC_GTEST_PROP(RoutedRelayReaders, APromptIsReadAsWritten, (const std::vector<std::pair<std::uint64_t, std::uint16_t>>& written)) {
+RC_GTEST_PROP(RoutedRelayReaders, APromptIsReadAsWritten,
+              (const std::vector<std::pair<std::uint64_t, std::uint16_t>>& written)) {
   std::string text;
   char part[64];
   for (const auto& [id, tokens] : written) {
-    std::snprintf(part, sizeof part, "%s%llx:%u", text.empty() ? "" : ",", static_cast<unsigned long long>(id), static_cast<unsigned>(tokens));
+    std::snprintf(part, sizeof part, "%s%llx:%u", text.empty() ? "" : ",", static_cast<unsigned long long>(id),
+                  static_cast<unsigned>(tokens));
     text += part;
   }
   auto read = read_prompt(text);
   RC_ASSERT(read.size() == std::min<std::size_t>(written.size(), 256));
-  for (std::size_t i = 0; i < read.size(); ++i) RC_ASSERT(read[i].id == written[i].first && read[i].tokens == written[i].second);
+  for (std::size_t i = 0; i < read.size(); ++i)
+    RC_ASSERT(read[i].id == written[i].first && read[i].tokens == written[i].second);
 }
 
 RC_GTEST_PROP(RoutedRelayReaders, EventsAreCutTheSameHoweverTheBytesCome, ()) {
@@ -858,12 +916,15 @@
   std::vector<RawEvent> events;
   std::size_t at = 0;
   for (int size : sizes) {
-    if (at >= text.size()) break;
-    for (auto& cut : pieces.feed(text.substr(at, static_cast<std::size_t>(size)))) events.push_back(cut);
+    if (at >= text.size())
+      break;
+    for (auto& cut : pieces.feed(text.substr(at, static_cast<std::size_t>(size))))
+      events.push_back(cut);
     at += static_cast<std::size_t>(size);
   }
   if (at < text.size())
-    for (auto& cut : pieces.feed(text.substr(at))) events.push_back(cut);
+    for (auto& cut : pieces.feed(text.substr(at)))
+      events.push_back(cut);
   RC_ASSERT(events.size() == expected.size());
   std::string joined;
   for (std::size_t i = 0; i < events.size(); ++i) {
@@ -884,15 +945,18 @@
     all.push_back({event(id), std::to_string(id), true});
   }
   std::string plain;
-  for (const auto& one : all) plain += one.bytes;
+  for (const auto& one : all)
+    plain += one.bytes;
   auto broken = *rc::gen::inRange<std::size_t>(0, all.size() + 1);
   auto again = *rc::gen::inRange<std::size_t>(0, broken + 1);
   std::string out, last;
   EventSieve first("");
-  for (std::size_t i = 0; i < broken; ++i) out += first.pass(all[i]);
+  for (std::size_t i = 0; i < broken; ++i)
+    out += first.pass(all[i]);
   EventSieve second(first.last());
   if (!first.last().empty()) {
-    for (std::size_t i = again; i < all.size(); ++i) out += second.pass(all[i]);
+    for (std::size_t i = again; i < all.size(); ++i)
+      out += second.pass(all[i]);
     RC_ASSERT(out + second.finish() == plain);
   }
 }
--- a/packages/fleet-simulator/include/emberdale/caller_crowd.hpp
+++ b/packages/fleet-simulator/include/emberdale/caller_crowd.hpp
@@ -17,10 +17,10 @@
 //   CallerCrowd crowd; crowd.rate = 200; crowd.long_share = 0.3; crowd.south_share = 0.8;
 //   auto call = crowd.next(random generator, "north"); later(crowd.gap(random generator), ask);
 struct CallerCrowd {
-  double rate = 40;           // calls a second
-  double long_share = 0.05;   // of them, how many want long answers
-  double south_share = -1;    // share of callers that ask in region south; below 0: any daemon alike
-  double stray_share = 0.1;   // of homed work, how much comes to the wrong region
+  double rate = 40;          // calls a second
+  double long_share = 0.05;  // of them, how many want long answers
+  double south_share = -1;   // share of callers that ask in region south; below 0: any daemon alike
+  double stray_share = 0.1;  // of homed work, how much comes to the wrong region
 
   std::int64_t gap(RandomGenerator& random) const { return 1 + random.below(static_cast<std::int64_t>(2000.0 / rate)); }
 
@@ -37,7 +37,8 @@
     call.path = kind < 6 ? "/check" : kind < 8 ? "/homed" : "/record";
     call.is_repeatable = call.path == "/record";
     call.service_ms = call.is_repeatable ? 10 + random.below(10) : 40 + random.below(20);
-    if (call.path == "/homed") call.home = random.chance(1 - stray_share) ? region : region == "north" ? "south" : "north";
+    if (call.path == "/homed")
+      call.home = random.chance(1 - stray_share) ? region : region == "north" ? "south" : "north";
     return call;
   }
 };
--- a/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
+++ b/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
@@ -50,7 +50,8 @@
   std::int64_t now() const { return now_; }
   RandomGenerator& random() { return random_; }
   void run(Span span);
-  // Runs until the question is answered yes, or the span is over. Example: fleet.run_until([&] { return !fleet.master().empty(); }, Span{9000})
+  // Runs until the question is answered yes, or the span is over. Example: fleet.run_until([&] { return
+  // !fleet.master().empty(); }, Span{9000})
   bool run_until(const std::function<bool()>& question, Span span);
   void later(std::int64_t ms, std::function<void()> act);
 
@@ -59,10 +60,10 @@
   bool declare();
 
   // --- what fails ---------------------------------------------------------------------------------
-  void kill(const std::string& name);                       // the process ends; its files stay
-  void power_cut(const std::string& name);                  // what was not synced is gone, or torn
+  void kill(const std::string& name);       // the process ends; its files stay
+  void power_cut(const std::string& name);  // what was not synced is gone, or torn
   void start(const std::string& name);
-  void wipe(const std::string& name);                       // the files of a stopped core daemon
+  void wipe(const std::string& name);  // the files of a stopped core daemon
   // A clean stop: calls in hand are finished, then the process ends. Example: fleet.stop("a1-data")
   void stop(const std::string& name);
   void freeze(const std::string& name);
@@ -72,11 +73,11 @@
   void cut_both(const std::string& one, const std::string& other);
   void mend_both(const std::string& one, const std::string& other);
   void isolate(const std::string& name);
-  void heal() { network_.heal(); }                           // all cuts
+  void heal() { network_.heal(); }  // all cuts
   SimulatedNetwork& network() { return network_; }
   enum class Disk { good, slow, stalled, full, sync_error };
   void set_disk(const std::string& name, Disk disk);
-  std::int64_t disk_bites() const { return disk_bites_; }   // writes that a bad disk delayed or refused
+  std::int64_t disk_bites() const { return disk_bites_; }  // writes that a bad disk delayed or refused
   void set_calls(double per_second) { crowd_.rate = per_second; }
   void set_loss(double loss) { network_.loss = loss; }
   CallerCrowd& crowd() { return crowd_; }
@@ -86,7 +87,7 @@
   void set_clock_rate(const std::string& name, std::int64_t per_mille);
   void kill_runner(const std::string& name) { runners_.at(name).kill(); }
   void start_runner(const std::string& name) { runners_.at(name).start(now_); }  // back with a new incarnation, cold
-  void hang_runner(const std::string& name);                 // links stay open, no answer ever comes
+  void hang_runner(const std::string& name);  // links stay open, no answer ever comes
   // A daemon of the same kind at a new address, in place of one that is gone for good.
   std::string add_edge(const std::string& zone) { return add_daemon(zone, "edge"); }
   std::string add_core(const std::string& zone) { return add_daemon(zone, "core"); }
@@ -99,18 +100,21 @@
     std::int64_t asked_at = 0, over_at = 0;
     RuleWatch::Ask ask;
   };
-  std::shared_ptr<EditOutcome> edit(const std::string& at, const std::string& act, const std::string& kind, const std::string& name,
-                                    const std::string& body, Integer expected = -1);
-  // The same, tried at live daemons in turn until acknowledged. Example: fleet.edit_until_done("put", "zone-orders", "b", body, Span{8000})
-  bool edit_until_done(const std::string& act, const std::string& kind, const std::string& name, const std::string& body, Span span);
-  std::shared_ptr<EditOutcome> replace_core(const std::string& at, const std::string& old_name, const std::string& new_name);
+  std::shared_ptr<EditOutcome> edit(const std::string& at, const std::string& act, const std::string& kind,
+                                    const std::string& name, const std::string& body, Integer expected = -1);
+  // The same, tried at live daemons in turn until acknowledged. Example: fleet.edit_until_done("put", "zone-orders",
+  // "b", body, Span{8000})
+  bool edit_until_done(const std::string& act, const std::string& kind, const std::string& name,
+                       const std::string& body, Span span);
+  std::shared_ptr<EditOutcome> replace_core(const std::string& at, const std::string& old_name,
+                                            const std::string& new_name);
   // A read through that daemon; what it shows is judged. Example: fleet.read("c1"); fleet.run(Span{2000});
   std::shared_ptr<FleetState> read(const std::string& at);
   // What the register holds and every data daemon follows is compared with all that was acknowledged.
   bool compare_holdings();
 
   // --- what is seen --------------------------------------------------------------------------------
-  std::string master();  // of the newest term that leads and runs; empty: none
+  std::string master();                                           // of the newest term that leads and runs; empty: none
   std::vector<std::string> names(const std::string& role) const;  // "core", "edge", "data"; running or not
   bool is_running(const std::string& name) const;
   bool is_up(const std::string& name) const { return node(name).is_up; }
@@ -139,7 +143,7 @@
   std::int64_t wall_seconds = 0;
 
   // Guards that a test takes out, to see the rule break.
-  bool is_grant_check_off = false;        // data daemons send by whatever map they have, and keep homes that are outdated
+  bool is_grant_check_off = false;  // data daemons send by whatever map they have, and keep homes that are outdated
   bool is_incarnation_check_off = false;  // runners take calls meant for their former life
   bool is_sync_off = false;               // core machines answer before their disk has it
   bool is_home_misread = false;           // data daemons take every home for their own region
@@ -156,11 +160,11 @@
   struct Node {
     std::string name, role, zone, region;
     Address address;
-    std::int64_t clock = 0;         // its steady clock is ahead of virtual time by this...
-    std::int64_t rate = 1000;       // ...and runs at this rate since then
+    std::int64_t clock = 0;    // its steady clock is ahead of virtual time by this...
+    std::int64_t rate = 1000;  // ...and runs at this rate since then
     std::int64_t rate_since = 0;
-    std::int64_t wall_offset = 0;   // seconds
-    Integer life = 0;               // goes up with every start: what was meant for an older life is dropped
+    std::int64_t wall_offset = 0;  // seconds
+    Integer life = 0;              // goes up with every start: what was meant for an older life is dropped
     bool is_up = false, is_frozen = false, is_stopping = false;
     bool has_power = true;  // a machine without power refuses nothing: it is silent
     std::vector<std::function<void()>> while_frozen;
@@ -188,7 +192,9 @@
   void on_node(const std::string& name, std::function<void(Node&)> act);
   void tick(const std::string& name, Integer life);
   void refresh_dispatcher(Node& node);
-  Moment clock(const Node& node) const { return Moment{now_ + node.clock + (now_ - node.rate_since) * (node.rate - 1000) / 1000}; }
+  Moment clock(const Node& node) const {
+    return Moment{now_ + node.clock + (now_ - node.rate_since) * (node.rate - 1000) / 1000};
+  }
   void make_control(Node& node);
   void flush(Node& node);
   void probe(Node& node, const ProbeWish& wish);
@@ -233,7 +239,7 @@
   std::vector<SimulationBreak> breaks;
   CallTally tally;
   std::int64_t acked = 0, refused = 0, unknown = 0;
-  std::string story;  // what failed when, to read after a break
+  std::string story;                          // what failed when, to read after a break
   std::map<std::string, std::int64_t> bites;  // how often each fault was seen to have an effect
   std::map<std::string, std::int64_t> tried;  // how often it was brought about
 };
@@ -244,7 +250,7 @@
 struct DayPlan {
   SimulationShape shape;
   Span length{30000};
-  std::string only;  // this fault alone, again and again; empty: all
+  std::string only;                             // this fault alone, again and again; empty: all
   std::function<void(FleetSimulation&)> plant;  // takes a guard out, to see the day's oracle catch it
 };
 std::vector<std::string> random_day_faults();
--- a/packages/fleet-simulator/include/emberdale/rule_watch.hpp
+++ b/packages/fleet-simulator/include/emberdale/rule_watch.hpp
@@ -57,7 +57,10 @@
   // The version by which a data daemon serves. Example: watch.follows(now, "a1-data", view.version)
   void follows(std::int64_t now, const std::string& daemon, const MapVersion& version);
   // A daemon has started anew: it may begin from nothing. Example: watch.restarted("a1-data")
-  void restarted(const std::string& daemon) { seen_versions_.erase(daemon); seen_maps_.erase(daemon); }
+  void restarted(const std::string& daemon) {
+    seen_versions_.erase(daemon);
+    seen_maps_.erase(daemon);
+  }
 
   // --- operators ---------------------------------------------------------------------------------------
   struct Ask {
@@ -75,7 +78,8 @@
   void was_read(std::int64_t now, std::int64_t begun, const std::string& daemon, const FleetState& state);
   // Any edit, when it is asked: a deletion that gets no answer may have been done. Example: watch.asked(ask)
   void asked(const Ask& ask) {
-    if (ask.act == "delete") open_deletions_[ask.kind + "/" + ask.name].insert(ask.change);
+    if (ask.act == "delete")
+      open_deletions_[ask.kind + "/" + ask.name].insert(ask.change);
   }
   // After the day: what the register holds, and what each data daemon follows.
   void settled(std::int64_t now, const FleetState& state);
@@ -86,8 +90,8 @@
   void broken(std::int64_t now, const std::string& rule, const std::string& detail);
   const std::vector<SimulationBreak>& breaks() const { return breaks_; }
   std::int64_t worst_old_plan_ms() const { return worst_old_plan_ms_; }
-  std::int64_t worst_leaving_ms() const { return worst_leaving_ms_; }        // from the acknowledgement
-  std::int64_t worst_told_ms() const { return worst_told_ms_; }  // from the ask
+  std::int64_t worst_leaving_ms() const { return worst_leaving_ms_; }  // from the acknowledgement
+  std::int64_t worst_told_ms() const { return worst_told_ms_; }        // from the ask
   // When that runner was last sent anything; 0: never. Example: watch.last_sent("m1")
   std::int64_t last_sent(const std::string& runner) const {
     auto last = last_sent_.find(runner);
@@ -121,19 +125,19 @@
   std::map<std::string, Integer> seen_versions_;
   std::map<std::string, MapVersion> seen_maps_;
   Integer newest_revision_ = -1;
-  std::map<std::string, Integer> free_since_;                        // runner: last revision in which nothing holds it
-  std::map<std::pair<std::string, Integer>, std::string> bodies_;    // resource and version: its text
-  std::map<std::pair<std::string, Integer>, std::string> winners_;   // resource and version: the change
-  std::set<std::string> changes_found_;                              // in the register's list of changes done
+  std::map<std::string, Integer> free_since_;                       // runner: last revision in which nothing holds it
+  std::map<std::pair<std::string, Integer>, std::string> bodies_;   // resource and version: its text
+  std::map<std::pair<std::string, Integer>, std::string> winners_;  // resource and version: the change
+  std::set<std::string> changes_found_;                             // in the register's list of changes done
   std::set<std::string> turned_down_;
-  std::map<std::string, std::set<std::string>> open_deletions_;      // by resource: asked, and not refused
-  std::map<std::string, Ack> acked_;                                 // by resource: the newest
-  std::vector<std::pair<std::int64_t, Integer>> acks_;               // when, config revision
-  std::map<std::string, Hold> holds_;                                  // by runner
-  std::map<std::string, std::int64_t> last_sent_;                    // by runner
+  std::map<std::string, std::set<std::string>> open_deletions_;  // by resource: asked, and not refused
+  std::map<std::string, Ack> acked_;                             // by resource: the newest
+  std::vector<std::pair<std::int64_t, Integer>> acks_;           // when, config revision
+  std::map<std::string, Hold> holds_;                            // by runner
+  std::map<std::string, std::int64_t> last_sent_;                // by runner
   std::map<std::string, std::set<std::string>> zone_runners_;
-  Integer newest_read_ = 0;                                          // state version, by the reads that have ended
-  std::deque<std::pair<std::int64_t, Integer>> read_history_;        // when it ended, state version
+  Integer newest_read_ = 0;                                    // state version, by the reads that have ended
+  std::deque<std::pair<std::int64_t, Integer>> read_history_;  // when it ended, state version
   std::int64_t worst_old_plan_ms_ = 0, worst_leaving_ms_ = 0, worst_told_ms_ = 0;
   std::size_t reads_ = 0;
 };
--- a/packages/fleet-simulator/include/emberdale/simulated_network.hpp
+++ b/packages/fleet-simulator/include/emberdale/simulated_network.hpp
@@ -16,8 +16,8 @@
 class SimulatedNetwork {
  public:
   std::int64_t near_delay = 1, far_delay = 12;
-  double loss = 0.0;              // share of messages that vanish
-  std::int64_t extra_delay = 0;   // on every way, and up to as much again at random
+  double loss = 0.0;             // share of messages that vanish
+  std::int64_t extra_delay = 0;  // on every way, and up to as much again at random
 
   // One way. Example: network.cut("a1", "b0"); network.is_cut("b0", "a1") == false
   void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
@@ -25,14 +25,17 @@
   void heal() { cuts_.clear(); }
   bool is_cut(const std::string& from, const std::string& to) const { return cuts_.count({from, to}) != 0; }
 
-  // How long a message is under way; nothing: it never arrives. Example: network.travel("a1", "a2", true, random generator)
-  std::optional<std::int64_t> travel(const std::string& from, const std::string& to, bool is_near, RandomGenerator& random) {
+  // How long a message is under way; nothing: it never arrives. Example: network.travel("a1", "a2", true, random
+  // generator)
+  std::optional<std::int64_t> travel(const std::string& from, const std::string& to, bool is_near,
+                                     RandomGenerator& random) {
     ++sent_;
     if (is_cut(from, to)) {
       ++cut_off_;
       return std::nullopt;
     }
-    if (from == to) return 0;
+    if (from == to)
+      return 0;
     if (random.chance(loss)) {
       ++lost_;
       return std::nullopt;
--- a/packages/fleet-simulator/include/emberdale/simulated_runner.hpp
+++ b/packages/fleet-simulator/include/emberdale/simulated_runner.hpp
@@ -19,8 +19,10 @@
   bool is_cold(std::int64_t now) const { return now - started < warming_ms; }
   // Empty: it has begun the call; else why not. Example: runner.take(now, 3, true) == "incarnation"
   std::string take(std::int64_t now, Integer meant_for, bool checks_incarnation) {
-    if (checks_incarnation && meant_for != incarnation) return "incarnation";
-    if (running >= (is_cold(now) ? allowance : capacity)) return "full";
+    if (checks_incarnation && meant_for != incarnation)
+      return "incarnation";
+    if (running >= (is_cold(now) ? allowance : capacity))
+      return "full";
     ++running;
     return "";
   }
@@ -31,7 +33,8 @@
     ++life;
   }
   void start(std::int64_t now) {
-    if (is_up) kill();
+    if (is_up)
+      kill();
     is_up = true;
     ++incarnation;
     started = now;
