--- a/packages/fleet-simulator/src/fleet_simulation.cpp
+++ b/packages/fleet-simulator/src/fleet_simulation.cpp
@@ -9,7 +9,8 @@
 constexpr std::int64_t tick_ms = 25;
 }
 
-FleetSimulation::FleetSimulation(std::uint64_t seed, SimulationShape shape) : seed_(seed), shape_(std::move(shape)), random_(seed) {
+FleetSimulation::FleetSimulation(std::uint64_t seed, SimulationShape shape)
+    : seed_(seed), shape_(std::move(shape)), random_(seed) {
   network_.near_delay = shape_.near_delay;
   network_.far_delay = shape_.far_delay;
   crowd_.rate = shape_.calls_per_second;
@@ -29,16 +30,19 @@
       runner.pool = pool;
       return runner;
     };
-    for (int i = 0; i < shape_.models[zone_index]; ++i) add_runner("model-" + zone + std::to_string(i + 1), "models");
+    for (int i = 0; i < shape_.models[zone_index]; ++i)
+      add_runner("model-" + zone + std::to_string(i + 1), "models");
     add_runner("record-" + zone, "records").capacity = 16;
     ++zone_index;
   }
-  for (auto& [name, made] : nodes_) start(name);
+  for (auto& [name, made] : nodes_)
+    start(name);
 }
 
 FleetSimulation::~FleetSimulation() = default;
 
-FleetSimulation::Node& FleetSimulation::add_node(const std::string& name, const std::string& zone, const std::string& role) {
+FleetSimulation::Node& FleetSimulation::add_node(const std::string& name, const std::string& zone,
+                                                 const std::string& role) {
   auto made = std::make_unique<Node>();
   made->name = name;
   made->role = role;
@@ -46,7 +50,8 @@
   made->region = zone == "c" ? "south" : "north";
   made->address.text = "10.0.0." + std::to_string(next_port_++) + ":7000";
   made->clock = 1000000 + random_.below(100000000);
-  if (role == "core") made->files = std::make_shared<MemoryFileSystem>();
+  if (role == "core")
+    made->files = std::make_shared<MemoryFileSystem>();
   by_address_[made->address] = name;
   return *(nodes_[name] = std::move(made));
 }
@@ -58,7 +63,9 @@
   return name;
 }
 
-void FleetSimulation::at(std::int64_t when, std::function<void()> act) { events_.push({when, ++last_event_, std::move(act)}); }
+void FleetSimulation::at(std::int64_t when, std::function<void()> act) {
+  events_.push({when, ++last_event_, std::move(act)});
+}
 void FleetSimulation::later(std::int64_t ms, std::function<void()> act) { at(now_ + ms, std::move(act)); }
 
 void FleetSimulation::run(Span span) {
@@ -75,7 +82,8 @@
     event.act();
     if (now_ != asked_at) {
       asked_at = now_;
-      if (question()) return true;
+      if (question())
+        return true;
     }
   }
   now_ = end;
@@ -85,12 +93,14 @@
 // Runs an act on a node unless it is down; a frozen node does it when it wakes.
 void FleetSimulation::on_node(const std::string& name, std::function<void(Node&)> act) {
   Node& target = node(name);
-  if (!target.is_up) return;
+  if (!target.is_up)
+    return;
   if (target.is_frozen) {
     Integer life = target.life;
     target.while_frozen.push_back([this, name, life, act] {
       Node& woken = node(name);
-      if (woken.is_up && woken.life == life) act(woken);
+      if (woken.is_up && woken.life == life)
+        act(woken);
     });
     return;
   }
@@ -99,7 +109,8 @@
 
 void FleetSimulation::tick(const std::string& name, Integer life) {
   Node& target = node(name);
-  if (!target.is_up || target.life != life) return;
+  if (!target.is_up || target.life != life)
+    return;
   if (!target.is_frozen) {
     if (target.control) {
       target.control->set_wall_clock(wall_seconds == 0 ? 0 : wall_seconds + target.wall_offset + now_ / 1000);
@@ -110,7 +121,8 @@
       target.dispatcher->on_timer(clock(target));
     }
     flush(target);
-    if (target.is_stopping && target.dispatcher && target.dispatcher->in_hand() == 0) return kill(name);
+    if (target.is_stopping && target.dispatcher && target.dispatcher->in_hand() == 0)
+      return kill(name);
   }
   at(now_ + tick_ms, [this, name, life] { tick(name, life); });
 }
@@ -123,7 +135,8 @@
   if (is_mark_ignored) {
     auto misread = std::make_shared<TrafficView>(*view);
     for (auto& [name, row] : misread->runners)
-      if (row.status == "leaving" || row.status == "emptied") row.status = "warm";
+      if (row.status == "leaving" || row.status == "emptied")
+        row.status = "warm";
     view = misread;
   }
   target.dispatcher->see(view, clock(target));
@@ -138,13 +151,16 @@
       watch_.broken(now_, "disk", made.name + " can't open its log: " + opening.reason);
       return;
     }
-    if (opening->was_corrupt) watch_.broken(now_, "disk", made.name + " reads corruption after a clean fault: " + opening->finding);
+    if (opening->was_corrupt)
+      watch_.broken(now_, "disk", made.name + " reads corruption after a clean fault: " + opening->finding);
     acceptor = std::make_unique<RegisterAcceptor>(opening->store);
     auto restored = acceptor->restore(opening->records);
-    if (!restored) watch_.broken(now_, "disk", made.name + ": " + restored.reason);
+    if (!restored)
+      watch_.broken(now_, "disk", made.name + ": " + restored.reason);
   }
   ControlDaemonSettings settings;
-  settings.self = DaemonEntry{made.address, "http-" + made.name, made.role, ZoneName{made.zone}, RegionName{made.region}, made.starts};
+  settings.self = DaemonEntry{made.address,        "http-" + made.name,     made.role,
+                              ZoneName{made.zone}, RegionName{made.region}, made.starts};
   settings.seeds = seeds_;
   settings.random_seed = seed_ * 1000003 + stable_hash(made.name) + static_cast<std::uint64_t>(made.starts);
   made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
@@ -156,7 +172,8 @@
 
 void FleetSimulation::start(const std::string& name) {
   Node& made = node(name);
-  if (made.is_up) return;
+  if (made.is_up)
+    return;
   ++made.starts;
   ++made.life;
   made.is_up = made.has_power = true;
@@ -167,11 +184,13 @@
   watch_.restarted(name);
   if (made.role == "data") {
     DaemonEntry self{made.address, "http-" + name, "data", ZoneName{made.zone}, RegionName{made.region}, made.starts};
-    made.data = std::make_unique<DataDaemon>(self, seeds_, seed_ + stable_hash(name) + static_cast<std::uint64_t>(made.starts));
+    made.data =
+        std::make_unique<DataDaemon>(self, seeds_, seed_ + stable_hash(name) + static_cast<std::uint64_t>(made.starts));
     DispatcherSettings settings;
     settings.self = made.address;
     settings.region.text = made.region;
-    if (is_retry_budget_off) settings.retry_share = settings.retry_start = settings.retry_bound = 100000;
+    if (is_retry_budget_off)
+      settings.retry_share = settings.retry_start = settings.retry_bound = 100000;
     made.dispatcher = std::make_unique<CallDispatcher>(settings);
     made.data->start(clock(made));
   } else {
@@ -189,11 +208,13 @@
 
 void FleetSimulation::stop(const std::string& name) {
   Node& target = node(name);
-  if (!target.is_up || target.is_stopping) return;
+  if (!target.is_up || target.is_stopping)
+    return;
   if (target.dispatcher) {
     target.is_stopping = true;
     later(8000, [this, name, life = target.life] {  // what hangs is not waited for
-      if (node(name).life == life) kill(name);
+      if (node(name).life == life)
+        kill(name);
     });
     target.dispatcher->close();
     refresh_dispatcher(target);
@@ -204,17 +225,20 @@
   flush(target);
   Integer life = target.life;
   later(300, [this, name, life] {
-    if (node(name).life == life) kill(name);
+    if (node(name).life == life)
+      kill(name);
   });
 }
 
 void FleetSimulation::kill(const std::string& name) {
   Node& target = node(name);
-  if (!target.is_up) return;
+  if (!target.is_up)
+    return;
   target.is_up = false;
   ++target.life;
   for (auto& [index, call] : calls_)
-    if (call.daemon == name && !call.is_over) end_call(index, "no_daemon");
+    if (call.daemon == name && !call.is_over)
+      end_call(index, "no_daemon");
   if (target.dispatcher) {
     figures_.sends += target.dispatcher->counts().sends;
     figures_.retries += target.dispatcher->counts().retries;
@@ -236,17 +260,20 @@
 }
 
 void FleetSimulation::wipe(const std::string& name) {
-  if (node(name).files) node(name).files->wipe();
+  if (node(name).files)
+    node(name).files->wipe();
 }
 
 void FleetSimulation::freeze(const std::string& name) { node(name).is_frozen = true; }
 
 void FleetSimulation::thaw(const std::string& name) {
   Node& target = node(name);
-  if (!target.is_frozen) return;
+  if (!target.is_frozen)
+    return;
   target.is_frozen = false;
   auto acts = std::exchange(target.while_frozen, {});
-  for (auto& act : acts) act();
+  for (auto& act : acts)
+    act();
 }
 
 void FleetSimulation::cut_both(const std::string& one, const std::string& other) {
@@ -261,7 +288,8 @@
 
 void FleetSimulation::isolate(const std::string& name) {
   for (const auto& [other, made] : nodes_)
-    if (other != name) cut_both(name, other);
+    if (other != name)
+      cut_both(name, other);
 }
 
 void FleetSimulation::set_clock_rate(const std::string& name, std::int64_t per_mille) {
@@ -274,30 +302,36 @@
 void FleetSimulation::set_disk(const std::string& name, Disk disk) {
   Node& target = node(name);
   target.disk = disk;
-  if (disk != Disk::stalled && target.is_up) start_writing(target);
+  if (disk != Disk::stalled && target.is_up)
+    start_writing(target);
 }
 
 // The disk of a core machine: what has gathered is written and synced together, after a while.
 void FleetSimulation::start_writing(Node& target) {
-  if (target.is_writing || target.to_write.empty() || !target.is_up) return;
+  if (target.is_writing || target.to_write.empty() || !target.is_up)
+    return;
   if (target.disk == Disk::stalled) {
     ++disk_bites_;
     return;
   }
   target.is_writing = true;
   std::vector<WriteWish> batch = std::exchange(target.to_write, {});
-  if (target.disk != Disk::good) disk_bites_ += static_cast<std::int64_t>(batch.size());
+  if (target.disk != Disk::good)
+    disk_bites_ += static_cast<std::int64_t>(batch.size());
   std::vector<std::string> records;
-  for (auto& write : batch) records.push_back(write.record);
+  for (auto& write : batch)
+    records.push_back(write.record);
   std::int64_t last = batch.back().token;
   std::string name = target.name;
   Integer life = target.life;
   bool is_refused = target.disk == Disk::full || !target.log->append(records);
-  if (is_sync_off && !is_refused) target.control->synced(last, clock(target));  // answers before it lies on the disk
+  if (is_sync_off && !is_refused)
+    target.control->synced(last, clock(target));  // answers before it lies on the disk
   std::int64_t wait = (target.disk == Disk::slow ? 250 : shape_.disk_ms) + random_.below(3);
   at(now_ + wait, [this, name, life, last, is_refused] {
     Node& woken = node(name);
-    if (!woken.is_up || woken.life != life) return;
+    if (!woken.is_up || woken.life != life)
+      return;
     if (is_refused) {
       woken.to_write.clear();  // all of it was thought out on top of the refused write
       woken.control->write_refused(last);
@@ -306,12 +340,14 @@
       power_cut(name);  // nothing is known of the disk: the daemon stops; a restart reads what is there
       return;
     } else {
-      if (!is_sync_off) woken.log->sync();
+      if (!is_sync_off)
+        woken.log->sync();
       on_node(name, [this, last](Node& awake) {
         awake.control->synced(last, clock(awake));
         flush(awake);
       });
-      if (!woken.is_frozen && woken.log->wants_snapshot()) woken.log->snapshot(woken.control->acceptor()->picture());
+      if (!woken.is_frozen && woken.log->wants_snapshot())
+        woken.log->snapshot(woken.control->acceptor()->picture());
     }
     woken.is_writing = false;
     start_writing(woken);
@@ -320,14 +356,17 @@
 
 void FleetSimulation::deliver(const std::string& from, const Address& to, Message message) {
   auto target = by_address_.find(to);
-  if (target == by_address_.end()) return;
+  if (target == by_address_.end())
+    return;
   const std::string name = target->second;
   auto wait = network_.travel(from, name, node(from).region == node(name).region, random_);
-  if (!wait) return;
+  if (!wait)
+    return;
   Address sender = node(from).address;
   auto shared = std::make_shared<Message>(std::move(message));
   at(now_ + *wait, [this, name, from, sender, shared] {
-    if (!node(name).is_up && node(name).has_power) return refuse_link(from, name);
+    if (!node(name).is_up && node(name).has_power)
+      return refuse_link(from, name);
     on_node(name, [this, sender, shared](Node& awake) {
       ++figures_.messages_to[awake.name];
       if (awake.control) {
@@ -344,12 +383,16 @@
 // The machine is there and no process listens: it says so at once, unless the way back is cut.
 void FleetSimulation::refuse_link(const std::string& from, const std::string& name) {
   auto wait = network_.travel(name, from, node(from).region == node(name).region, random_);
-  if (!wait || node(name).is_up) return;
+  if (!wait || node(name).is_up)
+    return;
   at(now_ + *wait, [this, from, life = node(from).life, gone = node(name).address] {
     on_node(from, [this, life, gone](Node& awake) {
-      if (awake.life != life) return;
-      if (awake.control) awake.control->on_refused(gone, clock(awake));
-      else awake.data->on_refused(gone, clock(awake));
+      if (awake.life != life)
+        return;
+      if (awake.control)
+        awake.control->on_refused(gone, clock(awake));
+      else
+        awake.data->on_refused(gone, clock(awake));
       flush(awake);
     });
   });
@@ -358,12 +401,16 @@
 void FleetSimulation::flush(Node& target) {
   std::string name = target.name;
   if (target.control) {
-    for (auto& write : target.control->take_writes()) target.to_write.push_back(std::move(write));
+    for (auto& write : target.control->take_writes())
+      target.to_write.push_back(std::move(write));
     start_writing(target);
-    for (auto& sending : target.control->take_out()) deliver(name, sending.to, std::move(sending.message));
-    for (auto& wish : target.control->take_probes()) probe(target, wish);
+    for (auto& sending : target.control->take_out())
+      deliver(name, sending.to, std::move(sending.message));
+    for (auto& wish : target.control->take_probes())
+      probe(target, wish);
   } else if (target.data) {
-    for (auto& sending : target.data->take_out()) deliver(name, sending.to, std::move(sending.message));
+    for (auto& sending : target.data->take_out())
+      deliver(name, sending.to, std::move(sending.message));
     flush_dispatcher(target);
   }
   check_node(target);
@@ -371,32 +418,37 @@
 
 void FleetSimulation::probe(Node& target, const ProbeWish& wish) {
   auto entry = runners_.find(wish.runner.text);
-  if (entry == runners_.end()) return;
+  if (entry == runners_.end())
+    return;
   bool is_there = entry->second.is_up && !entry->second.is_hung && !network_.is_cut(target.name, wish.runner.text);
-  at(now_ + (entry->second.is_up ? (is_there ? 4 : 900) : 2), [this, name = target.name, life = target.life, is_there, runner = wish.runner.text] {
-    on_node(name, [this, life, is_there, runner](Node& awake) {
-      if (awake.life != life) return;
-      const SimulatedRunner& probed = runners_.at(runner);
-      RunnerStatus status;
-      status.name.text = runner;
-      status.answers = is_there && probed.is_up;
-      status.cold = probed.is_cold(now_);
-      status.incarnation = probed.incarnation;
-      status.capacity = probed.capacity;
-      status.load = probed.running;
-      status.allowance = probed.allowance;
-      awake.control->on_probe(status, clock(awake));
-      flush(awake);
-    });
-  });
+  at(now_ + (entry->second.is_up ? (is_there ? 4 : 900) : 2),
+     [this, name = target.name, life = target.life, is_there, runner = wish.runner.text] {
+       on_node(name, [this, life, is_there, runner](Node& awake) {
+         if (awake.life != life)
+           return;
+         const SimulatedRunner& probed = runners_.at(runner);
+         RunnerStatus status;
+         status.name.text = runner;
+         status.answers = is_there && probed.is_up;
+         status.cold = probed.is_cold(now_);
+         status.incarnation = probed.incarnation;
+         status.capacity = probed.capacity;
+         status.load = probed.running;
+         status.allowance = probed.allowance;
+         awake.control->on_probe(status, clock(awake));
+         flush(awake);
+       });
+     });
 }
 
 void FleetSimulation::check_node(Node& target) {
   if (target.control && target.control->proposer().has_state()) {
     const FleetState& state = target.control->proposer().state();
-    if (watch_.is_news(target.name, state.version)) watch_.saw_state(now_, target.name, state, encode_state(state));
+    if (watch_.is_news(target.name, state.version))
+      watch_.saw_state(now_, target.name, state, encode_state(state));
   }
-  if (target.data) watch_.follows(now_, target.name, target.data->view()->version);
+  if (target.data)
+    watch_.follows(now_, target.name, target.data->view()->version);
 }
 
 // --- what is seen --------------------------------------------------------------------------------------
@@ -405,7 +457,8 @@
   std::string best;
   Integer term = 0;
   for (auto& [name, made] : nodes_)
-    if (made->control && made->is_up && !made->is_frozen && made->control->election().is_master() && made->control->election().term() > term) {
+    if (made->control && made->is_up && !made->is_frozen && made->control->election().is_master() &&
+        made->control->election().term() > term) {
       term = made->control->election().term();
       best = name;
     }
@@ -415,7 +468,8 @@
 std::vector<std::string> FleetSimulation::names(const std::string& role) const {
   std::vector<std::string> list;
   for (const auto& [name, made] : nodes_)
-    if (made->role == role) list.push_back(name);
+    if (made->role == role)
+      list.push_back(name);
   return list;
 }
 
@@ -427,14 +481,17 @@
 
 std::vector<std::string> FleetSimulation::runner_names() const {
   std::vector<std::string> list;
-  for (const auto& [name, runner] : runners_) list.push_back(name);
+  for (const auto& [name, runner] : runners_)
+    list.push_back(name);
   return list;
 }
 
 std::int64_t FleetSimulation::serving_daemons() {
   std::int64_t count = 0;
   for (auto& [name, made] : nodes_)
-    if (made->dispatcher && made->is_up && !made->is_frozen && !made->data->view()->plans.empty() && made->dispatcher->is_granted(clock(*made))) ++count;
+    if (made->dispatcher && made->is_up && !made->is_frozen && !made->data->view()->plans.empty() &&
+        made->dispatcher->is_granted(clock(*made)))
+      ++count;
   return count;
 }
 
@@ -450,7 +507,8 @@
       all.sends += made->dispatcher->counts().sends;
       all.retries += made->dispatcher->counts().retries;
     }
-    if (made->control) all.register_rounds += made->control->proposer().counts().rounds;
+    if (made->control)
+      all.register_rounds += made->control->proposer().counts().rounds;
   }
   return all;
 }
@@ -460,12 +518,15 @@
   for (auto& [name, made] : nodes_) {
     text += name + (made->is_up ? made->is_frozen ? " frozen" : " up" : " down");
     if (made->control)
-      text += " phase " + std::to_string(static_cast<int>(made->control->election().phase())) + " master " + made->control->election().master().text + " state " +
-              std::to_string(made->control->proposer().state().version) + " roster " + std::to_string(made->control->proposer().state().roster.size()) + " map " +
-              show(made->control->map().version) + " starved " + std::to_string(made->control->election().starved_rounds());
+      text += " phase " + std::to_string(static_cast<int>(made->control->election().phase())) + " master " +
+              made->control->election().master().text + " state " +
+              std::to_string(made->control->proposer().state().version) + " roster " +
+              std::to_string(made->control->proposer().state().roster.size()) + " map " +
+              show(made->control->map().version) + " starved " +
+              std::to_string(made->control->election().starved_rounds());
     if (made->data)
-      text += " map " + show(made->data->view()->version) + " floor " + show(made->data->grant().minimum_version) + " granted " +
-              (made->dispatcher->is_granted(clock(*made)) ? "yes" : "no");
+      text += " map " + show(made->data->view()->version) + " floor " + show(made->data->grant().minimum_version) +
+              " granted " + (made->dispatcher->is_granted(clock(*made)) ? "yes" : "no");
     text += "\n";
   }
   return text;
--- a/packages/fleet-simulator/src/hollow_daemons.cpp
+++ b/packages/fleet-simulator/src/hollow_daemons.cpp
@@ -33,12 +33,18 @@
 class HollowDaemon {
  public:
   HollowDaemon(boost::asio::io_context& context, DaemonEntry self, const std::vector<Address>& seeds)
-      : links_(context, self.address, [this](const Address& from, Message message) {
-          ++messages_in_;
-          if (control_) control_->on_message(from, message, steady_now());
-          else data_->on_message(from, message, steady_now());
-          flush();
-        }), timer_(context), context_(context), self_(self) {
+      : links_(context, self.address,
+               [this](const Address& from, Message message) {
+                 ++messages_in_;
+                 if (control_)
+                   control_->on_message(from, message, steady_now());
+                 else
+                   data_->on_message(from, message, steady_now());
+                 flush();
+               }),
+        timer_(context),
+        context_(context),
+        self_(self) {
     std::uint64_t random = stable_hash(self.address.text) ^ static_cast<std::uint64_t>(self.incarnation);
     if (self.role == "data") {
       data_ = std::make_unique<DataDaemon>(self, seeds, random);
@@ -50,25 +56,34 @@
       control_ = std::make_unique<ControlDaemon>(settings, nullptr);
     }
     links_.on_refused = [this](const Address& peer) {
-      if (control_) control_->on_refused(peer, steady_now());
-      else data_->on_refused(peer, steady_now());
+      if (control_)
+        control_->on_refused(peer, steady_now());
+      else
+        data_->on_refused(peer, steady_now());
       flush();
     };
   }
   Outcome<bool> start() {
     auto listens = links_.listen();
-    if (!listens) return listens;
-    if (control_) control_->start(steady_now());
-    else data_->start(steady_now());
+    if (!listens)
+      return listens;
+    if (control_)
+      control_->start(steady_now());
+    else
+      data_->start(steady_now());
     flush();
     tick();
     return true;
   }
   const LinkCounts& counts() const { return links_.counts(); }
   std::int64_t messages_in() const { return messages_in_; }
-  bool is_granted() const { return data_ && steady_now() < data_->grant().until && data_->grant().minimum_version <= data_->view()->version; }
+  bool is_granted() const {
+    return data_ && steady_now() < data_->grant().until && data_->grant().minimum_version <= data_->view()->version;
+  }
   bool is_master() const { return control_ && control_->election().is_master(); }
-  std::size_t roster() const { return control_ && control_->proposer().has_state() ? control_->proposer().state().roster.size() : 0; }
+  std::size_t roster() const {
+    return control_ && control_->proposer().has_state() ? control_->proposer().state().roster.size() : 0;
+  }
 
  private:
   void flush() {
@@ -78,19 +93,25 @@
         continue;
       }
       boost::asio::post(context_, [this, message = std::move(sending.message)] {
-        if (control_) control_->on_message(self_.address, message, steady_now());
-        else data_->on_message(self_.address, message, steady_now());
+        if (control_)
+          control_->on_message(self_.address, message, steady_now());
+        else
+          data_->on_message(self_.address, message, steady_now());
         flush();
       });
     }
-    if (control_) control_->take_probes();  // hollow daemons probe no runner: the master does it in their place
+    if (control_)
+      control_->take_probes();  // hollow daemons probe no runner: the master does it in their place
   }
   void tick() {
     timer_.expires_after(std::chrono::milliseconds(25));
     timer_.async_wait([this](boost::system::error_code fault) {
-      if (fault) return;
-      if (control_) control_->on_timer(steady_now());
-      else data_->on_timer(steady_now());
+      if (fault)
+        return;
+      if (control_)
+        control_->on_timer(steady_now());
+      else
+        data_->on_timer(steady_now());
       flush();
       tick();
     });
@@ -115,7 +136,8 @@
 // Example: page_of("127.0.0.1:10400", "/metrics") is its text, or empty
 std::string page_of(const std::string& http, const std::string& path) {
   auto colon = http.find(':');
-  if (colon == std::string::npos) return "";
+  if (colon == std::string::npos)
+    return "";
   boost::asio::ip::tcp::iostream stream;
   stream.expires_after(std::chrono::seconds(2));
   stream.connect(http.substr(0, colon), http.substr(colon + 1));
@@ -131,28 +153,35 @@
   std::string text;
   std::getline(stat, text);
   auto end = text.rfind(')');
-  if (end == std::string::npos) return;
+  if (end == std::string::npos)
+    return;
   std::istringstream fields(text.substr(end + 2));
   std::vector<std::string> words;
-  for (std::string word; fields >> word;) words.push_back(word);
+  for (std::string word; fields >> word;)
+    words.push_back(word);
   real.seconds = (std::stod(words[11]) + std::stod(words[12])) / static_cast<double>(::sysconf(_SC_CLK_TCK));
   real.resident_kb = std::stod(words[21]) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1000;
-  if (real.role == "data") return;
+  if (real.role == "data")
+    return;
   std::string page = page_of(real.http, "/metrics");
   auto mark = page.rfind("link_bytes_out ");
-  if (mark != std::string::npos) real.bytes_out = std::atof(page.c_str() + mark + 15);
+  if (mark != std::string::npos)
+    real.bytes_out = std::atof(page.c_str() + mark + 15);
 }
 
 std::vector<RealDaemon> read_fleet(const std::string& file, std::vector<Address>& seeds) {
   std::vector<RealDaemon> daemons;
   std::ifstream stream(file);
   auto picture = nlohmann::json::parse(stream, nullptr, false);
-  if (!picture.is_object()) return daemons;
+  if (!picture.is_object())
+    return daemons;
   for (const auto& process : picture.value("processes", nlohmann::json::array())) {
     std::string role = process.value("role", "");
-    if (role != "core" && role != "edge" && role != "data") continue;
+    if (role != "core" && role != "edge" && role != "data")
+      continue;
     daemons.push_back({process.value("name", ""), role, process.value("http", ""), process.value("process", 0)});
-    if (role == "core") seeds.push_back(Address{process.value("link", "")});
+    if (role == "core")
+      seeds.push_back(Address{process.value("link", "")});
   }
   return daemons;
 }
@@ -167,7 +196,8 @@
     boost::system::error_code fault;
     acceptor.open(boost::asio::ip::tcp::v4(), fault);
     acceptor.bind({boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)}, fault);
-    if (fault) continue;
+    if (fault)
+      continue;
     places.push_back("127.0.0.1:" + std::to_string(port));
     held.push_back(std::move(acceptor));
   }
@@ -193,8 +223,9 @@
   for (int i = 0; i < edges + gateways; ++i) {
     bool is_edge = i < edges;
     std::string zone(1, static_cast<char>('a' + i % 3));
-    DaemonEntry self{Address{places[static_cast<std::size_t>(i)]}, "127.0.0.1:1", is_edge ? "edge" : "data", ZoneName{zone},
-                     RegionName{zone == "c" ? "south" : "north"}, steady_now().value};
+    DaemonEntry self{
+        Address{places[static_cast<std::size_t>(i)]}, "127.0.0.1:1",     is_edge ? "edge" : "data", ZoneName{zone},
+        RegionName{zone == "c" ? "south" : "north"},  steady_now().value};
     daemons.push_back(std::make_unique<HollowDaemon>(context, self, at));
     auto started = daemons.back()->start();
     if (!started) {
@@ -221,8 +252,10 @@
   settled.async_wait([&](boost::system::error_code) {
     processor = processor_seconds();
     before = sum();
-    for (const auto& daemon : daemons) in_before += daemon->messages_in();
-    for (auto& real : reals) look_at(real);
+    for (const auto& daemon : daemons)
+      in_before += daemon->messages_in();
+    for (auto& real : reals)
+      look_at(real);
   });
   over.expires_after(std::chrono::seconds(15) + std::chrono::milliseconds(window.value));
   over.async_wait([&](boost::system::error_code) { context.stop(); });
@@ -231,22 +264,25 @@
   for (auto& real : reals) {
     RealDaemon begun = real;
     look_at(real);
-    std::cout << "  " << real.name << ": " << (real.seconds - begun.seconds) / static_cast<double>(window.value) * 1e5 << ", " << real.resident_kb / 1000 << ", "
+    std::cout << "  " << real.name << ": " << (real.seconds - begun.seconds) / static_cast<double>(window.value) * 1e5
+              << ", " << real.resident_kb / 1000 << ", "
               << (real.bytes_out - begun.bytes_out) / static_cast<double>(window.value) << "\n";
   }
-  if (daemons.empty()) return 0;
+  if (daemons.empty())
+    return 0;
   double seconds = static_cast<double>(window.value) / 1000, count = edges + gateways;
   auto after = sum();
   auto heap = mallinfo2();
   auto granted = std::count_if(daemons.begin(), daemons.end(), [](const auto& daemon) { return daemon->is_granted(); });
   auto masters = std::count_if(daemons.begin(), daemons.end(), [](const auto& daemon) { return daemon->is_master(); });
-  std::cout << "hollow: " << edges << " edge, " << gateways << " data; with a grant " << granted << ", roster " << (edges > 0 ? daemons[0]->roster() : 0)
-            << ", masters among them " << masters << "\n"
-            << "each: frames out/s " << static_cast<double>(after.frames_out - before.frames_out) / seconds / count << ", bytes out/s "
-            << static_cast<double>(after.bytes_out - before.bytes_out) / seconds / count << ", frames in/s "
-            << static_cast<double>(after.frames_in - before.frames_in) / seconds / count << ", % of a core "
-            << (processor_seconds() - processor) / seconds / count * 100 << ", heap KB "
-            << static_cast<double>(heap.uordblks + heap.hblkhd) / 1000 / count << "; frames dropped in all " << after.frames_dropped - before.frames_dropped << std::endl;
+  std::cout << "hollow: " << edges << " edge, " << gateways << " data; with a grant " << granted << ", roster "
+            << (edges > 0 ? daemons[0]->roster() : 0) << ", masters among them " << masters << "\n"
+            << "each: frames out/s " << static_cast<double>(after.frames_out - before.frames_out) / seconds / count
+            << ", bytes out/s " << static_cast<double>(after.bytes_out - before.bytes_out) / seconds / count
+            << ", frames in/s " << static_cast<double>(after.frames_in - before.frames_in) / seconds / count
+            << ", % of a core " << (processor_seconds() - processor) / seconds / count * 100 << ", heap KB "
+            << static_cast<double>(heap.uordblks + heap.hblkhd) / 1000 / count << "; frames dropped in all "
+            << after.frames_dropped - before.frames_dropped << std::endl;
   return 0;
 }
 
--- a/packages/fleet-simulator/src/main.cpp
+++ b/packages/fleet-simulator/src/main.cpp
@@ -13,7 +13,8 @@
 using namespace emberdale;
 using namespace emberdale::scenarios;
 
-static const char usage[] = R"(emberdale-fleet-simulator: seeded days of failure, with the brief's rules checked at every step.
+static const char usage[] =
+    R"(emberdale-fleet-simulator: seeded days of failure, with the brief's rules checked at every step.
 
 Usage:
   emberdale-fleet-simulator [options]
@@ -47,33 +48,42 @@
 namespace {
 
 void print(const Figure& figure) {
-  std::cout << figure.what << ": median " << figure.median() << ", from " << figure.best() << " to " << figure.worst() << " (" << figure.values.size() << " seeds)" << std::endl;
+  std::cout << figure.what << ": median " << figure.median() << ", from " << figure.best() << " to " << figure.worst()
+            << " (" << figure.values.size() << " seeds)" << std::endl;
 }
 
 // One value from each seed, the seeds run side by side.
-Figure over_seeds(const std::string& what, std::uint64_t first, std::uint64_t seeds, long threads, const std::function<std::int64_t(std::uint64_t)>& measure) {
+Figure over_seeds(const std::string& what, std::uint64_t first, std::uint64_t seeds, long threads,
+                  const std::function<std::int64_t(std::uint64_t)>& measure) {
   Figure figure{what, std::vector<std::int64_t>(seeds, -1)};
   std::atomic<std::uint64_t> next{0};
   std::vector<std::thread> running;
   for (long i = 0; i < threads; ++i)
     running.emplace_back([&] {
-      for (std::uint64_t index = next++; index < seeds; index = next++) figure.values[index] = measure(first + index);
+      for (std::uint64_t index = next++; index < seeds; index = next++)
+        figure.values[index] = measure(first + index);
     });
-  for (auto& thread : running) thread.join();
+  for (auto& thread : running)
+    thread.join();
   print(figure);
   return figure;
 }
 
 int measure(std::uint64_t first, std::uint64_t seeds, long threads) {
-  auto run = [&](const std::string& what, const std::function<std::int64_t(std::uint64_t)>& act) { over_seeds(what, first, seeds, threads, act); };
+  auto run = [&](const std::string& what, const std::function<std::int64_t(std::uint64_t)>& act) {
+    over_seeds(what, first, seeds, threads, act);
+  };
   std::cout << "-- from the fault to a map of a new master, ms\n";
   for (const std::string way : {"killed", "frozen", "isolated", "stopped cleanly"})
     run("master " + way, [way](std::uint64_t seed) {
       auto fleet = serving_fleet(seed);
       std::string was = fleet->master();
-      if (way == "killed") fleet->kill(was);
-      if (way == "frozen") fleet->freeze(was);
-      if (way == "isolated") fleet->isolate(was);
+      if (way == "killed")
+        fleet->kill(was);
+      if (way == "frozen")
+        fleet->freeze(was);
+      if (way == "isolated")
+        fleet->isolate(was);
       if (way == "stopped cleanly") {
         fleet->control(was)->stop(fleet->moment(was));
         fleet->run(Span{30});
@@ -83,9 +93,11 @@
     });
   run("all edge daemons restarted at once", [](std::uint64_t seed) {
     auto fleet = serving_fleet(seed);
-    for (const auto& name : fleet->names("edge")) fleet->kill(name);
+    for (const auto& name : fleet->names("edge"))
+      fleet->kill(name);
     fleet->run(Span{500});
-    for (const auto& name : fleet->names("edge")) fleet->start(name);
+    for (const auto& name : fleet->names("edge"))
+      fleet->start(name);
     return until_new_map(*fleet, "");
   });
   run("zone of the master lost", [](std::uint64_t seed) {
@@ -93,7 +105,8 @@
     std::string was = fleet->master();
     for (const char* role : {"edge", "data", "core"})
       for (const auto& name : fleet->names(role))
-        if (name[0] == was[0]) fleet->power_cut(name);
+        if (name[0] == was[0])
+          fleet->power_cut(name);
     return until_new_map(*fleet, was);
   });
   std::cout << "-- total loss: from power to every data daemon serving, ms\n";
@@ -106,7 +119,8 @@
       fault(*fleet);
       fleet->reset_tally();
       fleet->run(Span{10000});
-      return fleet->tally().refused_no_grant * 1000 / std::max<std::int64_t>(1, fleet->tally().asked - fleet->tally().no_daemon);
+      return fleet->tally().refused_no_grant * 1000 /
+             std::max<std::int64_t>(1, fleet->tally().asked - fleet->tally().no_daemon);
     });
   };
   refused("nothing fails", [](FleetSimulation&) {});
@@ -116,7 +130,8 @@
   refused("a zone lost", [](FleetSimulation& fleet) {
     for (const char* role : {"edge", "data", "core"})
       for (const auto& name : fleet.names(role))
-        if (name[0] == 'b') fleet.power_cut(name);
+        if (name[0] == 'b')
+          fleet.power_cut(name);
   });
   refused("core split into single machines", [](FleetSimulation& fleet) {
     fleet.cut_both("a0", "b0");
@@ -126,25 +141,29 @@
   refused("core cut off from every edge machine", [](FleetSimulation& fleet) {
     for (const auto& core : fleet.names("core"))
       for (const char* role : {"edge", "data"})
-        for (const auto& name : fleet.names(role)) fleet.cut_both(core, name);
+        for (const auto& name : fleet.names(role))
+          fleet.cut_both(core, name);
   });
   refused("an edit each second", [](FleetSimulation& fleet) {
     for (int i = 0; i < 9; ++i)
-      fleet.later(1000 * i, [&fleet] { fleet.edit(fleet.master(), "patch", plans_kind, "check", R"({"horizon_ms":4000})"); });
+      fleet.later(1000 * i,
+                  [&fleet] { fleet.edit(fleet.master(), "patch", plans_kind, "check", R"({"horizon_ms":4000})"); });
   });
   auto cut_core = [](FleetSimulation& fleet, std::size_t number) {
     auto cores = fleet.names("core");
     cores.resize(number);
     for (const auto& core : cores)
       for (const char* role : {"edge", "data"})
-        for (const auto& name : fleet.names(role)) fleet.cut_both(core, name);
+        for (const auto& name : fleet.names(role))
+          fleet.cut_both(core, name);
   };
   auto cut_zone = [](FleetSimulation& fleet) {
     for (const char* role : {"core", "edge", "data"})
       for (const auto& name : fleet.names(role))
         for (const char* other_role : {"core", "edge", "data"})
           for (const auto& other : fleet.names(other_role))
-            if (name[0] == 'b' && other[0] != 'b') fleet.cut_both(name, other);
+            if (name[0] == 'b' && other[0] != 'b')
+              fleet.cut_both(name, other);
   };
   std::cout << "-- calls turned away for want of a grant in a cut, per thousand asked in it\n";
   for (int seconds : {5, 15, 30, 60})
@@ -152,8 +171,10 @@
       run(what + " cut off for " + std::to_string(seconds) + " s", [&, what, seconds](std::uint64_t seed) {
         auto fleet = serving_fleet(seed);
         fleet->run(Span{8000});
-        if (what == "one zone") cut_zone(*fleet);
-        else cut_core(*fleet, what == "the whole core" ? 3 : 2);
+        if (what == "one zone")
+          cut_zone(*fleet);
+        else
+          cut_core(*fleet, what == "the whole core" ? 3 : 2);
         fleet->reset_tally();
         fleet->run(Span{seconds * 1000});
         return fleet->tally().refused_no_grant * 1000 / std::max<std::int64_t>(1, fleet->tally().asked);
@@ -164,30 +185,39 @@
       auto fleet = serving_fleet(seed);
       fleet->run(Span{8000});
       std::string was = fleet->master();
-      if (way == "killed") fleet->kill(was);
-      if (way == "frozen") fleet->freeze(was);
-      if (way == "isolated") fleet->isolate(was);
+      if (way == "killed")
+        fleet->kill(was);
+      if (way == "frozen")
+        fleet->freeze(was);
+      if (way == "isolated")
+        fleet->isolate(was);
       if (way == "its zone lost")
         for (const char* role : {"edge", "data", "core"})
           for (const auto& name : fleet->names(role))
-            if (name[0] == was[0]) fleet->power_cut(name);
+            if (name[0] == was[0])
+              fleet->power_cut(name);
       fleet->run(Span{30});
       std::int64_t begun = fleet->now();
       std::string at;
       for (const auto& name : fleet->names("edge"))
-        if (name != was && fleet->is_running(name)) at = name;
+        if (name != was && fleet->is_running(name))
+          at = name;
       auto outcome = fleet->edit(at, "patch", plans_kind, "check", R"({"horizon_ms":4000})");
       fleet->run_until([&] { return outcome->is_over; }, Span{45000});
       return outcome->code == 200 ? fleet->now() - begun : std::int64_t{-1};
     });
-  std::cout << "-- new work for a runner, the longest after its mark was asked for, ms; the master fails 30 ms before\n";
+  std::cout
+      << "-- new work for a runner, the longest after its mark was asked for, ms; the master fails 30 ms before\n";
   for (const std::string way : {"nothing", "killed", "frozen", "isolated", "the core split, and the master frozen"})
     run(way, [way](std::uint64_t seed) {
       auto fleet = serving_fleet(seed);
       std::string was = fleet->master();
-      if (way == "killed") fleet->kill(was);
-      if (way == "isolated") fleet->isolate(was);
-      if (way.find("frozen") != std::string::npos) fleet->freeze(was);
+      if (way == "killed")
+        fleet->kill(was);
+      if (way == "isolated")
+        fleet->isolate(was);
+      if (way.find("frozen") != std::string::npos)
+        fleet->freeze(was);
       if (way.find("split") != std::string::npos) {
         fleet->cut_both("a0", "b0");
         fleet->cut_both("a0", "c0");
@@ -196,15 +226,18 @@
       fleet->run(Span{30});
       std::string at;
       for (const auto& name : fleet->names("edge"))
-        if (name != was) at = name;
+        if (name != was)
+          at = name;
       std::int64_t begun = fleet->now(), last = 0;
       // Asked again, as the platform would, until it is acknowledged.
       auto outcome = fleet->edit(at, "patch", runners_kind, "model-a1", R"({"leaving":true})");
       while (fleet->now() - begun < 15000) {
         std::int64_t before = fleet->watch().last_sent("model-a1");
         fleet->run(Span{25});
-        if (fleet->watch().last_sent("model-a1") != before) last = fleet->now() - begun;
-        if (outcome->is_over && outcome->code != 200) outcome = fleet->edit(at, "patch", runners_kind, "model-a1", R"({"leaving":true})");
+        if (fleet->watch().last_sent("model-a1") != before)
+          last = fleet->now() - begun;
+        if (outcome->is_over && outcome->code != 200)
+          outcome = fleet->edit(at, "patch", runners_kind, "model-a1", R"({"leaving":true})");
       }
       return last;
     });
@@ -216,9 +249,11 @@
     return fleet->now() - begun;
   });
   // One data daemon no longer hears the news; then the edit is acknowledged, and it is watched for a while.
-  auto edited_while_cut_off = [](std::uint64_t seed, const char* kind, const char* name, const char* patch, Span watched) {
+  auto edited_while_cut_off = [](std::uint64_t seed, const char* kind, const char* name, const char* patch,
+                                 Span watched) {
     auto fleet = serving_fleet(seed);
-    for (const auto& edge : fleet->names("edge")) fleet->cut_both("a1-data", edge);
+    for (const auto& edge : fleet->names("edge"))
+      fleet->cut_both("a1-data", edge);
     fleet->edit_until_done("patch", kind, name, patch, Span{8000});
     fleet->run(watched);
     return fleet->figures();
@@ -233,7 +268,8 @@
 }
 
 int count_machines() {
-  std::cout << "machines  messages/s  per daemon/s  busiest daemon/s  at a core/s  at the master/s  rounds to found and declare\n";
+  std::cout << "machines  messages/s  per daemon/s  busiest daemon/s  at a core/s  at the master/s  rounds to found "
+               "and declare\n";
   for (int edges : {3, 15, 63}) {
     SimulationShape shape;
     shape.edges_per_zone = edges;
@@ -249,13 +285,16 @@
     fleet.run(Span{10000});
     auto after = fleet.figures();
     std::int64_t busiest = 0, at_core = 0;
-    for (const auto& [name, number] : after.messages_to) busiest = std::max(busiest, number - before.messages_to[name]);
-    for (const auto& core : fleet.names("core")) at_core = std::max(at_core, after.messages_to[core] - before.messages_to[core]);
+    for (const auto& [name, number] : after.messages_to)
+      busiest = std::max(busiest, number - before.messages_to[name]);
+    for (const auto& core : fleet.names("core"))
+      at_core = std::max(at_core, after.messages_to[core] - before.messages_to[core]);
     auto all = after.messages - before.messages;
     std::int64_t daemons = static_cast<std::int64_t>(after.messages_to.size());
     std::string master = fleet.master();
-    std::cout << (edges + 1) * 3 << "  " << all / 10 << "  " << all / 10 / daemons << "  " << busiest / 10 << "  " << at_core / 10 << "  "
-              << (after.messages_to[master] - before.messages_to[master]) / 10 << "  " << rounds << std::endl;
+    std::cout << (edges + 1) * 3 << "  " << all / 10 << "  " << all / 10 / daemons << "  " << busiest / 10 << "  "
+              << at_core / 10 << "  " << (after.messages_to[master] - before.messages_to[master]) / 10 << "  " << rounds
+              << std::endl;
   }
   return 0;
 }
@@ -267,14 +306,17 @@
   auto first = static_cast<std::uint64_t>(arguments["--first"].asLong());
   auto seeds = static_cast<std::uint64_t>(arguments["--count"].asLong());
   Span length{arguments["--seconds"].asLong() * 1000};
-  if (arguments["measure"].asBool()) return measure(first, seeds, arguments["--threads"].asLong());
+  if (arguments["measure"].asBool())
+    return measure(first, seeds, arguments["--threads"].asLong());
   if (arguments["hollow"].asBool())
-    return scale::run_hollow(arguments["--fleet"].asString(), static_cast<int>(arguments["--edges"].asLong()), static_cast<int>(arguments["--gateways"].asLong()), length);
+    return scale::run_hollow(arguments["--fleet"].asString(), static_cast<int>(arguments["--edges"].asLong()),
+                             static_cast<int>(arguments["--gateways"].asLong()), length);
   if (arguments["scale"].asBool()) {
     std::string dimension = arguments["--dimension"].asString();
     std::vector<int> sizes;
     std::istringstream list(arguments["--sizes"].isString() ? arguments["--sizes"].asString() : "");
-    for (std::string size; std::getline(list, size, ',');) sizes.push_back(std::stoi(size));
+    for (std::string size; std::getline(list, size, ',');)
+      sizes.push_back(std::stoi(size));
     return dimension == "machines" ? count_machines() : scale::run_scale(dimension, sizes, length);
   }
   bool has_story = arguments["--story"].asBool();
@@ -287,10 +329,13 @@
   DayPlan plan;
   plan.length = length;
   plan.shape.calls_per_second = 30;
-  if (shape == "caspian") plan.shape = caspian_shape();
-  if (shape == "kathmandu") plan.shape = kathmandu_shape();
+  if (shape == "caspian")
+    plan.shape = caspian_shape();
+  if (shape == "kathmandu")
+    plan.shape = kathmandu_shape();
   if (arguments["faults"].asBool()) {
-    std::cout << "of a thousand calls: turned away with room in reach, turned away, outcome unknown, found no daemon; breaks\n";
+    std::cout << "of a thousand calls: turned away with room in reach, turned away, outcome unknown, found no daemon; "
+                 "breaks\n";
     for (const auto& fault : random_day_faults()) {
       CallTally sum;
       std::mutex adding;
@@ -312,9 +357,13 @@
             breaks += static_cast<std::int64_t>(result.breaks.size());
           }
         });
-      for (auto& thread : running) thread.join();
-      auto share = [&](std::int64_t number) { return std::to_string(number * 1000 / std::max<std::int64_t>(1, sum.asked)); };
-      std::cout << "  " << fault << ": " << share(sum.avoidable) << ", " << share(sum.refused) << ", " << share(sum.unknown) << ", " << share(sum.no_daemon) << "; " << breaks << std::endl;
+      for (auto& thread : running)
+        thread.join();
+      auto share = [&](std::int64_t number) {
+        return std::to_string(number * 1000 / std::max<std::int64_t>(1, sum.asked));
+      };
+      std::cout << "  " << fault << ": " << share(sum.avoidable) << ", " << share(sum.refused) << ", "
+                << share(sum.unknown) << ", " << share(sum.no_daemon) << "; " << breaks << std::endl;
     }
     return 0;
   }
@@ -330,12 +379,16 @@
     threads.emplace_back([&] {
       for (;;) {
         std::uint64_t index = next++;
-        if (index >= seeds) return;
+        if (index >= seeds)
+          return;
         ChaosResult result = has_days ? run_random_day(first + index, plan) : run_chaos(first + index, length);
         std::lock_guard<std::mutex> guard(out);
-        for (const auto& [fault, tried] : result.tried) faults[fault].first += tried;
-        for (const auto& [fault, bites] : result.bites) faults[fault].second += bites;
-        for (const auto& [reason, number] : result.tally.reasons) reasons[reason] += number;
+        for (const auto& [fault, tried] : result.tried)
+          faults[fault].first += tried;
+        for (const auto& [fault, bites] : result.bites)
+          faults[fault].second += bites;
+        for (const auto& [reason, number] : result.tally.reasons)
+          reasons[reason] += number;
         calls.asked += result.tally.asked;
         calls.served += result.tally.served;
         calls.refused += result.tally.refused;
@@ -347,20 +400,27 @@
         acked += result.acked;
         refused += result.refused;
         unknown += result.unknown;
-        if (result.breaks.empty() && !has_story) continue;
+        if (result.breaks.empty() && !has_story)
+          continue;
         std::cout << "seed " << first + index << (result.breaks.empty() ? " good" : " BROKEN") << "\n" << result.story;
-        for (const auto& fault : result.breaks) std::cout << "  " << fault.at << " " << fault.rule << ": " << fault.detail << "\n";
-        if (!result.breaks.empty()) ++broken;
+        for (const auto& fault : result.breaks)
+          std::cout << "  " << fault.at << " " << fault.rule << ": " << fault.detail << "\n";
+        if (!result.breaks.empty())
+          ++broken;
       }
     });
-  for (auto& thread : threads) thread.join();
+  for (auto& thread : threads)
+    thread.join();
   if (has_days) {
     std::cout << "fault: brought about, felt\n";
-    for (const auto& [fault, numbers] : faults) std::cout << "  " << fault << ": " << numbers.first << ", " << numbers.second << "\n";
-    std::cout << "calls: asked " << calls.asked << ", served " << calls.served << ", refused " << calls.refused << ", no grant " << calls.refused_no_grant
-              << ", outcome unknown " << calls.unknown << ", daemon down " << calls.no_daemon << ", misdirected " << calls.misdirected
-              << ", refused with room in reach " << calls.avoidable << "\n";
-    for (const auto& [reason, number] : reasons) std::cout << "  " << number << " " << reason << "\n";
+    for (const auto& [fault, numbers] : faults)
+      std::cout << "  " << fault << ": " << numbers.first << ", " << numbers.second << "\n";
+    std::cout << "calls: asked " << calls.asked << ", served " << calls.served << ", refused " << calls.refused
+              << ", no grant " << calls.refused_no_grant << ", outcome unknown " << calls.unknown << ", daemon down "
+              << calls.no_daemon << ", misdirected " << calls.misdirected << ", refused with room in reach "
+              << calls.avoidable << "\n";
+    for (const auto& [reason, number] : reasons)
+      std::cout << "  " << number << " " << reason << "\n";
     std::cout << "edits: acknowledged " << acked << ", refused " << refused << ", unknown " << unknown << "\n";
   }
   std::cout << seeds - static_cast<std::uint64_t>(broken.load()) << " passed, " << broken << " failed\n";
--- a/packages/fleet-simulator/src/random_day.cpp
+++ b/packages/fleet-simulator/src/random_day.cpp
@@ -13,8 +13,9 @@
     R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,"prefix_bytes":64})",
     R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true,"limit_percent":20},"horizon_ms":4000,"prefix_bytes":32})",
     R"({"service":"s","match":{"path":"/check"},"pool":"models","horizon_ms":4500,"prefix_bytes":16})",
-    R"({"service":"s","match":{"path":"/check"},"pool":"nowhere","horizon_ms":4500})",          // refused: no such pool
-    R"({"service":"s","match":{"path":"/homed"},"pool":"models","horizon_ms":4500})"};          // refused: claims another's calls
+    R"({"service":"s","match":{"path":"/check"},"pool":"nowhere","horizon_ms":4500})",  // refused: no such pool
+    R"({"service":"s","match":{"path":"/homed"},"pool":"models","horizon_ms":4500})"};  // refused: claims another's
+                                                                                        // calls
 
 class RandomDay {
  public:
@@ -31,7 +32,9 @@
 
  private:
   // --- small words ---------------------------------------------------------------------------------
-  const std::string& pick(const std::vector<std::string>& list) { return list[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(list.size())))]; }
+  const std::string& pick(const std::vector<std::string>& list) {
+    return list[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(list.size())))];
+  }
   std::string pick_zone() { return std::string(1, static_cast<char>('a' + random_.below(3))); }
   std::string pick_control() { return random_.chance(0.3) ? pick(cores_) : pick(edges_); }
   std::vector<std::string> all() const {
@@ -43,7 +46,8 @@
   std::vector<std::string> of_zone(const std::string& zone) const {
     std::vector<std::string> list;
     for (const auto& name : all())
-      if (fleet_.zone(name) == zone) list.push_back(name);
+      if (fleet_.zone(name) == zone)
+        list.push_back(name);
     return list;
   }
   bool is_core(const std::string& name) const { return std::find(cores_.begin(), cores_.end(), name) != cores_.end(); }
@@ -57,47 +61,62 @@
     });
   }
   void down_for(const std::string& name, bool is_power, std::int64_t ms) {
-    if (name.empty()) return;
+    if (name.empty())
+      return;
     bit(fleet_.is_up(name));
-    if (is_power) fleet_.power_cut(name);
-    else fleet_.kill(name);
+    if (is_power)
+      fleet_.power_cut(name);
+    else
+      fleet_.kill(name);
     fleet_.later(ms, [this, name] { back(name); });
   }
   void back(const std::string& name) {
-    if (std::find(gone_.begin(), gone_.end(), name) == gone_.end()) fleet_.start(name);
+    if (std::find(gone_.begin(), gone_.end(), name) == gone_.end())
+      fleet_.start(name);
   }
-  void cut_pairs(const std::vector<std::string>& ones, const std::vector<std::string>& others, bool is_one_way = false) {
+  void cut_pairs(const std::vector<std::string>& ones, const std::vector<std::string>& others,
+                 bool is_one_way = false) {
     std::vector<std::pair<std::string, std::string>> pairs;
     for (const auto& one : ones)
       for (const auto& other : others)
-        if (one != other) pairs.push_back({one, other});
+        if (one != other)
+          pairs.push_back({one, other});
     for (const auto& [one, other] : pairs) {
       fleet_.cut(one, other);
-      if (!is_one_way) fleet_.cut(other, one);
+      if (!is_one_way)
+        fleet_.cut(other, one);
     }
-    end_with([this] { return fleet_.network().cut_off(); }, [this, pairs] {
-      for (const auto& [one, other] : pairs) fleet_.mend_both(one, other);
-    });
+    end_with([this] { return fleet_.network().cut_off(); },
+             [this, pairs] {
+               for (const auto& [one, other] : pairs)
+                 fleet_.mend_both(one, other);
+             });
   }
   // One core machine may be without its disk at a time, and only while the others are sound.
   bool may_lose_disk() {
-    if (!lost_core_.empty()) return false;
-    return std::all_of(cores_.begin(), cores_.end(), [&](const auto& core) { return fleet_.is_running(core) && is_admitted(core); });
+    if (!lost_core_.empty())
+      return false;
+    return std::all_of(cores_.begin(), cores_.end(),
+                       [&](const auto& core) { return fleet_.is_running(core) && is_admitted(core); });
   }
   bool is_admitted(const std::string& core) {
     auto* control = fleet_.control(core);
-    if (control == nullptr || control->acceptor() == nullptr || control->acceptor()->is_blank()) return false;
+    if (control == nullptr || control->acceptor() == nullptr || control->acceptor()->is_blank())
+      return false;
     const auto& state = control->proposer().state();
     return state.next_acceptors.empty() &&
-           std::any_of(state.acceptors.begin(), state.acceptors.end(), [&](const auto& entry) { return entry.store == control->acceptor()->store(); });
+           std::any_of(state.acceptors.begin(), state.acceptors.end(),
+                       [&](const auto& entry) { return entry.store == control->acceptor()->store(); });
   }
-  void edit(const std::string& act, const std::string& kind, const std::string& name, const std::string& body, Integer expected = -1) {
+  void edit(const std::string& act, const std::string& kind, const std::string& name, const std::string& body,
+            Integer expected = -1) {
     edits_.push_back(fleet_.edit(pick_control(), act, kind, name, body, expected));
   }
   Integer version_seen(const std::string& at, const std::string& kind, const std::string& name) {
     if (auto* control = fleet_.control(at))
       for (const auto& resource : control->proposer().state().resources)
-        if (resource.kind == kind && resource.name == name) return resource.version;
+        if (resource.kind == kind && resource.name == name)
+          return resource.version;
     return 0;
   }
 
@@ -108,12 +127,14 @@
   void kill_master() { down_for(fleet_.master(), false, hold_); }
   void kill_many() {
     auto list = all();
-    for (std::int64_t i = 2 + random_.below(8); i > 0; --i) down_for(pick(list), random_.chance(0.5), hold_ + random_.below(1500));
+    for (std::int64_t i = 2 + random_.below(8); i > 0; --i)
+      down_for(pick(list), random_.chance(0.5), hold_ + random_.below(1500));
   }
   void lose_zone() {
     std::string zone = pick_zone();
     note("zone " + zone + " loses power for " + std::to_string(hold_));
-    for (const auto& name : of_zone(zone)) down_for(name, true, hold_);
+    for (const auto& name : of_zone(zone))
+      down_for(name, true, hold_);
     for (const auto& runner : runners_)
       if (fleet_.runner(runner).zone == zone) {
         fleet_.kill_runner(runner);
@@ -125,7 +146,8 @@
     note(std::string("region ") + (is_south ? "south" : "north") + " loses power for " + std::to_string(hold_));
     for (const std::string zone : {"a", "b", "c"})
       if ((zone == "c") == is_south)
-        for (const auto& name : of_zone(zone)) down_for(name, true, hold_);
+        for (const auto& name : of_zone(zone))
+          down_for(name, true, hold_);
     for (const auto& runner : runners_)
       if ((fleet_.runner(runner).zone == "c") == is_south) {
         fleet_.kill_runner(runner);
@@ -134,11 +156,13 @@
   }
   void lose_all() {
     note("total loss for " + std::to_string(hold_));
-    for (const auto& name : all()) down_for(name, true, hold_ + random_.below(300));
+    for (const auto& name : all())
+      down_for(name, true, hold_ + random_.below(300));
   }
   void freeze_one() {
     std::string name = random_.chance(0.35) ? fleet_.master() : pick(all());
-    if (name.empty() || !fleet_.is_running(name)) return;
+    if (name.empty() || !fleet_.is_running(name))
+      return;
     note("freeze " + name);
     fleet_.freeze(name);
     fleet_.later(hold_, [this, name, fault = current_] {
@@ -148,7 +172,8 @@
   }
   void isolate_one() {
     std::string name = random_.chance(0.3) ? fleet_.master() : pick(all());
-    if (name.empty()) return;
+    if (name.empty())
+      return;
     note("isolate " + name);
     auto others = all();
     others.insert(others.end(), runners_.begin(), runners_.end());
@@ -156,7 +181,8 @@
   }
   void cut_from_core() {
     std::string name = random_.chance(0.3) ? fleet_.master() : pick(random_.chance(0.5) ? edges_ : datas_);
-    if (name.empty()) return;
+    if (name.empty())
+      return;
     note("cut " + name + " from the core");
     cut_pairs({name}, cores_);
   }
@@ -170,10 +196,13 @@
     note("cut " + name + " from runners");
     std::vector<std::string> some;
     for (const auto& runner : runners_)
-      if (random_.chance(0.5)) some.push_back(runner);
-    for (const auto& runner : some) fleet_.cut_both(name, runner);
+      if (random_.chance(0.5))
+        some.push_back(runner);
+    for (const auto& runner : some)
+      fleet_.cut_both(name, runner);
     fleet_.later(hold_, [this, name, some] {
-      for (const auto& runner : some) fleet_.mend_both(name, runner);
+      for (const auto& runner : some)
+        fleet_.mend_both(name, runner);
     });
     bit(!some.empty());
   }
@@ -190,20 +219,23 @@
     note("cut off zone " + zone);
     std::vector<std::string> inside = of_zone(zone), outside;
     for (const auto& name : all())
-      if (fleet_.zone(name) != zone) outside.push_back(name);
+      if (fleet_.zone(name) != zone)
+        outside.push_back(name);
     cut_pairs(inside, outside, random_.chance(0.2));
   }
   void split_core() {
     note("core split");
     cut_pairs({cores_[0]}, {cores_[1], cores_[2]}, random_.chance(0.3));
-    if (random_.chance(0.4)) cut_pairs({cores_[1]}, {cores_[2]});
+    if (random_.chance(0.4))
+      cut_pairs({cores_[1]}, {cores_[2]});
   }
   void cut_off_core() {
     note("core cut off");
     std::vector<std::string> edge_side = edges_;
     edge_side.insert(edge_side.end(), datas_.begin(), datas_.end());
     std::vector<std::string> some = cores_;
-    if (random_.chance(0.4)) some.pop_back();
+    if (random_.chance(0.4))
+      some.pop_back();
     cut_pairs(some, edge_side);
   }
   void lose_messages() {
@@ -219,13 +251,15 @@
     auto disk = static_cast<Disk>(1 + random_.below(4));
     note("disk " + std::to_string(static_cast<int>(disk)) + " at " + core);
     fleet_.set_disk(core, disk);
-    end_with([this] { return fleet_.disk_bites(); }, [this, core] {
-      fleet_.set_disk(core, Disk::good);
-      back(core);
-    });
+    end_with([this] { return fleet_.disk_bites(); },
+             [this, core] {
+               fleet_.set_disk(core, Disk::good);
+               back(core);
+             });
   }
   void wipe_core() {
-    if (!may_lose_disk()) return;
+    if (!may_lose_disk())
+      return;
     lost_core_ = pick(cores_);
     note("wipe " + lost_core_);
     fleet_.power_cut(lost_core_);
@@ -234,11 +268,14 @@
     fleet_.later(hold_, [this, name = lost_core_] { back(name); });
   }
   void move_core() {
-    if (!may_lose_disk()) return;
+    if (!may_lose_disk())
+      return;
     std::string old = pick(cores_);
     // A daemon that starts anew knows three seeds; when all were replaced and nobody remembers it, only new
     // settings help (docs/operators.md). One seed stays.
-    if (old.size() == 2 && std::count_if(cores_.begin(), cores_.end(), [](const auto& core) { return core.size() == 2; }) == 1) return;
+    if (old.size() == 2 &&
+        std::count_if(cores_.begin(), cores_.end(), [](const auto& core) { return core.size() == 2; }) == 1)
+      return;
     std::string fresh = fleet_.add_core(fleet_.zone(old));
     lost_core_ = fresh;
     note("core machine " + old + " is lost for good; " + fresh + " comes instead");
@@ -249,7 +286,8 @@
   }
   void replace_until_done(const std::string& old, const std::string& fresh) {
     fleet_.later(700, [this, old, fresh] {
-      if (is_admitted(fresh)) return bit();
+      if (is_admitted(fresh))
+        return bit();
       replacing_ = fleet_.replace_core(pick(edges_), old, fresh);
       replace_until_done(old, fresh);
     });
@@ -294,14 +332,17 @@
   }
   void runner_flaps() {
     std::string runner = pick(runners_);
-    for (int i = 0; i < 5; ++i) fleet_.later(i * 400, [this, runner] { fleet_.start_runner(runner); });
+    for (int i = 0; i < 5; ++i)
+      fleet_.later(i * 400, [this, runner] { fleet_.start_runner(runner); });
     bit();
   }
   void runners_replaced() {
     std::vector<std::string> models;
     for (const auto& runner : runners_)
-      if (runner[0] == 'm') models.push_back(runner);
-    for (std::size_t i = 0; i < models.size(); ++i) fleet_.later(static_cast<std::int64_t>(i) * 600, [this, runner = models[i]] { fleet_.start_runner(runner); });
+      if (runner[0] == 'm')
+        models.push_back(runner);
+    for (std::size_t i = 0; i < models.size(); ++i)
+      fleet_.later(static_cast<std::int64_t>(i) * 600, [this, runner = models[i]] { fleet_.start_runner(runner); });
     bit();
   }
   void runner_pulled() {
@@ -321,7 +362,8 @@
   void runners_of_region() {
     bool is_south = random_.chance(0.5);
     for (const auto& runner : runners_)
-      if ((fleet_.runner(runner).zone == "c") == is_south) fleet_.start_runner(runner);
+      if ((fleet_.runner(runner).zone == "c") == is_south)
+        fleet_.start_runner(runner);
     bit();
   }
   void crowd_comes() {
@@ -346,14 +388,17 @@
     Integer version = version_seen(one, plans_kind, "check");
     note("rival edits at version " + std::to_string(version));
     auto first = fleet_.edit(one, "put", plans_kind, "check", check_variants[random_.below(3)], version);
-    auto second = fleet_.edit(other, "patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}", version);
+    auto second = fleet_.edit(other, "patch", plans_kind, "check",
+                              R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}", version);
     edits_.push_back(first);
     edits_.push_back(second);
     end_with([first, second] { return std::int64_t{first->code == 412 || second->code == 412}; }, [] {});
   }
   void quick_edits() {
     for (int i = 0; i < 5; ++i)
-      fleet_.later(i * 60, [this] { edit("patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}"); });
+      fleet_.later(i * 60, [this] {
+        edit("patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}");
+      });
     bit();
   }
   void bad_edits() {
@@ -361,8 +406,12 @@
     end_with([edit = edits_.back()] { return std::int64_t{edit->code == 422}; }, [] {});
   }
   void plan_comes_and_goes() {
-    if (random_.chance(0.5)) edit("put", plans_kind, "extra", R"({"service":"s","match":{"path":"/extra"},"pool":"models","horizon_ms":)" + std::to_string(1000 + random_.below(2000)) + "}");
-    else edit("delete", plans_kind, "extra", "");
+    if (random_.chance(0.5))
+      edit("put", plans_kind, "extra",
+           R"({"service":"s","match":{"path":"/extra"},"pool":"models","horizon_ms":)" +
+               std::to_string(1000 + random_.below(2000)) + "}");
+    else
+      edit("delete", plans_kind, "extra", "");
     bit();
   }
   void runner_marks() {
@@ -383,7 +432,8 @@
     note("rolling restart");
     for (std::size_t i = 0; i < list.size(); ++i)
       fleet_.later(static_cast<std::int64_t>(i) * 700, [this, name = list[i]] {
-        if (std::find(gone_.begin(), gone_.end(), name) != gone_.end()) return;
+        if (std::find(gone_.begin(), gone_.end(), name) != gone_.end())
+          return;
         fleet_.stop(name);
         restart_when_down(name);
       });
@@ -400,9 +450,12 @@
     (this->*fault.act)();
   }
   void look_after_core() {
-    if (!lost_core_.empty() && fleet_.is_running(lost_core_) && is_admitted(lost_core_)) lost_core_.clear();
+    if (!lost_core_.empty() && fleet_.is_running(lost_core_) && is_admitted(lost_core_))
+      lost_core_.clear();
+  }
+  void fail(const std::string& rule, const std::string& detail = "") {
+    result_.breaks.push_back({fleet_.now(), rule, detail.empty() ? fleet_.why_silent() : detail});
   }
-  void fail(const std::string& rule, const std::string& detail = "") { result_.breaks.push_back({fleet_.now(), rule, detail.empty() ? fleet_.why_silent() : detail}); }
   void last_fault();
   void after_the_day();
 
@@ -420,23 +473,48 @@
 
 const std::vector<RandomDay::Fault>& RandomDay::table() {
   using Day = RandomDay;
-  static const std::vector<Fault> faults{
-      {"edge daemon killed", 2, &Day::kill_edge}, {"data daemon killed", 2, &Day::kill_data}, {"core daemon killed", 2, &Day::kill_core},
-      {"master killed", 3, &Day::kill_master}, {"many killed at once", 2, &Day::kill_many}, {"zone lost", 2, &Day::lose_zone},
-      {"region lost", 1, &Day::lose_region}, {"total loss", 1, &Day::lose_all}, {"machine frozen", 3, &Day::freeze_one},
-      {"machine cut off", 3, &Day::isolate_one}, {"machine cut off from the core", 2, &Day::cut_from_core},
-      {"machine cut off from the edge", 2, &Day::cut_from_edge}, {"data daemon cut off from runners", 2, &Day::cut_from_runners},
-      {"one-way cuts", 2, &Day::one_way_cuts}, {"zone cut off", 2, &Day::cut_zone}, {"core split", 2, &Day::split_core},
-      {"core cut off", 2, &Day::cut_off_core}, {"messages lost", 2, &Day::lose_messages}, {"messages delayed", 2, &Day::delay_messages},
-      {"disk slow, stalled, full or failing", 4, &Day::break_disk}, {"core machine wiped", 2, &Day::wipe_core},
-      {"core machine replaced at a new address", 2, &Day::move_core}, {"edge daemons back at new addresses", 1, &Day::move_edges},
-      {"clocks leap", 2, &Day::leap_clocks}, {"clocks fast or slow", 1, &Day::skew_clocks}, {"runner back cold", 2, &Day::runner_cold},
-      {"runner hangs", 2, &Day::runner_hangs}, {"runner flaps", 1, &Day::runner_flaps}, {"runners replaced one by one", 1, &Day::runners_replaced},
-      {"runner pulled at short notice", 3, &Day::runner_pulled}, {"a region's runners back cold", 1, &Day::runners_of_region},
-      {"crowd", 2, &Day::crowd_comes}, {"mix swings", 2, &Day::mix_swings}, {"callers move", 2, &Day::callers_move},
-      {"rival edits", 5, &Day::rival_edits}, {"edits in quick succession", 3, &Day::quick_edits}, {"invalid edits", 2, &Day::bad_edits},
-      {"plan created and deleted", 3, &Day::plan_comes_and_goes}, {"runner marked", 4, &Day::runner_marks}, {"zone ordered", 3, &Day::zone_orders},
-      {"reads", 4, &Day::reads}, {"rolling restart", 1, &Day::rolling_restart}};
+  static const std::vector<Fault> faults{{"edge daemon killed", 2, &Day::kill_edge},
+                                         {"data daemon killed", 2, &Day::kill_data},
+                                         {"core daemon killed", 2, &Day::kill_core},
+                                         {"master killed", 3, &Day::kill_master},
+                                         {"many killed at once", 2, &Day::kill_many},
+                                         {"zone lost", 2, &Day::lose_zone},
+                                         {"region lost", 1, &Day::lose_region},
+                                         {"total loss", 1, &Day::lose_all},
+                                         {"machine frozen", 3, &Day::freeze_one},
+                                         {"machine cut off", 3, &Day::isolate_one},
+                                         {"machine cut off from the core", 2, &Day::cut_from_core},
+                                         {"machine cut off from the edge", 2, &Day::cut_from_edge},
+                                         {"data daemon cut off from runners", 2, &Day::cut_from_runners},
+                                         {"one-way cuts", 2, &Day::one_way_cuts},
+                                         {"zone cut off", 2, &Day::cut_zone},
+                                         {"core split", 2, &Day::split_core},
+                                         {"core cut off", 2, &Day::cut_off_core},
+                                         {"messages lost", 2, &Day::lose_messages},
+                                         {"messages delayed", 2, &Day::delay_messages},
+                                         {"disk slow, stalled, full or failing", 4, &Day::break_disk},
+                                         {"core machine wiped", 2, &Day::wipe_core},
+                                         {"core machine replaced at a new address", 2, &Day::move_core},
+                                         {"edge daemons back at new addresses", 1, &Day::move_edges},
+                                         {"clocks leap", 2, &Day::leap_clocks},
+                                         {"clocks fast or slow", 1, &Day::skew_clocks},
+                                         {"runner back cold", 2, &Day::runner_cold},
+                                         {"runner hangs", 2, &Day::runner_hangs},
+                                         {"runner flaps", 1, &Day::runner_flaps},
+                                         {"runners replaced one by one", 1, &Day::runners_replaced},
+                                         {"runner pulled at short notice", 3, &Day::runner_pulled},
+                                         {"a region's runners back cold", 1, &Day::runners_of_region},
+                                         {"crowd", 2, &Day::crowd_comes},
+                                         {"mix swings", 2, &Day::mix_swings},
+                                         {"callers move", 2, &Day::callers_move},
+                                         {"rival edits", 5, &Day::rival_edits},
+                                         {"edits in quick succession", 3, &Day::quick_edits},
+                                         {"invalid edits", 2, &Day::bad_edits},
+                                         {"plan created and deleted", 3, &Day::plan_comes_and_goes},
+                                         {"runner marked", 4, &Day::runner_marks},
+                                         {"zone ordered", 3, &Day::zone_orders},
+                                         {"reads", 4, &Day::reads},
+                                         {"rolling restart", 1, &Day::rolling_restart}};
   return faults;
 }
 
@@ -446,13 +524,15 @@
     fail("the fleet did not come up");
     return std::move(result_);
   }
-  if (plan_.plant) plan_.plant(fleet_);
+  if (plan_.plant)
+    plan_.plant(fleet_);
   edges_ = fleet_.names("edge");
   datas_ = fleet_.names("data");
   cores_ = fleet_.names("core");
   runners_ = fleet_.runner_names();
   int weights = 0;
-  for (const auto& fault : table()) weights += fault.weight;
+  for (const auto& fault : table())
+    weights += fault.weight;
   if (!plan_.only.empty()) {
     fleet_.run(Span{9000});  // no start any more: what one fault costs a fleet that has settled
     fleet_.reset_tally();
@@ -462,7 +542,8 @@
     if (!plan_.only.empty()) {
       hold_ = 5000;
       for (const auto& fault : table())
-        if (fault.name == plan_.only) bring_about(fault);
+        if (fault.name == plan_.only)
+          bring_about(fault);
       fleet_.run(Span{10000});
       look_after_core();
       continue;
@@ -483,14 +564,19 @@
   result_.tally = fleet_.tally();
   after_the_day();
   for (const auto& edit : edits_) {
-    if (edit->code == 200 || edit->code == 201) ++result_.acked;
-    else if (edit->code == 504 || !edit->is_over) ++result_.unknown;
-    else ++result_.refused;
-  }
-  for (const auto& broken : fleet_.breaks()) result_.breaks.push_back(broken);
+    if (edit->code == 200 || edit->code == 201)
+      ++result_.acked;
+    else if (edit->code == 504 || !edit->is_over)
+      ++result_.unknown;
+    else
+      ++result_.refused;
+  }
+  for (const auto& broken : fleet_.breaks())
+    result_.breaks.push_back(broken);
   auto figures = fleet_.figures();
-  story_ << "acked " << result_.acked << " refused " << result_.refused << " unknown " << result_.unknown << " worst old plan " << figures.worst_old_plan_ms
-         << " worst leaving " << figures.worst_leaving_ms << ", from the ask " << figures.worst_told_ms << ", retries " << figures.retries << " of " << figures.sends
+  story_ << "acked " << result_.acked << " refused " << result_.refused << " unknown " << result_.unknown
+         << " worst old plan " << figures.worst_old_plan_ms << " worst leaving " << figures.worst_leaving_ms
+         << ", from the ask " << figures.worst_told_ms << ", retries " << figures.retries << " of " << figures.sends
          << ", reads " << fleet_.watch().reads() << "\n";
   result_.story = story_.str();
   return std::move(result_);
@@ -499,9 +585,10 @@
 // What began in the day has ended; then one more fault, and only the machines it took come back.
 void RandomDay::last_fault() {
   hold_ = 1000 + random_.below(2000);
-  static const std::vector<Fault> last{{"last: total loss", 3, &RandomDay::lose_all}, {"last: zone lost", 2, &RandomDay::lose_zone},
-                                       {"last: region lost", 1, &RandomDay::lose_region}, {"last: master killed", 2, &RandomDay::kill_master},
-                                       {"last: many killed", 2, &RandomDay::kill_many}, {"last: core machine wiped", 1, &RandomDay::wipe_core}};
+  static const std::vector<Fault> last{
+      {"last: total loss", 3, &RandomDay::lose_all},     {"last: zone lost", 2, &RandomDay::lose_zone},
+      {"last: region lost", 1, &RandomDay::lose_region}, {"last: master killed", 2, &RandomDay::kill_master},
+      {"last: many killed", 2, &RandomDay::kill_many},   {"last: core machine wiped", 1, &RandomDay::wipe_core}};
   std::int64_t at = random_.below(11);
   for (const auto& fault : last)
     if ((at -= fault.weight) < 0) {
@@ -517,11 +604,16 @@
   look_after_core();
   last_fault();
   std::size_t wanted = datas_.size();
-  bool is_serving = fleet_.run_until([&] { return !fleet_.master().empty() && fleet_.serving_daemons() == static_cast<std::int64_t>(wanted); }, Span{12000});
-  if (!is_serving) return fail("service did not return within 12 s");
+  bool is_serving = fleet_.run_until(
+      [&] { return !fleet_.master().empty() && fleet_.serving_daemons() == static_cast<std::int64_t>(wanted); },
+      Span{12000});
+  if (!is_serving)
+    return fail("service did not return within 12 s");
   for (const std::string zone : {"a", "b", "c"})
-    if (!fleet_.edit_until_done("put", orders_kind, zone, R"({"state":"serving"})", Span{45000})) return fail("no edit was taken after the day");
-  for (const auto& runner : runners_) fleet_.edit_until_done("patch", runners_kind, runner, R"({"leaving":false})", Span{45000});
+    if (!fleet_.edit_until_done("put", orders_kind, zone, R"({"state":"serving"})", Span{45000}))
+      return fail("no edit was taken after the day");
+  for (const auto& runner : runners_)
+    fleet_.edit_until_done("patch", runners_kind, runner, R"({"leaving":false})", Span{45000});
   fleet_.run(Span{4000});
   fleet_.reset_tally();
   fleet_.run(Span{3000});
@@ -529,17 +621,21 @@
   std::int64_t turned_away = peace.refused + peace.refused_no_grant + peace.unknown + peace.no_daemon;
   if (turned_away * 50 > peace.asked || peace.served * 2 < peace.asked) {
     std::string reasons;
-    for (const auto& [reason, number] : peace.reasons) reasons += ", " + std::to_string(number) + " " + reason;
-    fail("calls are not served after the day", std::to_string(turned_away) + " of " + std::to_string(peace.asked) + " turned away" + reasons);
+    for (const auto& [reason, number] : peace.reasons)
+      reasons += ", " + std::to_string(number) + " " + reason;
+    fail("calls are not served after the day",
+         std::to_string(turned_away) + " of " + std::to_string(peace.asked) + " turned away" + reasons);
   }
-  if (!fleet_.compare_holdings()) fail("the register can't be read after the day");
+  if (!fleet_.compare_holdings())
+    fail("the register can't be read after the day");
 }
 
 }  // namespace
 
 std::vector<std::string> random_day_faults() {
   std::vector<std::string> names;
-  for (const auto& fault : RandomDay::table()) names.push_back(fault.name);
+  for (const auto& fault : RandomDay::table())
+    names.push_back(fault.name);
   return names;
 }
 
--- a/packages/fleet-simulator/src/scale_runs.hpp
+++ b/packages/fleet-simulator/src/scale_runs.hpp
@@ -37,7 +37,8 @@
 
 // What was counted between two moments. Counts and bytes are the same in every run; ns are not.
 struct ScaleCounts {
-  std::array<std::array<std::array<Tally, message_kinds>, role_count>, role_count> sent{};  // from, to, kind: those delivered
+  std::array<std::array<std::array<Tally, message_kinds>, role_count>, role_count>
+      sent{};                                                              // from, to, kind: those delivered
   std::array<std::array<Tally, message_kinds + 2>, role_count> handled{};  // by role; then timers, then probes
   std::array<Tally, message_kinds> encoded{}, decoded{};
   std::int64_t messages = 0, bytes = 0, register_rounds = 0;
--- a/packages/fleet-simulator/src/scenarios.hpp
+++ b/packages/fleet-simulator/src/scenarios.hpp
@@ -23,7 +23,8 @@
 // A fleet that serves, warm and in peace. Example: auto fleet = serving_fleet(7);
 inline std::unique_ptr<FleetSimulation> serving_fleet(std::uint64_t seed, SimulationShape shape = {}) {
   auto fleet = std::make_unique<FleetSimulation>(seed, shape);
-  if (!fleet->found() || !fleet->declare()) return nullptr;
+  if (!fleet->found() || !fleet->declare())
+    return nullptr;
   fleet->run(Span{4000});
   return fleet;
 }
@@ -31,10 +32,13 @@
 // Virtual milliseconds until a map is published by a master other than `was` (or by anyone).
 inline std::int64_t until_new_map(FleetSimulation& fleet, const std::string& was, std::int64_t limit = 30000) {
   std::int64_t begun = fleet.now();
-  bool is_there = fleet.run_until([&] {
-    std::string master = fleet.master();
-    return !master.empty() && master != was && fleet.control(master)->map().version.term == fleet.control(master)->election().term();
-  }, Span{limit});
+  bool is_there = fleet.run_until(
+      [&] {
+        std::string master = fleet.master();
+        return !master.empty() && master != was &&
+               fleet.control(master)->map().version.term == fleet.control(master)->election().term();
+      },
+      Span{limit});
   return is_there ? fleet.now() - begun : -1;
 }
 
@@ -42,19 +46,30 @@
 inline std::int64_t total_loss(FleetSimulation& fleet, bool has_new_addresses) {
   std::vector<std::string> edges = fleet.names("edge");
   for (const char* role : {"edge", "data", "core"})
-    for (const auto& name : fleet.names(role)) fleet.power_cut(name);
-  for (const auto& runner : fleet.runner_names()) fleet.kill_runner(runner);
+    for (const auto& name : fleet.names(role))
+      fleet.power_cut(name);
+  for (const auto& runner : fleet.runner_names())
+    fleet.kill_runner(runner);
   fleet.run(Span{5000});
-  for (const auto& runner : fleet.runner_names()) fleet.start_runner(runner);
+  for (const auto& runner : fleet.runner_names())
+    fleet.start_runner(runner);
   for (const char* role : {"core", "data"})
-    for (const auto& name : fleet.names(role)) fleet.start(name);
+    for (const auto& name : fleet.names(role))
+      fleet.start(name);
   for (const auto& name : edges) {
-    if (has_new_addresses) fleet.add_edge(name.substr(0, 1));
-    else fleet.start(name);
+    if (has_new_addresses)
+      fleet.add_edge(name.substr(0, 1));
+    else
+      fleet.start(name);
   }
   std::int64_t begun = fleet.now();
   fleet.reset_tally();
-  fleet.run_until([&] { return fleet.serving_daemons() == static_cast<std::int64_t>(fleet.names("data").size()) && fleet.tally().served > 0; }, Span{30000});
+  fleet.run_until(
+      [&] {
+        return fleet.serving_daemons() == static_cast<std::int64_t>(fleet.names("data").size()) &&
+               fleet.tally().served > 0;
+      },
+      Span{30000});
   return fleet.now() - begun;
 }
 
--- a/packages/fleet-simulator/src/simulated_calls.cpp
+++ b/packages/fleet-simulator/src/simulated_calls.cpp
@@ -6,14 +6,18 @@
 namespace emberdale {
 
 void FleetSimulation::ask_call() {
-  if (!has_calls_) return;
+  if (!has_calls_)
+    return;
   at(now_ + crowd_.gap(random_), [this] { ask_call(); });
   std::vector<std::string> daemons = names("data");
   if (crowd_.south_share >= 0) {
     std::string wanted = random_.chance(crowd_.south_share) ? "south" : "north";
-    daemons.erase(std::remove_if(daemons.begin(), daemons.end(), [&](const auto& name) { return node(name).region != wanted; }), daemons.end());
+    daemons.erase(
+        std::remove_if(daemons.begin(), daemons.end(), [&](const auto& name) { return node(name).region != wanted; }),
+        daemons.end());
   }
-  const std::string daemon = daemons[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(daemons.size())))];
+  const std::string daemon =
+      daemons[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(daemons.size())))];
   ++tally_.asked;
   CallIndex index = ++last_call_;
   CallRecord& call = calls_[index];
@@ -21,16 +25,19 @@
   call.daemon = daemon;
   Node& target = node(daemon);
   call.wish = crowd_.next(random_, target.region);
-  if (!target.is_up) return end_call(index, "no_daemon");
+  if (!target.is_up)
+    return end_call(index, "no_daemon");
   ArrivingCall arriving;
   arriving.id.text = "call-" + std::to_string(index);
   arriving.method = "POST";
   arriving.path = call.wish.path;
   arriving.prefix = call.wish.prefix;
-  if (!call.wish.home.empty()) arriving.headers["x-home-region"] = is_home_misread ? target.region : call.wish.home;
+  if (!call.wish.home.empty())
+    arriving.headers["x-home-region"] = is_home_misread ? target.region : call.wish.home;
   on_node(daemon, [this, arriving, index](Node& awake) {
     refresh_dispatcher(awake);
-    if (auto refusal = awake.dispatcher->arrive(arriving, clock(awake), index)) end_finally(*refusal);
+    if (auto refusal = awake.dispatcher->arrive(arriving, clock(awake), index))
+      end_finally(*refusal);
     flush_dispatcher(awake);
   });
 }
@@ -39,52 +46,74 @@
 bool FleetSimulation::has_room(const CallRecord& call) const {
   const std::string pool = call.wish.path == "/record" ? "records" : "models";
   const Node& daemon = node(call.daemon);
-  if (daemon.is_frozen || !daemon.is_up) return false;
+  if (daemon.is_frozen || !daemon.is_up)
+    return false;
   return std::any_of(runners_.begin(), runners_.end(), [&](const auto& entry) {
     const SimulatedRunner& runner = entry.second;
-    return runner.pool == pool && runner.is_up && !runner.is_hung && !runner.is_cold(now_) && runner.running * 2 < runner.capacity &&
-           runner.region == daemon.region && !watch_.is_barred(runner.name) && !network_.is_cut(daemon.name, runner.name);
+    return runner.pool == pool && runner.is_up && !runner.is_hung && !runner.is_cold(now_) &&
+           runner.running * 2 < runner.capacity && runner.region == daemon.region && !watch_.is_barred(runner.name) &&
+           !network_.is_cut(daemon.name, runner.name);
   });
 }
 
 void FleetSimulation::end_call(CallIndex index, const std::string& outcome, const std::string& reason) {
   CallRecord& call = calls_.at(index);
-  if (call.is_over) return;
+  if (call.is_over)
+    return;
   call.is_over = true;
-  if (outcome == "served") ++tally_.served;
-  else if (outcome == "refused") ++tally_.refused;
-  else if (outcome == "refused_no_grant") ++tally_.refused_no_grant;
-  else if (outcome == "unknown") ++tally_.unknown;
-  else if (outcome == "misdirected") ++tally_.misdirected;
-  else ++tally_.no_daemon;
-  if (!reason.empty()) ++tally_.reasons[reason];
+  if (outcome == "served")
+    ++tally_.served;
+  else if (outcome == "refused")
+    ++tally_.refused;
+  else if (outcome == "refused_no_grant")
+    ++tally_.refused_no_grant;
+  else if (outcome == "unknown")
+    ++tally_.unknown;
+  else if (outcome == "misdirected")
+    ++tally_.misdirected;
+  else
+    ++tally_.no_daemon;
+  if (!reason.empty())
+    ++tally_.reasons[reason];
   bool is_refused = outcome.rfind("refused", 0) == 0;
-  if (is_refused && has_room(call)) ++tally_.avoidable;
-  if (is_refused || outcome == "misdirected") watch_.refused(now_, index, call.wish.is_repeatable);
+  if (is_refused && has_room(call))
+    ++tally_.avoidable;
+  if (is_refused || outcome == "misdirected")
+    watch_.refused(now_, index, call.wish.is_repeatable);
 }
 
 void FleetSimulation::end_finally(const FinalAct& act) {
   bool wants_grant = act.reason.find("proven current") != std::string::npos;
-  end_call(act.call, act.may_have_run ? "unknown" : act.code == 421 ? "misdirected" : wants_grant ? "refused_no_grant" : "refused",
+  end_call(act.call,
+           act.may_have_run  ? "unknown"
+           : act.code == 421 ? "misdirected"
+           : wants_grant     ? "refused_no_grant"
+                             : "refused",
            act.code == 421 ? "" : act.reason);
 }
 
 void FleetSimulation::flush_dispatcher(Node& target) {
-  for (const auto& act : target.dispatcher->take_sends()) run_send(target.name, act);
-  for (const auto& act : target.dispatcher->take_finals()) end_finally(act);
+  for (const auto& act : target.dispatcher->take_sends())
+    run_send(target.name, act);
+  for (const auto& act : target.dispatcher->take_finals())
+    end_finally(act);
 }
 
 void FleetSimulation::run_send(const std::string& daemon, const SendAct& act) {
   Node& sender = node(daemon);
   SimulatedRunner& runner = runners_.at(act.runner.text);
   CallRecord& call = calls_.at(act.call);
-  watch_.sent(now_, {act.call, daemon, runner.name, runner.region, call.wish.home, sender.data->view()->config_revision, act.is_retry});
+  watch_.sent(now_, {act.call, daemon, runner.name, runner.region, call.wish.home, sender.data->view()->config_revision,
+                     act.is_retry});
   Integer life = sender.life;
   auto finish = [this, daemon, life, act](SendEnd end) {
     on_node(daemon, [this, daemon, life, act, end](Node& awake) {
-      if (awake.life != life) return;
-      if (end.kind == SendEndKind::answered) end_call(act.call, "served");
-      if (end.kind == SendEndKind::lost && is_lost_call_resent) run_send(daemon, act);
+      if (awake.life != life)
+        return;
+      if (end.kind == SendEndKind::answered)
+        end_call(act.call, "served");
+      if (end.kind == SendEndKind::lost && is_lost_call_resent)
+        run_send(daemon, act);
       refresh_dispatcher(awake);
       awake.dispatcher->end_send(end, clock(awake));
       flush_dispatcher(awake);
@@ -105,17 +134,22 @@
     return end;
   };
   auto vanish = [this, deadline, finish, report, runner = act.runner.text] {
-    at(std::max(now_, deadline), [this, finish, report, runner] { finish(report(runners_.at(runner), SendEndKind::lost, "no answer within the deadline")); });
+    at(std::max(now_, deadline), [this, finish, report, runner] {
+      finish(report(runners_.at(runner), SendEndKind::lost, "no answer within the deadline"));
+    });
   };
   bool is_cut = network_.is_cut(daemon, act.runner.text);
   at(now_ + wait, [this, act, wait, deadline, finish, report, vanish, is_cut, daemon] {
     SimulatedRunner& target = runners_.at(act.runner.text);
-    if (is_cut || (target.is_up && target.is_hung)) return vanish();
-    if (!target.is_up) return finish(report(target, SendEndKind::unsent, "no link"));
+    if (is_cut || (target.is_up && target.is_hung))
+      return vanish();
+    if (!target.is_up)
+      return finish(report(target, SendEndKind::unsent, "no link"));
     bool is_cold = target.is_cold(now_);
     std::string refusal = target.take(now_, act.incarnation, !is_incarnation_check_off);
     // What a runner refuses as too much while it is cold was a flood, whether or not it could fend it off.
-    if (is_cold && refusal != "incarnation") watch_.asked_cold(now_, target.name, target.running + (refusal.empty() ? 0 : 1), target.allowance);
+    if (is_cold && refusal != "incarnation")
+      watch_.asked_cold(now_, target.name, target.running + (refusal.empty() ? 0 : 1), target.allowance);
     if (!refusal.empty()) {
       ++figures_.refused_by_runner;
       return finish(report(target, SendEndKind::refused, refusal));
@@ -127,19 +161,24 @@
     if (record.wish.is_streaming)  // its first piece is out: from here on no other runner may go on with it
       at(now_ + wait + 20, [this, daemon, index = act.call, life = node(daemon).life] {
         on_node(daemon, [life, index](Node& awake) {
-          if (awake.life == life) awake.dispatcher->first_piece(index);
+          if (awake.life == life)
+            awake.dispatcher->first_piece(index);
         });
       });
     at(now_ + service, [this, act, wait, deadline, finish, report, vanish, runner_life] {
       SimulatedRunner& done = runners_.at(act.runner.text);
       if (done.life != runner_life) {
-        later(wait, [this, act, finish, report] { finish(report(runners_.at(act.runner.text), SendEndKind::lost, "link broke")); });
+        later(wait, [this, act, finish, report] {
+          finish(report(runners_.at(act.runner.text), SendEndKind::lost, "link broke"));
+        });
         return;
       }
-      if (done.is_hung) return vanish();
+      if (done.is_hung)
+        return vanish();
       done.finish();
       bool is_late = now_ + wait > deadline;
-      auto end = report(done, is_late ? SendEndKind::lost : SendEndKind::answered, is_late ? "no answer within the deadline" : "");
+      auto end = report(done, is_late ? SendEndKind::lost : SendEndKind::answered,
+                        is_late ? "no answer within the deadline" : "");
       later(wait, [finish, end] { finish(end); });
     });
   });
--- a/packages/fleet-simulator/src/simulated_operators.cpp
+++ b/packages/fleet-simulator/src/simulated_operators.cpp
@@ -7,20 +7,25 @@
 namespace {
 
 std::string runner_body(const SimulatedRunner& runner, int port) {
-  return R"({"address":"127.0.0.1:)" + std::to_string(port) + R"(","pool":")" + runner.pool + R"(","zone":")" + runner.zone + R"(","region":")" +
-         runner.region + R"(","seal_key":"key-)" + runner.name + R"("})";
+  return R"({"address":"127.0.0.1:)" + std::to_string(port) + R"(","pool":")" + runner.pool + R"(","zone":")" +
+         runner.zone + R"(","region":")" + runner.region + R"(","seal_key":"key-)" + runner.name + R"("})";
 }
 
 const std::map<std::string, std::string> first_plans{
-    {"check", R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,"prefix_bytes":64})"},
-    {"homed", R"({"service":"s","match":{"path":"/homed"},"pool":"models","home":{"header":"x-home-region"},"horizon_ms":5000})"},
-    {"long", R"({"service":"s","match":{"path":"/chat"},"pool":"models","spill":{"allowed":true},"streaming":true,"horizon_ms":9000})"},
-    {"record", R"({"service":"r","match":{"path":"/record"},"pool":"records","spill":{"allowed":true},"repeatable":true,"horizon_ms":3000})"}};
+    {"check",
+     R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,"prefix_bytes":64})"},
+    {"homed",
+     R"({"service":"s","match":{"path":"/homed"},"pool":"models","home":{"header":"x-home-region"},"horizon_ms":5000})"},
+    {"long",
+     R"({"service":"s","match":{"path":"/chat"},"pool":"models","spill":{"allowed":true},"streaming":true,"horizon_ms":9000})"},
+    {"record",
+     R"({"service":"r","match":{"path":"/record"},"pool":"records","spill":{"allowed":true},"repeatable":true,"horizon_ms":3000})"}};
 
 }  // namespace
 
-std::shared_ptr<FleetSimulation::EditOutcome> FleetSimulation::edit(const std::string& where, const std::string& act, const std::string& kind,
-                                                                   const std::string& name, const std::string& body, Integer expected) {
+std::shared_ptr<FleetSimulation::EditOutcome> FleetSimulation::edit(const std::string& where, const std::string& act,
+                                                                    const std::string& kind, const std::string& name,
+                                                                    const std::string& body, Integer expected) {
   auto outcome = std::make_shared<EditOutcome>();
   outcome->asked_at = now_;
   Node& target = node(where);
@@ -38,8 +43,11 @@
   ask.body = body;
   outcome->ask = {ask.change, kind, name, act, body, now_};
   watch_.asked(outcome->ask);
-  if (getenv("DBG")) fprintf(stderr, "%ld ask %s at %s %s/%s %s\n", now_, ask.change.c_str(), where.c_str(), kind.c_str(), name.c_str(), body.substr(0,40).c_str());
-  target.control->edit(ask, [this, outcome](const EditAnswer& answer) { end_edit(outcome, answer); }, clock(target));
+  if (getenv("DBG"))
+    fprintf(stderr, "%ld ask %s at %s %s/%s %s\n", now_, ask.change.c_str(), where.c_str(), kind.c_str(), name.c_str(),
+            body.substr(0, 40).c_str());
+  target.control->edit(
+      ask, [this, outcome](const EditAnswer& answer) { end_edit(outcome, answer); }, clock(target));
   flush(target);
   return outcome;
 }
@@ -47,7 +55,10 @@
 void FleetSimulation::end_edit(const std::shared_ptr<EditOutcome>& outcome, const EditAnswer& answer) {
   outcome->is_over = true;
   outcome->over_at = now_;
-  if (getenv("DBG")) fprintf(stderr, "%ld end %s %s/%s asked %ld code %ld %s\n", now_, outcome->ask.change.c_str(), outcome->ask.kind.c_str(), outcome->ask.name.c_str(), outcome->asked_at, answer.code, answer.body.substr(0,90).c_str());
+  if (getenv("DBG"))
+    fprintf(stderr, "%ld end %s %s/%s asked %ld code %ld %s\n", now_, outcome->ask.change.c_str(),
+            outcome->ask.kind.c_str(), outcome->ask.name.c_str(), outcome->asked_at, answer.code,
+            answer.body.substr(0, 90).c_str());
   outcome->code = answer.code;
   outcome->version = answer.version;
   outcome->body = answer.body;
@@ -60,22 +71,30 @@
   }
 }
 
-bool FleetSimulation::edit_until_done(const std::string& act, const std::string& kind, const std::string& name, const std::string& body, Span span) {
+bool FleetSimulation::edit_until_done(const std::string& act, const std::string& kind, const std::string& name,
+                                      const std::string& body, Span span) {
   std::int64_t end = now_ + span.value;
   while (now_ < end) {
     std::vector<std::string> able;
     for (const auto& [other, made] : nodes_)
-      if (made->control && made->is_up && !made->is_frozen) able.push_back(other);
-    if (able.empty()) return false;
-    auto outcome = edit(able[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(able.size())))], act, kind, name, body);
-    run_until([&] { return outcome->is_over; }, Span{std::max<std::int64_t>(1, std::min<std::int64_t>(18000, end - now_))});
-    if (outcome->code == 200 || outcome->code == 201) return true;
+      if (made->control && made->is_up && !made->is_frozen)
+        able.push_back(other);
+    if (able.empty())
+      return false;
+    auto outcome = edit(able[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(able.size())))], act,
+                        kind, name, body);
+    run_until([&] { return outcome->is_over; },
+              Span{std::max<std::int64_t>(1, std::min<std::int64_t>(18000, end - now_))});
+    if (outcome->code == 200 || outcome->code == 201)
+      return true;
     run(Span{100});
   }
   return false;
 }
 
-std::shared_ptr<FleetSimulation::EditOutcome> FleetSimulation::replace_core(const std::string& where, const std::string& old_name, const std::string& new_name) {
+std::shared_ptr<FleetSimulation::EditOutcome> FleetSimulation::replace_core(const std::string& where,
+                                                                            const std::string& old_name,
+                                                                            const std::string& new_name) {
   auto outcome = std::make_shared<EditOutcome>();
   Node& target = node(where);
   if (!target.is_up || target.is_frozen) {
@@ -83,11 +102,14 @@
     outcome->code = 503;
     return outcome;
   }
-  target.control->replace_core(node(old_name).address, node(new_name).address, [outcome](int code, const std::string& reason) {
-    outcome->is_over = true;
-    outcome->code = code;
-    outcome->body = reason;
-  }, clock(target));
+  target.control->replace_core(
+      node(old_name).address, node(new_name).address,
+      [outcome](int code, const std::string& reason) {
+        outcome->is_over = true;
+        outcome->code = code;
+        outcome->body = reason;
+      },
+      clock(target));
   flush(target);
   return outcome;
 }
@@ -95,12 +117,16 @@
 std::shared_ptr<FleetState> FleetSimulation::read(const std::string& where) {
   auto shown = std::make_shared<FleetState>();
   Node& target = node(where);
-  if (!target.is_up || target.is_frozen || !target.control) return shown;
-  target.control->read([this, shown, where, begun = now_](const FleetState* state) {
-    if (state == nullptr) return;
-    *shown = *state;
-    watch_.was_read(now_, begun, where, *state);
-  }, clock(target));
+  if (!target.is_up || target.is_frozen || !target.control)
+    return shown;
+  target.control->read(
+      [this, shown, where, begun = now_](const FleetState* state) {
+        if (state == nullptr)
+          return;
+        *shown = *state;
+        watch_.was_read(now_, begun, where, *state);
+      },
+      clock(target));
   flush(target);
   return shown;
 }
@@ -112,21 +138,28 @@
       if (is_running(name)) {
         state = read(name);
         run(Span{1500});
-        if (state->version != 0) break;
+        if (state->version != 0)
+          break;
       }
   }
-  if (!state || state->version == 0) return false;
+  if (!state || state->version == 0)
+    return false;
   // The news of the very last change may still be under way.
-  run_until([&] {
-    for (const auto& name : names("data"))
-      if (is_running(name) && data(name)->view()->config_revision < state->config_revision) return false;
-    return true;
-  }, Span{3000});
+  run_until(
+      [&] {
+        for (const auto& name : names("data"))
+          if (is_running(name) && data(name)->view()->config_revision < state->config_revision)
+            return false;
+        return true;
+      },
+      Span{3000});
   watch_.settled(now_, *state);
   for (const auto& name : names("data")) {
-    if (!is_running(name) || data(name)->view()->config_revision > state->config_revision) continue;
+    if (!is_running(name) || data(name)->view()->config_revision > state->config_revision)
+      continue;
     std::map<RunnerName, std::string> statuses;
-    for (const auto& [runner, row] : data(name)->view()->runners) statuses[runner] = row.status;
+    for (const auto& [runner, row] : data(name)->view()->runners)
+      statuses[runner] = row.status;
     watch_.holds(now_, name, data(name)->view()->plan_versions, statuses, *state);
   }
   return true;
@@ -136,19 +169,25 @@
   run(Span{500});
   Node& first = node("a0");
   int code = 0;
-  first.control->found("simulated", {node("a0").address, node("b0").address, node("c0").address}, [&](int answer, const std::string&) { code = answer; }, clock(first));
+  first.control->found(
+      "simulated", {node("a0").address, node("b0").address, node("c0").address},
+      [&](int answer, const std::string&) { code = answer; }, clock(first));
   flush(first);
-  if (!run_until([&] { return code != 0; }, Span{5000}) || code != 201) return false;
+  if (!run_until([&] { return code != 0; }, Span{5000}) || code != 201)
+    return false;
   return run_until([&] { return !master().empty(); }, Span{15000});
 }
 
 bool FleetSimulation::declare() {
   int port = 20000;
   for (const auto& [name, runner] : runners_)
-    if (!edit_until_done("put", runners_kind, name, runner_body(runner, ++port), Span{10000})) return false;
+    if (!edit_until_done("put", runners_kind, name, runner_body(runner, ++port), Span{10000}))
+      return false;
   for (const auto& [name, body] : first_plans)
-    if (!edit_until_done("put", plans_kind, name, body, Span{10000})) return false;
-  bool is_serving = run_until([&] { return serving_daemons() == static_cast<std::int64_t>(names("data").size()); }, Span{10000});
+    if (!edit_until_done("put", plans_kind, name, body, Span{10000}))
+      return false;
+  bool is_serving =
+      run_until([&] { return serving_daemons() == static_cast<std::int64_t>(names("data").size()); }, Span{10000});
   if (!has_calls_ && crowd_.rate > 0) {
     has_calls_ = true;
     ask_call();
--- a/packages/fleet-simulator/tests/fleet_simulator_test.cpp
+++ b/packages/fleet-simulator/tests/fleet_simulator_test.cpp
@@ -11,11 +11,13 @@
 
 std::string show(const std::vector<SimulationBreak>& breaks) {
   std::string text;
-  for (const auto& broken : breaks) text += std::to_string(broken.at) + " " + broken.rule + ": " + broken.detail + "\n";
+  for (const auto& broken : breaks)
+    text += std::to_string(broken.at) + " " + broken.rule + ": " + broken.detail + "\n";
   return text;
 }
 
-const char* const other_plan = R"({"service":"s","match":{"path":"/check"},"pool":"models","horizon_ms":4500,"prefix_bytes":16})";
+const char* const other_plan =
+    R"({"service":"s","match":{"path":"/check"},"pool":"models","horizon_ms":4500,"prefix_bytes":16})";
 
 }  // namespace
 
@@ -49,12 +51,15 @@
     auto fleet = serving_fleet(3);
     fleet->is_grant_check_off = is_guard_out;
     // Cut off from every edge daemon, but not from the core: it still learns that it is behind.
-    for (const auto& edge : fleet->names("edge")) fleet->cut_both("a1-data", edge);
+    for (const auto& edge : fleet->names("edge"))
+      fleet->cut_both("a1-data", edge);
     fleet->run(Span{500});
     ASSERT_TRUE(fleet->edit_until_done("put", plans_kind, "check", other_plan, Span{20000}));
     fleet->run(Span{8000});
-    if (is_guard_out) EXPECT_NE(show(fleet->breaks()), "");
-    else EXPECT_EQ(show(fleet->breaks()), "");
+    if (is_guard_out)
+      EXPECT_NE(show(fleet->breaks()), "");
+    else
+      EXPECT_EQ(show(fleet->breaks()), "");
     EXPECT_EQ(fleet->dispatcher("a1-data")->counts().refused_no_grant > 0, !is_guard_out);
   }
 }
@@ -76,20 +81,25 @@
   ASSERT_TRUE(fleet->run_until([&] { return outcome->is_over; }, Span{20000}));
   ASSERT_EQ(outcome->code, 200);
   for (const char* role : {"edge", "data", "core"})
-    for (const auto& name : fleet->names(role)) fleet->power_cut(name);
+    for (const auto& name : fleet->names(role))
+      fleet->power_cut(name);
   fleet->wipe("a0");
   fleet->run(Span{1000});
   for (const char* role : {"edge", "data", "core"})
-    for (const auto& name : fleet->names(role)) fleet->start(name);
+    for (const auto& name : fleet->names(role))
+      fleet->start(name);
   ASSERT_TRUE(fleet->run_until([&] { return fleet->serving_daemons() == 9; }, Span{12000})) << fleet->why_silent();
   for (const auto& name : fleet->names("data"))
     EXPECT_EQ(fleet->data(name)->view()->plans.front().deadline_ms, 4500) << name;
   // The wiped machine is a new store, and is admitted again without an operator.
-  EXPECT_TRUE(fleet->run_until([&] {
-    for (const auto& entry : fleet->control("b0")->proposer().state().acceptors)
-      if (entry.store == fleet->control("a0")->acceptor()->store()) return true;
-    return false;
-  }, Span{15000}));
+  EXPECT_TRUE(fleet->run_until(
+      [&] {
+        for (const auto& entry : fleet->control("b0")->proposer().state().acceptors)
+          if (entry.store == fleet->control("a0")->acceptor()->store())
+            return true;
+        return false;
+      },
+      Span{15000}));
   EXPECT_EQ(show(fleet->breaks()), "");
 }
 
@@ -113,9 +123,12 @@
   for (const char* way : {"kill", "freeze", "isolate", "leave"}) {
     auto fleet = serving_fleet(6);
     std::string was = fleet->master();
-    if (std::string(way) == "kill") fleet->kill(was);
-    if (std::string(way) == "freeze") fleet->freeze(was);
-    if (std::string(way) == "isolate") fleet->isolate(was);
+    if (std::string(way) == "kill")
+      fleet->kill(was);
+    if (std::string(way) == "freeze")
+      fleet->freeze(was);
+    if (std::string(way) == "isolate")
+      fleet->isolate(was);
     if (std::string(way) == "leave") {
       fleet->control(was)->stop(fleet->moment(was));
       fleet->run(Span{50});
@@ -152,7 +165,8 @@
   for (bool has_new_addresses : {false, true})
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
       auto fleet = serving_fleet(seed);
-      EXPECT_LT(total_loss(*fleet, has_new_addresses), 12000) << "seed " << seed << (has_new_addresses ? " new addresses\n" : "\n") << fleet->why_silent();
+      EXPECT_LT(total_loss(*fleet, has_new_addresses), 12000)
+          << "seed " << seed << (has_new_addresses ? " new addresses\n" : "\n") << fleet->why_silent();
       EXPECT_EQ(show(fleet->breaks()), "");
     }
 }
@@ -204,15 +218,20 @@
     auto fleet = serving_fleet(11, shape);
     fleet->is_incarnation_check_off = is_guard_out;
     for (int round = 0; round < 3; ++round) {
-      for (const auto& runner : fleet->runner_names()) fleet->start_runner(runner);  // all at once, cold
+      for (const auto& runner : fleet->runner_names())
+        fleet->start_runner(runner);  // all at once, cold
       fleet->run(Span{5000});
     }
-    if (is_guard_out) EXPECT_GT(fleet->figures().cold_peak_over, 0);
-    else EXPECT_EQ(fleet->figures().cold_peak_over, 0);
+    if (is_guard_out)
+      EXPECT_GT(fleet->figures().cold_peak_over, 0);
+    else
+      EXPECT_EQ(fleet->figures().cold_peak_over, 0);
     auto figures = fleet->figures();
     EXPECT_LE(figures.retries * 5, figures.sends + 5 * 9 * 12);
-    if (is_guard_out) EXPECT_NE(show(fleet->breaks()), "");
-    else EXPECT_EQ(show(fleet->breaks()), "");
+    if (is_guard_out)
+      EXPECT_NE(show(fleet->breaks()), "");
+    else
+      EXPECT_EQ(show(fleet->breaks()), "");
   }
 }
 
@@ -222,7 +241,9 @@
   fleet->wipe("a0");
   fleet->start("a0");
   int code = 0;
-  fleet->control("a0")->found("another", {fleet->address("a0"), fleet->address("b0"), fleet->address("c0")}, [&](int answer, const std::string&) { code = answer; }, fleet->moment("a0"));
+  fleet->control("a0")->found(
+      "another", {fleet->address("a0"), fleet->address("b0"), fleet->address("c0")},
+      [&](int answer, const std::string&) { code = answer; }, fleet->moment("a0"));
   fleet->run_until([&] { return code != 0; }, Span{6000});
   EXPECT_EQ(code, 409);
 }
@@ -232,7 +253,8 @@
   fleet->run(Span{10000});  // a daemon that has just started acknowledges nothing yet
   for (const auto& core : fleet->names("core"))
     for (const char* role : {"edge", "data"})
-      for (const auto& name : fleet->names(role)) fleet->cut_both(core, name);
+      for (const auto& name : fleet->names(role))
+        fleet->cut_both(core, name);
   fleet->reset_tally();
   fleet->run(Span{29500});
   EXPECT_GT(fleet->tally().served, 900);
@@ -251,25 +273,36 @@
     // The whole roster and its data daemons are cut off from the core, and nine new daemons come up beside it.
     for (const char* role : {"edge", "data"})
       for (const auto& name : fleet->names(role))
-        for (const auto& core : fleet->names("core")) fleet->cut_both(core, name);
+        for (const auto& core : fleet->names("core"))
+          fleet->cut_both(core, name);
     for (const std::string zone : {"a", "b", "c"})
       for (int i = 0; i < 3; ++i) {
         std::string fresh = fleet->add_edge(zone);
-        if (guard == Guard::wait_out) fleet->control(fresh)->take_ack_wait_out();
+        if (guard == Guard::wait_out)
+          fleet->control(fresh)->take_ack_wait_out();
         fleet->control(fresh)->is_promise_off = guard == Guard::promise_out;
-        for (const auto& name : old_edges) fleet->cut_both(fresh, name);
-        for (const auto& name : fleet->names("data")) fleet->cut_both(fresh, name);
+        for (const auto& name : old_edges)
+          fleet->cut_both(fresh, name);
+        for (const auto& name : fleet->names("data"))
+          fleet->cut_both(fresh, name);
       }
-    ASSERT_TRUE(fleet->run_until([&] {
-      for (const auto& name : fleet->names("edge"))
-        if (std::find(old_edges.begin(), old_edges.end(), name) == old_edges.end() && fleet->control(name)->election().is_master()) return true;
-      return false;
-    }, Span{12000})) << fleet->why_silent();
+    ASSERT_TRUE(fleet->run_until(
+        [&] {
+          for (const auto& name : fleet->names("edge"))
+            if (std::find(old_edges.begin(), old_edges.end(), name) == old_edges.end() &&
+                fleet->control(name)->election().is_master())
+              return true;
+          return false;
+        },
+        Span{12000}))
+        << fleet->why_silent();
     auto outcome = fleet->edit("a0", "put", plans_kind, "check", other_plan);
     fleet->run(Span{40000});
     EXPECT_EQ(outcome->code, 200) << outcome->body << fleet->why_silent();
-    if (guard != Guard::in) EXPECT_NE(show(fleet->breaks()), "");
-    else EXPECT_EQ(show(fleet->breaks()), "");
+    if (guard != Guard::in)
+      EXPECT_NE(show(fleet->breaks()), "");
+    else
+      EXPECT_EQ(show(fleet->breaks()), "");
   }
 }
 
@@ -277,9 +310,13 @@
   auto fleet = serving_fleet(15);
   std::int64_t opens = *read_utc("2026-12-02T01:00:00Z");
   fleet->wall_seconds = opens - fleet->now() / 1000 - 5;  // it opens in 5 s and closes in 25
-  ASSERT_TRUE(fleet->edit_until_done("put", orders_kind, "b",
-      R"({"state":"serving","windows":[{"from":"2026-12-02T01:00:00Z","until":"2026-12-02T01:00:20Z"}]})", Span{20000}));
-  auto is_emptied = [&] { return fleet->control(fleet->master())->map().emptied.size() == 1; };
+  ASSERT_TRUE(fleet->edit_until_done(
+      "put", orders_kind, "b",
+      R"({"state":"serving","windows":[{"from":"2026-12-02T01:00:00Z","until":"2026-12-02T01:00:20Z"}]})",
+      Span{20000}));
+  auto is_emptied = [&] {
+    return fleet->control(fleet->master())->map().emptied.size() == 1;
+  };
   EXPECT_FALSE(is_emptied());
   fleet->run(Span{7000});
   EXPECT_TRUE(is_emptied());
@@ -296,9 +333,12 @@
   for (const char* way : {"kill", "freeze", "isolate"}) {
     auto fleet = serving_fleet(16);
     std::string was = fleet->master();
-    if (std::string(way) == "kill") fleet->kill(was);
-    if (std::string(way) == "freeze") fleet->freeze(was);
-    if (std::string(way) == "isolate") fleet->isolate(was);
+    if (std::string(way) == "kill")
+      fleet->kill(was);
+    if (std::string(way) == "freeze")
+      fleet->freeze(was);
+    if (std::string(way) == "isolate")
+      fleet->isolate(was);
     fleet->run(Span{20});
     std::string at = was == "a1" ? "a2" : "a1";
     auto outcome = fleet->edit(at, "patch", runners_kind, "model-b1", R"({"leaving":true})");
@@ -321,7 +361,9 @@
   std::string at = was == "a1" ? "a2" : "a1";
   auto outcome = fleet->edit(at, "put", orders_kind, "b", R"({"state":"emptied"})", 9);  // a stale version: it loses
   fleet->run(Span{1500});
-  auto is_barred = [&] { return fleet->data("a1-data")->view()->runners.at(RunnerName{"model-b1"}).status == "emptied"; };
+  auto is_barred = [&] {
+    return fleet->data("a1-data")->view()->runners.at(RunnerName{"model-b1"}).status == "emptied";
+  };
   EXPECT_TRUE(is_barred());
   fleet->run(Span{12000});
   EXPECT_TRUE(outcome->is_over);
@@ -351,7 +393,8 @@
     fleet->set_disk("b0", disk);
     fleet->reset_tally();
     for (int i = 0; i < 5; ++i) {
-      auto outcome = fleet->edit("a1", "patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + i) + "}");
+      auto outcome =
+          fleet->edit("a1", "patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + i) + "}");
       fleet->run_until([&] { return outcome->is_over; }, Span{9000});
       EXPECT_EQ(outcome->code, 200) << outcome->body;
       EXPECT_LT(outcome->over_at - outcome->asked_at, 400);
--- a/packages/fleet-simulator/tests/random_day_test.cpp
+++ b/packages/fleet-simulator/tests/random_day_test.cpp
@@ -9,7 +9,8 @@
 
 std::string show(const ChaosResult& result) {
   std::string text;
-  for (const auto& broken : result.breaks) text += std::to_string(broken.at) + " " + broken.rule + ": " + broken.detail + "\n";
+  for (const auto& broken : result.breaks)
+    text += std::to_string(broken.at) + " " + broken.rule + ": " + broken.detail + "\n";
   return text.empty() ? text : text + result.story;
 }
 
@@ -26,10 +27,12 @@
   for (std::uint64_t seed = 1; seed <= 12; ++seed) {
     auto result = run_random_day(seed, small_day());
     EXPECT_EQ(show(result), "") << "seed " << seed;
-    for (const auto& [fault, number] : result.bites) bites[fault] += number;
+    for (const auto& [fault, number] : result.bites)
+      bites[fault] += number;
   }
   std::size_t felt = 0;
-  for (const auto& fault : random_day_faults()) felt += bites[fault] > 0;
+  for (const auto& fault : random_day_faults())
+    felt += bites[fault] > 0;
   EXPECT_GE(felt + 4, random_day_faults().size());  // twelve days need not bring about the rarest
 }
 
@@ -67,12 +70,17 @@
     const char* only;
   };
   const std::vector<Plant> plants{
-      {"grants are not checked", "an old plan still serves", [](FleetSimulation& f) { f.is_grant_check_off = true; }, ""},
-      {"runners take calls of a former life", "a cold runner is flooded", [](FleetSimulation& f) { f.is_incarnation_check_off = true; }, "a region's runners back cold"},
-      {"core machines answer before their disk has it", "an acknowledged change is lost", [](FleetSimulation& f) { f.is_sync_off = true; }, ""},
+      {"grants are not checked", "an old plan still serves", [](FleetSimulation& f) { f.is_grant_check_off = true; },
+       ""},
+      {"runners take calls of a former life", "a cold runner is flooded",
+       [](FleetSimulation& f) { f.is_incarnation_check_off = true; }, "a region's runners back cold"},
+      {"core machines answer before their disk has it", "an acknowledged change is lost",
+       [](FleetSimulation& f) { f.is_sync_off = true; }, ""},
       {"homes are misread", "homed work abroad", [](FleetSimulation& f) { f.is_home_misread = true; }, ""},
-      {"a call whose fate is unknown is sent again", "a call ran twice", [](FleetSimulation& f) { f.is_lost_call_resent = true; }, ""},
-      {"marks are ignored", "new work for a leaving runner", [](FleetSimulation& f) { f.is_mark_ignored = true; }, "runner marked"},
+      {"a call whose fate is unknown is sent again", "a call ran twice",
+       [](FleetSimulation& f) { f.is_lost_call_resent = true; }, ""},
+      {"marks are ignored", "new work for a leaving runner", [](FleetSimulation& f) { f.is_mark_ignored = true; },
+       "runner marked"},
   };
   for (const auto& plant : plants) {
     bool is_seen = false;
@@ -80,7 +88,8 @@
       DayPlan plan = small_day();
       plan.only = plant.only;
       plan.plant = plant.act;
-      for (const auto& broken : run_random_day(seed, plan).breaks) is_seen = is_seen || broken.rule == plant.rule;
+      for (const auto& broken : run_random_day(seed, plan).breaks)
+        is_seen = is_seen || broken.rule == plant.rule;
     }
     EXPECT_TRUE(is_seen) << plant.what << ": the day did not see that " << plant.rule;
   }
--- a/packages/fleet-simulator/tests/scale_runs_test.cpp
+++ b/packages/fleet-simulator/tests/scale_runs_test.cpp
@@ -24,7 +24,8 @@
 
 std::int64_t number_of(const ScaleCounts& counts, Role from, Role to, const std::string& name) {
   for (std::size_t kind = 0; kind < message_kinds; ++kind)
-    if (message_name(kind) == name) return counts.sent[from][to][kind].number;
+    if (message_name(kind) == name)
+      return counts.sent[from][to][kind].number;
   return -1;
 }
 
@@ -69,7 +70,8 @@
   EXPECT_LE(fleet.counts().register_rounds, 14);
   EXPECT_EQ(fleet.changes_failed, 0);
   ASSERT_GE(fleet.in_force_ms.size(), 9u);
-  for (auto ms : fleet.in_force_ms) EXPECT_LE(ms, 1000);
+  for (auto ms : fleet.in_force_ms)
+    EXPECT_LE(ms, 1000);
 }
 
 TEST(ScaleRuns, AFleetWhoseRosterIsEmptyEnrols) {
--- a/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
+++ b/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
@@ -14,8 +14,8 @@
 namespace emberdale {
 
 struct FleetProcess {
-  std::string name;                // e.g. "a2-control", "model-3"
-  std::string role;                // core, edge, data, model, record
+  std::string name;  // e.g. "a2-control", "model-3"
+  std::string role;  // core, edge, data, model, record
   std::string zone, region;
   std::string link, http;
   std::vector<std::string> words;  // how it is started, and started again
@@ -59,9 +59,9 @@
 
   FleetProcess& at(const std::string& name) { return processes_.at(name); }
   const std::map<std::string, FleetProcess>& processes() const { return processes_; }
-  std::string controls() const;   // HTTP addresses for the client
-  std::string gateways() const;   // REGION=IP:PORT for the callers
-  std::string master_name();      // which process is master, by the fleet's own word
+  std::string controls() const;  // HTTP addresses for the client
+  std::string gateways() const;  // REGION=IP:PORT for the callers
+  std::string master_name();     // which process is master, by the fleet's own word
   // GET of a page of one process; nothing if it does not answer.
   std::optional<std::string> page(const std::string& http, const std::string& path) const;
   std::optional<std::string> post(const std::string& http, const std::string& path, const std::string& body) const;
--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -1,7 +1,5 @@
 #include "emberdale/fleet_of_processes.hpp"
 
-#include <algorithm>
-#include <atomic>
 #include <arpa/inet.h>
 #include <cpprest/http_client.h>
 #include <fcntl.h>
@@ -12,6 +10,8 @@
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <algorithm>
+#include <atomic>
 
 #include <chrono>
 #include <fstream>
@@ -46,7 +46,8 @@
       ::close(handle);
     }
   }
-  for (int handle : held) ::close(handle);
+  for (int handle : held)
+    ::close(handle);
   return places;
 }
 
@@ -55,23 +56,38 @@
   ::mkdir(folder_.c_str(), 0755);
   bool is_caspian = deployment_ == "caspian";
   // Two regions of unequal size: zones a and b in the first, zone c in the second.
-  std::map<std::string, std::string> region_of{{"a", is_caspian ? "north" : "valley"}, {"b", is_caspian ? "north" : "valley"},
+  std::map<std::string, std::string> region_of{{"a", is_caspian ? "north" : "valley"},
+                                               {"b", is_caspian ? "north" : "valley"},
                                                {"c", is_caspian ? "south" : "hills"}};
   std::vector<int> models = is_caspian ? std::vector<int>{3, 3, 5} : std::vector<int>{5, 5, 8};
   auto places = free_addresses(100);
   std::size_t next = 0;
-  auto take = [&] { return places[next++]; };
+  auto take = [&] {
+    return places[next++];
+  };
   std::map<std::string, std::string> core_link;
-  for (const char* zone : {"a", "b", "c"}) core_link[zone] = take();
+  for (const char* zone : {"a", "b", "c"})
+    core_link[zone] = take();
   std::string seeds = core_link["a"] + "," + core_link["b"] + "," + core_link["c"];
   int number = 0;
   std::size_t zone_index = 0;
   for (const std::string zone : {"a", "b", "c"}) {
     const std::string& region = region_of[zone];
-    auto daemon = [&](const std::string& name, const std::string& role, const std::string& program, const std::string& link) {
+    auto daemon = [&](const std::string& name, const std::string& role, const std::string& program,
+                      const std::string& link) {
       FleetProcess process{name, role, zone, region, link, take(), {}, 0};
-      process.words = {programs_ + "/" + program, "--link", link, "--http", process.http, "--zone", zone, "--region", region,
-                       "--seeds", seeds, "--allow-link-faults"};
+      process.words = {programs_ + "/" + program,
+                       "--link",
+                       link,
+                       "--http",
+                       process.http,
+                       "--zone",
+                       zone,
+                       "--region",
+                       region,
+                       "--seeds",
+                       seeds,
+                       "--allow-link-faults"};
       if (role == "core") {
         process.words.push_back("--data-folder");
         process.words.push_back(folder_ + "/data-" + name);
@@ -86,12 +102,15 @@
     }
     auto back_end = [&](const std::string& name, const std::string& role, const std::string& program) {
       FleetProcess process{name, role, zone, region, "", take(), {}, 0};
-      process.words = {programs_ + "/" + program, "--http", process.http, "--name", name, "--seal-key", "key-" + name,
-                       "--ledger", folder_ + "/ledger-" + name};
-      if (role == "record") process.words.insert(process.words.end(), {"--capacity", "16", "--allowance", "4", "--warm-ms", "1000"});
+      process.words = {
+          programs_ + "/" + program,  "--http", process.http, "--name", name, "--seal-key", "key-" + name, "--ledger",
+          folder_ + "/ledger-" + name};
+      if (role == "record")
+        process.words.insert(process.words.end(), {"--capacity", "16", "--allowance", "4", "--warm-ms", "1000"});
       add(std::move(process));
     };
-    for (int i = 0; i < models[zone_index]; ++i) back_end("model-" + std::to_string(++number), "model", "emberdale-runner-stand-in");
+    for (int i = 0; i < models[zone_index]; ++i)
+      back_end("model-" + std::to_string(++number), "model", "emberdale-runner-stand-in");
     back_end("record-" + zone, "record", "emberdale-record-stand-in");
     ++zone_index;
   }
@@ -107,7 +126,8 @@
 
 pid_t FleetOfProcesses::start_program(const std::vector<std::string>& words, const std::string& log) {
   std::vector<char*> arguments;
-  for (const auto& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+  for (const auto& word : words)
+    arguments.push_back(const_cast<char*>(word.c_str()));
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
@@ -130,7 +150,8 @@
 
 int FleetOfProcesses::wait_program(pid_t id) {
   int status = 0;
-  if (::waitpid(id, &status, 0) != id) return -1;
+  if (::waitpid(id, &status, 0) != id)
+    return -1;
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
@@ -140,7 +161,8 @@
   ::unlink(log.c_str());
   ProgramEnd end;
   pid_t id = start_program(words, log);
-  if (id == 0) return end;
+  if (id == 0)
+    return end;
   end.status = wait_program(id);
   std::ifstream stream(log);
   end.out.assign(std::istreambuf_iterator<char>(stream), {});
@@ -152,9 +174,12 @@
   FleetProcess process = processes_.at(like);
   auto places = free_addresses(2);
   for (auto& word : process.words) {
-    if (word == process.link) word = places[0];
-    else if (word == process.http) word = places[1];
-    else if (word == folder_ + "/data-" + like) word = folder_ + "/data-" + name;
+    if (word == process.link)
+      word = places[0];
+    else if (word == process.http)
+      word = places[1];
+    else if (word == folder_ + "/data-" + like)
+      word = folder_ + "/data-" + name;
   }
   process.name = name;
   process.link = places[0];
@@ -166,40 +191,48 @@
 std::vector<std::string> FleetOfProcesses::names(const std::vector<std::string>& roles) const {
   std::vector<std::string> list;
   for (const auto& [name, process] : processes_)
-    if (std::find(roles.begin(), roles.end(), process.role) != roles.end()) list.push_back(name);
+    if (std::find(roles.begin(), roles.end(), process.role) != roles.end())
+      list.push_back(name);
   return list;
 }
 
-void FleetOfProcesses::fault(const std::vector<std::string>& at, const std::vector<std::string>& towards, Json how) const {
+void FleetOfProcesses::fault(const std::vector<std::string>& at, const std::vector<std::string>& towards,
+                             Json how) const {
   for (const auto& name : at) {
     const auto& process = processes_.at(name);
-    if (process.id <= 0) continue;
+    if (process.id <= 0)
+      continue;
     how["siblings"] = Json::array();
     for (const auto& other : towards)
-      if (other != name) how["siblings"].push_back(processes_.at(other).link);
+      if (other != name)
+        how["siblings"].push_back(processes_.at(other).link);
     post(process.http, process.role == "data" ? "/emberdale/faults" : "/v1/faults", how.dump());
   }
 }
 
 void FleetOfProcesses::clear_faults() const {
-  for (const auto& name : names({"core", "edge", "data"})) fault({name}, {}, {{"clear", true}});
+  for (const auto& name : names({"core", "edge", "data"}))
+    fault({name}, {}, {{"clear", true}});
 }
 
 bool FleetOfProcesses::begin(const std::string& name) {
   auto& process = processes_.at(name);
-  if (process.id > 0) return true;
+  if (process.id > 0)
+    return true;
   process.id = start_program(process.words, folder_ + "/" + name + ".log");
   return process.id > 0;
 }
 
 void FleetOfProcesses::signal(const std::string& name, int signal) {
   auto& process = processes_.at(name);
-  if (process.id > 0) ::kill(process.id, signal);
+  if (process.id > 0)
+    ::kill(process.id, signal);
 }
 
 void FleetOfProcesses::end(const std::string& name, int signal_number) {
   auto& process = processes_.at(name);
-  if (process.id <= 0) return;
+  if (process.id <= 0)
+    return;
   ::kill(process.id, signal_number);
   wait_program(process.id);
   process.id = 0;
@@ -210,10 +243,12 @@
   // Callers' side first, then the control plane, then the back ends.
   for (const std::string role : {"data", "edge", "core", "model", "record"}) {
     for (auto& [name, process] : processes_)
-      if (process.role == role && process.id > 0) ::kill(process.id, SIGTERM);
+      if (process.role == role && process.id > 0)
+        ::kill(process.id, SIGTERM);
     auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(12);
     for (auto& [name, process] : processes_) {
-      if (process.role != role || process.id <= 0) continue;
+      if (process.role != role || process.id <= 0)
+        continue;
       int status = 0;
       pid_t ended = 0;
       while ((ended = ::waitpid(process.id, &status, WNOHANG)) == 0 && std::chrono::steady_clock::now() < deadline)
@@ -223,7 +258,8 @@
         ::kill(process.id, SIGKILL);
         ::waitpid(process.id, &status, 0);
       } else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
-        late.push_back(name + " ended with " + std::to_string(WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status)));
+        late.push_back(name + " ended with " +
+                       std::to_string(WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status)));
       }
       process.id = 0;
     }
@@ -233,12 +269,16 @@
 
 Outcome<bool> FleetOfProcesses::start_all() {
   for (auto& [name, process] : processes_)
-    if (!begin(name)) return failure("can't start " + process.words[0]);
+    if (!begin(name))
+      return failure("can't start " + process.words[0]);
   auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
   for (auto& [name, process] : processes_) {
-    std::string path = process.role == "core" || process.role == "edge" ? "/health" : process.role == "data" ? "/emberdale/health" : "/status";
+    std::string path = process.role == "core" || process.role == "edge" ? "/health"
+                       : process.role == "data"                         ? "/emberdale/health"
+                                                                        : "/status";
     while (!page(process.http, path)) {
-      if (std::chrono::steady_clock::now() > deadline) return failure(name + " does not answer; see " + folder_ + "/" + name + ".log");
+      if (std::chrono::steady_clock::now() > deadline)
+        return failure(name + " does not answer; see " + folder_ + "/" + name + ".log");
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
   }
@@ -249,14 +289,16 @@
 std::string FleetOfProcesses::controls() const {
   std::string list;
   for (const auto& [name, process] : processes_)
-    if ((process.role == "edge" || process.role == "core") && process.id > 0) list += (list.empty() ? "" : ",") + process.http;
+    if ((process.role == "edge" || process.role == "core") && process.id > 0)
+      list += (list.empty() ? "" : ",") + process.http;
   return list;
 }
 
 std::string FleetOfProcesses::gateways() const {
   std::string list;
   for (const auto& [name, process] : processes_)
-    if (process.role == "data") list += (list.empty() ? "" : ",") + process.region + "=" + process.http;
+    if (process.role == "data")
+      list += (list.empty() ? "" : ",") + process.region + "=" + process.http;
   return list;
 }
 
@@ -278,7 +320,8 @@
   }
 }
 
-std::optional<std::string> FleetOfProcesses::post(const std::string& http, const std::string& path, const std::string& body) const {
+std::optional<std::string> FleetOfProcesses::post(const std::string& http, const std::string& path,
+                                                  const std::string& body) const {
   try {
     web::http::client::http_client client("http://" + http);
     return client.request("POST", path, body, "application/json").get().extract_string(true).get();
@@ -289,21 +332,26 @@
 
 std::string FleetOfProcesses::master_name() {
   for (auto& [name, process] : processes_) {
-    if (process.role != "edge" || process.id <= 0) continue;
+    if (process.role != "edge" || process.id <= 0)
+      continue;
     auto health = page(process.http, "/health");
-    if (!health) continue;
+    if (!health)
+      continue;
     Json body = Json::parse(*health, nullptr, false);
-    if (body.is_object() && body.value("is_master", false)) return name;
+    if (body.is_object() && body.value("is_master", false))
+      return name;
   }
   return "";
 }
 
 Outcome<bool> FleetOfProcesses::found() {
   auto ended = client({"found", deployment_, at("a0-core").link, at("b0-core").link, at("c0-core").link});
-  if (ended.status != 0) return failure("not founded: " + ended.out);
+  if (ended.status != 0)
+    return failure("not founded: " + ended.out);
   auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
   while (master_name().empty()) {
-    if (std::chrono::steady_clock::now() > deadline) return failure("no master was elected");
+    if (std::chrono::steady_clock::now() > deadline)
+      return failure("no master was elected");
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
   return true;
@@ -315,44 +363,73 @@
     std::ofstream(file) << body.dump(2) << "\n";
     for (int tries = 0; tries < 5; ++tries) {
       auto ended = client({"put", kind, name, file});
-      if (ended.status == 0) return "";
-      if (tries == 4 || ended.status != 1) return kind + "/" + name + ": " + ended.out;
+      if (ended.status == 0)
+        return "";
+      if (tries == 4 || ended.status != 1)
+        return kind + "/" + name + ": " + ended.out;
       std::this_thread::sleep_for(std::chrono::milliseconds(500));
     }
     return "";
   };
   for (const auto& [name, process] : processes_) {
-    if (process.role != "model" && process.role != "record") continue;
-    auto fault = put(runners_kind, name, {{"address", process.http}, {"pool", process.role == "model" ? "models" : "records"},
-                                          {"zone", process.zone}, {"region", process.region}, {"seal_key", "key-" + name}});
-    if (!fault.empty()) return failure(fault);
+    if (process.role != "model" && process.role != "record")
+      continue;
+    auto fault = put(runners_kind, name,
+                     {{"address", process.http},
+                      {"pool", process.role == "model" ? "models" : "records"},
+                      {"zone", process.zone},
+                      {"region", process.region},
+                      {"seal_key", "key-" + name}});
+    if (!fault.empty())
+      return failure(fault);
   }
   bool is_caspian = deployment_ == "caspian";
   Json home{{"header", "X-Home-Region"}}, spill{{"allowed", true}, {"limit_percent", 50}};
   std::map<std::string, Json> plans;
   if (is_caspian) {
-    plans["manifest-check"] = {{"service", "berths"}, {"match", {{"path", "/v1/manifest-checks"}}}, {"pool", "models"}, {"spill", spill}, {"horizon_ms", 5000}, {"prefix_bytes", 2048}};
-    plans["booking-chat"] = {{"service", "berths"}, {"match", {{"path", "/v1/booking-chats"}}}, {"pool", "models"}, {"home", home}, {"streaming", true}, {"horizon_ms", 20000}, {"prefix_bytes", 2048}};
-    plans["slot-confirmation"] = {{"service", "bookings"}, {"match", {{"path", "/v1/slot-confirmations"}}}, {"pool", "records"}, {"spill", spill}, {"repeatable", true}, {"horizon_ms", 3000}};
+    plans["manifest-check"] = {{"service", "berths"}, {"match", {{"path", "/v1/manifest-checks"}}},
+                               {"pool", "models"},    {"spill", spill},
+                               {"horizon_ms", 5000},  {"prefix_bytes", 2048}};
+    plans["booking-chat"] = {{"service", "berths"}, {"match", {{"path", "/v1/booking-chats"}}},
+                             {"pool", "models"},    {"home", home},
+                             {"streaming", true},   {"horizon_ms", 20000},
+                             {"prefix_bytes", 2048}};
+    plans["slot-confirmation"] = {{"service", "bookings"}, {"match", {{"path", "/v1/slot-confirmations"}}},
+                                  {"pool", "records"},     {"spill", spill},
+                                  {"repeatable", true},    {"horizon_ms", 3000}};
   } else {
-    plans["dispute-check"] = {{"service", "charges"}, {"match", {{"path", "/v1/dispute-checks"}}}, {"pool", "models"}, {"home", home}, {"horizon_ms", 5000}, {"prefix_bytes", 2048}};
-    plans["complaint-reply"] = {{"service", "complaints"}, {"match", {{"path", "/v1/complaint-replies"}}}, {"pool", "models"}, {"spill", spill}, {"streaming", true}, {"horizon_ms", 20000}, {"prefix_bytes", 2048}};
-    plans["receipt-lookup"] = {{"service", "receipts"}, {"match", {{"path", "/v1/receipt-lookups"}}}, {"pool", "records"}, {"spill", spill}, {"repeatable", true}, {"horizon_ms", 3000}};
+    plans["dispute-check"] = {{"service", "charges"}, {"match", {{"path", "/v1/dispute-checks"}}},
+                              {"pool", "models"},     {"home", home},
+                              {"horizon_ms", 5000},   {"prefix_bytes", 2048}};
+    plans["complaint-reply"] = {{"service", "complaints"}, {"match", {{"path", "/v1/complaint-replies"}}},
+                                {"pool", "models"},        {"spill", spill},
+                                {"streaming", true},       {"horizon_ms", 20000},
+                                {"prefix_bytes", 2048}};
+    plans["receipt-lookup"] = {{"service", "receipts"}, {"match", {{"path", "/v1/receipt-lookups"}}},
+                               {"pool", "records"},     {"spill", spill},
+                               {"repeatable", true},    {"horizon_ms", 3000}};
   }
   for (const auto& [name, plan] : plans) {
     auto fault = put(plans_kind, name, plan);
-    if (!fault.empty()) return failure(fault);
+    if (!fault.empty())
+      return failure(fault);
   }
   auto watched = client({"watch", plans_kind, "--until-in-force"});
-  if (watched.status != 0) return failure("the plans are not in force: " + watched.out);
+  if (watched.status != 0)
+    return failure("the plans are not in force: " + watched.out);
   return true;
 }
 
 Json FleetOfProcesses::picture() const {
   Json list = Json::array();
   for (const auto& [name, process] : processes_)
-    list.push_back({{"name", name}, {"role", process.role}, {"zone", process.zone}, {"region", process.region},
-                    {"link", process.link}, {"http", process.http}, {"process", process.id}});
+    list.push_back({{"name", name},
+                    {"role", process.role},
+                    {"zone", process.zone},
+                    {"region", process.region},
+                    {"link", process.link},
+                    {"http", process.http},
+                    {"process", process.id}});
   return {{"deployment", deployment_}, {"processes", list}};
 }
 
--- a/packages/fleet-starter/src/starter_main.cpp
+++ b/packages/fleet-starter/src/starter_main.cpp
@@ -31,7 +31,8 @@
     return 2;
   }
   std::string self = words[0];
-  std::string programs = arguments["--programs"].isString() ? arguments["--programs"].asString() : self.substr(0, self.rfind('/'));
+  std::string programs =
+      arguments["--programs"].isString() ? arguments["--programs"].asString() : self.substr(0, self.rfind('/'));
   start_program("emberdale-fleet-starter");
   FleetOfProcesses fleet(deployment, arguments["--folder"].asString(), programs);
   for (auto step : {&FleetOfProcesses::start_all, &FleetOfProcesses::found, &FleetOfProcesses::declare}) {
@@ -43,14 +44,19 @@
   }
   std::cout << "deployment " << deployment << " serves; addresses also in " << fleet.folder() << "/fleet.json\n";
   for (const auto& [name, process] : fleet.processes())
-    std::cout << "  " << name << (process.role == "data" ? "  callers: " : process.role == "edge" || process.role == "core" ? "  operators: " : "  back end: ")
+    std::cout << "  " << name
+              << (process.role == "data"                             ? "  callers: "
+                  : process.role == "edge" || process.role == "core" ? "  operators: "
+                                                                     : "  back end: ")
               << process.http << "  zone " << process.zone << ", region " << process.region << "\n";
   std::cout << "operators: " << programs << "/emberdale-client --control " << fleet.controls() << " fleet\n"
-            << "callers:   " << programs << "/emberdale-caller-stand-in --deployment " << deployment << " --gateways " << fleet.gateways() << "\n"
+            << "callers:   " << programs << "/emberdale-caller-stand-in --deployment " << deployment << " --gateways "
+            << fleet.gateways() << "\n"
             << "Ctrl-C stops it." << std::endl;
   wait_for_stop();
   auto late = fleet.stop();
-  for (const auto& name : late) std::cerr << "did not stop cleanly: " << name << "\n";
+  for (const auto& name : late)
+    std::cerr << "did not stop cleanly: " << name << "\n";
   std::cout << "stopped" << std::endl;
   return late.empty() ? 0 : 1;
 }
--- a/packages/maintenance-windows/tests/maintenance_windows_test.cpp
+++ b/packages/maintenance-windows/tests/maintenance_windows_test.cpp
@@ -8,19 +8,23 @@
 
 namespace {
 std::string calendar(const std::string& event) {
-  return "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:-//test//EN\r\nBEGIN:VEVENT\r\nUID:one\r\nDTSTAMP:20261201T000000Z\r\n" + event + "END:VEVENT\r\nEND:VCALENDAR\r\n";
+  return "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:-//test//"
+         "EN\r\nBEGIN:VEVENT\r\nUID:one\r\nDTSTAMP:20261201T000000Z\r\n" +
+         event + "END:VEVENT\r\nEND:VCALENDAR\r\n";
 }
 const std::int64_t from = *read_utc("2026-03-01T00:00:00Z"), until = *read_utc("2026-04-15T00:00:00Z");
 std::vector<std::string> starts(const std::vector<MaintenanceWindow>& windows) {
   std::vector<std::string> list;
-  for (const auto& window : windows) list.push_back(show_utc(window.from));
+  for (const auto& window : windows)
+    list.push_back(show_utc(window.from));
   return list;
 }
 }  // namespace
 
 TEST(MaintenanceWindows, ReadsUtcTimes) {
   std::vector<Finding> findings;
-  auto windows = read_calendar("f", calendar("LOCATION:b\r\nDTSTART:20260310T010000Z\r\nDTEND:20260310T033000Z\r\n"), from, until, findings);
+  auto windows = read_calendar("f", calendar("LOCATION:b\r\nDTSTART:20260310T010000Z\r\nDTEND:20260310T033000Z\r\n"),
+                               from, until, findings);
   EXPECT_TRUE(findings.empty());
   ASSERT_EQ(windows["b"].size(), 1u);
   EXPECT_EQ(show_utc(windows["b"][0].from), "2026-03-10T01:00:00Z");
@@ -29,8 +33,12 @@
 
 TEST(MaintenanceWindows, RecurrenceKeepsTheLocalHourAcrossSummerTimeAndLeavesExceptionsOut) {
   std::vector<Finding> findings;
-  auto windows = read_calendar("f", calendar("LOCATION:c\r\nDTSTART;TZID=Europe/Berlin:20260315T020000\r\nDURATION:PT1H\r\nRRULE:FREQ=WEEKLY;COUNT=4\r\n"
-                                             "EXDATE;TZID=Europe/Berlin:20260322T020000\r\n"), from, until, findings);
+  auto windows = read_calendar(
+      "f",
+      calendar(
+          "LOCATION:c\r\nDTSTART;TZID=Europe/Berlin:20260315T020000\r\nDURATION:PT1H\r\nRRULE:FREQ=WEEKLY;COUNT=4\r\n"
+          "EXDATE;TZID=Europe/Berlin:20260322T020000\r\n"),
+      from, until, findings);
   EXPECT_TRUE(findings.empty()) << findings_json(findings);
   // Clocks went from +1 to +2 on 29 March at 02:00.
   auto list = starts(windows["c"]);
@@ -40,13 +48,13 @@
 }
 
 TEST(MaintenanceWindows, WhatIsWrongIsRefusedWithItsPlace) {
-  for (const std::string event : {"LOCATION:b\r\nDTSTART:20260310T010000\r\nDTEND:20260310T020000\r\n",              // no zone of time
-                                  "LOCATION:b\r\nDTSTART;TZID=Mars/Olympus:20260310T010000\r\nDTEND;TZID=Mars/Olympus:20260310T020000\r\n",
-                                  "LOCATION:b\r\nDTSTART;VALUE=DATE:20260310\r\nDTEND;VALUE=DATE:20260311\r\n",       // a whole day
-                                  "LOCATION:b\r\nDTSTART:20260310T010000Z\r\nDTEND:20260310T003000Z\r\n",             // ends before it begins
-                                  "LOCATION:b\r\nDTSTART:nonsense\r\nDTEND:20260310T003000Z\r\n",
-                                  "LOCATION:b\r\nDTEND:20260310T003000Z\r\n",
-                                  "DTSTART:20260310T010000Z\r\nDTEND:20260310T020000Z\r\n"}) {                          // no zone named
+  for (const std::string event :
+       {"LOCATION:b\r\nDTSTART:20260310T010000\r\nDTEND:20260310T020000\r\n",  // no zone of time
+        "LOCATION:b\r\nDTSTART;TZID=Mars/Olympus:20260310T010000\r\nDTEND;TZID=Mars/Olympus:20260310T020000\r\n",
+        "LOCATION:b\r\nDTSTART;VALUE=DATE:20260310\r\nDTEND;VALUE=DATE:20260311\r\n",  // a whole day
+        "LOCATION:b\r\nDTSTART:20260310T010000Z\r\nDTEND:20260310T003000Z\r\n",        // ends before it begins
+        "LOCATION:b\r\nDTSTART:nonsense\r\nDTEND:20260310T003000Z\r\n", "LOCATION:b\r\nDTEND:20260310T003000Z\r\n",
+        "DTSTART:20260310T010000Z\r\nDTEND:20260310T020000Z\r\n"}) {  // no zone named
     std::vector<Finding> findings;
     read_calendar("f", calendar(event), from, until, findings);
     ASSERT_TRUE(has_errors(findings)) << event;
@@ -58,11 +66,13 @@
 }
 
 TEST(MaintenanceWindows, NoCalendarFromOutsideBringsItDown) {
-  const std::string sound = calendar("LOCATION:c\r\nDTSTART;TZID=Europe/Berlin:20260315T020000\r\nDURATION:PT1H\r\nRRULE:FREQ=WEEKLY;COUNT=4\r\n"
-                                     "EXDATE;TZID=Europe/Berlin:20260322T020000\r\n");
+  const std::string sound = calendar(
+      "LOCATION:c\r\nDTSTART;TZID=Europe/Berlin:20260315T020000\r\nDURATION:PT1H\r\nRRULE:FREQ=WEEKLY;COUNT=4\r\n"
+      "EXDATE;TZID=Europe/Berlin:20260322T020000\r\n");
   EXPECT_TRUE(rc::check([&](std::uint64_t seed) {
     std::vector<Finding> findings;
     for (const auto& [zone, windows] : read_calendar("f", spoiled(sound, seed), from, until, findings))
-      for (const auto& window : windows) RC_ASSERT(window.from < window.until);
+      for (const auto& window : windows)
+        RC_ASSERT(window.from < window.until);
   }));
 }
--- a/packages/master-election/include/emberdale/master_election.hpp
+++ b/packages/master-election/include/emberdale/master_election.hpp
@@ -106,7 +106,7 @@
   ElectionTimes times_;
   Phase phase_ = Phase::idle;
   Address master_;
-  Integer term_ = 0;        // the newest term the register showed, or that we lead
+  Integer term_ = 0;  // the newest term the register showed, or that we lead
   Address term_master_;
   MapVersion version_;
   std::set<Address> roster_;
@@ -116,7 +116,7 @@
   std::set<Address> refused_;        // in this round: no one listens there
   std::map<Address, Moment> acknowledgements_;
   Moment started_;
-  Integer promised_through_ = -1;    // acknowledges for no term up to this one
+  Integer promised_through_ = -1;  // acknowledges for no term up to this one
   Integer stamp_ = 0, stamp_term_ = -1;
   std::map<Address, Moment> followers_;
   std::set<Address> left_;  // stopped cleanly: not waited for until they speak again
--- a/packages/master-election/src/master_election.cpp
+++ b/packages/master-election/src/master_election.cpp
@@ -7,30 +7,38 @@
 namespace emberdale {
 
 void MasterElection::start(Moment now) {
-  if (phase_ != Phase::idle) return;
+  if (phase_ != Phase::idle)
+    return;
   started_ = now;
   begin_round(now);
 }
 
 void MasterElection::learn(const Address& peer) {
-  if (peer != self_.address && !peer.empty()) peers_.insert(peer);
+  if (peer != self_.address && !peer.empty())
+    peers_.insert(peer);
 }
 
 void MasterElection::set_roster(const std::vector<DaemonEntry>& roster, Integer term, const Address& term_master,
                                 Moment now) {
   roster_.clear();
-  for (const auto& entry : roster) roster_.insert(entry.address);
+  for (const auto& entry : roster)
+    roster_.insert(entry.address);
   for (auto entry = peers_.begin(); entry != peers_.end();) {
     // Dead members that left the roster are not waited for any more; live ones name themselves again.
-    if (roster_.count(*entry) == 0 && answers_.count(*entry) == 0) entry = peers_.erase(entry);
-    else ++entry;
+    if (roster_.count(*entry) == 0 && answers_.count(*entry) == 0)
+      entry = peers_.erase(entry);
+    else
+      ++entry;
   }
-  for (const auto& address : roster_) learn(address);
-  if (term < term_) return;
+  for (const auto& address : roster_)
+    learn(address);
+  if (term < term_)
+    return;
   bool is_newer = term > term_;
   term_ = term;
   term_master_ = term_master;
-  if (phase_ == Phase::leading && (is_newer || term_master != self_.address)) step_down(now);
+  if (phase_ == Phase::leading && (is_newer || term_master != self_.address))
+    step_down(now);
   if (phase_ == Phase::following && is_newer && term_master != master_) {
     master_ = Address{};  // the master that was joined has been replaced
     begin_round(now);
@@ -39,7 +47,8 @@
 
 void MasterElection::ping_everyone() {
   for (const auto& peer : peers_)
-    if (left_.count(peer) == 0) out_.push_back({peer, Ping{ask_, self_, master_, version_}});
+    if (left_.count(peer) == 0)
+      out_.push_back({peer, Ping{ask_, self_, master_, version_}});
 }
 
 void MasterElection::begin_round(Moment now) {
@@ -60,11 +69,14 @@
 
 // More than half of the eligible daemons find that master down: they answer, and name it no more.
 bool MasterElection::is_found_down(const Address& master) const {
-  if (left_.count(master) != 0) return true;  // it said so itself
-  if (answers_.count(master) != 0) return false;
+  if (left_.count(master) != 0)
+    return true;  // it said so itself
+  if (answers_.count(master) != 0)
+    return false;
   std::size_t find_it_down = 1;  // this daemon, which is in a round
   for (const auto& [daemon, answer] : answers_)
-    if (is_eligible(daemon) && answer.master != master) ++find_it_down;
+    if (is_eligible(daemon) && answer.master != master)
+      ++find_it_down;
   return find_it_down > roster_.size() / 2;
 }
 
@@ -82,9 +94,11 @@
       Address daemon;
     };
     std::vector<Candidate> candidates;
-    if (is_eligible(self_.address)) candidates.push_back({version_, self_.address});
+    if (is_eligible(self_.address))
+      candidates.push_back({version_, self_.address});
     for (const auto& [daemon, answer] : answers_)
-      if (is_eligible(daemon)) candidates.push_back({answer.version, daemon});
+      if (is_eligible(daemon))
+        candidates.push_back({answer.version, daemon});
     if (roster_.empty() || candidates.size() < quorum()) {
       ++counts_.starved;
       ++starved_rounds_;
@@ -105,36 +119,43 @@
     joining_ = candidates.front().daemon;
   }
   // A join of a daemon that does not lead yet counts for its claim: nothing is acknowledged to its elders then.
-  if (active.empty()) promised_through_ = std::max(promised_through_, term_);
+  if (active.empty())
+    promised_through_ = std::max(promised_through_, term_);
   auto answer = answers_.find(joining_);
   phase_ = Phase::joining;
   phase_end_ = now + times_.join + times_.join;  // the master-to-be waits for joins, then claims
   ++ask_;
-  out_.push_back({joining_, Join{ask_, self_, version_, active.empty() ? term_ : -1, answer == answers_.end() ? 0 : answer->second.stamp}});
+  out_.push_back({joining_, Join{ask_, self_, version_, active.empty() ? term_ : -1,
+                                 answer == answers_.end() ? 0 : answer->second.stamp}});
 }
 
 void MasterElection::check_joins(Moment now) {
-  if (phase_ != Phase::awaiting_joins) return;
+  if (phase_ != Phase::awaiting_joins)
+    return;
   std::set<Address> joined, promised{self_.address};
   for (const auto& [daemon, join] : joins_)
     if (is_eligible(daemon) && now - join.at <= times_.ping_round) {
       joined.insert(daemon);
-      if (join.term == term_ && now - Moment{join.stamp} <= promise_length) promised.insert(daemon);
+      if (join.term == term_ && now - Moment{join.stamp} <= promise_length)
+        promised.insert(daemon);
     }
-  if (joined.size() + 1 < quorum()) return;
+  if (joined.size() + 1 < quorum())
+    return;
   phase_ = Phase::claiming;
   claim_ = TermClaim{term_, std::move(joined), std::move(promised)};
 }
 
 void MasterElection::refuse_joins(const std::string& reason) {
-  for (const auto& [daemon, join] : joins_) out_.push_back({daemon, JoinAnswer{join.ask, false, term_, reason}});
+  for (const auto& [daemon, join] : joins_)
+    out_.push_back({daemon, JoinAnswer{join.ask, false, term_, reason}});
   joins_.clear();
 }
 
 std::optional<TermClaim> MasterElection::take_claim() { return std::exchange(claim_, std::nullopt); }
 
 void MasterElection::claim_ended(bool is_won, Integer term, Moment now) {
-  if (phase_ != Phase::claiming) return;
+  if (phase_ != Phase::claiming)
+    return;
   if (!is_won) {
     refuse_joins("claim lost");
     pause(now);
@@ -164,7 +185,8 @@
 void MasterElection::leave() {
   master_ = Address{};
   phase_ = Phase::idle;
-  for (const auto& peer : peers_) out_.push_back({peer, Leave{self_}});
+  for (const auto& peer : peers_)
+    out_.push_back({peer, Leave{self_}});
 }
 
 // All known have answered, have taken their leave, or are gone; and the roster has been read.
@@ -187,13 +209,16 @@
     pause(now);
     return;
   }
-  if (phase_ != Phase::pinging || peers_.count(peer) == 0 || answers_.count(peer) != 0) return;
+  if (phase_ != Phase::pinging || peers_.count(peer) == 0 || answers_.count(peer) != 0)
+    return;
   refused_.insert(peer);
-  if (has_heard_all()) end_round(now);
+  if (has_heard_all())
+    end_round(now);
 }
 
 Integer MasterElection::acknowledgement(Moment now) const {
-  bool may_acknowledgement = promised_through_ < term_ && stamp_term_ == term_ && now - started_ >= acknowledgement_quarantine;
+  bool may_acknowledgement =
+      promised_through_ < term_ && stamp_term_ == term_ && now - started_ >= acknowledgement_quarantine;
   return may_acknowledgement ? stamp_ : 0;
 }
 
@@ -201,29 +226,34 @@
   std::size_t acknowledged = 0;
   for (const auto& daemon : roster) {
     auto entry = acknowledgements_.find(daemon);
-    if (daemon == self_.address || (entry != acknowledgements_.end() && now - entry->second <= age)) ++acknowledged;
+    if (daemon == self_.address || (entry != acknowledgements_.end() && now - entry->second <= age))
+      ++acknowledged;
   }
   return acknowledged > roster.size() / 2;
 }
 
 bool MasterElection::on_message(const Address& from, const Message& message, Moment now) {
   if (const auto* ping = std::get_if<Ping>(&message)) {
-    if (ping->sender.role == "edge") learn(from);
+    if (ping->sender.role == "edge")
+      learn(from);
     left_.erase(from);
     return false;  // the daemon answers with all it knows
   }
   if (const auto* answer = std::get_if<PingAnswer>(&message)) {
-    if (answer->sender.role != "edge") return false;
+    if (answer->sender.role != "edge")
+      return false;
     learn(from);
     for (const auto& entry : answer->known)
       if (entry.role == "edge" && peers_.count(entry.address) == 0 && entry.address != self_.address) {
         learn(entry.address);
-        if (phase_ == Phase::pinging) out_.push_back({entry.address, Ping{ask_, self_, master_, version_}});
+        if (phase_ == Phase::pinging)
+          out_.push_back({entry.address, Ping{ask_, self_, master_, version_}});
       }
     if (phase_ == Phase::pinging && answer->ask == ask_) {
       answers_[from] = {answer->master, answer->version, answer->stamp};
       refused_.erase(from);
-      if (has_heard_all()) end_round(now);
+      if (has_heard_all())
+        end_round(now);
     }
     return false;
   }
@@ -241,7 +271,8 @@
     return true;
   }
   if (const auto* answer = std::get_if<JoinAnswer>(&message)) {
-    if (phase_ != Phase::joining || answer->ask != ask_ || from != joining_) return true;
+    if (phase_ != Phase::joining || answer->ask != ask_ || from != joining_)
+      return true;
     if (!answer->granted || answer->term < term_) {
       ++counts_.joins_failed;
       pause(now);
@@ -274,13 +305,15 @@
     if (is_ours) {
       followers_[from] = now;
       Moment acknowledged{follow->acknowledgement};
-      if (follow->term == term_ && follow->acknowledgement > 0 && acknowledgements_[from] < acknowledged) acknowledgements_[from] = acknowledged;
+      if (follow->term == term_ && follow->acknowledgement > 0 && acknowledgements_[from] < acknowledged)
+        acknowledgements_[from] = acknowledged;
     }
     out_.push_back({from, FollowAnswer{is_ours ? term_ : 0, is_ours, version_, now.value}});
     return false;  // the daemon reads the statuses in it
   }
   if (const auto* answer = std::get_if<FollowAnswer>(&message)) {
-    if (phase_ != Phase::following || from != master_) return true;
+    if (phase_ != Phase::following || from != master_)
+      return true;
     if (!answer->master || answer->term < term_) {  // the state still shows no master
       master_ = Address{};
       begin_round(now);
@@ -308,7 +341,8 @@
       }
       break;
     case Phase::pausing:
-      if (phase_end_ <= now) begin_round(now);
+      if (phase_end_ <= now)
+        begin_round(now);
       break;
     case Phase::awaiting_joins:
       if (phase_end_ <= now) {
@@ -332,9 +366,12 @@
     case Phase::leading: {
       std::size_t heard = 1;
       for (const auto& [daemon, moment] : followers_)
-        if (is_eligible(daemon) && now - moment <= times_.master_silence) ++heard;
-      if (heard >= quorum()) quorum_heard_ = now;
-      if (now - quorum_heard_ > times_.lonely_master) step_down(now);
+        if (is_eligible(daemon) && now - moment <= times_.master_silence)
+          ++heard;
+      if (heard >= quorum())
+        quorum_heard_ = now;
+      if (now - quorum_heard_ > times_.lonely_master)
+        step_down(now);
       break;
     }
   }
--- a/packages/master-election/tests/master_election_test.cpp
+++ b/packages/master-election/tests/master_election_test.cpp
@@ -7,13 +7,16 @@
 
 namespace {
 
-DaemonEntry entry(const std::string& name) { return DaemonEntry{Address{name}, name, "edge", ZoneName{"z"}, RegionName{"r"}, 1}; }
+DaemonEntry entry(const std::string& name) {
+  return DaemonEntry{Address{name}, name, "edge", ZoneName{"z"}, RegionName{"r"}, 1};
+}
 
 // One daemon "b" of a roster a..e, driven by hand.
 class Bench {
  public:
   explicit Bench(const std::string& self = "b") : election(entry(self), RandomGenerator(3)) {
-    for (const char* name : {"a", "b", "c", "d", "e"}) roster.push_back(entry(name));
+    for (const char* name : {"a", "b", "c", "d", "e"})
+      roster.push_back(entry(name));
     election.set_roster(roster, 4, Address{}, now);
     election.start(now);
   }
@@ -22,7 +25,8 @@
   std::map<std::string, T> sent() {
     std::map<std::string, T> found;
     for (auto& sending : election.take_out())
-      if (auto* message = std::get_if<T>(&sending.message)) found[sending.to.text] = *message;
+      if (auto* message = std::get_if<T>(&sending.message))
+        found[sending.to.text] = *message;
     return found;
   }
   void answer(const std::string& from, Integer ask, const std::string& master = "", MapVersion version = {}) {
@@ -34,7 +38,8 @@
     election.on_message(Address{from}, answer, now);
   }
   void pass(std::int64_t ms) {
-    for (std::int64_t end = now.value + ms; now.value < end; now.value += 25) election.on_timer(now);
+    for (std::int64_t end = now.value + ms; now.value < end; now.value += 25)
+      election.on_timer(now);
   }
   Moment now{1000};
   std::vector<DaemonEntry> roster;
@@ -49,7 +54,8 @@
   Bench bench;
   auto pings = bench.sent<Ping>();
   ASSERT_EQ(pings.size(), 4u);
-  for (const char* name : {"a", "c", "d"}) bench.answer(name, pings[name].ask);
+  for (const char* name : {"a", "c", "d"})
+    bench.answer(name, pings[name].ask);
   EXPECT_EQ(bench.election.phase(), Phase::pinging);
   bench.answer("e", pings["e"].ask);
   EXPECT_EQ(bench.election.phase(), Phase::joining);  // "a" is ranked first
@@ -108,7 +114,8 @@
 TEST(MasterElection, ClaimsATermOnlyAfterQuorumMinusOneJoins) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
+  for (const char* name : {"b", "c", "d", "e"})
+    bench.answer(name, pings[name].ask);
   ASSERT_EQ(bench.election.phase(), Phase::awaiting_joins);
   bench.election.on_message(Address{"b"}, Join{1, entry("b"), {}}, bench.now);
   EXPECT_FALSE(bench.election.take_claim());
@@ -127,7 +134,8 @@
 TEST(MasterElection, TooFewJoinsInTimeOrALostClaimStartsAnew) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
+  for (const char* name : {"b", "c", "d", "e"})
+    bench.answer(name, pings[name].ask);
   bench.election.on_message(Address{"b"}, Join{1, entry("b"), {}}, bench.now);
   bench.pass(1600);
   EXPECT_EQ(bench.election.phase(), Phase::pausing);
@@ -140,7 +148,8 @@
   Bench bench;
   auto pings = bench.sent<Ping>();
   // "a" is master for the others; only this daemon does not reach it.
-  for (const char* name : {"c", "d", "e"}) bench.answer(name, pings[name].ask, "a");
+  for (const char* name : {"c", "d", "e"})
+    bench.answer(name, pings[name].ask, "a");
   bench.pass(3100);
   EXPECT_EQ(bench.sent<Join>().count("a"), 1u);  // asked to join it, not to replace it
   EXPECT_FALSE(bench.election.take_claim());
@@ -159,13 +168,16 @@
 TEST(MasterElection, AMasterWithoutItsQuorumOrWithAnotherTermStepsDown) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
-  for (const char* name : {"b", "c"}) bench.election.on_message(Address{name}, Join{1, entry(name), {}}, bench.now);
+  for (const char* name : {"b", "c", "d", "e"})
+    bench.answer(name, pings[name].ask);
+  for (const char* name : {"b", "c"})
+    bench.election.on_message(Address{name}, Join{1, entry(name), {}}, bench.now);
   ASSERT_TRUE(bench.election.take_claim());
   bench.election.claim_ended(true, 5, bench.now);
   for (int i = 0; i < 20; ++i) {
     bench.pass(400);
-    for (const char* name : {"b", "c"}) bench.election.on_message(Address{name}, Follow{entry(name), 5, {}, {}, {}}, bench.now);
+    for (const char* name : {"b", "c"})
+      bench.election.on_message(Address{name}, Follow{entry(name), 5, {}, {}, {}}, bench.now);
   }
   EXPECT_TRUE(bench.election.is_master());
   Bench other = bench;
@@ -178,7 +190,8 @@
 TEST(MasterElection, AFollowerLooksAnewWhenItsMasterFallsSilentOrLeaves) {
   Bench bench;
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"a", "c", "d", "e"}) bench.answer(name, pings[name].ask, "a");
+  for (const char* name : {"a", "c", "d", "e"})
+    bench.answer(name, pings[name].ask, "a");
   auto joins = bench.sent<Join>();
   bench.election.on_message(Address{"a"}, JoinAnswer{joins["a"].ask, true, 5, ""}, bench.now);
   ASSERT_EQ(bench.election.phase(), Phase::following);
@@ -193,7 +206,8 @@
 TEST(MasterElection, ARefusedLinkEndsTheWaitButUnseatsNoOne) {
   Bench bench;
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"c", "d", "e"}) bench.answer(name, pings[name].ask, "a");
+  for (const char* name : {"c", "d", "e"})
+    bench.answer(name, pings[name].ask, "a");
   EXPECT_EQ(bench.election.phase(), Phase::pinging);
   bench.election.refused(Address{"a"}, bench.now);  // gone, not asleep: no need to wait for its answer
   // Three of five still name it: it is joined, as reported, and only that join tells that it is gone.
@@ -203,7 +217,8 @@
   EXPECT_EQ(bench.election.phase(), Phase::pausing);
   bench.pass(600);
   auto again = bench.sent<Ping>();
-  for (const char* name : {"c", "d", "e"}) bench.answer(name, again[name].ask);
+  for (const char* name : {"c", "d", "e"})
+    bench.answer(name, again[name].ask);
   EXPECT_EQ(bench.election.phase(), Phase::pinging);
   bench.election.refused(Address{"a"}, bench.now);
   EXPECT_EQ(bench.election.phase(), Phase::awaiting_joins);  // more than half find it down: ranked, "b" is first
@@ -213,7 +228,8 @@
 // "b" follows "a" in term 4, long after its start, and has a stamp to acknowledge.
 void follow_a(Bench& bench) {
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"a", "c", "d", "e"}) bench.answer(name, pings[name].ask, name[0] == 'a' ? "a" : "");
+  for (const char* name : {"a", "c", "d", "e"})
+    bench.answer(name, pings[name].ask, name[0] == 'a' ? "a" : "");
   auto joins = bench.sent<Join>();
   bench.election.on_message(Address{"a"}, JoinAnswer{joins["a"].ask, true, 4, ""}, bench.now);
   for (int i = 0; i < 30; ++i) {
@@ -230,7 +246,8 @@
   // Its master falls silent; it joins "c", which ranks first, and the promise is in the join.
   bench.pass(2000);
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"c", "d", "e"}) bench.answer(name, pings[name].ask, "", name[0] == 'c' ? MapVersion{4, 9} : MapVersion{});
+  for (const char* name : {"c", "d", "e"})
+    bench.answer(name, pings[name].ask, "", name[0] == 'c' ? MapVersion{4, 9} : MapVersion{});
   bench.pass(3000);
   auto joins = bench.sent<Join>();
   ASSERT_EQ(joins.count("c"), 1u);
@@ -246,7 +263,8 @@
 TEST(MasterElection, ADaemonThatHasJustStartedAcknowledgesNothing) {
   Bench bench;
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"a", "c", "d", "e"}) bench.answer(name, pings[name].ask, name[0] == 'a' ? "a" : "");
+  for (const char* name : {"a", "c", "d", "e"})
+    bench.answer(name, pings[name].ask, name[0] == 'a' ? "a" : "");
   auto joins = bench.sent<Join>();
   bench.election.on_message(Address{"a"}, JoinAnswer{joins["a"].ask, true, 4, ""}, bench.now);
   bench.election.on_message(Address{"a"}, FollowAnswer{4, true, {}, 70000}, bench.now);
@@ -256,10 +274,12 @@
 TEST(MasterElection, OnlyFreshJoinsOfItsOwnTermArePromises) {
   Bench bench("a");
   auto pings = bench.sent<Ping>();
-  for (const char* name : {"b", "c", "d", "e"}) bench.answer(name, pings[name].ask);
+  for (const char* name : {"b", "c", "d", "e"})
+    bench.answer(name, pings[name].ask);
   ASSERT_EQ(bench.election.phase(), Phase::awaiting_joins);
   bench.now = bench.now + Span{9000};
-  bench.election.on_message(Address{"b"}, Join{1, entry("b"), {}, 4, bench.now.value - 8500}, bench.now);  // held up on its way
+  bench.election.on_message(Address{"b"}, Join{1, entry("b"), {}, 4, bench.now.value - 8500},
+                            bench.now);  // held up on its way
   bench.election.on_message(Address{"c"}, Join{1, entry("c"), {}, 4, bench.now.value - 100}, bench.now);
   auto claim = bench.election.take_claim();
   ASSERT_TRUE(claim);
--- a/packages/message-tables/include/emberdale/freshness_times.hpp
+++ b/packages/message-tables/include/emberdale/freshness_times.hpp
@@ -6,8 +6,8 @@
 
 // A grant lasts so long from before its ask.
 inline constexpr Span grant_length{2000};
-// A master grants leases on its minimum version only while a majority of its word's roster has acknowledged a stamp of its own
-// clock that is at most this old...
+// A master grants leases on its minimum version only while a majority of its word's roster has acknowledged a stamp of
+// its own clock that is at most this old...
 inline constexpr Span acknowledgement_length{1200};
 // ...so a next master whose joins are a majority of that roster, each with its promise to acknowledge for no elder
 // term, acknowledges after this long (and a little for the clocks).
--- a/packages/message-tables/include/emberdale/record_tables.hpp
+++ b/packages/message-tables/include/emberdale/record_tables.hpp
@@ -21,12 +21,12 @@
 // Example:
 //   #define POINT_FIELDS(F) F(std::int64_t, x) F(std::int64_t, y)
 //   EMBERDALE_RECORD(Point, POINT_FIELDS)
-#define EMBERDALE_RECORD(Name, TABLE)                                                   \
-  struct Name {                                                                         \
-    static constexpr const char* record_name = #Name;                                   \
-    TABLE(EMBERDALE_FIELD_DECLARE)                                                      \
-    template <class Self, class Visit>                                                  \
+#define EMBERDALE_RECORD(Name, TABLE)                                                     \
+  struct Name {                                                                           \
+    static constexpr const char* record_name = #Name;                                     \
+    TABLE(EMBERDALE_FIELD_DECLARE)                                                        \
+    template <class Self, class Visit>                                                    \
     static void each_field([[maybe_unused]] Self& self, [[maybe_unused]] Visit&& visit) { \
-      TABLE(EMBERDALE_FIELD_VISIT)                                                      \
-    }                                                                                   \
+      TABLE(EMBERDALE_FIELD_VISIT)                                                        \
+    }                                                                                     \
   };
--- a/packages/message-tables/src/avro_codec.cpp
+++ b/packages/message-tables/src/avro_codec.cpp
@@ -14,13 +14,15 @@
 
 template <class T>
 std::string record_schema(std::set<std::string>& named) {
-  if (!named.insert(T::record_name).second) return std::string("\"") + T::record_name + "\"";
+  if (!named.insert(T::record_name).second)
+    return std::string("\"") + T::record_name + "\"";
   std::string text = std::string("{\"type\":\"record\",\"name\":\"") + T::record_name + "\",\"fields\":[";
   bool is_first = true;
   T blank{};
   T::each_field(blank, [&](const char* name, auto& field) {
     using Field = std::decay_t<decltype(field)>;
-    if (!is_first) text += ",";
+    if (!is_first)
+      text += ",";
     is_first = false;
     text += std::string("{\"name\":\"") + name + "\",\"type\":" + FieldCodec<Field>::schema(named) + "}";
   });
@@ -28,7 +30,8 @@
 }
 
 void must(int code) {
-  if (code != 0) throw std::runtime_error(avro_strerror());
+  if (code != 0)
+    throw std::runtime_error(avro_strerror());
 }
 
 template <class T>
@@ -143,7 +146,8 @@
     face = avro_generic_class_from_schema(schema);
   }
   ~RecordClass() {
-    if (face != nullptr) avro_value_iface_decref(face);
+    if (face != nullptr)
+      avro_value_iface_decref(face);
     avro_schema_decref(schema);
   }
 };
@@ -193,9 +197,11 @@
 template <std::size_t Index = 0>
 Outcome<Message> decode_kind(std::size_t kind, const char* start, std::size_t size) {
   if constexpr (Index < std::variant_size_v<Message>) {
-    if (kind != Index) return decode_kind<Index + 1>(kind, start, size);
+    if (kind != Index)
+      return decode_kind<Index + 1>(kind, start, size);
     auto record = decode_record<std::variant_alternative_t<Index, Message>>(start, size);
-    if (!record) return failure(record.reason);
+    if (!record)
+      return failure(record.reason);
     return Message{std::move(*record)};
   } else {
     return failure("unknown message kind " + std::to_string(kind));
@@ -231,15 +237,14 @@
 }
 
 Outcome<Message> decode_message(const std::string& bytes) {
-  if (bytes.empty()) return failure("an empty frame");
+  if (bytes.empty())
+    return failure("an empty frame");
   return decode_kind(static_cast<unsigned char>(bytes[0]), bytes.data() + 1, bytes.size() - 1);
 }
 
-#define EMBERDALE_CODEC(Type, word)                                                     \
-  std::string encode_##word(const Type& record) { return encode_record(record); }       \
-  Outcome<Type> decode_##word(const std::string& bytes) {                               \
-    return decode_record<Type>(bytes.data(), bytes.size());                             \
-  }
+#define EMBERDALE_CODEC(Type, word)                                               \
+  std::string encode_##word(const Type& record) { return encode_record(record); } \
+  Outcome<Type> decode_##word(const std::string& bytes) { return decode_record<Type>(bytes.data(), bytes.size()); }
 EMBERDALE_CODEC(FleetState, state)
 EMBERDALE_CODEC(RunnerRow, runner_row)
 EMBERDALE_CODEC(PlanRow, plan_row)
--- a/packages/message-tables/tests/avro_codec_test.cpp
+++ b/packages/message-tables/tests/avro_codec_test.cpp
@@ -19,14 +19,17 @@
 TEST(AvroCodec, StateSurvivesForAnyContent) {
   EXPECT_TRUE(rc::check([](const std::string& fleet, std::int64_t version, const std::vector<std::string>& bodies) {
     FleetState state;
-    for (char letter : fleet) state.fleet += letter == '\0' ? '.' : letter;
+    for (char letter : fleet)
+      state.fleet += letter == '\0' ? '.' : letter;
     state.version = version;
-    for (const auto& body : bodies) state.resources.push_back({"runners", "r", 1, 2, body});
+    for (const auto& body : bodies)
+      state.resources.push_back({"runners", "r", 1, 2, body});
     auto back = decode_state(encode_state(state));
     RC_ASSERT(back.has_value());
     RC_ASSERT(back->fleet == state.fleet && back->version == version);
     RC_ASSERT(back->resources.size() == bodies.size());
-    for (std::size_t i = 0; i < bodies.size(); ++i) RC_ASSERT(back->resources[i].body == bodies[i]);
+    for (std::size_t i = 0; i < bodies.size(); ++i)
+      RC_ASSERT(back->resources[i].body == bodies[i]);
   }));
 }
 
@@ -41,12 +44,24 @@
 
 TEST(AvroCodec, NoFrameFromOutsideBringsItDown) {
   PlacementMap map;
-  map.runners.push_back({RunnerName{"m1"}, "h", PoolName{"p"}, ZoneName{"z"}, RegionName{"r"}, "cold", 1, 8, 0, 2, {{Address{"d"}, 1}}, "k"});
+  map.runners.push_back({RunnerName{"m1"},
+                         "h",
+                         PoolName{"p"},
+                         ZoneName{"z"},
+                         RegionName{"r"},
+                         "cold",
+                         1,
+                         8,
+                         0,
+                         2,
+                         {{Address{"d"}, 1}},
+                         "k"});
   FleetState state;
   state.fleet = "f";
   state.resources.push_back({"runners", "r", 1, 2, "{}"});
-  const std::vector<std::string> sound{encode_message(Message{MapNews{map, false}}), encode_message(Message{EditAsk{}}),
-                                       encode_message(Message{Promise{1, StoreId{"s"}, true, {}, {}, {encode_state(state)}}})};
+  const std::vector<std::string> sound{
+      encode_message(Message{MapNews{map, false}}), encode_message(Message{EditAsk{}}),
+      encode_message(Message{Promise{1, StoreId{"s"}, true, {}, {}, {encode_state(state)}}})};
   EXPECT_TRUE(rc::check([&](std::uint64_t seed) {
     auto read = decode_message(spoiled(sound[seed % sound.size()], seed));
     RC_ASSERT(read.has_value() || !read.reason.empty());
--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -11,8 +11,8 @@
 #include <thread>
 
 #include "emberdale/maintenance_windows.hpp"
-#include "emberdale/serving_plans.hpp"
 #include "emberdale/peer_connections.hpp"
+#include "emberdale/serving_plans.hpp"
 
 using Json = nlohmann::json;
 using web::http::http_request;
@@ -69,11 +69,13 @@
   explicit Client(const std::string& list) {
     std::stringstream stream(list);
     std::string part;
-    while (std::getline(stream, part, ',')) addresses_.push_back(part);
+    while (std::getline(stream, part, ','))
+      addresses_.push_back(part);
   }
 
   // Tries the next daemon only where the last one surely was not reached, or refused for want of a master.
-  Answer ask(const std::string& method, const std::string& path, const std::string& body = "", const std::string& if_match = "") {
+  Answer ask(const std::string& method, const std::string& path, const std::string& body = "",
+             const std::string& if_match = "") {
     Answer last{0, "no control daemon answers"};
     for (const auto& address : addresses_) {
       try {
@@ -82,9 +84,12 @@
         web::http::client::http_client client("http://" + address, config);
         http_request request(method);
         request.set_request_uri(path);
-        if (if_match == "0") request.headers().add("If-None-Match", "*");
-        else if (!if_match.empty()) request.headers().add("If-Match", "\"" + if_match + "\"");
-        if (!body.empty()) request.set_body(body, "application/json");
+        if (if_match == "0")
+          request.headers().add("If-None-Match", "*");
+        else if (!if_match.empty())
+          request.headers().add("If-Match", "\"" + if_match + "\"");
+        if (!body.empty())
+          request.set_body(body, "application/json");
         http_response response = client.request(request).get();
         last = {response.status_code(), response.extract_string(true).get()};
         if (last.code != 503) {
@@ -93,7 +98,8 @@
         }
       } catch (const std::exception& fault) {
         std::string what = fault.what();
-        if (what.find("connect") == std::string::npos && method != "GET") return {504, Json{{"reason", what}, {"outcome", "unknown"}}.dump()};
+        if (what.find("connect") == std::string::npos && method != "GET")
+          return {504, Json{{"reason", what}, {"outcome", "unknown"}}.dump()};
         last = {0, address + ": " + what};
       }
     }
@@ -101,7 +107,8 @@
   }
 
   // Follows a watch until the named resource is in force everywhere at that version or a newer one.
-  int watch(const std::string& kind, const std::string& name, bool until_in_force, Json::number_integer_t version, int seconds) {
+  int watch(const std::string& kind, const std::string& name, bool until_in_force, Json::number_integer_t version,
+            int seconds) {
     auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
     while (std::chrono::steady_clock::now() < end) {
       for (const auto& address : addresses_) {
@@ -109,25 +116,32 @@
           web::http::client::http_client_config config;
           config.set_timeout(std::chrono::seconds(5));
           web::http::client::http_client client("http://" + address, config);
-          http_response response = client.request(methods::GET, "/v1/" + kind + (name.empty() ? "" : "/" + name) + "?watch=true").get();
-          if (response.status_code() != 200) continue;
+          http_response response =
+              client.request(methods::GET, "/v1/" + kind + (name.empty() ? "" : "/" + name) + "?watch=true").get();
+          if (response.status_code() != 200)
+            continue;
           auto source = response.body().streambuf();
           std::string line;
           while (std::chrono::steady_clock::now() < end) {
             int letter = source.bumpc().get();
-            if (letter == std::char_traits<char>::eof()) break;
+            if (letter == std::char_traits<char>::eof())
+              break;
             if (letter != '\n') {
               line += static_cast<char>(letter);
               continue;
             }
-            if (line.empty()) continue;
+            if (line.empty())
+              continue;
             Json news = Json::parse(line, nullptr, false);
-            if (!until_in_force) std::cout << line << std::endl;
+            if (!until_in_force)
+              std::cout << line << std::endl;
             line.clear();
-            if (!until_in_force || !news.is_object()) continue;
+            if (!until_in_force || !news.is_object())
+              continue;
             bool is_there = name.empty() ? !news["items"].empty() : false, is_in_force = true;
             for (const auto& item : news["items"]) {
-              if (!name.empty() && item["name"] == name && item["version"] >= version) is_there = true;
+              if (!name.empty() && item["name"] == name && item["version"] >= version)
+                is_there = true;
               is_in_force = is_in_force && item["in_force"].get<bool>();
             }
             if (is_there && is_in_force) {
@@ -156,7 +170,8 @@
     return text.str();
   }
   std::ifstream stream(name);
-  if (!stream) return std::nullopt;
+  if (!stream)
+    return std::nullopt;
   text << stream.rdbuf();
   return text.str();
 }
@@ -168,7 +183,8 @@
   if (body.is_object() && body.contains("findings"))
     for (const auto& finding : body["findings"]) {
       std::cerr << finding.value("severity", "") << ": " << finding.value("document", "") << finding.value("place", "");
-      if (finding.value("line", 0) > 0) std::cerr << " (line " << finding["line"] << ", column " << finding["column"] << ")";
+      if (finding.value("line", 0) > 0)
+        std::cerr << " (line " << finding["line"] << ", column " << finding["column"] << ")";
       std::cerr << ": " << finding.value("message", "") << "\n";
     }
   if (!is_good && body.is_object() && body.contains("reason"))
@@ -180,7 +196,8 @@
   } else {
     out << answer.body << "\n";
   }
-  if (is_good) return 0;
+  if (is_good)
+    return 0;
   return answer.code == 504 ? 3 : 1;
 }
 
@@ -190,11 +207,16 @@
   auto arguments = docopt::docopt(usage, {words + 1, words + count}, true, "emberdale-client 0.1");
   crossplat::threadpool::initialize_with_threads(2);
   Client client(arguments["--control"].asString());
-  auto flag = [&](const char* name) { return arguments[name].isBool() && arguments[name].asBool(); };
-  auto text = [&](const char* name) { return arguments[name].isString() ? arguments[name].asString() : std::string(); };
+  auto flag = [&](const char* name) {
+    return arguments[name].isBool() && arguments[name].asBool();
+  };
+  auto text = [&](const char* name) {
+    return arguments[name].isString() ? arguments[name].asString() : std::string();
+  };
   int seconds = std::atoi(text("--timeout").c_str());
   std::string kind = text("KIND"), name = text("NAME"), if_match = text("--if-match");
-  if (!kind.empty() && kind != emberdale::plans_kind && kind != emberdale::orders_kind && kind != emberdale::runners_kind) {
+  if (!kind.empty() && kind != emberdale::plans_kind && kind != emberdale::orders_kind &&
+      kind != emberdale::runners_kind) {
     std::cerr << "KIND must be serving-plans, zone-orders or runners\n";
     return 2;
   }
@@ -227,7 +249,8 @@
   if (!method.empty()) {
     Answer answer = client.ask(method, "/v1/" + kind + "/" + name, body, if_match);
     int status = show(answer);
-    if (status != 0 || !flag("--wait") || method == "DELETE") return status;
+    if (status != 0 || !flag("--wait") || method == "DELETE")
+      return status;
     Json done = Json::parse(answer.body, nullptr, false);
     return client.watch(kind, name, true, done.value("version", 0), seconds);
   }
@@ -239,13 +262,18 @@
     }
     std::vector<emberdale::Finding> findings;
     std::int64_t now = std::time(nullptr);
-    auto windows = emberdale::read_calendar(text("FILE"), *content, now, now + 86400 * std::max(1, std::atoi(text("--days").c_str())), findings);
+    auto windows = emberdale::read_calendar(text("FILE"), *content, now,
+                                            now + 86400 * std::max(1, std::atoi(text("--days").c_str())), findings);
     if (emberdale::has_errors(findings))
-      return show({422, Json{{"reason", "the calendar is wrong; nothing was changed"}, {"findings", Json::parse(emberdale::findings_json(findings))}}.dump()});
+      return show({422, Json{{"reason", "the calendar is wrong; nothing was changed"},
+                             {"findings", Json::parse(emberdale::findings_json(findings))}}
+                            .dump()});
     int status = 0;
     for (const auto& [zone, list] : windows) {
       Json body{{"windows", Json::array()}};
-      for (const auto& window : list) body["windows"].push_back({{"from", emberdale::show_utc(window.from)}, {"until", emberdale::show_utc(window.until)}});
+      for (const auto& window : list)
+        body["windows"].push_back(
+            {{"from", emberdale::show_utc(window.from)}, {"until", emberdale::show_utc(window.until)}});
       Answer answer = client.ask("PATCH", std::string("/v1/") + emberdale::orders_kind + "/" + zone, body.dump());
       if (answer.code == 404) {
         body["state"] = "serving";
@@ -256,20 +284,30 @@
     }
     return status;
   }
-  if (flag("get")) return show(client.ask("GET", "/v1/" + kind + (name.empty() ? "" : "/" + name)));
-  if (flag("watch")) return client.watch(kind, name, flag("--until-in-force"), 0, flag("--until-in-force") ? seconds : 1 << 30);
-  if (flag("found")) return show(client.ask("POST", "/v1/fleet/found", Json{{"fleet", text("FLEET")}, {"cores", arguments["CORE"].asStringList()}}.dump()));
-  if (flag("replace-core")) return show(client.ask("POST", "/v1/fleet/replace-core", Json{{"old", text("OLD")}, {"new", text("NEW")}}.dump()));
-  if (flag("events")) return show(client.ask("GET", "/v1/events"));
+  if (flag("get"))
+    return show(client.ask("GET", "/v1/" + kind + (name.empty() ? "" : "/" + name)));
+  if (flag("watch"))
+    return client.watch(kind, name, flag("--until-in-force"), 0, flag("--until-in-force") ? seconds : 1 << 30);
+  if (flag("found"))
+    return show(client.ask("POST", "/v1/fleet/found",
+                           Json{{"fleet", text("FLEET")}, {"cores", arguments["CORE"].asStringList()}}.dump()));
+  if (flag("replace-core"))
+    return show(client.ask("POST", "/v1/fleet/replace-core", Json{{"old", text("OLD")}, {"new", text("NEW")}}.dump()));
+  if (flag("events"))
+    return show(client.ask("GET", "/v1/events"));
   Answer answer = client.ask("GET", "/v1/fleet");
-  if (answer.code != 200 || flag("fleet")) return show(answer);
+  if (answer.code != 200 || flag("fleet"))
+    return show(answer);
   Json fleet = Json::parse(answer.body, nullptr, false);
   if (flag("master")) {
-    std::cout << Json{{"master", fleet["master"]}, {"reign", fleet["reign"]}, {"answers", fleet["master_answers"]}}.dump() << "\n";
+    std::cout
+        << Json{{"master", fleet["master"]}, {"reign", fleet["reign"]}, {"answers", fleet["master_answers"]}}.dump()
+        << "\n";
     return 0;
   }
   Json map;
-  for (const char* key : {"map_version", "map_config_revision", "regions", "runners", "gateways", "emptied_zones"}) map[key] = fleet[key];
+  for (const char* key : {"map_version", "map_config_revision", "regions", "runners", "gateways", "emptied_zones"})
+    map[key] = fleet[key];
   std::cout << map.dump(2) << "\n";
   return 0;
 }
