--- a/packages/peer-connections/src/peer_connections.cpp
+++ b/packages/peer-connections/src/peer_connections.cpp
@@ -21,13 +21,14 @@
 // the way is open again, a link must not wait for the last of them.
 constexpr std::chrono::milliseconds dial_patience{500};
 constexpr int unanswered_ms = 3000;
-constexpr std::size_t large_frame = 8192;              // from here on a frame is packed, if that makes it smaller
-constexpr std::uint32_t packed_mark = 0x80000000;      // in the size that goes before a frame
-constexpr std::uint32_t hello_mark = 0x454d4244;  // "EMBD"
+constexpr std::size_t large_frame = 8192;          // from here on a frame is packed, if that makes it smaller
+constexpr std::uint32_t packed_mark = 0x80000000;  // in the size that goes before a frame
+constexpr std::uint32_t hello_mark = 0x454d4244;   // "EMBD"
 
 template <class T>
 void put(std::string& out, T number) {
-  for (std::size_t i = 0; i < sizeof(T); ++i) out.push_back(static_cast<char>(number >> (8 * i)));
+  for (std::size_t i = 0; i < sizeof(T); ++i)
+    out.push_back(static_cast<char>(number >> (8 * i)));
 }
 template <class T>
 T get(const char* start) {
@@ -40,8 +41,10 @@
 std::optional<std::string> pack(const std::string& body) {
   std::string packed(4 + compressBound(body.size()), 0);
   uLongf size = packed.size() - 4;
-  int code = compress2(reinterpret_cast<Bytef*>(&packed[4]), &size, reinterpret_cast<const Bytef*>(body.data()), body.size(), 1);
-  if (code != Z_OK || size + 4 >= body.size()) return std::nullopt;
+  int code = compress2(reinterpret_cast<Bytef*>(&packed[4]), &size, reinterpret_cast<const Bytef*>(body.data()),
+                       body.size(), 1);
+  if (code != Z_OK || size + 4 >= body.size())
+    return std::nullopt;
   std::string head;
   put<std::uint32_t>(head, static_cast<std::uint32_t>(body.size()));
   packed.replace(0, 4, head);
@@ -49,30 +52,39 @@
   return packed;
 }
 std::optional<std::string> unpack(const std::string& packed) {
-  if (packed.size() < 4) return std::nullopt;
+  if (packed.size() < 4)
+    return std::nullopt;
   auto wanted = get<std::uint32_t>(packed.data());
-  if (wanted > max_frame) return std::nullopt;
+  if (wanted > max_frame)
+    return std::nullopt;
   std::string body(wanted, 0);
   uLongf size = wanted;
-  int code = uncompress(reinterpret_cast<Bytef*>(body.data()), &size, reinterpret_cast<const Bytef*>(packed.data() + 4), packed.size() - 4);
-  if (code != Z_OK || size != wanted) return std::nullopt;
+  int code = uncompress(reinterpret_cast<Bytef*>(body.data()), &size, reinterpret_cast<const Bytef*>(packed.data() + 4),
+                        packed.size() - 4);
+  if (code != Z_OK || size != wanted)
+    return std::nullopt;
   return body;
 }
 }  // namespace
 
 Outcome<std::pair<std::string, int>> split_address(const std::string& text) {
   auto colon = text.rfind(':');
-  if (colon == std::string::npos) return failure("'" + text + "' is not IP:PORT");
+  if (colon == std::string::npos)
+    return failure("'" + text + "' is not IP:PORT");
   boost::system::error_code fault;
   asio::ip::make_address(text.substr(0, colon), fault);
-  if (fault) return failure("'" + text + "' does not start with an IP number");
+  if (fault)
+    return failure("'" + text + "' does not start with an IP number");
   int port = 0;
   for (char digit : text.substr(colon + 1)) {
-    if (digit < '0' || digit > '9') return failure("'" + text + "' has no port number");
+    if (digit < '0' || digit > '9')
+      return failure("'" + text + "' has no port number");
     port = port * 10 + (digit - '0');
-    if (port > 65535) return failure("'" + text + "' has a port above 65535");
+    if (port > 65535)
+      return failure("'" + text + "' has a port above 65535");
   }
-  if (port == 0) return failure("'" + text + "' has no port number");
+  if (port == 0)
+    return failure("'" + text + "' has no port number");
   return std::make_pair(text.substr(0, colon), port);
 }
 
@@ -99,89 +111,99 @@
   *alive_ = false;
   boost::system::error_code ignored;
   acceptor_.close(ignored);
-  for (auto& [to, link] : out_links_) link->socket.close(ignored);
+  for (auto& [to, link] : out_links_)
+    link->socket.close(ignored);
 }
 
 Outcome<bool> PeerConnections::listen() {
   auto place = split_address(self_.text);
-  if (!place) return failure(place.reason);
+  if (!place)
+    return failure(place.reason);
   boost::system::error_code fault;
   tcp::endpoint endpoint(asio::ip::make_address(place->first, fault), static_cast<unsigned short>(place->second));
   acceptor_.open(endpoint.protocol(), fault);
   acceptor_.set_option(tcp::acceptor::reuse_address(true), fault);
   acceptor_.bind(endpoint, fault);
-  if (!fault) acceptor_.listen(256, fault);
-  if (fault) return failure("can't listen on " + self_.text + ": " + fault.message());
+  if (!fault)
+    acceptor_.listen(256, fault);
+  if (fault)
+    return failure("can't listen on " + self_.text + ": " + fault.message());
   accept_next();
   return true;
 }
 
 void PeerConnections::accept_next() {
   acceptor_.async_accept([this, alive = alive_](boost::system::error_code fault, tcp::socket socket) {
-    if (!*alive) return;
+    if (!*alive)
+      return;
     if (!fault) {
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       socket.set_option(asio::socket_base::keep_alive(true), ignored);  // one that vanished is let go in the end
       read_next(std::make_shared<InLink>(std::move(socket)));
     }
-    if (fault != asio::error::operation_aborted) accept_next();
+    if (fault != asio::error::operation_aborted)
+      accept_next();
   });
 }
 
 void PeerConnections::read_next(const std::shared_ptr<InLink>& link) {
   asio::async_read(link->socket, asio::buffer(link->head, 4),
                    [this, link, alive = alive_](boost::system::error_code fault, std::size_t) {
-    if (fault || !*alive) return;
-    auto size = get<std::uint32_t>(link->head);
-    bool is_packed = (size & packed_mark) != 0;
-    size &= ~packed_mark;
-    if (size > max_frame) {
-      ++counts_.refused_frames;
-      return;  // the link closes as its last owner goes
-    }
-    link->body.resize(size);
-    asio::async_read(link->socket, asio::buffer(link->body.data(), size),
-                     [this, link, alive, is_packed](boost::system::error_code broken, std::size_t) {
-      if (broken || !*alive) return;
-      if (is_packed) {
-        auto body = unpack(link->body);
-        if (!body) {
-          ++counts_.refused_frames;
-          return;
-        }
-        link->body = std::move(*body);
-      }
-      if (link->from.empty()) {  // the first frame says who speaks, and in which protocol
-        if (link->body.size() < 12 || get<std::uint32_t>(link->body.data()) != hello_mark ||
-            get<std::uint64_t>(link->body.data() + 4) != protocol_fingerprint()) {
-          ++counts_.refused_frames;
-          LOG(WARNING) << "link refused: other protocol";
-          return;
-        }
-        link->from.text = link->body.substr(12);
-        heard_from(link->from);
-        return read_next(link);
-      }
-      ++counts_.frames_in;
-      auto fault_entry = faults_.find(link->from);
-      if (fault_entry == faults_.end() || !fault_entry->second.is_cut_in) {
-        auto message = decode_message(link->body);
-        if (!message) {
-          ++counts_.refused_frames;
-          return;
-        }
-        on_message_(link->from, std::move(*message));
-      }
-      read_next(link);
-    });
-  });
+                     if (fault || !*alive)
+                       return;
+                     auto size = get<std::uint32_t>(link->head);
+                     bool is_packed = (size & packed_mark) != 0;
+                     size &= ~packed_mark;
+                     if (size > max_frame) {
+                       ++counts_.refused_frames;
+                       return;  // the link closes as its last owner goes
+                     }
+                     link->body.resize(size);
+                     asio::async_read(
+                         link->socket, asio::buffer(link->body.data(), size),
+                         [this, link, alive, is_packed](boost::system::error_code broken, std::size_t) {
+                           if (broken || !*alive)
+                             return;
+                           if (is_packed) {
+                             auto body = unpack(link->body);
+                             if (!body) {
+                               ++counts_.refused_frames;
+                               return;
+                             }
+                             link->body = std::move(*body);
+                           }
+                           if (link->from.empty()) {  // the first frame says who speaks, and in which protocol
+                             if (link->body.size() < 12 || get<std::uint32_t>(link->body.data()) != hello_mark ||
+                                 get<std::uint64_t>(link->body.data() + 4) != protocol_fingerprint()) {
+                               ++counts_.refused_frames;
+                               LOG(WARNING) << "link refused: other protocol";
+                               return;
+                             }
+                             link->from.text = link->body.substr(12);
+                             heard_from(link->from);
+                             return read_next(link);
+                           }
+                           ++counts_.frames_in;
+                           auto fault_entry = faults_.find(link->from);
+                           if (fault_entry == faults_.end() || !fault_entry->second.is_cut_in) {
+                             auto message = decode_message(link->body);
+                             if (!message) {
+                               ++counts_.refused_frames;
+                               return;
+                             }
+                             on_message_(link->from, std::move(*message));
+                           }
+                           read_next(link);
+                         });
+                   });
 }
 
 // It lives: a dial that began while it was dark waits for a packet that was lost, for a second or more.
 void PeerConnections::heard_from(const Address& peer) {
   auto entry = out_links_.find(peer);
-  if (entry == out_links_.end() || !entry->second->is_dialling) return;
+  if (entry == out_links_.end() || !entry->second->is_dialling)
+    return;
   auto fresh = std::make_shared<OutLink>(context_);
   fresh->to = peer;
   fresh->queue.swap(entry->second->queue);
@@ -195,9 +217,12 @@
   std::string body = encode_message(message);
   auto frame = std::make_shared<std::string>();
   std::optional<std::string> packed;
-  if (body.size() >= large_frame) packed = pack(body);
-  if (packed) put<std::uint32_t>(*frame, static_cast<std::uint32_t>(packed->size()) | packed_mark);
-  else put<std::uint32_t>(*frame, static_cast<std::uint32_t>(body.size()));
+  if (body.size() >= large_frame)
+    packed = pack(body);
+  if (packed)
+    put<std::uint32_t>(*frame, static_cast<std::uint32_t>(packed->size()) | packed_mark);
+  else
+    put<std::uint32_t>(*frame, static_cast<std::uint32_t>(body.size()));
   *frame += packed ? *packed : body;
   auto fault = faults_.find(to);
   if (fault != faults_.end()) {
@@ -208,7 +233,8 @@
     if (fault->second.delay.value > 0) {
       auto timer = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(fault->second.delay.value));
       timer->async_wait([this, timer, to, frame, alive = alive_](boost::system::error_code) {
-        if (*alive) queue_frame(to, frame);
+        if (*alive)
+          queue_frame(to, frame);
       });
       return;
     }
@@ -228,7 +254,8 @@
   }
   link->queue.push_back(std::move(frame));
   if (!link->is_up) {
-    if (!link->is_dialling) dial(link);
+    if (!link->is_dialling)
+      dial(link);
   } else if (!link->is_writing) {
     write_next(link);
   }
@@ -236,31 +263,37 @@
 
 void PeerConnections::dial(const std::shared_ptr<OutLink>& link) {
   auto place = split_address(link->to.text);
-  if (!place) return drop(link);
+  if (!place)
+    return drop(link);
   link->is_dialling = true;
   boost::system::error_code ignored;
   tcp::endpoint endpoint(asio::ip::make_address(place->first, ignored), static_cast<unsigned short>(place->second));
   auto patience = std::make_shared<asio::steady_timer>(context_, dial_patience);
   patience->async_wait([link, patience, alive = alive_](boost::system::error_code stopped) {
     boost::system::error_code ignored_fault;
-    if (!stopped && *alive && link->is_dialling) link->socket.close(ignored_fault);  // ends the dialling with a fault
+    if (!stopped && *alive && link->is_dialling)
+      link->socket.close(ignored_fault);  // ends the dialling with a fault
   });
   link->socket.async_connect(endpoint, [this, link, patience, alive = alive_](boost::system::error_code fault) {
     patience->cancel();
-    if (!*alive) return;
+    if (!*alive)
+      return;
     link->is_dialling = false;
     auto current = out_links_.find(link->to);
-    if (current == out_links_.end() || current->second != link) return;  // another dial has taken its place
+    if (current == out_links_.end() || current->second != link)
+      return;  // another dial has taken its place
     if (fault) {
       drop(link);
       auto cut = faults_.find(link->to);
       bool is_cut = cut != faults_.end() && cut->second.is_cut_out;
-      if (fault == asio::error::connection_refused && on_refused && !is_cut) on_refused(link->to);
+      if (fault == asio::error::connection_refused && on_refused && !is_cut)
+        on_refused(link->to);
       return;
     }
     boost::system::error_code ignored_fault;
     link->socket.set_option(tcp::no_delay(true), ignored_fault);
-    link->socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unanswered_ms), ignored_fault);
+    link->socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unanswered_ms),
+                            ignored_fault);
     link->is_up = true;
     std::string hello;
     put<std::uint32_t>(hello, hello_mark);
@@ -274,33 +307,39 @@
     auto byte = std::make_shared<char>();
     asio::async_read(link->socket, asio::buffer(byte.get(), 1),
                      [this, link, byte, alive](boost::system::error_code, std::size_t) {
-      if (!*alive) return;
-      drop(link);
-      look_again(link->to);
-    });
+                       if (!*alive)
+                         return;
+                       drop(link);
+                       look_again(link->to);
+                     });
     write_next(link);
   });
 }
 
 void PeerConnections::write_next(const std::shared_ptr<OutLink>& link) {
-  if (!link->is_up || link->queue.empty()) return;
+  if (!link->is_up || link->queue.empty())
+    return;
   link->is_writing = true;
   auto frame = link->queue.front();
   asio::async_write(link->socket, asio::buffer(*frame),
                     [this, link, frame, alive = alive_](boost::system::error_code fault, std::size_t size) {
-    if (!*alive) return;
-    link->is_writing = false;
-    if (fault) return drop(link);
-    ++counts_.frames_out;
-    counts_.bytes_out += static_cast<std::int64_t>(size);
-    if (!link->queue.empty() && link->queue.front() == frame) link->queue.pop_front();
-    write_next(link);
-  });
+                      if (!*alive)
+                        return;
+                      link->is_writing = false;
+                      if (fault)
+                        return drop(link);
+                      ++counts_.frames_out;
+                      counts_.bytes_out += static_cast<std::int64_t>(size);
+                      if (!link->queue.empty() && link->queue.front() == frame)
+                        link->queue.pop_front();
+                      write_next(link);
+                    });
 }
 
 void PeerConnections::drop(const std::shared_ptr<OutLink>& link) {
   auto entry = out_links_.find(link->to);
-  if (entry == out_links_.end() || entry->second != link) return;
+  if (entry == out_links_.end() || entry->second != link)
+    return;
   counts_.frames_dropped += static_cast<std::int64_t>(link->queue.size());
   boost::system::error_code ignored;
   link->socket.close(ignored);
@@ -311,7 +350,8 @@
 void PeerConnections::look_again(const Address& to) {
   auto timer = std::make_shared<asio::steady_timer>(context_, std::chrono::milliseconds(20));
   timer->async_wait([this, timer, to, alive = alive_](boost::system::error_code) {
-    if (!*alive || out_links_.count(to) != 0) return;
+    if (!*alive || out_links_.count(to) != 0)
+      return;
     auto link = std::make_shared<OutLink>(context_);
     link->to = to;
     out_links_[to] = link;
--- a/packages/peer-connections/tests/peer_connections_test.cpp
+++ b/packages/peer-connections/tests/peer_connections_test.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-std::string text_of(const tcp::endpoint& endpoint) { return endpoint.address().to_string() + ":" + std::to_string(endpoint.port()); }
+std::string text_of(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
 
 // An address where nothing listens now.
 Address free_address(asio::io_context& context) {
@@ -34,9 +36,12 @@
   Address here = free_address(context), there = free_address(context);
   std::vector<Address> heard, refused;
   PeerConnections mine(context, here, [](const Address&, Message) {});
-  mine.on_refused = [&](const Address& peer) { refused.push_back(peer); };
+  mine.on_refused = [&](const Address& peer) {
+    refused.push_back(peer);
+  };
   ASSERT_TRUE(mine.listen());
-  auto theirs = std::make_unique<PeerConnections>(context, there, [&](const Address& from, Message) { heard.push_back(from); });
+  auto theirs =
+      std::make_unique<PeerConnections>(context, there, [&](const Address& from, Message) { heard.push_back(from); });
   ASSERT_TRUE(theirs->listen());
   mine.send(there, Message{Leave{}});
   ASSERT_TRUE(run_until(context, [&] { return heard.size() == 1; }));
@@ -49,7 +54,9 @@
   Address here = free_address(context), nobody = free_address(context);
   std::vector<Address> refused;
   PeerConnections links(context, here, [](const Address&, Message) {});
-  links.on_refused = [&](const Address& peer) { refused.push_back(peer); };
+  links.on_refused = [&](const Address& peer) {
+    refused.push_back(peer);
+  };
   links.send(nobody, Message{Leave{}});
   ASSERT_TRUE(run_until(context, [&] { return !refused.empty(); }));
   EXPECT_EQ(refused.front(), nobody);
@@ -77,10 +84,13 @@
   }
   PeerConnections links(context, free_address(context), [](const Address&, Message) {});
   bool is_refused = false;
-  links.on_refused = [&](const Address&) { is_refused = true; };
+  links.on_refused = [&](const Address&) {
+    is_refused = true;
+  };
   Address silent{text_of(full.local_endpoint())};
   links.send(silent, Message{Leave{}});
-  ASSERT_TRUE(run_until(context, [&] { return links.counts().frames_dropped == 1; }));  // given up: the next is dialled anew
+  ASSERT_TRUE(
+      run_until(context, [&] { return links.counts().frames_dropped == 1; }));  // given up: the next is dialled anew
   EXPECT_FALSE(is_refused);
 }
 
@@ -91,10 +101,12 @@
   std::vector<EditAsk> heard;
   PeerConnections mine(context, here, [](const Address&, Message) {});
   ASSERT_TRUE(mine.listen());
-  PeerConnections theirs(context, there, [&](const Address&, Message message) { heard.push_back(std::get<EditAsk>(message)); });
+  PeerConnections theirs(context, there,
+                         [&](const Address&, Message message) { heard.push_back(std::get<EditAsk>(message)); });
   ASSERT_TRUE(theirs.listen());
   EditAsk ask;
-  for (int i = 0; i < 5000; ++i) ask.body += "{\"name\":\"route-" + std::to_string(i) + "\",\"host\":\"a.example\",\"kind\":\"streaming\"},";
+  for (int i = 0; i < 5000; ++i)
+    ask.body += "{\"name\":\"route-" + std::to_string(i) + "\",\"host\":\"a.example\",\"kind\":\"streaming\"},";
   mine.send(there, Message{ask});
   EditAsk small;
   small.body = "{}";
@@ -112,7 +124,8 @@
   PeerConnections theirs(context, there, [&](const Address&, Message) { ++heard; });
   ASSERT_TRUE(theirs.listen());
   auto place = split_address(there.text);
-  for (const std::string& spoilt : {std::string("\x05\0\0\x80\xff\xff\xff\x7fz", 9), std::string("\x06\0\0\x80\x10\0\0\0zz", 10), std::string("\x01\0\0\x80z", 5)}) {
+  for (const std::string& spoilt : {std::string("\x05\0\0\x80\xff\xff\xff\x7fz", 9),
+                                    std::string("\x06\0\0\x80\x10\0\0\0zz", 10), std::string("\x01\0\0\x80z", 5)}) {
     tcp::socket socket(context);
     socket.connect(tcp::endpoint(asio::ip::make_address(place->first), static_cast<unsigned short>(place->second)));
     std::int64_t before = theirs.counts().refused_frames;
--- a/packages/placement-map/include/emberdale/cold_shares.hpp
+++ b/packages/placement-map/include/emberdale/cold_shares.hpp
@@ -25,7 +25,8 @@
   // The shares of one cold runner; their sum never exceeds its allowance, nor does what is still under way
   // from daemons that had some add to it. Daemons of other regions get some only where the runner's own has
   // long had none. Example: shares.share(row, near, all, now)
-  std::vector<ColdGrant> share(const RunnerRow& row, const std::vector<std::string>& near, const std::vector<std::string>& all, Moment now);
+  std::vector<ColdGrant> share(const RunnerRow& row, const std::vector<std::string>& near,
+                               const std::vector<std::string>& all, Moment now);
   // A runner that is warm needs no shares. Example: shares.forget(row.name)
   void forget(const RunnerName& runner) { runners_.erase(runner); }
 
--- a/packages/placement-map/include/emberdale/map_slices.hpp
+++ b/packages/placement-map/include/emberdale/map_slices.hpp
@@ -52,7 +52,7 @@
   PlacementMap map_;
   Moment master_heard_{-1000000};
   std::map<Address, Subscriber> subscribers_;
-  std::map<std::string, std::shared_ptr<const Rows>> rows_;  // of the map, cut once
+  std::map<std::string, std::shared_ptr<const Rows>> rows_;                // of the map, cut once
   std::map<std::pair<const Rows*, const Rows*>, Difference> differences_;  // worked out once for all subscribers
   std::vector<Sending> out_;
   std::int64_t rows_sent_ = 0;
--- a/packages/placement-map/src/cold_shares.cpp
+++ b/packages/placement-map/src/cold_shares.cpp
@@ -9,16 +9,19 @@
 void ColdShares::begin(const PlacementMap& known, bool has_elder, Moment now) {
   runners_.clear();
   for (const auto& row : known.runners) {
-    if (row.status != "cold") continue;
+    if (row.status != "cold")
+      continue;
     Runner& runner = runners_[row.name];
     runner.incarnation = row.incarnation;
-    for (const auto& grant : row.grants) runner.held[grant.daemon.text] = grant.calls;
+    for (const auto& grant : row.grants)
+      runner.held[grant.daemon.text] = grant.calls;
   }
   has_elder_ = has_elder;
   began_ = now;
 }
 
-std::vector<ColdGrant> ColdShares::share(const RunnerRow& row, const std::vector<std::string>& near, const std::vector<std::string>& all, Moment now) {
+std::vector<ColdGrant> ColdShares::share(const RunnerRow& row, const std::vector<std::string>& near,
+                                         const std::vector<std::string>& all, Moment now) {
   Runner& runner = runners_[row.name];
   // What was given for a former life is void: the runner refuses calls meant for it.
   bool is_new_life = runner.incarnation != row.incarnation;
@@ -26,7 +29,8 @@
     runner = Runner{};
     runner.incarnation = row.incarnation;
   }
-  if (!near.empty() || is_new_life) runner.near_seen = now;
+  if (!near.empty() || is_new_life)
+    runner.near_seen = now;
   bool has_near = !near.empty() || now - runner.near_seen < near_patience;
   std::vector<std::string> ranked = rendezvous_rank(row.name.text, has_near ? near : all);
   Integer kept = 0, freed = 0;
@@ -45,23 +49,28 @@
   }
   Integer in_use = 0;
   for (auto entry = runner.taken_back.begin(); entry != runner.taken_back.end();) {
-    if (now - entry->second.second < settling) in_use += (entry++)->second.first;
-    else entry = runner.taken_back.erase(entry);
+    if (now - entry->second.second < settling)
+      in_use += (entry++)->second.first;
+    else
+      entry = runner.taken_back.erase(entry);
   }
   // Calls of a daemon that went silent may still run: as much as the runner reports is held back.
-  Integer spare = row.allowance - kept - in_use - (is_new_life ? 0 : std::min(row.load, std::max(freed, row.allowance - kept)));
+  Integer spare =
+      row.allowance - kept - in_use - (is_new_life ? 0 : std::min(row.load, std::max(freed, row.allowance - kept)));
   bool may_give = !has_elder_ || now - began_ >= settling;
   for (Integer round = 0; may_give && spare > 0 && !ranked.empty(); ++round)
     for (const auto& daemon : ranked) {
       auto held = runner.held.find(daemon);
-      if (spare <= 0 || (held != runner.held.end() && held->second > round)) continue;
+      if (spare <= 0 || (held != runner.held.end() && held->second > round))
+        continue;
       ++runner.held[daemon];
       --spare;
     }
   std::vector<ColdGrant> grants;
   for (const auto& daemon : ranked) {
     auto held = runner.held.find(daemon);
-    if (held != runner.held.end() && held->second > 0) grants.push_back({Address{daemon}, held->second});
+    if (held != runner.held.end() && held->second > 0)
+      grants.push_back({Address{daemon}, held->second});
   }
   return grants;
 }
--- a/packages/placement-map/src/map_slices.cpp
+++ b/packages/placement-map/src/map_slices.cpp
@@ -9,16 +9,22 @@
 std::map<std::string, std::string> slice_rows(const PlacementMap& map, const std::string& topic) {
   std::map<std::string, std::string> rows;
   if (topic == plans_topic) {
-    for (const auto& plan : map.plans) rows["plan/" + plan.name.text] = encode_plan_row(plan);
-    for (const auto& gateway : map.gateways) rows["gateway/" + gateway.daemon.text] = encode_gateway_row(gateway);
-    for (const auto& row : map.traffic) rows["traffic/" + row.key] = row.body.data;
+    for (const auto& plan : map.plans)
+      rows["plan/" + plan.name.text] = encode_plan_row(plan);
+    for (const auto& gateway : map.gateways)
+      rows["gateway/" + gateway.daemon.text] = encode_gateway_row(gateway);
+    for (const auto& row : map.traffic)
+      rows["traffic/" + row.key] = row.body.data;
     rows["master"] = encode_gateway_row({map.master, "", {}, {}});
-    for (const auto& edge : map.edges) rows["edge/" + edge.daemon.text] = encode_gateway_row(edge);
-    for (const auto& region : map.regions) rows["region/" + region.pool.text + "/" + region.region.text] = encode_region_row(region);
+    for (const auto& edge : map.edges)
+      rows["edge/" + edge.daemon.text] = encode_gateway_row(edge);
+    for (const auto& region : map.regions)
+      rows["region/" + region.pool.text + "/" + region.region.text] = encode_region_row(region);
     return rows;
   }
   for (const auto& runner : map.runners)
-    if (pool_topic(runner.pool) == topic) rows["runner/" + runner.name.text] = encode_runner_row(runner);
+    if (pool_topic(runner.pool) == topic)
+      rows["runner/" + runner.name.text] = encode_runner_row(runner);
   return rows;
 }
 
@@ -27,27 +33,35 @@
   rows_.clear();
   differences_.clear();
   for (auto& [address, subscriber] : subscribers_)
-    for (auto& [name, topic] : subscriber.topics) feed(address, name, topic, topic.sent, now);
+    for (auto& [name, topic] : subscriber.topics)
+      feed(address, name, topic, topic.sent, now);
   differences_.clear();  // they name rows that may go now
 }
 
-const SlicePublisher::Difference& SlicePublisher::difference(const std::shared_ptr<const Rows>& from, const std::shared_ptr<const Rows>& to) {
+const SlicePublisher::Difference& SlicePublisher::difference(const std::shared_ptr<const Rows>& from,
+                                                             const std::shared_ptr<const Rows>& to) {
   auto [entry, is_new] = differences_.insert({{from.get(), to.get()}, {}});
   Difference& found = entry->second;
-  if (!is_new || from == to) return found;
+  if (!is_new || from == to)
+    return found;
   for (const auto& [key, body] : *to) {
     auto old = from->find(key);
-    if (old == from->end() || old->second != body) found.rows.push_back({key, {body}});
+    if (old == from->end() || old->second != body)
+      found.rows.push_back({key, {body}});
   }
   for (const auto& [key, body] : *from)
-    if (to->count(key) == 0) found.gone.push_back(key);
+    if (to->count(key) == 0)
+      found.gone.push_back(key);
   return found;
 }
 
-void SlicePublisher::feed(const Address& to, const std::string& name, Topic& topic, const MapVersion& known, Moment now) {
-  if (map_.version == MapVersion{}) return;
+void SlicePublisher::feed(const Address& to, const std::string& name, Topic& topic, const MapVersion& known,
+                          Moment now) {
+  if (map_.version == MapVersion{})
+    return;
   auto cut = rows_.find(name);
-  if (cut == rows_.end()) cut = rows_.emplace(name, std::make_shared<const Rows>(slice_rows(map_, name))).first;
+  if (cut == rows_.end())
+    cut = rows_.emplace(name, std::make_shared<const Rows>(slice_rows(map_, name))).first;
   const auto& rows = cut->second;
   SliceNews news;
   news.topic = name;
@@ -55,11 +69,13 @@
   news.config_revision = map_.config_revision;
   news.age = (now - master_heard_).value;
   // A subscriber that is further than this home is left alone: versions never go back.
-  if (map_.version < known) return;
+  if (map_.version < known)
+    return;
   news.whole = !(known == topic.sent) || known == MapVersion{} || !topic.rows;
   news.base = known;
   if (news.whole) {
-    for (const auto& [key, body] : *rows) news.rows.push_back({key, {body}});
+    for (const auto& [key, body] : *rows)
+      news.rows.push_back({key, {body}});
   } else {
     const Difference& change = difference(topic.rows, rows);
     news.rows = change.rows;
@@ -74,7 +90,8 @@
 void SlicePublisher::on_subscribe(const Address& from, const Subscribe& subscribe, Moment now) {
   auto& subscriber = subscribers_[from];
   subscriber.heard = now;
-  subscriber.report = InForce{subscribe.sender, subscribe.version, subscribe.config_revision, subscribe.granted, subscribe.leaving, 0};
+  subscriber.report =
+      InForce{subscribe.sender, subscribe.version, subscribe.config_revision, subscribe.granted, subscribe.leaving, 0};
   std::map<std::string, Topic> topics;
   for (const auto& known : subscribe.topics) {
     auto& topic = topics[known.topic] = std::move(subscriber.topics[known.topic]);
@@ -95,24 +112,32 @@
 
 void SlicePublisher::forget_silent(Moment now, Span silence) {
   for (auto entry = subscribers_.begin(); entry != subscribers_.end();) {
-    if (now - entry->second.heard > silence) entry = subscribers_.erase(entry);
-    else ++entry;
+    if (now - entry->second.heard > silence)
+      entry = subscribers_.erase(entry);
+    else
+      ++entry;
   }
 }
 
 std::vector<Sending> SlicePublisher::take_out() { return std::exchange(out_, {}); }
 
 bool SliceHolder::apply(const SliceNews& news) {
-  if (news.version < version_) return false;
+  if (news.version < version_)
+    return false;
   if (news.whole) {
-    if (news.version == version_) return false;
+    if (news.version == version_)
+      return false;
     rows_.clear();
   } else {
-    if (!(news.base == version_)) return false;
-    if (news.version == version_ && news.rows.empty() && news.gone.empty()) return false;
+    if (!(news.base == version_))
+      return false;
+    if (news.version == version_ && news.rows.empty() && news.gone.empty())
+      return false;
   }
-  for (const auto& row : news.rows) rows_[row.key] = row.body.data;
-  for (const auto& key : news.gone) rows_.erase(key);
+  for (const auto& row : news.rows)
+    rows_[row.key] = row.body.data;
+  for (const auto& key : news.gone)
+    rows_.erase(key);
   version_ = news.version;
   config_revision_ = news.config_revision;
   return true;
--- a/packages/placement-map/src/placement_map.cpp
+++ b/packages/placement-map/src/placement_map.cpp
@@ -15,22 +15,24 @@
   return names;
 }
 
-std::vector<ColdGrant> split_allowance(const std::string& runner, Integer allowance, const std::vector<std::string>& daemons) {
+std::vector<ColdGrant> split_allowance(const std::string& runner, Integer allowance,
+                                       const std::vector<std::string>& daemons) {
   std::vector<ColdGrant> grants;
-  if (daemons.empty() || allowance <= 0) return grants;
+  if (daemons.empty() || allowance <= 0)
+    return grants;
   auto ranked = rendezvous_rank(runner, daemons);
   auto count = static_cast<Integer>(ranked.size());
   for (Integer i = 0; i < count; ++i) {
     Integer calls = allowance / count + (i < allowance % count ? 1 : 0);
-    if (calls > 0) grants.push_back({Address{ranked[static_cast<std::size_t>(i)]}, calls});
+    if (calls > 0)
+      grants.push_back({Address{ranked[static_cast<std::size_t>(i)]}, calls});
   }
   return grants;
 }
 
 PlacementMap compute_map(const FleetState& state, const Configuration& configuration,
-                         const std::map<RunnerName, RunnerStatus>& statuses,
-                         const std::vector<GatewayRow>& gateways, const std::vector<GatewayRow>& edges,
-                         const MapVersion& version, const ShareOut& share) {
+                         const std::map<RunnerName, RunnerStatus>& statuses, const std::vector<GatewayRow>& gateways,
+                         const std::vector<GatewayRow>& edges, const MapVersion& version, const ShareOut& share) {
   PlacementMap map;
   map.edges = edges;
   map.master = state.master;
@@ -38,12 +40,15 @@
   map.config_revision = state.config_revision;
   std::set<ZoneName> emptied;
   for (const auto& order : configuration.orders)
-    if (order.is_emptied) emptied.insert(order.zone);
+    if (order.is_emptied)
+      emptied.insert(order.zone);
   map.emptied.assign(emptied.begin(), emptied.end());
   for (const auto& resource : state.resources)
-    if (resource.kind == plans_kind) map.plans.push_back({PlanName{resource.name}, resource.version, resource.body});
+    if (resource.kind == plans_kind)
+      map.plans.push_back({PlanName{resource.name}, resource.version, resource.body});
   for (const auto& gateway : gateways)
-    if (emptied.count(gateway.zone) == 0) map.gateways.push_back(gateway);
+    if (emptied.count(gateway.zone) == 0)
+      map.gateways.push_back(gateway);
   std::map<std::pair<PoolName, RegionName>, RegionRow> regions;
   for (const auto& runner : configuration.runners) {
     RunnerRow row;
@@ -61,25 +66,34 @@
       row.load = status->second.load;
       row.allowance = status->second.allowance;
     }
-    if (runner.is_leaving) row.status = "leaving";
-    else if (emptied.count(runner.zone) != 0) row.status = "emptied";
-    else if (!is_known || !status->second.answers) row.status = "down";
-    else row.status = status->second.cold ? "cold" : "warm";
+    if (runner.is_leaving)
+      row.status = "leaving";
+    else if (emptied.count(runner.zone) != 0)
+      row.status = "emptied";
+    else if (!is_known || !status->second.answers)
+      row.status = "down";
+    else
+      row.status = status->second.cold ? "cold" : "warm";
     if (row.status == "cold") {
       // Daemons of the runner's own region share what it bears; without one, those of the others.
       std::vector<std::string> near, all;
       for (const auto& gateway : gateways) {
         all.push_back(gateway.daemon.text);
-        if (gateway.region == runner.region) near.push_back(gateway.daemon.text);
+        if (gateway.region == runner.region)
+          near.push_back(gateway.daemon.text);
       }
-      row.grants = share ? share(row, near, all) : split_allowance(row.name.text, row.allowance, near.empty() ? all : near);
+      row.grants =
+          share ? share(row, near, all) : split_allowance(row.name.text, row.allowance, near.empty() ? all : near);
     }
     auto& region = regions[{runner.pool, runner.region}];
     region.pool = runner.pool;
     region.region = runner.region;
-    if (row.status == "warm") region.capacity += row.capacity;
-    if (row.status == "cold") region.capacity += row.allowance;
-    if (row.status == "warm" || row.status == "cold") region.load += row.load;
+    if (row.status == "warm")
+      region.capacity += row.capacity;
+    if (row.status == "cold")
+      region.capacity += row.allowance;
+    if (row.status == "warm" || row.status == "cold")
+      region.load += row.load;
     map.runners.push_back(std::move(row));
   }
   for (auto& [where, region] : regions) {
@@ -94,12 +108,15 @@
     map.version = MapVersion{};
     map.traffic.clear();  // traffic_of tells of it
     if (!has_load) {
-      for (auto& runner : map.runners) runner.load = 0;
-      for (auto& region : map.regions) region.load = 0;
+      for (auto& runner : map.runners)
+        runner.load = 0;
+      for (auto& region : map.regions)
+        region.load = 0;
     }
     return encode_message(Message{MapNews{std::move(map), true}});
   };
-  if (bare(before, false) != bare(after, false)) return MapChange::placement;
+  if (bare(before, false) != bare(after, false))
+    return MapChange::placement;
   return bare(before, true) == bare(after, true) ? MapChange::none : MapChange::load;
 }
 
--- a/packages/placement-map/tests/placement_map_test.cpp
+++ b/packages/placement-map/tests/placement_map_test.cpp
@@ -1,5 +1,5 @@
-#include "emberdale/cold_shares.hpp"
 #include "emberdale/placement_map.hpp"
+#include "emberdale/cold_shares.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -15,9 +15,11 @@
     auto allowance = *rc::gen::inRange<Integer>(0, 20);
     auto count = *rc::gen::inRange(0, 12);
     std::vector<std::string> daemons;
-    for (int i = 0; i < count; ++i) daemons.push_back("d" + std::to_string(i));
+    for (int i = 0; i < count; ++i)
+      daemons.push_back("d" + std::to_string(i));
     Integer sum = 0;
-    for (const auto& grant : split_allowance(name, allowance, daemons)) sum += grant.calls;
+    for (const auto& grant : split_allowance(name, allowance, daemons))
+      sum += grant.calls;
     RC_ASSERT(sum == (count == 0 ? 0 : allowance));
   }));
 }
@@ -39,7 +41,8 @@
   map.version = {1, number};
   map.config_revision = number;
   for (int i = 0; i < 6; ++i) {
-    if (random.chance(0.3)) continue;
+    if (random.chance(0.3))
+      continue;
     RunnerRow row;
     row.name.text = "r" + std::to_string(i);
     row.pool.text = "p";
@@ -66,15 +69,18 @@
     auto bring = [&](double loss) {
       for (auto& home : homes)
         for (auto& sending : home.take_out())
-          if (!random.chance(loss)) holder.apply(std::get<SliceNews>(sending.message));
+          if (!random.chance(loss))
+            holder.apply(std::get<SliceNews>(sending.message));
       RC_ASSERT(!(holder.version() < last));
       last = holder.version();
     };
     for (Integer number = 1; number <= 30; ++number) {
       newest = some_map(number, random);
       homes[0].on_map(newest, Moment{0});
-      if (random.chance(0.6)) homes[1].on_map(newest, Moment{0});  // the other home lags now and then
-      if (random.chance(0.5)) subscribe(static_cast<int>(random.below(2)));
+      if (random.chance(0.6))
+        homes[1].on_map(newest, Moment{0});  // the other home lags now and then
+      if (random.chance(0.5))
+        subscribe(static_cast<int>(random.below(2)));
       bring(0.4);
     }
     for (int i = 0; i < 2; ++i) {
@@ -111,12 +117,14 @@
 TEST(ColdShares, AShareIsGivenOnOnlyWhenItsHolderCanNoLongerUseIt) {
   auto sum = [](const std::vector<ColdGrant>& grants) {
     Integer calls = 0;
-    for (const auto& grant : grants) calls += grant.calls;
+    for (const auto& grant : grants)
+      calls += grant.calls;
     return calls;
   };
   auto held_by = [](const std::vector<ColdGrant>& grants, const std::string& daemon) {
     for (const auto& grant : grants)
-      if (grant.daemon.text == daemon) return grant.calls;
+      if (grant.daemon.text == daemon)
+        return grant.calls;
     return Integer{0};
   };
   RunnerRow row;
--- a/packages/program-settings/src/program_settings.cpp
+++ b/packages/program-settings/src/program_settings.cpp
@@ -16,15 +16,20 @@
 
 using Json = nlohmann::json;
 
-const std::map<std::string, std::string> setting_flags = {
-    {"link", "--link"}, {"http", "--http"}, {"zone", "--zone"}, {"region", "--region"},
-    {"seeds", "--seeds"}, {"data_folder", "--data-folder"}, {"allow_link_faults", "--allow-link-faults"}};
+const std::map<std::string, std::string> setting_flags = {{"link", "--link"},
+                                                          {"http", "--http"},
+                                                          {"zone", "--zone"},
+                                                          {"region", "--region"},
+                                                          {"seeds", "--seeds"},
+                                                          {"data_folder", "--data-folder"},
+                                                          {"allow_link_faults", "--allow-link-faults"}};
 
 std::vector<std::string> split(const std::string& text, char mark) {
   std::vector<std::string> parts;
   std::stringstream stream(text);
   std::string part;
-  while (std::getline(stream, part, mark)) parts.push_back(part);
+  while (std::getline(stream, part, mark))
+    parts.push_back(part);
   return parts;
 }
 
@@ -54,7 +59,8 @@
       }
     }
     for (const auto& [key, value] : file.items())
-      if (setting_flags.count(key) == 0) findings.push_back(file_name + ": /" + key + ": is not a known setting");
+      if (setting_flags.count(key) == 0)
+        findings.push_back(file_name + ": /" + key + ": is not a known setting");
   }
   std::map<std::string, std::string> place;
   auto text = [&](const std::string& name) -> std::string {
@@ -64,10 +70,12 @@
       return flag->second.asString();
     }
     place[name] = file.contains(name) ? file_name + ": /" + name : setting_flags.at(name);
-    if (!file.contains(name)) return "";
+    if (!file.contains(name))
+      return "";
     if (file[name].is_array()) {
       std::string joined;
-      for (const auto& item : file[name]) joined += (joined.empty() ? "" : ",") + (item.is_string() ? item.get<std::string>() : item.dump());
+      for (const auto& item : file[name])
+        joined += (joined.empty() ? "" : ",") + (item.is_string() ? item.get<std::string>() : item.dump());
       return joined;
     }
     if (!file[name].is_string()) {
@@ -79,8 +87,10 @@
   auto address = [&](const std::string& name) {
     std::string value = text(name);
     auto read = split_address(value);
-    if (value.empty()) findings.push_back(place[name] + ": is required (IP:PORT)");
-    else if (!read) findings.push_back(place[name] + ": " + read.reason);
+    if (value.empty())
+      findings.push_back(place[name] + ": is required (IP:PORT)");
+    else if (!read)
+      findings.push_back(place[name] + ": " + read.reason);
     return value;
   };
   settings.self.address.text = address("link");
@@ -88,25 +98,33 @@
   if (!settings.self.http.empty() && settings.self.http == settings.self.address.text)
     findings.push_back(place["http"] + ": must differ from the link address");
   settings.self.zone.text = text("zone");
-  if (settings.self.zone.empty()) findings.push_back(place["zone"] + ": is required");
+  if (settings.self.zone.empty())
+    findings.push_back(place["zone"] + ": is required");
   settings.self.region.text = text("region");
-  if (settings.self.region.empty()) findings.push_back(place["region"] + ": is required");
+  if (settings.self.region.empty())
+    findings.push_back(place["region"] + ": is required");
   for (const auto& seed : split(text("seeds"), ',')) {
     auto read = split_address(seed);
-    if (!read) findings.push_back(place["seeds"] + ": " + read.reason);
+    if (!read)
+      findings.push_back(place["seeds"] + ": " + read.reason);
     settings.seeds.push_back(Address{seed});
   }
-  if (settings.seeds.empty()) findings.push_back(place["seeds"] + ": at least one seed address is required");
-  if (settings.seeds.size() > 3) findings.push_back(place["seeds"] + ": three seed addresses at most");
+  if (settings.seeds.empty())
+    findings.push_back(place["seeds"] + ": at least one seed address is required");
+  if (settings.seeds.size() > 3)
+    findings.push_back(place["seeds"] + ": three seed addresses at most");
   settings.data_folder = arguments.count("--data-folder") != 0 ? text("data_folder") : "";
   auto faults = arguments.find("--allow-link-faults");
   settings.may_fault_links = faults != arguments.end() && faults->second.isBool() && faults->second.asBool();
   if (file.contains("allow_link_faults")) {
-    if (file["allow_link_faults"].is_boolean()) settings.may_fault_links = settings.may_fault_links || file["allow_link_faults"].get<bool>();
-    else findings.push_back(file_name + ": /allow_link_faults: must be true or false");
+    if (file["allow_link_faults"].is_boolean())
+      settings.may_fault_links = settings.may_fault_links || file["allow_link_faults"].get<bool>();
+    else
+      findings.push_back(file_name + ": /allow_link_faults: must be true or false");
   }
   std::random_device device;
-  settings.self.incarnation = static_cast<Integer>((static_cast<std::uint64_t>(device()) << 20) ^ static_cast<std::uint64_t>(::time(nullptr)));
+  settings.self.incarnation =
+      static_cast<Integer>((static_cast<std::uint64_t>(device()) << 20) ^ static_cast<std::uint64_t>(::time(nullptr)));
   return settings;
 }
 
@@ -126,7 +144,8 @@
   std::string id;
   for (int half = 0; half < 2; ++half) {
     std::uint64_t number = engine();
-    for (int i = 0; i < 16; ++i) id += digits[(number >> (4 * i)) & 15];
+    for (int i = 0; i < 16; ++i)
+      id += digits[(number >> (4 * i)) & 15];
   }
   return id;
 }
@@ -152,8 +171,10 @@
   for (;;) {
     int signal = 0;
     sigwait(&stops, &signal);
-    if (signal == SIGTERM || signal == SIGINT) return signal;
-    if (signal == SIGHUP && on_hang_up) on_hang_up();
+    if (signal == SIGTERM || signal == SIGINT)
+      return signal;
+    if (signal == SIGHUP && on_hang_up)
+      on_hang_up();
   }
 }
 
--- a/packages/runner-seal/src/runner_seal.cpp
+++ b/packages/runner-seal/src/runner_seal.cpp
@@ -10,7 +10,8 @@
   std::string text = call + "\n" + runner + "\n" + std::to_string(incarnation) + "\n" + body;
   unsigned char digest[EVP_MAX_MD_SIZE];
   unsigned int size = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest, &size);
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char*>(text.data()),
+       text.size(), digest, &size);
   static const char* digits = "0123456789abcdef";
   std::string hex;
   for (unsigned int i = 0; i < size; ++i) {
@@ -30,9 +31,12 @@
     while (start < end) {
       std::size_t stop = std::min(rest_.find('\n', start), end);
       std::string line = rest_.substr(start, stop - start);
-      if (line.rfind("event: ", 0) == 0) event.event = line.substr(7);
-      if (line.rfind("id: ", 0) == 0) event.id = line.substr(4);
-      if (line.rfind("data: ", 0) == 0) event.data += (event.data.empty() ? "" : "\n") + line.substr(6);
+      if (line.rfind("event: ", 0) == 0)
+        event.event = line.substr(7);
+      if (line.rfind("id: ", 0) == 0)
+        event.id = line.substr(4);
+      if (line.rfind("data: ", 0) == 0)
+        event.data += (event.data.empty() ? "" : "\n") + line.substr(6);
       start = stop + 1;
     }
     events.push_back(std::move(event));
@@ -43,8 +47,10 @@
 
 std::string event_text(const StreamEvent& event) {
   std::string text;
-  if (!event.event.empty()) text += "event: " + event.event + "\n";
-  if (!event.id.empty()) text += "id: " + event.id + "\n";
+  if (!event.event.empty())
+    text += "event: " + event.event + "\n";
+  if (!event.id.empty())
+    text += "id: " + event.id + "\n";
   return text + "data: " + event.data + "\n\n";
 }
 
@@ -55,15 +61,20 @@
 }
 
 StreamCheck::Step StreamCheck::take(const StreamEvent& event) {
-  if (is_over_) return fail("an event after the end");
+  if (is_over_)
+    return fail("an event after the end");
   if (event.event == "sealed") {
-    if (event.id != std::to_string(pieces_ + 1)) return fail("the end is not numbered after the last piece");
-    if (event.data != seal_of(key_, call_, runner_, incarnation_, text_)) return fail("the seal does not fit the pieces");
+    if (event.id != std::to_string(pieces_ + 1))
+      return fail("the end is not numbered after the last piece");
+    if (event.data != seal_of(key_, call_, runner_, incarnation_, text_))
+      return fail("the seal does not fit the pieces");
     is_over_ = true;
     return Step::sealed;
   }
-  if (!event.event.empty()) return fail("the runner broke off: " + event.data);
-  if (event.id != std::to_string(pieces_ + 1)) return fail("piece '" + event.id + "' after piece " + std::to_string(pieces_));
+  if (!event.event.empty())
+    return fail("the runner broke off: " + event.data);
+  if (event.id != std::to_string(pieces_ + 1))
+    return fail("piece '" + event.id + "' after piece " + std::to_string(pieces_));
   ++pieces_;
   text_ += event.data + "\n";
   return Step::piece;
--- a/packages/runner-seal/tests/runner_seal_test.cpp
+++ b/packages/runner-seal/tests/runner_seal_test.cpp
@@ -18,20 +18,23 @@
 }
 
 TEST(RunnerSeal, AStreamThatSkipsRepeatsSplicesOrEndsFalselyIsBroken) {
-  auto seal = [](const std::string& text) { return seal_of("k", "c", "r", 1, text); };
+  auto seal = [](const std::string& text) {
+    return seal_of("k", "c", "r", 1, text);
+  };
   auto run = [](std::vector<StreamEvent> events) {
     StreamCheck check("k", "c", "r", 1);
     Step last = Step::broken;
     for (const auto& event : events)
-      if ((last = check.take(event)) == Step::broken) return last;
+      if ((last = check.take(event)) == Step::broken)
+        return last;
     return last;
   };
   StreamEvent one{"", "1", "a"}, two{"", "2", "b"}, three{"", "3", "c"};
   EXPECT_EQ(run({one, two, {"sealed", "3", seal("a\nb\n")}}), Step::sealed);
-  EXPECT_EQ(run({one, three}), Step::broken);                                    // skips
-  EXPECT_EQ(run({one, one}), Step::broken);                                      // repeats
+  EXPECT_EQ(run({one, three}), Step::broken);                                            // skips
+  EXPECT_EQ(run({one, one}), Step::broken);                                              // repeats
   EXPECT_EQ(run({one, {"", "2", "x"}, {"sealed", "3", seal("a\nb\n")}}), Step::broken);  // splices
-  EXPECT_EQ(run({one, {"sealed", "2", seal("a\nb\n")}}), Step::broken);          // ends early
+  EXPECT_EQ(run({one, {"sealed", "2", seal("a\nb\n")}}), Step::broken);                  // ends early
   EXPECT_EQ(run({one, {"error", "", "gone"}}), Step::broken);
 }
 
@@ -40,7 +43,8 @@
   for (std::size_t cut = 0; cut <= text.size(); ++cut) {
     EventCutter cutter;
     auto events = cutter.feed(text.substr(0, cut));
-    for (auto& event : cutter.feed(text.substr(cut))) events.push_back(event);
+    for (auto& event : cutter.feed(text.substr(cut)))
+      events.push_back(event);
     ASSERT_EQ(events.size(), 2u) << cut;
     EXPECT_EQ(events[1].event, "sealed");
     EXPECT_EQ(cutter.waiting(), 0u);
@@ -66,12 +70,14 @@
       auto size = static_cast<std::size_t>(1 + random.below(30));
       for (const auto& event : cutter.feed(bytes.substr(at, size))) {
         auto step = check.take(event);
-        if (step == StreamCheck::Step::piece && !is_broken) taken += event.data + "\n";
+        if (step == StreamCheck::Step::piece && !is_broken)
+          taken += event.data + "\n";
         is_sealed = is_sealed || (step == StreamCheck::Step::sealed && !is_broken);
         is_broken = is_broken || step == StreamCheck::Step::broken;
       }
       at += size;
     }
-    if (is_sealed) RC_ASSERT(taken == text);
+    if (is_sealed)
+      RC_ASSERT(taken == text);
   }));
 }
--- a/packages/segmented-log/include/emberdale/faulty_file_system.hpp
+++ b/packages/segmented-log/include/emberdale/faulty_file_system.hpp
@@ -29,7 +29,8 @@
   Outcome<std::vector<std::string>> list() override { return real_->list(); }
   Outcome<std::string> read(const std::string& file) override { return real_->read(file); }
   Outcome<bool> append(const std::string& file, const std::string& bytes) override {
-    if (fault_ == Fault::full) return failure("no space left (injected)");
+    if (fault_ == Fault::full)
+      return failure("no space left (injected)");
     return real_->append(file, bytes);
   }
   Outcome<bool> truncate(const std::string& file, std::size_t size) override { return real_->truncate(file, size); }
@@ -48,17 +49,25 @@
   enum class Fault { good, slow, stalled, full, sync_error };
   static const char* name_of(Fault fault) {
     switch (fault) {
-      case Fault::slow: return "slow";
-      case Fault::stalled: return "stalled";
-      case Fault::full: return "full";
-      case Fault::sync_error: return "sync_error";
-      default: return "good";
+      case Fault::slow:
+        return "slow";
+      case Fault::stalled:
+        return "stalled";
+      case Fault::full:
+        return "full";
+      case Fault::sync_error:
+        return "sync_error";
+      default:
+        return "good";
     }
   }
   Outcome<bool> wait() {
-    if (fault_ == Fault::sync_error) return failure("the sync failed (injected)");
-    if (fault_ == Fault::slow) std::this_thread::sleep_for(std::chrono::milliseconds(slow_ms_));
-    while (fault_ == Fault::stalled) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    if (fault_ == Fault::sync_error)
+      return failure("the sync failed (injected)");
+    if (fault_ == Fault::slow)
+      std::this_thread::sleep_for(std::chrono::milliseconds(slow_ms_));
+    while (fault_ == Fault::stalled)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
     return true;
   }
   std::shared_ptr<FileSystem> real_;
--- a/packages/segmented-log/include/emberdale/file_system.hpp
+++ b/packages/segmented-log/include/emberdale/file_system.hpp
@@ -34,11 +34,11 @@
 class MemoryFileSystem : public FileSystem {
  public:
   enum class Fault { none, error, full, torn_error, power_cut };
-  std::int64_t points = 0;      // acts so far
-  std::int64_t fault_at = -1;   // the act (counted from 1) that fails
+  std::int64_t points = 0;     // acts so far
+  std::int64_t fault_at = -1;  // the act (counted from 1) that fails
   Fault fault = Fault::none;
-  bool is_off = false;          // after a power cut every act fails until power_on
-  std::string last_act;         // what the faulty point was, for the test's report
+  bool is_off = false;   // after a power cut every act fails until power_on
+  std::string last_act;  // what the faulty point was, for the test's report
 
   // What is not synced is lost, or part of it is: the random generator say which part.
   // Example: disk.power_on(random generator); SegmentedLog log(disk);
--- a/packages/segmented-log/src/disk_file_system.cpp
+++ b/packages/segmented-log/src/disk_file_system.cpp
@@ -19,18 +19,21 @@
   DiskFileSystem(std::string folder, int folder_handle, int lock_handle)
       : folder_(std::move(folder)), folder_handle_(folder_handle), lock_handle_(lock_handle) {}
   ~DiskFileSystem() override {
-    if (handle_ >= 0) ::close(handle_);
+    if (handle_ >= 0)
+      ::close(handle_);
     ::close(folder_handle_);
     ::close(lock_handle_);
   }
 
   Outcome<std::vector<std::string>> list() override {
     DIR* folder = ::opendir(folder_.c_str());
-    if (folder == nullptr) return errno_failure("list " + folder_);
+    if (folder == nullptr)
+      return errno_failure("list " + folder_);
     std::vector<std::string> names;
     while (dirent* entry = ::readdir(folder)) {
       std::string name = entry->d_name;
-      if (name != "." && name != ".." && name != "lock") names.push_back(name);
+      if (name != "." && name != ".." && name != "lock")
+        names.push_back(name);
     }
     ::closedir(folder);
     return names;
@@ -38,65 +41,81 @@
 
   Outcome<std::string> read(const std::string& file) override {
     int handle = ::openat(folder_handle_, file.c_str(), O_RDONLY | O_CLOEXEC);
-    if (handle < 0) return errno_failure("read " + file);
+    if (handle < 0)
+      return errno_failure("read " + file);
     std::string bytes;
     char part[65536];
     ssize_t size = 0;
-    while ((size = ::read(handle, part, sizeof part)) > 0) bytes.append(part, static_cast<std::size_t>(size));
+    while ((size = ::read(handle, part, sizeof part)) > 0)
+      bytes.append(part, static_cast<std::size_t>(size));
     ::close(handle);
-    if (size < 0) return errno_failure("read " + file);
+    if (size < 0)
+      return errno_failure("read " + file);
     return bytes;
   }
 
   Outcome<bool> append(const std::string& file, const std::string& bytes) override {
-    if (!use(file, O_CREAT)) return errno_failure("open " + file);
+    if (!use(file, O_CREAT))
+      return errno_failure("open " + file);
     std::size_t done = 0;
     while (done < bytes.size()) {
       ssize_t size = ::write(handle_, bytes.data() + done, bytes.size() - done);
-      if (size < 0 && errno == EINTR) continue;
-      if (size < 0) return errno_failure("write " + file);
+      if (size < 0 && errno == EINTR)
+        continue;
+      if (size < 0)
+        return errno_failure("write " + file);
       done += static_cast<std::size_t>(size);
     }
     return true;
   }
 
   Outcome<bool> truncate(const std::string& file, std::size_t size) override {
-    if (!use(file, 0)) return errno_failure("open " + file);
-    if (::ftruncate(handle_, static_cast<off_t>(size)) != 0) return errno_failure("truncate " + file);
+    if (!use(file, 0))
+      return errno_failure("open " + file);
+    if (::ftruncate(handle_, static_cast<off_t>(size)) != 0)
+      return errno_failure("truncate " + file);
     return true;
   }
 
   Outcome<bool> sync(const std::string& file) override {
-    if (!use(file, 0)) return errno_failure("open " + file);
-    if (::fdatasync(handle_) != 0) return errno_failure("sync " + file);
+    if (!use(file, 0))
+      return errno_failure("open " + file);
+    if (::fdatasync(handle_) != 0)
+      return errno_failure("sync " + file);
     return true;
   }
 
   Outcome<bool> rename(const std::string& from, const std::string& to) override {
     forget(from);
     forget(to);
-    if (::renameat(folder_handle_, from.c_str(), folder_handle_, to.c_str()) != 0) return errno_failure("rename " + from);
+    if (::renameat(folder_handle_, from.c_str(), folder_handle_, to.c_str()) != 0)
+      return errno_failure("rename " + from);
     return true;
   }
 
   Outcome<bool> remove(const std::string& file) override {
     forget(file);
-    if (::unlinkat(folder_handle_, file.c_str(), 0) != 0) return errno_failure("remove " + file);
+    if (::unlinkat(folder_handle_, file.c_str(), 0) != 0)
+      return errno_failure("remove " + file);
     return true;
   }
 
   Outcome<bool> sync_folder() override {
-    if (::fsync(folder_handle_) != 0) return errno_failure("sync " + folder_);
+    if (::fsync(folder_handle_) != 0)
+      return errno_failure("sync " + folder_);
     return true;
   }
 
  private:
   // The file last written stays open: a log appends to one file over and over.
   bool use(const std::string& file, int extra) {
-    if (handle_ >= 0 && open_file_ == file) return true;
+    if (handle_ >= 0 && open_file_ == file)
+      return true;
     int handle = ::openat(folder_handle_, file.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | extra, 0640);
-    if (handle < 0) return false;
-    if (handle_ >= 0) ::close(handle_);
+    if (handle < 0)
+      return false;
+    if (handle_ >= 0)
+      ::close(handle_);
     handle_ = handle;
     open_file_ = file;
     return true;
@@ -117,14 +136,17 @@
 }  // namespace
 
 Outcome<std::shared_ptr<FileSystem>> open_disk_folder(const std::string& folder) {
-  if (::mkdir(folder.c_str(), 0750) != 0 && errno != EEXIST) return errno_failure("make " + folder);
+  if (::mkdir(folder.c_str(), 0750) != 0 && errno != EEXIST)
+    return errno_failure("make " + folder);
   int folder_handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder_handle < 0) return errno_failure("open " + folder);
+  if (folder_handle < 0)
+    return errno_failure("open " + folder);
   int lock_handle = ::openat(folder_handle, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0640);
   if (lock_handle < 0 || ::flock(lock_handle, LOCK_EX | LOCK_NB) != 0) {
     auto reason = errno_failure("lock " + folder + " (is another process using it?)");
     ::close(folder_handle);
-    if (lock_handle >= 0) ::close(lock_handle);
+    if (lock_handle >= 0)
+      ::close(lock_handle);
     return reason;
   }
   return std::shared_ptr<FileSystem>(std::make_shared<DiskFileSystem>(folder, folder_handle, lock_handle));
--- a/packages/segmented-log/tests/segmented_log_test.cpp
+++ b/packages/segmented-log/tests/segmented_log_test.cpp
@@ -12,9 +12,11 @@
 std::int64_t write_until_fault(SegmentedLog& log, std::int64_t first, std::int64_t last) {
   std::int64_t durable = first - 1;
   for (std::int64_t number = first; number <= last; ++number) {
-    if (!log.append({std::to_string(number) + std::string(40, 'x')}) || !log.sync()) return durable;
+    if (!log.append({std::to_string(number) + std::string(40, 'x')}) || !log.sync())
+      return durable;
     durable = number;
-    if (log.wants_snapshot() && !log.snapshot(std::to_string(number) + std::string(40, 'x'))) return durable;
+    if (log.wants_snapshot() && !log.snapshot(std::to_string(number) + std::string(40, 'x')))
+      return durable;
   }
   return durable;
 }
@@ -42,7 +44,8 @@
           durable = write_until_fault(log, 1, 40);
         }
       }
-      if (disk->last_act.empty()) break;  // past the last point
+      if (disk->last_act.empty())
+        break;  // past the last point
       ++points_hit;
       disk->power_on(random);
       SegmentedLog again(disk, 300);
--- a/packages/serving-plans/include/emberdale/serving_plans.hpp
+++ b/packages/serving-plans/include/emberdale/serving_plans.hpp
@@ -52,7 +52,8 @@
   // Example: order.wants_window(1764633600)
   bool wants_window(std::int64_t wall_seconds) const {
     for (const auto& window : windows)
-      if (window.from <= wall_seconds && wall_seconds < window.until) return true;
+      if (window.from <= wall_seconds && wall_seconds < window.until)
+        return true;
     return false;
   }
 };
@@ -87,7 +88,8 @@
 std::optional<ServingPlan> read_plan(const std::string& name, const std::string& body, std::vector<Finding>& findings,
                                      bool is_lenient = false);
 std::optional<ZoneOrder> read_order(const std::string& name, const std::string& body, std::vector<Finding>& findings);
-std::optional<RunnerEntry> read_runner(const std::string& name, const std::string& body, std::vector<Finding>& findings);
+std::optional<RunnerEntry> read_runner(const std::string& name, const std::string& body,
+                                       std::vector<Finding>& findings);
 
 // All documents of a state read into aggregates. Example: read_configuration(state.resources, findings).plans
 struct Configuration {
--- a/packages/serving-plans/tests/serving_plans_test.cpp
+++ b/packages/serving-plans/tests/serving_plans_test.cpp
@@ -12,14 +12,16 @@
 
 const char* const good_plan = R"({"service":"s","match":{"path":"/x"},"pool":"p"})";
 std::string runner(const std::string& address, const std::string& zone = "a", const std::string& region = "n") {
-  return R"({"address":")" + address + R"(","pool":"p","zone":")" + zone + R"(","region":")" + region + R"(","seal_key":"k"})";
+  return R"({"address":")" + address + R"(","pool":"p","zone":")" + zone + R"(","region":")" + region +
+         R"(","seal_key":"k"})";
 }
 FleetState state_with(const std::vector<Resource>& resources) {
   FleetState state;
   state.resources = resources;
   return state;
 }
-EditAsk edit(const std::string& act, const std::string& kind, const std::string& name, const std::string& body, Integer expected = -1) {
+EditAsk edit(const std::string& act, const std::string& kind, const std::string& name, const std::string& body,
+             Integer expected = -1) {
   return EditAsk{1, "change", act, kind, name, expected, body};
 }
 bool has(const std::vector<Finding>& findings, const std::string& place) {
@@ -30,9 +32,13 @@
 
 TEST(ServingPlans, AllFindingsComeTogetherEachWithItsPlace) {
   std::vector<Finding> findings;
-  auto plan = read_plan("p", "{\n  \"service\": 5,\n  \"match\": {\"path\": \"x\"},\n  \"pool\": \"p\",\n  \"horizon_ms\": 1,\n  \"extra\": true\n}", findings);
+  auto plan = read_plan("p",
+                        "{\n  \"service\": 5,\n  \"match\": {\"path\": \"x\"},\n  \"pool\": \"p\",\n  \"horizon_ms\": "
+                        "1,\n  \"extra\": true\n}",
+                        findings);
   EXPECT_FALSE(plan);
-  EXPECT_TRUE(has(findings, "/service") && has(findings, "/match/path") && has(findings, "/horizon_ms") && has(findings, "/extra"));
+  EXPECT_TRUE(has(findings, "/service") && has(findings, "/match/path") && has(findings, "/horizon_ms") &&
+              has(findings, "/extra"));
   for (const auto& finding : findings)
     if (finding.place == "/horizon_ms") {
       EXPECT_EQ(finding.line, 5);
@@ -50,11 +56,16 @@
 
 TEST(ServingPlans, SpillNeverContradictsHomeAndStreamsAreNeverRepeated) {
   std::vector<Finding> findings;
-  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","home":{"region":"n"},"spill":{"allowed":true}})", findings));
+  EXPECT_FALSE(read_plan(
+      "p", R"({"service":"s","match":{"path":"/x"},"pool":"p","home":{"region":"n"},"spill":{"allowed":true}})",
+      findings));
   EXPECT_TRUE(has(findings, "/spill/allowed"));
   findings.clear();
-  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","home":{"header":"H"},"spill":{"allowed":true}})", findings));
-  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","streaming":true,"repeatable":true})", findings));
+  EXPECT_FALSE(read_plan(
+      "p", R"({"service":"s","match":{"path":"/x"},"pool":"p","home":{"header":"H"},"spill":{"allowed":true}})",
+      findings));
+  EXPECT_FALSE(read_plan("p", R"({"service":"s","match":{"path":"/x"},"pool":"p","streaming":true,"repeatable":true})",
+                         findings));
   EXPECT_TRUE(has(findings, "/streaming"));
 }
 
@@ -63,12 +74,26 @@
   auto rival = apply_edit(state_with(base), edit("put", plans_kind, "p2", good_plan), 3);
   EXPECT_EQ(rival.code, 422);
   EXPECT_TRUE(has(rival.findings, "/match"));
-  EXPECT_EQ(apply_edit(state_with(base), edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/y"},"pool":"none"})"), 3).code, 422);
-  EXPECT_EQ(apply_edit(state_with(base), edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/y"},"pool":"p","home":{"region":"mars"}})"), 3).code, 422);
-  EXPECT_EQ(apply_edit(state_with(base), edit("put", runners_kind, "r2", runner("127.0.0.1:2", "a", "other")), 3).code, 422);
+  EXPECT_EQ(apply_edit(state_with(base),
+                       edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/y"},"pool":"none"})"), 3)
+                .code,
+            422);
+  EXPECT_EQ(apply_edit(state_with(base),
+                       edit("put", plans_kind, "p2",
+                            R"({"service":"s","match":{"path":"/y"},"pool":"p","home":{"region":"mars"}})"),
+                       3)
+                .code,
+            422);
+  EXPECT_EQ(apply_edit(state_with(base), edit("put", runners_kind, "r2", runner("127.0.0.1:2", "a", "other")), 3).code,
+            422);
   EXPECT_EQ(apply_edit(state_with(base), edit("put", runners_kind, "r2", runner("127.0.0.1:1")), 3).code, 422);
   EXPECT_EQ(apply_edit(state_with(base), edit("delete", runners_kind, "r1", ""), 3).code, 422);  // a plan needs it
-  EXPECT_EQ(apply_edit(state_with(base), edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/x","headers":{"k":"v"}},"pool":"p"})"), 3).code, 422);
+  EXPECT_EQ(
+      apply_edit(
+          state_with(base),
+          edit("put", plans_kind, "p2", R"({"service":"s","match":{"path":"/x","headers":{"k":"v"}},"pool":"p"})"), 3)
+          .code,
+      422);
 }
 
 TEST(ServingPlans, AStaleVersionIsRefusedAndARefusalLeavesNoTrace) {
@@ -88,8 +113,10 @@
 }
 
 TEST(ServingPlans, EmptyingWhatTheRestCanNotBearSaysSo) {
-  std::vector<Resource> base{{runners_kind, "r1", 1, 1, runner("127.0.0.1:1", "a")}, {runners_kind, "r2", 1, 1, runner("127.0.0.1:2", "a")},
-                             {runners_kind, "r3", 1, 1, runner("127.0.0.1:3", "b")}, {plans_kind, "p1", 1, 2, good_plan}};
+  std::vector<Resource> base{{runners_kind, "r1", 1, 1, runner("127.0.0.1:1", "a")},
+                             {runners_kind, "r2", 1, 1, runner("127.0.0.1:2", "a")},
+                             {runners_kind, "r3", 1, 1, runner("127.0.0.1:3", "b")},
+                             {plans_kind, "p1", 1, 2, good_plan}};
   auto emptied = apply_edit(state_with(base), edit("put", orders_kind, "a", R"({"state":"emptied"})"), 3);
   EXPECT_EQ(emptied.code, 201);  // taken, with a warning
   ASSERT_EQ(emptied.findings.size(), 1u);
@@ -99,8 +126,9 @@
 
 TEST(ServingPlans, TheNearerPlanClaimsACall) {
   std::vector<Finding> findings;
-  std::vector<ServingPlan> plans{*read_plan("one", R"({"service":"s","match":{"path":"/x","headers":{"K":"1"}},"pool":"p"})", findings),
-                                 *read_plan("two", R"({"service":"s","match":{"path":"/x","headers":{"K":"2"}},"pool":"p"})", findings)};
+  std::vector<ServingPlan> plans{
+      *read_plan("one", R"({"service":"s","match":{"path":"/x","headers":{"K":"1"}},"pool":"p"})", findings),
+      *read_plan("two", R"({"service":"s","match":{"path":"/x","headers":{"K":"2"}},"pool":"p"})", findings)};
   EXPECT_EQ(match_plan(plans, "POST", "/x", {{"k", "2"}}).plan->name.text, "two");
   EXPECT_EQ(match_plan(plans, "POST", "/x", {}).plan, nullptr);
   EXPECT_TRUE(match_plan(plans, "GET", "/x", {}).is_path_known);
@@ -133,9 +161,12 @@
 }
 
 TEST(ServingPlans, NoDocumentFromOutsideBringsItDownAndEachRefusalHasAFinding) {
-  const std::string plan = R"({"service":"s","match":{"path":"/x","headers":{"a":"b"}},"pool":"p","home":{"header":"h"},"horizon_ms":5000,"prefix_bytes":64})";
-  const std::string order = R"({"state":"serving","windows":[{"from":"2026-12-02T01:00:00Z","until":"2026-12-02T02:00:00Z"}]})";
-  const std::string runner = R"({"address":"127.0.0.1:9","pool":"p","zone":"z","region":"r","seal_key":"k","leaving":false})";
+  const std::string plan =
+      R"({"service":"s","match":{"path":"/x","headers":{"a":"b"}},"pool":"p","home":{"header":"h"},"horizon_ms":5000,"prefix_bytes":64})";
+  const std::string order =
+      R"({"state":"serving","windows":[{"from":"2026-12-02T01:00:00Z","until":"2026-12-02T02:00:00Z"}]})";
+  const std::string runner =
+      R"({"address":"127.0.0.1:9","pool":"p","zone":"z","region":"r","seal_key":"k","leaving":false})";
   EXPECT_TRUE(rc::check([&](std::uint64_t seed) {
     std::vector<Finding> findings;
     RC_ASSERT(read_plan("p", spoiled(plan, seed), findings) || has_errors(findings));
@@ -175,7 +206,9 @@
 }
 
 TEST(ServingPlans, ADocumentNestedWithoutEndIsRefused) {
-  for (const std::string& body : {std::string(200000, '['), "{\"a\":" + std::string(200000, '[') + std::string(200000, ']') + "}", std::string("{\"a\":[}")}) {
+  for (const std::string& body :
+       {std::string(200000, '['), "{\"a\":" + std::string(200000, '[') + std::string(200000, ']') + "}",
+        std::string("{\"a\":[}")}) {
     std::vector<Finding> findings;
     EXPECT_FALSE(read_plan("p", body, findings));
     ASSERT_FALSE(findings.empty());
@@ -187,9 +220,13 @@
 TEST(ServingPlans, ARunnersAddressIsAnIpNumberAndAPort) {
   auto is_taken = [](const std::string& address) {
     std::vector<Finding> findings;
-    return read_runner("r", R"({"address":")" + address + R"(","pool":"p","zone":"z","region":"r","seal_key":"k"})", findings).has_value();
+    return read_runner("r", R"({"address":")" + address + R"(","pool":"p","zone":"z","region":"r","seal_key":"k"})",
+                       findings)
+        .has_value();
   };
-  for (const char* good : {"127.0.0.1:1", "10.1.2.3:65535", "[::1]:80"}) EXPECT_TRUE(is_taken(good)) << good;
-  for (const char* bad : {"127.0.0.1:99999999999999", "127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:", "127.0.0.1", "localhost:80", "1.2.3:80", "256.1.1.1:80", "127.0.0.1:+8"})
+  for (const char* good : {"127.0.0.1:1", "10.1.2.3:65535", "[::1]:80"})
+    EXPECT_TRUE(is_taken(good)) << good;
+  for (const char* bad : {"127.0.0.1:99999999999999", "127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:", "127.0.0.1",
+                          "localhost:80", "1.2.3:80", "256.1.1.1:80", "127.0.0.1:+8"})
     EXPECT_FALSE(is_taken(bad)) << bad;
 }
--- a/packages/small-types/include/emberdale/bounded_queue.hpp
+++ b/packages/small-types/include/emberdale/bounded_queue.hpp
@@ -17,7 +17,8 @@
   // Refuses at once when full or closed. Example: if (!pending.offer(call)) refuse(call);
   bool offer(T item) {
     std::lock_guard<std::mutex> guard(mutex_);
-    if (closed_ || items_.size() >= bound_) return false;
+    if (closed_ || items_.size() >= bound_)
+      return false;
     items_.push_back(std::move(item));
     ready_.notify_one();
     return true;
@@ -27,7 +28,8 @@
   // Example: pending.force(ended_send);
   void force(T item) {
     std::lock_guard<std::mutex> guard(mutex_);
-    if (closed_) return;
+    if (closed_)
+      return;
     items_.push_back(std::move(item));
     ready_.notify_one();
   }
@@ -37,7 +39,8 @@
   std::optional<T> take_within(Duration wait) {
     std::unique_lock<std::mutex> guard(mutex_);
     ready_.wait_for(guard, wait, [&] { return closed_ || !items_.empty(); });
-    if (items_.empty()) return std::nullopt;
+    if (items_.empty())
+      return std::nullopt;
     T item = std::move(items_.front());
     items_.pop_front();
     return item;
@@ -47,7 +50,8 @@
   std::optional<T> take() {
     std::unique_lock<std::mutex> guard(mutex_);
     ready_.wait(guard, [&] { return closed_ || !items_.empty(); });
-    if (items_.empty()) return std::nullopt;
+    if (items_.empty())
+      return std::nullopt;
     T item = std::move(items_.front());
     items_.pop_front();
     return item;
--- a/packages/small-types/include/emberdale/event_journal.hpp
+++ b/packages/small-types/include/emberdale/event_journal.hpp
@@ -28,14 +28,17 @@
   void append(Moment at, std::string kind, std::string detail) {
     counts_[kind] += 1;  // the counting view is folded as events arrive
     events_.push_back({++last_, at, std::move(kind), std::move(detail)});
-    if (events_.size() > bound_) events_.pop_front();
-    if (on_event) on_event(events_.back());
+    if (events_.size() > bound_)
+      events_.pop_front();
+    if (on_event)
+      on_event(events_.back());
   }
 
   // Folds every event still held into a view. Example: journal.fold<int>(0, [](int n, auto&) { return n + 1; });
   template <class View, class Step>
   View fold(View view, Step step) const {
-    for (const JournalEvent& event : events_) view = step(std::move(view), event);
+    for (const JournalEvent& event : events_)
+      view = step(std::move(view), event);
     return view;
   }
 
--- a/packages/small-types/include/emberdale/pool.hpp
+++ b/packages/small-types/include/emberdale/pool.hpp
@@ -9,7 +9,8 @@
 using PoolIndex = std::int32_t;
 inline constexpr PoolIndex no_index = -1;
 
-// Slots are reused and never move their index. Example: Pool<Call> pool; PoolIndex at = pool.take(Call{}); pool[at]; pool.give_back(at);
+// Slots are reused and never move their index. Example: Pool<Call> pool; PoolIndex at = pool.take(Call{}); pool[at];
+// pool.give_back(at);
 template <class T>
 class Pool {
  public:
@@ -55,18 +56,25 @@
   void push_back(Pool<T>& pool, PoolIndex at) {
     auto& hook = pool[at].hook;
     hook = {last_, no_index, true};
-    if (last_ != no_index) pool[last_].hook.after = at;
-    else first_ = at;
+    if (last_ != no_index)
+      pool[last_].hook.after = at;
+    else
+      first_ = at;
     last_ = at;
     ++size_;
   }
   void remove(Pool<T>& pool, PoolIndex at) {
     auto& hook = pool[at].hook;
-    if (!hook.is_linked) return;
-    if (hook.before != no_index) pool[hook.before].hook.after = hook.after;
-    else first_ = hook.after;
-    if (hook.after != no_index) pool[hook.after].hook.before = hook.before;
-    else last_ = hook.before;
+    if (!hook.is_linked)
+      return;
+    if (hook.before != no_index)
+      pool[hook.before].hook.after = hook.after;
+    else
+      first_ = hook.after;
+    if (hook.after != no_index)
+      pool[hook.after].hook.before = hook.before;
+    else
+      last_ = hook.before;
     hook = {};
     --size_;
   }
--- a/packages/small-types/include/emberdale/small_types.hpp
+++ b/packages/small-types/include/emberdale/small_types.hpp
@@ -46,9 +46,7 @@
   friend bool operator==(const SmallText& a, const SmallText& b) { return a.text == b.text; }
   friend bool operator!=(const SmallText& a, const SmallText& b) { return a.text != b.text; }
   friend bool operator<(const SmallText& a, const SmallText& b) { return a.text < b.text; }
-  friend std::ostream& operator<<(std::ostream& out, const SmallText& name) {
-    return out << name.text;
-  }
+  friend std::ostream& operator<<(std::ostream& out, const SmallText& name) { return out << name.text; }
   template <class H>
   friend H AbslHashValue(H state, const SmallText& name) {
     return H::combine(std::move(state), name.text);
@@ -115,7 +113,8 @@
 // Example: stable_hash("a") == stable_hash("a") in any two daemons.
 inline std::uint64_t stable_hash(const std::string& text, std::uint64_t seed = 0) {
   std::uint64_t mixed = 1469598103934665603ull ^ seed;
-  for (unsigned char letter : text) mixed = (mixed ^ letter) * 1099511628211ull;
+  for (unsigned char letter : text)
+    mixed = (mixed ^ letter) * 1099511628211ull;
   return RandomGenerator(mixed).next();
 }
 
--- a/packages/stand-ins/src/caller_stand_in.cpp
+++ b/packages/stand-ins/src/caller_stand_in.cpp
@@ -54,9 +54,11 @@
 
 class Callers {
  public:
-  Callers(const std::vector<Kind>& kinds, std::map<std::string, std::vector<std::string>> gateways, std::uint64_t seed, double moving)
+  Callers(const std::vector<Kind>& kinds, std::map<std::string, std::vector<std::string>> gateways, std::uint64_t seed,
+          double moving)
       : kinds_(kinds), gateways_(std::move(gateways)), random_(seed), moving_(moving) {
-    for (const auto& [region, list] : gateways_) regions_.push_back(region);
+    for (const auto& [region, list] : gateways_)
+      regions_.push_back(region);
   }
   std::ofstream outcomes;
 
@@ -64,7 +66,8 @@
     auto start = start_ = std::chrono::steady_clock::now();
     auto total = static_cast<std::int64_t>(rate * seconds);
     for (std::int64_t i = 0; i < total; ++i) {
-      std::this_thread::sleep_until(start + std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(i) * 1e6 / rate)));
+      std::this_thread::sleep_until(
+          start + std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(i) * 1e6 / rate)));
       if (in_hand_ > 4000) {
         add("not-asked", "caller full");
         continue;
@@ -72,21 +75,30 @@
       call(i);
     }
     auto end = std::chrono::steady_clock::now() + std::chrono::seconds(25);
-    while (in_hand_ > 0 && std::chrono::steady_clock::now() < end) std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    if (in_hand_ > 0) add("wrong", "never answered");
+    while (in_hand_ > 0 && std::chrono::steady_clock::now() < end)
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    if (in_hand_ > 0)
+      add("wrong", "never answered");
   }
 
   Json report() {
     std::lock_guard<std::mutex> guard(mutex_);
     Json out;
-    for (auto& [key, count] : counts_) out["counts"][key] = count;
+    for (auto& [key, count] : counts_)
+      out["counts"][key] = count;
     for (auto& [kind, times] : times_) {
       std::sort(times.begin(), times.end());
-      auto at = [&](double share) { return times[static_cast<std::size_t>(share * static_cast<double>(times.size() - 1))]; };
-      out["latency_ms"][kind] = {{"count", times.size()}, {"median", at(0.5)}, {"p99", at(0.99)}, {"max", times.back()}};
+      auto at = [&](double share) {
+        return times[static_cast<std::size_t>(share * static_cast<double>(times.size() - 1))];
+      };
+      out["latency_ms"][kind] = {
+          {"count", times.size()}, {"median", at(0.5)}, {"p99", at(0.99)}, {"max", times.back()}};
     }
     std::sort(refusal_times_.begin(), refusal_times_.end());
-    if (!refusal_times_.empty()) out["refusal_ms"] = {{"count", refusal_times_.size()}, {"median", refusal_times_[refusal_times_.size() / 2]}, {"max", refusal_times_.back()}};
+    if (!refusal_times_.empty())
+      out["refusal_ms"] = {{"count", refusal_times_.size()},
+                           {"median", refusal_times_[refusal_times_.size() / 2]},
+                           {"max", refusal_times_.back()}};
     out["wrong"] = wrong_;
     out["wrong_examples"] = examples_;
     return out;
@@ -113,10 +125,13 @@
     }
     auto made = std::make_shared<Call>();
     made->kind = kind;
-    made->home = regions_[static_cast<std::size_t>(random_.chance(0.55) ? 0 : random_.below(static_cast<std::int64_t>(regions_.size())))];
+    made->home = regions_[static_cast<std::size_t>(
+        random_.chance(0.55) ? 0 : random_.below(static_cast<std::int64_t>(regions_.size())))];
     made->region = made->home;
-    if (random_.chance(moving_)) made->region = regions_[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(regions_.size())))];
-    made->id = kind->name + "." + (kind->is_homed ? made->home : "free") + "." + std::to_string(number) + "." + random_id().substr(0, 8);
+    if (random_.chance(moving_))
+      made->region = regions_[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(regions_.size())))];
+    made->id = kind->name + "." + (kind->is_homed ? made->home : "free") + "." + std::to_string(number) + "." +
+               random_id().substr(0, 8);
     // A long shared opening, then what is the caller's own.
     std::string opening = "opening " + std::to_string(random_.below(40)) + " ";
     opening.resize(kind->is_repeatable ? 40 : 3000, 'm');
@@ -139,14 +154,16 @@
     http_request request("POST");
     request.set_request_uri(call->kind->path);
     request.headers().add("X-Call-Id", call->id);
-    if (call->kind->is_homed) request.headers().add("X-Home-Region", call->home);
+    if (call->kind->is_homed)
+      request.headers().add("X-Home-Region", call->home);
     request.set_body(call->body, "application/json");
     client->request(request).then([this, call, client](pplx::task<http_response> asking) {
       try {
         http_response response = asking.get();
         int code = response.status_code();
         auto type = response.headers().content_type();
-        if (code == 200 && type.rfind("text/event-stream", 0) == 0) return read_stream(call, response);
+        if (code == 200 && type.rfind("text/event-stream", 0) == 0)
+          return read_stream(call, response);
         response.extract_string(true).then([this, call, code, response](pplx::task<utility::string_t> reading) {
           try {
             take(call, code, reading.get(), response);
@@ -165,13 +182,15 @@
     Json body = Json::parse(text, nullptr, false);
     if (code == 200) {
       auto caller_id = response.headers().find("X-Call-Id");
-      if (!body.is_object() || body.value("call", "") != call->id || body.value("echo", std::uint64_t{0}) != stable_hash(call->body) ||
-          caller_id == response.headers().end() || caller_id->second != call->id || !response.headers().has("X-Runner-Seal"))
+      if (!body.is_object() || body.value("call", "") != call->id ||
+          body.value("echo", std::uint64_t{0}) != stable_hash(call->body) || caller_id == response.headers().end() ||
+          caller_id->second != call->id || !response.headers().has("X-Runner-Seal"))
         return wrong(call, "foreign or unsealed answer: " + text.substr(0, 200));
       return finish(call, "served", "");
     }
     if (code == 421) {
-      if (!call->kind->is_homed || call->hops > 0 || !body.contains("homes") || body["homes"].empty()) return finish(call, "misdirected", "no home named");
+      if (!call->kind->is_homed || call->hops > 0 || !body.contains("homes") || body["homes"].empty())
+        return finish(call, "misdirected", "no home named");
       ++call->hops;
       {
         std::lock_guard<std::mutex> guard(mutex_);
@@ -179,11 +198,15 @@
       }
       return send(call, body["homes"][stable_hash(call->id) % body["homes"].size()].get<std::string>());
     }
-    if (!body.is_object() || !body.contains("reason")) return wrong(call, "a refusal without a reason: " + std::to_string(code));
-    if (body.value("outcome", "") == "unknown") return finish(call, "unknown", body["reason"]);
+    if (!body.is_object() || !body.contains("reason"))
+      return wrong(call, "a refusal without a reason: " + std::to_string(code));
+    if (body.value("outcome", "") == "unknown")
+      return finish(call, "unknown", body["reason"]);
     if (code == 503) {
-      if (!response.headers().has("Retry-After")) return wrong(call, "503 without Retry-After");
-      auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - call->begun).count();
+      if (!response.headers().has("Retry-After"))
+        return wrong(call, "503 without Retry-After");
+      auto ms =
+          std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - call->begun).count();
       {
         std::lock_guard<std::mutex> guard(mutex_);
         refusal_times_.push_back(ms);
@@ -219,28 +242,37 @@
         size = got.get();
         if (size == 1) {
           std::size_t more = std::min(reading->source.in_avail(), reading->bytes.size() - 1);
-          for (; more > 0; --more) reading->bytes[size++] = static_cast<std::uint8_t>(reading->source.sbumpc());
+          for (; more > 0; --more)
+            reading->bytes[size++] = static_cast<std::uint8_t>(reading->source.sbumpc());
         }
       } catch (const std::exception&) {
         size = 0;
       }
       const auto& call = reading->call;
       if (size == 0) {
-        if (reading->is_sealed) return finish(call, "served", "");
+        if (reading->is_sealed)
+          return finish(call, "served", "");
         return finish(call, "broken", "the stream ended without a seal or an error");
       }
-      for (const auto& event : reading->cutter.feed(std::string(reading->bytes.begin(), reading->bytes.begin() + static_cast<std::ptrdiff_t>(size)))) {
-        if (reading->is_sealed) return wrong(call, "an event after the sealed end");
-        if (event.event == "error") return finish(call, "stream-error", event.data);
+      for (const auto& event : reading->cutter.feed(
+               std::string(reading->bytes.begin(), reading->bytes.begin() + static_cast<std::ptrdiff_t>(size)))) {
+        if (reading->is_sealed)
+          return wrong(call, "an event after the sealed end");
+        if (event.event == "error")
+          return finish(call, "stream-error", event.data);
         if (event.event == "sealed") {
-          if (reading->next != call->pieces + 1) return wrong(call, "sealed after " + std::to_string(reading->next - 1) + " of " + std::to_string(call->pieces));
+          if (reading->next != call->pieces + 1)
+            return wrong(call,
+                         "sealed after " + std::to_string(reading->next - 1) + " of " + std::to_string(call->pieces));
           reading->is_sealed = true;
           continue;
         }
         Json piece = Json::parse(event.data, nullptr, false);
-        if (!piece.is_object() || event.id != std::to_string(reading->next) || piece.value("piece", 0) != reading->next ||
-            piece.value("call", "") != call->id || (!reading->runner.empty() && piece.value("runner", "") != reading->runner))
-          return wrong(call, "piece " + event.id + " where " + std::to_string(reading->next) + " was due: " + event.data.substr(0, 120));
+        if (!piece.is_object() || event.id != std::to_string(reading->next) ||
+            piece.value("piece", 0) != reading->next || piece.value("call", "") != call->id ||
+            (!reading->runner.empty() && piece.value("runner", "") != reading->runner))
+          return wrong(call, "piece " + event.id + " where " + std::to_string(reading->next) +
+                                 " was due: " + event.data.substr(0, 120));
         reading->runner = piece.value("runner", "");
         ++reading->next;
       }
@@ -257,21 +289,27 @@
     {
       std::lock_guard<std::mutex> guard(mutex_);
       ++wrong_;
-      if (examples_.size() < 10) examples_.push_back(call->id + ": " + why);
+      if (examples_.size() < 10)
+        examples_.push_back(call->id + ": " + why);
     }
     finish(call, "wrong", why);
   }
 
   void finish(const std::shared_ptr<Call>& call, const std::string& outcome, const std::string& why) {
-    auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - call->begun).count();
+    auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - call->begun).count();
     {
       std::lock_guard<std::mutex> guard(mutex_);
       ++counts_["all"];
       ++counts_[outcome];
       ++counts_[call->kind->name + " " + outcome];
-      if (!why.empty()) ++counts_["why: " + outcome + ": " + why.substr(0, 80)];
-      if (outcome == "served") times_[call->kind->name].push_back(ms);
-      if (outcomes.is_open()) outcomes << call->id << ' ' << call->kind->name << ' ' << outcome << ' ' << std::chrono::duration_cast<std::chrono::milliseconds>(call->begun - start_).count() << '\n';
+      if (!why.empty())
+        ++counts_["why: " + outcome + ": " + why.substr(0, 80)];
+      if (outcome == "served")
+        times_[call->kind->name].push_back(ms);
+      if (outcomes.is_open())
+        outcomes << call->id << ' ' << call->kind->name << ' ' << outcome << ' '
+                 << std::chrono::duration_cast<std::chrono::milliseconds>(call->begun - start_).count() << '\n';
     }
     --in_hand_;
   }
@@ -312,11 +350,14 @@
     return 2;
   }
   const auto& kinds = arguments["--deployment"].asString() == "kathmandu" ? kathmandu : caspian;
-  Callers callers(kinds, gateways, static_cast<std::uint64_t>(std::atoll(arguments["--seed"].asString().c_str())), std::atof(arguments["--moving"].asString().c_str()));
-  if (arguments["--outcomes"].isString()) callers.outcomes.open(arguments["--outcomes"].asString());
+  Callers callers(kinds, gateways, static_cast<std::uint64_t>(std::atoll(arguments["--seed"].asString().c_str())),
+                  std::atof(arguments["--moving"].asString().c_str()));
+  if (arguments["--outcomes"].isString())
+    callers.outcomes.open(arguments["--outcomes"].asString());
   callers.run(std::atof(arguments["--rate"].asString().c_str()), std::atof(arguments["--seconds"].asString().c_str()));
   Json report = callers.report();
   std::cout << report.dump(2) << std::endl;
-  if (arguments["--report"].isString()) std::ofstream(arguments["--report"].asString()) << report.dump(2) << "\n";
+  if (arguments["--report"].isString())
+    std::ofstream(arguments["--report"].asString()) << report.dump(2) << "\n";
   return report["wrong"] == 0 ? 0 : 1;
 }
--- a/packages/stand-ins/src/runner_stand_in.cpp
+++ b/packages/stand-ins/src/runner_stand_in.cpp
@@ -56,13 +56,21 @@
 class Runner {
  public:
   Runner(std::map<std::string, docopt::value>& arguments)
-      : name_(arguments["--name"].asString()), key_(arguments["--seal-key"].asString()),
-        capacity_(arguments["--capacity"].asLong()), allowance_(arguments["--allowance"].asLong()),
-        warm_ms_(arguments["--warm-ms"].asLong()), miss_ms_(arguments["--miss-ms"].asLong()),
-        hit_ms_(arguments["--hit-ms"].asLong()), piece_ms_(arguments["--piece-ms"].asLong()),
-        incarnation_(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()),
-        started_(steady_now()), listener_("http://" + arguments["--http"].asString() + "/") {
-    if (arguments["--ledger"].isString()) ledger_.open(arguments["--ledger"].asString(), std::ios::app);
+      : name_(arguments["--name"].asString()),
+        key_(arguments["--seal-key"].asString()),
+        capacity_(arguments["--capacity"].asLong()),
+        allowance_(arguments["--allowance"].asLong()),
+        warm_ms_(arguments["--warm-ms"].asLong()),
+        miss_ms_(arguments["--miss-ms"].asLong()),
+        hit_ms_(arguments["--hit-ms"].asLong()),
+        piece_ms_(arguments["--piece-ms"].asLong()),
+        incarnation_(
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                .count()),
+        started_(steady_now()),
+        listener_("http://" + arguments["--http"].asString() + "/") {
+    if (arguments["--ledger"].isString())
+      ledger_.open(arguments["--ledger"].asString(), std::ios::app);
     listener_.support([this](http_request request) { handle(std::move(request)); });
   }
 
@@ -90,8 +98,10 @@
     ++counts_[act];
     if (ledger_.is_open()) {
       ledger_ << act << ' ' << header("X-Call-Id") << ' ' << header("X-Emberdale-Call") << ' ' << name_ << ' '
-              << std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count() << ' '
-              << running_ << ' ' << (is_cold() ? "cold" : "warm") << ' ' << header("X-Emberdale-Config") << '\n';
+              << std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count()
+              << ' ' << running_ << ' ' << (is_cold() ? "cold" : "warm") << ' ' << header("X-Emberdale-Config") << '\n';
       ledger_.flush();  // a killed process keeps what it wrote
     }
   }
@@ -128,7 +138,8 @@
 
   std::string take_fault() {
     std::lock_guard<std::mutex> guard(mutex_);
-    if (fault_left_ <= 0) return "";
+    if (fault_left_ <= 0)
+      return "";
     --fault_left_;
     return fault_;
   }
@@ -137,8 +148,14 @@
     std::string path = request.relative_uri().path();
     if (path == "/status") {
       http_response response(200);
-      response.set_body(Json{{"name", name_}, {"incarnation", incarnation_}, {"cold", is_cold()}, {"capacity", capacity_},
-                             {"allowance", allowance_}, {"burden", running_.load()}}.dump(), "application/json");
+      response.set_body(Json{{"name", name_},
+                             {"incarnation", incarnation_},
+                             {"cold", is_cold()},
+                             {"capacity", capacity_},
+                             {"allowance", allowance_},
+                             {"burden", running_.load()}}
+                            .dump(),
+                        "application/json");
       return reply(request, response);
     }
     if (path == "/counts") {
@@ -183,7 +200,8 @@
       return refuse(request, "incarnation");
     }
     std::string fault = take_fault();
-    if (fault == "crash_before") ::_exit(9);
+    if (fault == "crash_before")
+      ::_exit(9);
     std::int64_t now_running = ++running_;
     if (is_cold()) {
       std::lock_guard<std::mutex> guard(mutex_);
@@ -195,25 +213,36 @@
       return refuse(request, "full");
     }
     write_ledger("run", request);
-    if (fault == "crash") ::_exit(9);
-    if (fault == "hang") return;  // keeps its slot and never answers
+    if (fault == "crash")
+      ::_exit(9);
+    if (fault == "hang")
+      return;  // keeps its slot and never answers
     Json question = Json::parse(body, nullptr, false);
-    if (!question.is_object()) question = Json::object();
+    if (!question.is_object())
+      question = Json::object();
     std::string call = header("X-Emberdale-Call");
-    Json told{{"call", header("X-Call-Id")}, {"echo", stable_hash(body)}, {"runner", name_}, {"verdict", stable_hash(body) % 3 == 0 ? "reject" : "accept"}};
+    Json told{{"call", header("X-Call-Id")},
+              {"echo", stable_hash(body)},
+              {"runner", name_},
+              {"verdict", stable_hash(body) % 3 == 0 ? "reject" : "accept"}};
     if (request.method() == web::http::methods::POST && question.contains("pieces") && !is_record_service)
       return stream(request, call, question, told, fault);
     std::int64_t ms = is_record_service ? 10 : is_prefix_cached(question.value("opening", "")) ? hit_ms_ : miss_ms_;
-    if (is_cold()) ms *= 2;
-    if (fault == "slow") ms += 3000;
+    if (is_cold())
+      ms *= 2;
+    if (fault == "slow")
+      ms += 3000;
     later(ms, [this, request, call, told, fault]() mutable {
       --running_;
-      if (fault == "wrong_answer") told["call"] = "someone else's";
+      if (fault == "wrong_answer")
+        told["call"] = "someone else's";
       std::string text = told.dump();
       http_response response(200);
       add_report(response);
-      std::string seal = seal_of(key_, fault == "wrong_answer" ? "another-call" : call, name_, incarnation_, "200\n" + text);
-      if (fault == "wrong_seal") seal[0] = seal[0] == '0' ? '1' : '0';
+      std::string seal =
+          seal_of(key_, fault == "wrong_answer" ? "another-call" : call, name_, incarnation_, "200\n" + text);
+      if (fault == "wrong_seal")
+        seal[0] = seal[0] == '0' ? '1' : '0';
       response.headers().add("X-Runner-Seal", seal);
       if (fault == "cut") {
         response.headers().set_content_length(text.size() + 100);
@@ -237,7 +266,8 @@
     std::atomic<bool> is_gone{false};
   };
 
-  void stream(const http_request& request, const std::string& call, const Json& question, const Json& told, const std::string& fault) {
+  void stream(const http_request& request, const std::string& call, const Json& question, const Json& told,
+              const std::string& fault) {
     auto made = std::make_shared<Stream>();
     made->request = request;
     made->call = call;
@@ -265,15 +295,18 @@
   void step(const std::shared_ptr<Stream>& stream) {
     bool is_middle = stream->next > stream->last / 2;
     if (stream->is_gone || (stream->fault == "cut_stream" && is_middle)) {
-      if (stream->is_gone) write_ledger("caller-gone", stream->request);
+      if (stream->is_gone)
+        write_ledger("caller-gone", stream->request);
       stream->out.close(std::ios_base::out);
       --running_;
       return;
     }
-    if (stream->fault == "crash_stream" && is_middle) ::_exit(9);
+    if (stream->fault == "crash_stream" && is_middle)
+      ::_exit(9);
     bool is_false_end = stream->fault == "false_end" && is_middle;
     if (stream->next > stream->last || is_false_end) {
-      std::string seal = seal_of(key_, stream->call, name_, incarnation_, stream->text + (is_false_end ? "and more\n" : ""));
+      std::string seal =
+          seal_of(key_, stream->call, name_, incarnation_, stream->text + (is_false_end ? "and more\n" : ""));
       --running_;  // before its caller can know that it has ended, and send the next
       put(stream, event_text({"sealed", std::to_string(stream->next), seal}));
       stream->out.close(std::ios_base::out);
@@ -282,7 +315,8 @@
     Json piece = stream->told;
     piece["piece"] = stream->next;
     std::string data = piece.dump();
-    if (stream->fault == "skip_piece" && stream->next == 2) ++stream->next;
+    if (stream->fault == "skip_piece" && stream->next == 2)
+      ++stream->next;
     stream->text += data + "\n";
     put(stream, event_text({"", std::to_string(stream->next), data}));
     ++stream->next;
--- a/packages/traffic-table/include/emberdale/traffic_table.hpp
+++ b/packages/traffic-table/include/emberdale/traffic_table.hpp
@@ -25,19 +25,19 @@
   bool is_repeatable = false;           // kind "retry_safe", or "streaming" that may be resumed
   bool is_streaming = false, is_resumable = false, is_sticky = false;
   std::int64_t deadline_ms = 10000;  // the longest a call is held
-  std::int64_t target_ms = 1000;    // within which an answer earns its full worth
-  std::int64_t gap_ms = 0;          // longest pause between events that is still in time; 0: none stated
-  std::int64_t rank = 5;            // 0 is first
-  std::int64_t max_sends = 1;       // runners that one call may be sent to
-  std::vector<PoolShare> pools;     // never empty; shares sum above 0
-  std::vector<RegionName> homes;    // empty: free
+  std::int64_t target_ms = 1000;     // within which an answer earns its full worth
+  std::int64_t gap_ms = 0;           // longest pause between events that is still in time; 0: none stated
+  std::int64_t rank = 5;             // 0 is first
+  std::int64_t max_sends = 1;        // runners that one call may be sent to
+  std::vector<PoolShare> pools;      // never empty; shares sum above 0
+  std::vector<RegionName> homes;     // empty: free
 };
 
 struct TrafficPool {
   PoolName name;
   std::string health_path = "/health";
-  std::int64_t max_links = 0;        // connections a runner takes from all daemons together; 0: not stated
-  double warmup_s = 0, cold_per_s = 0;  // 0: never cold
+  std::int64_t max_links = 0;                 // connections a runner takes from all daemons together; 0: not stated
+  double warmup_s = 0, cold_per_s = 0;        // 0: never cold
   std::int64_t slots = 0, memory_tokens = 0;  // of a model runner; 0: not stated
 };
 
@@ -88,14 +88,15 @@
 // sent again is answered 200 without effect, also after others were built on it.
 struct TrafficChange {
   int code = 200;
-  bool is_repeat = false;        // taken before: nothing changes
-  std::string stored;            // the resource's next text (code 200 and not a repeat)
-  Integer revision = 0;          // the current one after this change
+  bool is_repeat = false;  // taken before: nothing changes
+  std::string stored;      // the resource's next text (code 200 and not a repeat)
+  Integer revision = 0;    // the current one after this change
   std::vector<Finding> findings;
   std::string reason;
 };
 // Example: change_traffic_table(stored, "replace", 0, body).code == 200
-TrafficChange change_traffic_table(const std::string& stored, const std::string& act, Integer base, const std::string& body);
+TrafficChange change_traffic_table(const std::string& stored, const std::string& act, Integer base,
+                                   const std::string& body);
 
 // The operator's document within the resource's text, exactly as it stands in force; "" if there is none.
 // Example: traffic_document(stored)
@@ -103,7 +104,8 @@
 
 // The route of the host whose prefix begins the path and is longest; null if there is none. The host is compared
 // without case and without a port. Example: find_route(routes, "a.example:80", "/x/y")->name == "r1"
-const TrafficRoute* find_route(const std::vector<TrafficRoute>& routes, const std::string& host, const std::string& path);
+const TrafficRoute* find_route(const std::vector<TrafficRoute>& routes, const std::string& host,
+                               const std::string& path);
 
 // The pool of one call by the shares: the same for the same key in every daemon.
 // Example: choose_pool(route, "9c41d07be2a35f68")
--- a/packages/traffic-table/src/traffic_table.cpp
+++ b/packages/traffic-table/src/traffic_table.cpp
@@ -30,8 +30,10 @@
   explicit TextWalk(const std::string& text) : text_(text) {
     lines_.push_back(0);
     for (std::size_t at = 0; at < text.size(); ++at)
-      if (text[at] == '\n') lines_.push_back(at + 1);
-    if (text.compare(0, 3, "\xef\xbb\xbf") == 0) at_ = 3;
+      if (text[at] == '\n')
+        lines_.push_back(at + 1);
+    if (text.compare(0, 3, "\xef\xbb\xbf") == 0)
+      at_ = 3;
     walk_value();
   }
   const std::vector<std::string>& repeated() const { return repeated_; }
@@ -39,8 +41,10 @@
   std::pair<int, int> line_and_column(std::string place) const {
     for (;; place.resize(place.rfind('/'))) {
       auto entry = places_.find(place);
-      if (entry != places_.end()) return line_and_column_at(entry->second);
-      if (place.empty() || place.rfind('/') == std::string::npos) return {0, 0};
+      if (entry != places_.end())
+        return line_and_column_at(entry->second);
+      if (place.empty() || place.rfind('/') == std::string::npos)
+        return {0, 0};
     }
   }
   std::pair<int, int> line_and_column_at(std::size_t at) const {
@@ -51,24 +55,31 @@
  private:
   char letter() const { return at_ < text_.size() ? text_[at_] : '\0'; }
   void skip_blanks() {
-    while (at_ < text_.size() && std::string_view(" \t\r\n,:").find(text_[at_]) != std::string_view::npos) ++at_;
+    while (at_ < text_.size() && std::string_view(" \t\r\n,:").find(text_[at_]) != std::string_view::npos)
+      ++at_;
   }
   std::string walk_string() {
     std::size_t start = at_++;
-    while (at_ < text_.size() && text_[at_] != '"') at_ += text_[at_] == '\\' ? 2 : 1;
+    while (at_ < text_.size() && text_[at_] != '"')
+      at_ += text_[at_] == '\\' ? 2 : 1;
     at_ = std::min(at_ + 1, text_.size());
-    auto value = Json::parse(text_.begin() + static_cast<std::ptrdiff_t>(start), text_.begin() + static_cast<std::ptrdiff_t>(at_), nullptr, false);
+    auto value = Json::parse(text_.begin() + static_cast<std::ptrdiff_t>(start),
+                             text_.begin() + static_cast<std::ptrdiff_t>(at_), nullptr, false);
     return value.is_string() ? value.get<std::string>() : "";
   }
   void walk_member(const std::string& key) {
     std::size_t length = place_.size();
     place_ += '/';
     for (char each : key) {  // as a JSON pointer writes it
-      if (each == '~') place_ += "~0";
-      else if (each == '/') place_ += "~1";
-      else place_ += each;
+      if (each == '~')
+        place_ += "~0";
+      else if (each == '/')
+        place_ += "~1";
+      else
+        place_ += each;
     }
-    if (!places_.insert({place_, at_}).second) repeated_.push_back(place_);
+    if (!places_.insert({place_, at_}).second)
+      repeated_.push_back(place_);
     walk_value();
     place_.resize(length);
   }
@@ -85,12 +96,14 @@
     } else if (letter() == '[') {
       ++at_;
       int index = 0;
-      for (skip_blanks(); at_ < text_.size() && letter() != ']'; skip_blanks()) walk_member(std::to_string(index++));
+      for (skip_blanks(); at_ < text_.size() && letter() != ']'; skip_blanks())
+        walk_member(std::to_string(index++));
       ++at_;
     } else if (letter() == '"') {
       walk_string();
     } else {
-      while (at_ < text_.size() && std::string_view(",]} \t\r\n").find(text_[at_]) == std::string_view::npos) ++at_;
+      while (at_ < text_.size() && std::string_view(",]} \t\r\n").find(text_[at_]) == std::string_view::npos)
+        ++at_;
     }
   }
   const std::string& text_;
@@ -103,7 +116,8 @@
 
 // Gives the findings from `first` on their line and column in the text that they are about.
 void locate_findings(const std::string& text, std::size_t first, std::vector<Finding>& findings) {
-  if (first == findings.size()) return;
+  if (first == findings.size())
+    return;
   TextWalk walk(text);
   for (std::size_t i = first; i < findings.size(); ++i)
     std::tie(findings[i].line, findings[i].column) = walk.line_and_column(findings[i].place);
@@ -139,8 +153,10 @@
 
  private:
   bool enter() {
-    if (depth_ == deepest) is_deep = true;
-    else keys_[++depth_].clear();
+    if (depth_ == deepest)
+      is_deep = true;
+    else
+      keys_[++depth_].clear();
     return !is_deep;
   }
   bool leave() {
@@ -157,29 +173,35 @@
     int line = 1, column = 1;
     for (std::size_t i = 0; i < at && i < text.size(); ++i) {
       column = text[i] == '\n' ? 1 : column + 1;
-      if (text[i] == '\n') ++line;
+      if (text[i] == '\n')
+        ++line;
     }
     findings.push_back({"error", document_name(), "", line, column, message});
     return std::nullopt;
   };
   // The parser takes a zero byte for the end of the text.
-  if (auto at = text.find('\0'); at != std::string::npos) return refuse(at, "not JSON: a zero byte");
+  if (auto at = text.find('\0'); at != std::string::npos)
+    return refuse(at, "not JSON: a zero byte");
   TextCheck check;
   Json::sax_parse(text, &check);
-  if (check.is_deep) return refuse(0, "not JSON of a document: nested more than 32 deep");
+  if (check.is_deep)
+    return refuse(0, "not JSON of a document: nested more than 32 deep");
   if (!check.fault.empty()) {
     auto colon = check.fault.rfind(": ");
-    return refuse(check.fault_at, "not JSON: " + (colon == std::string::npos ? check.fault : check.fault.substr(colon + 2)));
+    return refuse(check.fault_at,
+                  "not JSON: " + (colon == std::string::npos ? check.fault : check.fault.substr(colon + 2)));
   }
   Json json = Json::parse(text, nullptr, false);
-  if (!json.is_object()) return refuse(0, "the document must be an object");
+  if (!json.is_object())
+    return refuse(0, "the document must be an object");
   if (check.is_repeated) {
     TextWalk walk(text);
     for (const auto& place : walk.repeated()) {
       auto [line, column] = walk.line_and_column(place);
       findings.push_back({"error", document_name(), place, line, column, "stands twice in one object"});
     }
-    if (walk.repeated().empty()) refuse(0, "a key stands twice in one object");
+    if (walk.repeated().empty())
+      refuse(0, "a key stands twice in one object");
     return std::nullopt;
   }
   return json;
@@ -198,10 +220,12 @@
     auto entry = object.find(key);
     return entry == object.end() ? nullptr : &*entry;
   }
-  std::string text(const Json& object, const std::string& at, const char* key, bool is_required = true, const std::string& otherwise = "") {
+  std::string text(const Json& object, const std::string& at, const char* key, bool is_required = true,
+                   const std::string& otherwise = "") {
     const Json* value = find(object, key);
     if (value == nullptr) {
-      if (is_required) error(at + "/" + key, "is required");
+      if (is_required)
+        error(at + "/" + key, "is required");
       return otherwise;
     }
     if (!value->is_string() || value->get_ref<const std::string&>().empty()) {
@@ -212,31 +236,39 @@
   }
   bool answer(const Json& object, const std::string& at, const char* key, bool otherwise) {
     const Json* value = find(object, key);
-    if (value == nullptr) return otherwise;
+    if (value == nullptr)
+      return otherwise;
     if (!value->is_boolean()) {
       error(at + "/" + key, "must be true or false");
       return otherwise;
     }
     return value->get<bool>();
   }
-  std::int64_t number(const Json& object, const std::string& at, const char* key, std::int64_t otherwise, std::int64_t low, std::int64_t high = highest) {
+  std::int64_t number(const Json& object, const std::string& at, const char* key, std::int64_t otherwise,
+                      std::int64_t low, std::int64_t high = highest) {
     const Json* value = find(object, key);
-    if (value == nullptr) return otherwise;
-    bool is_signed = value->is_number_integer() &&
-                     (!value->is_number_unsigned() || value->get<std::uint64_t>() <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
+    if (value == nullptr)
+      return otherwise;
+    bool is_signed =
+        value->is_number_integer() &&
+        (!value->is_number_unsigned() ||
+         value->get<std::uint64_t>() <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
     if (!is_signed || value->get<std::int64_t>() < low || value->get<std::int64_t>() > high) {
       error(at + "/" + key, "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
       return otherwise;
     }
     return value->get<std::int64_t>();
   }
-  std::int64_t required_number(const Json& object, const std::string& at, const char* key, std::int64_t otherwise, std::int64_t low, std::int64_t high = highest) {
-    if (find(object, key) == nullptr) error(at + "/" + key, "is required");
+  std::int64_t required_number(const Json& object, const std::string& at, const char* key, std::int64_t otherwise,
+                               std::int64_t low, std::int64_t high = highest) {
+    if (find(object, key) == nullptr)
+      error(at + "/" + key, "is required");
     return number(object, at, key, otherwise, low, high);
   }
   double seconds(const Json& object, const std::string& at, const char* key, double otherwise) {
     const Json* value = find(object, key);
-    if (value == nullptr) return otherwise;
+    if (value == nullptr)
+      return otherwise;
     if (!value->is_number() || !std::isfinite(value->get<double>()) || value->get<double>() < 0) {
       error(at + "/" + key, "must be a number of seconds from 0 up");
       return otherwise;
@@ -246,12 +278,14 @@
   // An optional part of a kind of its own; null if it is missing or (a finding then) of another kind.
   const Json* part(const Json& object, const std::string& at, const char* key, Json::value_t kind) {
     const Json* value = find(object, key);
-    if (value == nullptr || value->type() == kind) return value;
+    if (value == nullptr || value->type() == kind)
+      return value;
     error(at + "/" + key, kind == Json::value_t::array ? "must be a list" : "must be an object");
     return nullptr;
   }
   const Json* required_part(const Json& object, const std::string& at, const char* key, Json::value_t kind) {
-    if (find(object, key) == nullptr) error(at + "/" + key, "is required");
+    if (find(object, key) == nullptr)
+      error(at + "/" + key, "is required");
     return part(object, at, key, kind);
   }
 
@@ -286,9 +320,12 @@
   route.rank = reader.number(item, at, "rank", route.rank, 0);
   route.max_sends = reader.number(item, at, "max_sends", route.max_sends, 1);
   bool has_one = item.contains("pool"), has_list = item.contains("pools");
-  if (has_one && has_list) reader.error(at + "/pools", "stands beside 'pool': name one of them");
-  if (!has_one && !has_list) reader.error(at + "/pool", "is required, or 'pools'");
-  if (has_one) route.pools.push_back({PoolName{reader.text(item, at, "pool")}, 1});
+  if (has_one && has_list)
+    reader.error(at + "/pools", "stands beside 'pool': name one of them");
+  if (!has_one && !has_list)
+    reader.error(at + "/pool", "is required, or 'pools'");
+  if (has_one)
+    route.pools.push_back({PoolName{reader.text(item, at, "pool")}, 1});
   if (const Json* shares = reader.part(item, at, "pools", Json::value_t::array)) {
     std::int64_t sum = 0;
     bool is_summable = true;
@@ -305,13 +342,16 @@
       sum += read.share;
       route.pools.push_back(read);
     }
-    if (sum == 0 && is_summable) reader.error(at + "/pools", "the shares must sum above 0");
+    if (sum == 0 && is_summable)
+      reader.error(at + "/pools", "the shares must sum above 0");
   }
   if (const Json* homes = reader.part(item, at, "home_regions", Json::value_t::array)) {
     for (std::size_t i = 0; i < homes->size(); ++i) {
       const Json& home = (*homes)[i];
-      if (!home.is_string() || home.get_ref<const std::string&>().empty()) reader.error(item_place(at + "/home_regions", i), "must be text that is not empty");
-      else route.homes.push_back(RegionName{home.get<std::string>()});
+      if (!home.is_string() || home.get_ref<const std::string&>().empty())
+        reader.error(item_place(at + "/home_regions", i), "must be text that is not empty");
+      else
+        route.homes.push_back(RegionName{home.get<std::string>()});
     }
   }
   return route;
@@ -325,7 +365,8 @@
   }
   pool.name.text = reader.text(item, at, "name");
   pool.health_path = reader.text(item, at, "health_path", false, pool.health_path);
-  if (pool.health_path[0] != '/') reader.error(at + "/health_path", "must begin with '/'");
+  if (pool.health_path[0] != '/')
+    reader.error(at + "/health_path", "must begin with '/'");
   pool.max_links = reader.number(item, at, "max_links", pool.max_links, 0);
   pool.warmup_s = reader.seconds(item, at, "warmup_s", pool.warmup_s);
   pool.cold_per_s = reader.seconds(item, at, "cold_per_s", pool.cold_per_s);
@@ -354,9 +395,11 @@
 // "a.example:80" and "[::1]:80" without the port; what has many colons and no brackets stays whole.
 std::string_view bare_host(std::string_view host) {
   auto colon = host.rfind(':');
-  if (colon == std::string_view::npos) return host;
+  if (colon == std::string_view::npos)
+    return host;
   bool is_bracketed = !host.empty() && host.front() == '[';
-  if (is_bracketed ? host[colon - 1] != ']' : host.find(':') != colon) return host;
+  if (is_bracketed ? host[colon - 1] != ']' : host.find(':') != colon)
+    return host;
   return host.substr(0, colon);
 }
 
@@ -372,7 +415,8 @@
       std::string place = item_place("/pools", i);
       table.pools.push_back(read_pool((*pools)[i], place, reader));
       const std::string& name = table.pools.back().name.text;
-      if (!name.empty() && !pool_names.insert(name).second) reader.error(place + "/name", "another pool is named '" + name + "'");
+      if (!name.empty() && !pool_names.insert(name).second)
+        reader.error(place + "/name", "another pool is named '" + name + "'");
     }
   }
   if (const Json* routes = reader.required_part(document, "", "routes", Json::value_t::array)) {
@@ -381,27 +425,34 @@
       std::string place = item_place("/routes", i);
       table.routes.push_back(read_route(item, place, reader));
       const TrafficRoute& route = table.routes.back();
-      if (!route.name.empty() && !route_names.insert(route.name).second) reader.error(place + "/name", "another route is named '" + route.name + "'");
+      if (!route.name.empty() && !route_names.insert(route.name).second)
+        reader.error(place + "/name", "another route is named '" + route.name + "'");
       if (!route.host.empty() && !route.path_prefix.empty()) {
         std::string host(bare_host(route.host));
         std::transform(host.begin(), host.end(), host.begin(), to_lower);
         auto [claim, is_new] = claims.insert({{host, route.path_prefix}, route.name});
-        if (!is_new) reader.error(place + "/path_prefix", "route '" + claim->second + "' has the same host and prefix");
+        if (!is_new)
+          reader.error(place + "/path_prefix", "route '" + claim->second + "' has the same host and prefix");
       }
       auto check_pool = [&](const Json& holder, const std::string& at) {
         const Json* name = holder.is_object() ? FieldReader::find(holder, "pool") : nullptr;
-        if (name == nullptr || !name->is_string() || name->get_ref<const std::string&>().empty()) return;
+        if (name == nullptr || !name->is_string() || name->get_ref<const std::string&>().empty())
+          return;
         if (pool_names.count(name->get_ref<const std::string&>()) == 0)
-          reader.error(at + "/pool", "route '" + route.name + "' names the pool '" + name->get<std::string>() + "', which is not there");
+          reader.error(at + "/pool", "route '" + route.name + "' names the pool '" + name->get<std::string>() +
+                                         "', which is not there");
       };
       check_pool(item, place);
       const Json* shares = item.is_object() ? FieldReader::find(item, "pools") : nullptr;
       if (shares != nullptr && shares->is_array())
-        for (std::size_t j = 0; j < shares->size(); ++j) check_pool((*shares)[j], item_place(place + "/pools", j));
+        for (std::size_t j = 0; j < shares->size(); ++j)
+          check_pool((*shares)[j], item_place(place + "/pools", j));
     }
   }
-  if (const Json* limits = reader.part(document, "", "limits", Json::value_t::object)) table.limits = read_limits(*limits, "/limits", reader);
-  if (!reader.is_sound()) return std::nullopt;
+  if (const Json* limits = reader.part(document, "", "limits", Json::value_t::object))
+    table.limits = read_limits(*limits, "/limits", reader);
+  if (!reader.is_sound())
+    return std::nullopt;
   return table;
 }
 
@@ -414,7 +465,8 @@
 void amend_list(const char* list, const Json& upsert, const Json& remove, Amended& amended, FieldReader& reader) {
   Json items = amended.document.value(list, Json::array());
   std::unordered_map<std::string, std::size_t> index;
-  for (std::size_t i = 0; i < items.size(); ++i) index[items[i].value("name", "")] = i;
+  for (std::size_t i = 0; i < items.size(); ++i)
+    index[items[i].value("name", "")] = i;
   std::set<std::size_t> removed;
   std::unordered_set<std::string> removed_names, upserted_names;
   if (const Json* names = reader.part(remove, "/remove", list, Json::value_t::array)) {
@@ -426,7 +478,8 @@
       }
       auto name = (*names)[i].get<std::string>();
       auto found = index.find(name);
-      if (found == index.end() || !removed.insert(found->second).second) reader.error(place, "there is no '" + name + "' to remove");
+      if (found == index.end() || !removed.insert(found->second).second)
+        reader.error(place, "there is no '" + name + "' to remove");
       removed_names.insert(name);
     }
   }
@@ -440,22 +493,31 @@
         continue;
       }
       std::string name = reader.text(item, place, "name");
-      if (name.empty()) continue;
-      if (!upserted_names.insert(name).second) reader.error(place + "/name", "'" + name + "' stands twice here");
-      if (removed_names.count(name) != 0) reader.error(place + "/name", "'" + name + "' is also to be removed");
+      if (name.empty())
+        continue;
+      if (!upserted_names.insert(name).second)
+        reader.error(place + "/name", "'" + name + "' stands twice here");
+      if (removed_names.count(name) != 0)
+        reader.error(place + "/name", "'" + name + "' is also to be removed");
       auto found = index.insert({name, items.size()});
-      if (found.second) items.push_back(item);
-      else items[found.first->second] = item;
+      if (found.second)
+        items.push_back(item);
+      else
+        items[found.first->second] = item;
       upserted[found.first->second] = i;
     }
   }
   // An amendment of nothing still makes a whole document.
-  if (removed.empty() && upserted.empty() && amended.document.contains(list)) return;
+  if (removed.empty() && upserted.empty() && amended.document.contains(list))
+    return;
   Json kept = Json::array();
   for (std::size_t i = 0; i < items.size(); ++i) {
-    if (removed.count(i) != 0) continue;
+    if (removed.count(i) != 0)
+      continue;
     auto origin = upserted.find(i);
-    if (origin != upserted.end()) amended.origins[item_place(std::string("/") + list, kept.size())] = item_place(std::string("/upsert/") + list, origin->second);
+    if (origin != upserted.end())
+      amended.origins[item_place(std::string("/") + list, kept.size())] =
+          item_place(std::string("/upsert/") + list, origin->second);
     kept.push_back(std::move(items[i]));
   }
   amended.document[list] = std::move(kept);
@@ -468,14 +530,16 @@
   const Json none = Json::object();
   const Json* upsert = reader.part(change, "", "upsert", Json::value_t::object);
   const Json* remove = reader.part(change, "", "remove", Json::value_t::object);
-  for (const char* list : {"routes", "pools"}) amend_list(list, upsert ? *upsert : none, remove ? *remove : none, amended, reader);
+  for (const char* list : {"routes", "pools"})
+    amend_list(list, upsert ? *upsert : none, remove ? *remove : none, amended, reader);
   if (upsert != nullptr) {
     if (const Json* limits = reader.part(*upsert, "/upsert", "limits", Json::value_t::object)) {
       amended.document["limits"] = *limits;
       amended.origins["/limits"] = "/upsert/limits";
     }
   }
-  if (!reader.is_sound()) return std::nullopt;
+  if (!reader.is_sound())
+    return std::nullopt;
   return amended;
 }
 
@@ -485,9 +549,12 @@
   TextWalk walk(body);
   for (Finding& finding : findings) {
     std::string part = finding.place;
-    while (!part.empty() && amended.origins.count(part) == 0) part.resize(part.rfind('/'));
-    if (part.empty() && finding.place != "/revision") continue;
-    if (!part.empty()) finding.place = amended.origins.at(part) + finding.place.substr(part.size());
+    while (!part.empty() && amended.origins.count(part) == 0)
+      part.resize(part.rfind('/'));
+    if (part.empty() && finding.place != "/revision")
+      continue;
+    if (!part.empty())
+      finding.place = amended.origins.at(part) + finding.place.substr(part.size());
     std::tie(finding.line, finding.column) = walk.line_and_column(finding.place);
   }
 }
@@ -495,7 +562,8 @@
 std::string change_digest(const std::string& act, Integer base, const Json& change) {
   std::uint64_t hash = stable_hash(act + "\n" + std::to_string(base) + "\n" + json_text(change));
   std::string digest(16, '0');
-  for (std::size_t i = digest.size(); i-- > 0; hash >>= 4) digest[i] = "0123456789abcdef"[hash & 15];
+  for (std::size_t i = digest.size(); i-- > 0; hash >>= 4)
+    digest[i] = "0123456789abcdef"[hash & 15];
   return digest;
 }
 
@@ -508,12 +576,15 @@
 StoredTable read_stored(const std::string& stored) {
   StoredTable table;
   Json json = Json::parse(stored, nullptr, false);
-  if (!json.is_object() || !json.contains("document") || !json["document"].is_object()) return table;
+  if (!json.is_object() || !json.contains("document") || !json["document"].is_object())
+    return table;
   const Json* revision = FieldReader::find(json["document"], "revision");
-  if (revision == nullptr || !revision->is_number_integer()) return table;
+  if (revision == nullptr || !revision->is_number_integer())
+    return table;
   table.revision = revision->get<Integer>();
   table.document = std::move(json["document"]);
-  if (json.contains("taken") && json["taken"].is_array()) table.taken = std::move(json["taken"]);
+  if (json.contains("taken") && json["taken"].is_array())
+    table.taken = std::move(json["taken"]);
   return table;
 }
 
@@ -521,10 +592,12 @@
 std::optional<Value> read_row(const std::string& body, Read read) {
   std::vector<Finding> findings;
   auto json = parse_object(body, findings);
-  if (!json) return std::nullopt;
+  if (!json)
+    return std::nullopt;
   FieldReader reader(findings);
   Value value = read(*json, "", reader);
-  if (!reader.is_sound()) return std::nullopt;
+  if (!reader.is_sound())
+    return std::nullopt;
   return value;
 }
 
@@ -532,14 +605,17 @@
 
 std::optional<TrafficTable> read_traffic_table(const std::string& body, std::vector<Finding>& findings) {
   auto document = parse_object(body, findings);
-  if (!document) return std::nullopt;
+  if (!document)
+    return std::nullopt;
   std::size_t first = findings.size();
   auto table = check_document(*document, findings);
   locate_findings(body, first, findings);
   return table;
 }
 
-std::optional<TrafficRoute> read_traffic_route(const std::string& body) { return read_row<TrafficRoute>(body, read_route); }
+std::optional<TrafficRoute> read_traffic_route(const std::string& body) {
+  return read_row<TrafficRoute>(body, read_route);
+}
 
 std::optional<TrafficPool> read_traffic_pool(const std::string& body) { return read_row<TrafficPool>(body, read_pool); }
 
@@ -554,22 +630,26 @@
   std::vector<std::pair<std::string, std::string>> rows;
   std::vector<Finding> findings;
   auto document = parse_object(body, findings);
-  if (!document) return rows;
+  if (!document)
+    return rows;
   rows.push_back({"limits", json_text(document->value("limits", Json::object()))});
   rows.push_back({"revision", json_text(document->value("revision", Json(0)))});
   for (auto [list, prefix] : {std::pair("pools", "pool/"), std::pair("routes", "route/")}) {
     const Json* items = FieldReader::find(*document, list);
-    if (items == nullptr || !items->is_array()) continue;
+    if (items == nullptr || !items->is_array())
+      continue;
     for (const Json& item : *items) {
       const Json* name = item.is_object() ? FieldReader::find(item, "name") : nullptr;
-      if (name != nullptr && name->is_string()) rows.push_back({prefix + name->get<std::string>(), json_text(item)});
+      if (name != nullptr && name->is_string())
+        rows.push_back({prefix + name->get<std::string>(), json_text(item)});
     }
   }
   std::sort(rows.begin(), rows.end());
   return rows;
 }
 
-TrafficChange change_traffic_table(const std::string& stored, const std::string& act, Integer base, const std::string& body) {
+TrafficChange change_traffic_table(const std::string& stored, const std::string& act, Integer base,
+                                   const std::string& body) {
   TrafficChange result;
   StoredTable table = read_stored(stored);
   result.revision = table.revision;
@@ -580,7 +660,8 @@
   };
   auto refuse_findings = [&] {
     const Finding& first = result.findings.front();
-    std::string more = result.findings.size() > 1 ? " (and " + std::to_string(result.findings.size() - 1) + " more)" : "";
+    std::string more =
+        result.findings.size() > 1 ? " (and " + std::to_string(result.findings.size() - 1) + " more)" : "";
     return refuse(400, (first.place.empty() ? "" : first.place + " ") + first.message + more);
   };
   if (act != "replace" && act != "amend") {
@@ -588,14 +669,17 @@
     return refuse_findings();
   }
   auto change = parse_object(body, result.findings);
-  if (!change) return refuse_findings();
+  if (!change)
+    return refuse_findings();
   std::string digest = change_digest(act, base, *change);
   for (const Json& entry : table.taken) {
-    if (!entry.is_object() || entry.value("digest", Json()) != digest) continue;
+    if (!entry.is_object() || entry.value("digest", Json()) != digest)
+      continue;
     result.is_repeat = true;
     return result;
   }
-  if (base != table.revision) return refuse(412, "the revision is " + std::to_string(table.revision) + ", not " + std::to_string(base));
+  if (base != table.revision)
+    return refuse(412, "the revision is " + std::to_string(table.revision) + ", not " + std::to_string(base));
   Json next;
   if (act == "replace") {
     check_document(*change, result.findings);
@@ -608,18 +692,24 @@
       return refuse_findings();
     }
     check_document(amended->document, result.findings);
-    if (!result.findings.empty()) trace_findings(body, *amended, result.findings);
+    if (!result.findings.empty())
+      trace_findings(body, *amended, result.findings);
     next = std::move(amended->document);
   }
-  if (const Json* revision = FieldReader::find(next, "revision"); revision != nullptr && revision->is_number_integer() && revision->get<Integer>() > 0 && revision->get<Integer>() <= table.revision) {
+  if (const Json* revision = FieldReader::find(next, "revision");
+      revision != nullptr && revision->is_number_integer() && revision->get<Integer>() > 0 &&
+      revision->get<Integer>() <= table.revision) {
     std::size_t first = result.findings.size();
-    result.findings.push_back({"error", document_name(), "/revision", 0, 0, "must be above the current one, " + std::to_string(table.revision)});
+    result.findings.push_back({"error", document_name(), "/revision", 0, 0,
+                               "must be above the current one, " + std::to_string(table.revision)});
     locate_findings(body, first, result.findings);
   }
-  if (has_errors(result.findings)) return refuse_findings();
+  if (has_errors(result.findings))
+    return refuse_findings();
   result.revision = next["revision"].get<Integer>();
   table.taken.push_back({{"revision", result.revision}, {"digest", digest}});
-  if (table.taken.size() > taken_bound) table.taken.erase(table.taken.begin(), table.taken.end() - static_cast<std::ptrdiff_t>(taken_bound));
+  if (table.taken.size() > taken_bound)
+    table.taken.erase(table.taken.begin(), table.taken.end() - static_cast<std::ptrdiff_t>(taken_bound));
   Json text = Json::object();
   text["document"] = std::move(next);
   text["taken"] = std::move(table.taken);
@@ -632,15 +722,19 @@
   return table.revision == 0 ? "" : json_text(table.document);
 }
 
-const TrafficRoute* find_route(const std::vector<TrafficRoute>& routes, const std::string& host, const std::string& path) {
+const TrafficRoute* find_route(const std::vector<TrafficRoute>& routes, const std::string& host,
+                               const std::string& path) {
   std::string_view asked = bare_host(host);
   const TrafficRoute* longest = nullptr;
   for (const TrafficRoute& route : routes) {
     const std::string& prefix = route.path_prefix;
-    if (prefix.size() > path.size() || (longest != nullptr && prefix.size() <= longest->path_prefix.size())) continue;
+    if (prefix.size() > path.size() || (longest != nullptr && prefix.size() <= longest->path_prefix.size()))
+      continue;
     std::string_view own = bare_host(route.host);
-    if (own.size() != asked.size() || path.compare(0, prefix.size(), prefix) != 0) continue;
-    if (std::equal(own.begin(), own.end(), asked.begin(), [](char a, char b) { return to_lower(a) == to_lower(b); })) longest = &route;
+    if (own.size() != asked.size() || path.compare(0, prefix.size(), prefix) != 0)
+      continue;
+    if (std::equal(own.begin(), own.end(), asked.begin(), [](char a, char b) { return to_lower(a) == to_lower(b); }))
+      longest = &route;
   }
   return longest;
 }
@@ -648,11 +742,14 @@
 const PoolName& choose_pool(const TrafficRoute& route, const std::string& key) {
   static const PoolName none;
   std::uint64_t sum = 0;
-  for (const PoolShare& share : route.pools) sum += static_cast<std::uint64_t>(share.share);
-  if (sum == 0) return route.pools.empty() ? none : route.pools.front().pool;
+  for (const PoolShare& share : route.pools)
+    sum += static_cast<std::uint64_t>(share.share);
+  if (sum == 0)
+    return route.pools.empty() ? none : route.pools.front().pool;
   std::uint64_t at = stable_hash(key, share_seed) % sum;
   for (const PoolShare& share : route.pools) {
-    if (at < static_cast<std::uint64_t>(share.share)) return share.pool;
+    if (at < static_cast<std::uint64_t>(share.share))
+      return share.pool;
     at -= static_cast<std::uint64_t>(share.share);
   }
   return route.pools.back().pool;
--- a/packages/traffic-table/tests/traffic_table_test.cpp
+++ b/packages/traffic-table/tests/traffic_table_test.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 Json route(const std::string& name, const std::string& prefix, const std::string& pool = "m") {
-  return {{"name", name}, {"host", "a.example"}, {"path_prefix", prefix}, {"kind", "streaming"}, {"horizon_ms", 8000}, {"pool", pool}};
+  return {{"name", name},        {"host", "a.example"}, {"path_prefix", prefix},
+          {"kind", "streaming"}, {"horizon_ms", 8000},  {"pool", pool}};
 }
 Json good_table(Integer revision = 7) {
   Json table{{"revision", revision}};
@@ -24,7 +25,8 @@
   return table;
 }
 bool has(const std::vector<Finding>& findings, const std::string& place) {
-  return std::any_of(findings.begin(), findings.end(), [&](const Finding& f) { return f.place == place && f.severity == "error"; });
+  return std::any_of(findings.begin(), findings.end(),
+                     [&](const Finding& f) { return f.place == place && f.severity == "error"; });
 }
 std::vector<Finding> findings_of(const std::string& body) {
   std::vector<Finding> findings;
@@ -50,18 +52,21 @@
 
 TEST(TrafficTable, ReadsEveryFieldAndDefaults) {
   std::vector<Finding> findings;
-  auto table = read_traffic_table(R"({"revision":7,"routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming",
+  auto table = read_traffic_table(
+      R"({"revision":7,"routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming",
     "horizon_ms":8000,"target_ms":900,"rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],"max_sends":2,"sticky":true,
     "resumable":true,"gap_ms":400,"home_regions":["north"],"extra":1},
     {"name":"r2","host":"a.example","path_prefix":"/","kind":"once_only","horizon_ms":5,"pool":"m"},
     {"name":"r3","host":"b.example","path_prefix":"/","kind":"retry_safe","horizon_ms":5,"pool":"m"}],
     "pools":[{"name":"m","health_path":"/h","max_links":390,"warmup_s":3.5,"cold_per_s":45,"runtime":{"slots":64,"memory_tokens":319818}},{"name":"n"}],
-    "limits":{"max_header_bytes":1,"max_body_bytes":2,"header_timeout_ms":3,"idle_timeout_ms":4}})", findings);
+    "limits":{"max_header_bytes":1,"max_body_bytes":2,"header_timeout_ms":3,"idle_timeout_ms":4}})",
+      findings);
   ASSERT_TRUE(table) << findings_json(findings);
   EXPECT_EQ(table->revision, 7);
   const auto& full = table->routes[0];
   EXPECT_TRUE(full.is_streaming && full.is_resumable && full.is_repeatable && full.is_sticky);
-  EXPECT_EQ(std::tie(full.deadline_ms, full.target_ms, full.gap_ms, full.rank, full.max_sends), std::tuple(8000, 900, 400, 1, 2));
+  EXPECT_EQ(std::tie(full.deadline_ms, full.target_ms, full.gap_ms, full.rank, full.max_sends),
+            std::tuple(8000, 900, 400, 1, 2));
   EXPECT_EQ(full.pools[1].pool.text, "n");
   EXPECT_EQ(full.pools[1].share, 10);
   EXPECT_EQ(full.homes.at(0).text, "north");
@@ -72,24 +77,30 @@
   EXPECT_TRUE(table->routes[2].is_repeatable);
   EXPECT_EQ(table->pools[0].warmup_s, 3.5);
   EXPECT_EQ(table->pools[0].cold_per_s, 45);
-  EXPECT_EQ(std::tie(table->pools[0].max_links, table->pools[0].slots, table->pools[0].memory_tokens), std::tuple(390, 64, 319818));
+  EXPECT_EQ(std::tie(table->pools[0].max_links, table->pools[0].slots, table->pools[0].memory_tokens),
+            std::tuple(390, 64, 319818));
   EXPECT_EQ(table->pools[0].health_path, "/h");
   EXPECT_EQ(table->pools[1].health_path, "/health");
   EXPECT_EQ(table->limits.idle_timeout_ms, 4);
-  EXPECT_FALSE(read_traffic_table(good_table().dump(), findings)->routes[0].is_repeatable);  // a stream that can't be resumed
+  EXPECT_FALSE(
+      read_traffic_table(good_table().dump(), findings)->routes[0].is_repeatable);  // a stream that can't be resumed
 }
 
 TEST(TrafficTable, EachInvalidityHasItsPlace) {
   EXPECT_TRUE(findings_of(good_table().dump()).empty());
   EXPECT_TRUE(has(without("", "revision"), "/revision"));
-  for (const Json& wrong : {Json(0), Json(-3), Json(1.5), Json("7"), Json(nullptr), Json(18446744073709551615u)}) EXPECT_TRUE(has(with("/revision", wrong), "/revision")) << wrong;
+  for (const Json& wrong : {Json(0), Json(-3), Json(1.5), Json("7"), Json(nullptr), Json(18446744073709551615u)})
+    EXPECT_TRUE(has(with("/revision", wrong), "/revision")) << wrong;
   for (const char* key : {"name", "host", "path_prefix", "kind", "horizon_ms", "pool"}) {
     EXPECT_TRUE(has(without("/routes/0", key), std::string("/routes/0/") + key)) << key;
-    for (const Json& wrong : {Json(nullptr), Json(-1), Json(""), Json::array(), Json(true)}) EXPECT_TRUE(has(with(std::string("/routes/0/") + key, wrong), std::string("/routes/0/") + key)) << key << wrong;
+    for (const Json& wrong : {Json(nullptr), Json(-1), Json(""), Json::array(), Json(true)})
+      EXPECT_TRUE(has(with(std::string("/routes/0/") + key, wrong), std::string("/routes/0/") + key)) << key << wrong;
   }
   for (const char* key : {"target_ms", "gap_ms", "rank", "max_sends"})
-    for (const Json& wrong : {Json(-1), Json(1.5), Json("1"), Json(nullptr), Json(18446744073709551615u)}) EXPECT_TRUE(has(with(std::string("/routes/1/") + key, wrong), std::string("/routes/1/") + key)) << key << wrong;
-  for (const char* key : {"sticky", "resumable"}) EXPECT_TRUE(has(with(std::string("/routes/0/") + key, 1), std::string("/routes/0/") + key));
+    for (const Json& wrong : {Json(-1), Json(1.5), Json("1"), Json(nullptr), Json(18446744073709551615u)})
+      EXPECT_TRUE(has(with(std::string("/routes/1/") + key, wrong), std::string("/routes/1/") + key)) << key << wrong;
+  for (const char* key : {"sticky", "resumable"})
+    EXPECT_TRUE(has(with(std::string("/routes/0/") + key, 1), std::string("/routes/0/") + key));
   EXPECT_TRUE(has(with("/routes/0/horizon_ms", 0), "/routes/0/horizon_ms"));
   EXPECT_TRUE(has(with("/routes/0/kind", "other"), "/routes/0/kind"));
   EXPECT_TRUE(has(with("/routes/0/path_prefix", "x/"), "/routes/0/path_prefix"));
@@ -149,17 +160,21 @@
   EXPECT_TRUE(shares(Json::parse(R"([{"pool":"m","share":0},{"pool":"n"}])")).empty());
   EXPECT_TRUE(has(shares(Json::array()), "/routes/0/pools"));
   EXPECT_TRUE(has(shares(Json::parse(R"([{"pool":"m","share":0},{"pool":"n","share":0}])")), "/routes/0/pools"));
-  EXPECT_TRUE(has(shares(Json::parse(R"([{"pool":"m","share":-1},{"pool":"n","share":5}])")), "/routes/0/pools/0/share"));
+  EXPECT_TRUE(
+      has(shares(Json::parse(R"([{"pool":"m","share":-1},{"pool":"n","share":5}])")), "/routes/0/pools/0/share"));
   EXPECT_TRUE(has(shares(Json::parse(R"([{"share":1}])")), "/routes/0/pools/0/pool"));
   EXPECT_TRUE(has(shares(Json::parse(R"([{"pool":"m"},{"pool":"none"}])")), "/routes/0/pools/1/pool"));
   EXPECT_TRUE(has(shares(Json::parse(R"([5])")), "/routes/0/pools/0"));
 }
 
 TEST(TrafficTable, WhatIsNoSoundJsonIsRefusedWithAFinding) {
-  const std::string deep = R"({"revision":7,"routes":[],"pools":[],"x":)";  // both lists: a document without them is an error now
+  const std::string deep =
+      R"({"revision":7,"routes":[],"pools":[],"x":)";  // both lists: a document without them is an error now
   for (const std::string& body :
-       {std::string(), std::string("oops"), std::string("[]"), std::string("{\"revision\":NaN}"), std::string("{\"revision\":1e999}"), std::string("{\"revision\":7}\0x", 16),
-        std::string("{\"revision\":7,\"a\":\"\xff\"}"), std::string("{\"revision\":7,\"\xc3\":1}"), deep + std::string(32, '[') + std::string(32, ']') + "}", std::string(1000000, '['),
+       {std::string(), std::string("oops"), std::string("[]"), std::string("{\"revision\":NaN}"),
+        std::string("{\"revision\":1e999}"), std::string("{\"revision\":7}\0x", 16),
+        std::string("{\"revision\":7,\"a\":\"\xff\"}"), std::string("{\"revision\":7,\"\xc3\":1}"),
+        deep + std::string(32, '[') + std::string(32, ']') + "}", std::string(1000000, '['),
         std::string("{\"revision\":7,\"revision\":8}")}) {
     EXPECT_TRUE(has_errors(findings_of(body))) << body.substr(0, 40);
     for (const char* act : {"replace", "amend"}) {
@@ -170,7 +185,8 @@
     EXPECT_FALSE(read_traffic_route(body) || read_traffic_pool(body) || !split_traffic_table(body).empty());
   }
   EXPECT_TRUE(findings_of(deep + std::string(31, '[') + std::string(31, ']') + "}").empty());
-  auto twice = findings_of("{\"revision\":7,\n \"routes\":[],\n \"pools\":[{\"name\":\"m\",\n  \"n\\u0061me\":\"n\"}]}");
+  auto twice =
+      findings_of("{\"revision\":7,\n \"routes\":[],\n \"pools\":[{\"name\":\"m\",\n  \"n\\u0061me\":\"n\"}]}");
   ASSERT_EQ(twice.size(), 1u);
   EXPECT_EQ(twice[0].place, "/pools/0/name");
   EXPECT_EQ(twice[0].line, 4);
@@ -178,7 +194,8 @@
 }
 
 TEST(TrafficTable, AllFindingsComeTogetherWithLines) {
-  auto findings = findings_of("{\n \"revision\": 0,\n \"pools\": [\n  {\"name\": \"m\", \"max_links\": -1}],\n \"limits\": []}");
+  auto findings =
+      findings_of("{\n \"revision\": 0,\n \"pools\": [\n  {\"name\": \"m\", \"max_links\": -1}],\n \"limits\": []}");
   ASSERT_EQ(findings.size(), 4u);  // stricter: the missing list of routes is an error as well, at the whole document
   EXPECT_EQ(std::pair(findings[0].line, findings[0].column), std::pair(2, 14));
   EXPECT_EQ(std::pair(findings[1].line, findings[1].column), std::pair(4, 30));
@@ -199,7 +216,8 @@
   EXPECT_EQ(other.revision, 9);
   EXPECT_TRUE(other.stored.empty());
   EXPECT_EQ(change_traffic_table("", "replace", 3, good_table().dump()).code, 412);
-  EXPECT_EQ(change_traffic_table(one.stored, "replace", 7, R"({"revision":-1})").code, 412);  // the base is looked at first
+  EXPECT_EQ(change_traffic_table(one.stored, "replace", 7, R"({"revision":-1})").code,
+            412);  // the base is looked at first
   for (Integer revision : {8, 9}) {
     auto low = change_traffic_table(one.stored, "replace", 9, good_table(revision).dump());
     EXPECT_EQ(low.code, 400);
@@ -218,8 +236,10 @@
   EXPECT_TRUE(again.is_repeat && again.stored.empty());
   EXPECT_EQ(again.revision, 20);
   EXPECT_TRUE(change_traffic_table(stored, "replace", 0, good_table(7).dump()).is_repeat);
-  EXPECT_EQ(change_traffic_table(stored, "replace", 7, R"({"revision":9,"remove":{"routes":["r2"]}})").code, 412);  // another act
-  EXPECT_EQ(change_traffic_table(stored, "amend", 9, R"({"revision":9,"remove":{"routes":["r2"]}})").code, 412);    // another base
+  EXPECT_EQ(change_traffic_table(stored, "replace", 7, R"({"revision":9,"remove":{"routes":["r2"]}})").code,
+            412);  // another act
+  EXPECT_EQ(change_traffic_table(stored, "amend", 9, R"({"revision":9,"remove":{"routes":["r2"]}})").code,
+            412);  // another base
 }
 
 TEST(TrafficTable, TheLast128ChangesAreKept) {
@@ -283,13 +303,15 @@
   places(R"({"revision":7})", "/revision");
   places(R"({"upsert":{}})", "/revision");
   places(R"({"revision":9,"remove":{"pools":["m"]}})", "/routes/0/pool");  // a route that stands still names it
-  auto traced = places("{\"revision\":9,\n\"upsert\":{\"pools\":[{\"name\":\"n\",\n\"max_links\":-1}]}}", "/upsert/pools/0/max_links");
+  auto traced = places("{\"revision\":9,\n\"upsert\":{\"pools\":[{\"name\":\"n\",\n\"max_links\":-1}]}}",
+                       "/upsert/pools/0/max_links");
   EXPECT_EQ(traced.findings[0].line, 3);
 }
 
 TEST(TrafficTable, UnknownFieldsAreKept) {
   Json table = good_table();
-  const Json odd = Json::parse(R"({"deep":[1,2.5,null,{"é":"\u0000\"/~"}],"big":18446744073709551615,"small":-9223372036854775808})");
+  const Json odd = Json::parse(
+      R"({"deep":[1,2.5,null,{"é":"\u0000\"/~"}],"big":18446744073709551615,"small":-9223372036854775808})");
   table["odd"] = table["routes"][0]["odd"] = table["pools"][0]["odd"] = odd;
   auto first = change_traffic_table("", "replace", 0, table.dump());
   ASSERT_EQ(first.code, 200) << first.reason;
@@ -305,7 +327,8 @@
 }
 
 TEST(TrafficTable, StoredTextThatCanNotBeReadCountsAsNone) {
-  for (const char* stored : {"", "oops", "[]", "{}", R"({"document":5})", R"({"document":{"revision":"x"},"taken":5})"}) {
+  for (const char* stored :
+       {"", "oops", "[]", "{}", R"({"document":5})", R"({"document":{"revision":"x"},"taken":5})"}) {
     EXPECT_EQ(traffic_document(stored), "");
     EXPECT_EQ(change_traffic_table(stored, "replace", 0, good_table().dump()).code, 200);
   }
@@ -314,7 +337,8 @@
 TEST(TrafficTable, RowsComeSortedAndReadAlone) {
   auto rows = split_traffic_table(good_table().dump());
   std::vector<std::string> keys;
-  for (const auto& row : rows) keys.push_back(row.first);
+  for (const auto& row : rows)
+    keys.push_back(row.first);
   EXPECT_EQ(keys, (std::vector<std::string>{"limits", "pool/m", "pool/n", "revision", "route/r1", "route/r2"}));
   EXPECT_EQ(read_traffic_pool(rows[1].second)->name.text, "m");
   EXPECT_EQ(rows[3].second, "7");
@@ -341,8 +365,10 @@
   EXPECT_EQ(found("a.example:", "/x/y/z/q"), "r2");
   EXPECT_EQ(found("b.example", "/x/y/z/q"), "other");
   EXPECT_EQ(found("a.example", "/x/yy"), "r1");
-  for (const char* path : {"", "/", "/x", "/X/", "x/"}) EXPECT_EQ(found("a.example", path), "") << path;
-  for (const char* host : {"", ":", "[", "[::1]:80", "a.exampl", "a.example.b", "::1"}) EXPECT_EQ(found(host, "/x/"), "") << host;
+  for (const char* path : {"", "/", "/x", "/X/", "x/"})
+    EXPECT_EQ(found("a.example", path), "") << path;
+  for (const char* host : {"", ":", "[", "[::1]:80", "a.exampl", "a.example.b", "::1"})
+    EXPECT_EQ(found(host, "/x/"), "") << host;
   routes[0].host = "[::1]";
   EXPECT_EQ(found("[::1]:80", "/x/"), "r1");
   EXPECT_EQ(found("[::1]", "/x/"), "r1");
@@ -365,16 +391,20 @@
 
 TEST(TrafficTable, TenThousandRoutesReadWellWithinASecond) {
   Json table = good_table();
-  for (int i = 0; i < 10000; ++i) table["routes"].push_back(route("more" + std::to_string(i), "/more/" + std::to_string(i) + "/"));
+  for (int i = 0; i < 10000; ++i)
+    table["routes"].push_back(route("more" + std::to_string(i), "/more/" + std::to_string(i) + "/"));
   std::string sound = table.dump();
-  for (auto& each : table["routes"]) each["horizon_ms"] = 0;
+  for (auto& each : table["routes"])
+    each["horizon_ms"] = 0;
   std::string wrong = table.dump();
   auto start = std::chrono::steady_clock::now();
   EXPECT_TRUE(findings_of(sound).empty());
   auto middle = std::chrono::steady_clock::now();
   EXPECT_EQ(findings_of(wrong).size(), 10002u);
   auto end = std::chrono::steady_clock::now();
-  auto millis = [](auto span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span).count(); };
+  auto millis = [](auto span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+  };
   RecordProperty("sound_ms", std::to_string(millis(middle - start)));
   RecordProperty("wrong_ms", std::to_string(millis(end - middle)));
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
@@ -389,7 +419,8 @@
   table["routes"][0]["pools"] = Json::parse(R"([{"pool":"m","share":3},{"pool":"n","share":1}])");
   table["limits"] = Json{{"max_header_bytes", 100}};
   const std::string whole = table.dump();
-  const std::string amendment = R"({"revision":9,"upsert":{"pools":[{"name":"n","max_links":5}],"limits":{}},"remove":{"routes":["r2"]}})";
+  const std::string amendment =
+      R"({"revision":9,"upsert":{"pools":[{"name":"n","max_links":5}],"limits":{}},"remove":{"routes":["r2"]}})";
   const std::string stored = first_stored();
   EXPECT_TRUE(rc::check([&](std::uint64_t seed) {
     std::string body = spoiled(whole, seed), change = spoiled(amendment, seed);
@@ -400,10 +431,13 @@
     read_traffic_limits(body);
     read_traffic_route(spoiled(table["routes"][0].dump(), seed));
     read_traffic_pool(spoiled(R"({"name":"m","runtime":{"slots":5}})", seed));
-    for (const auto& result : {change_traffic_table("", "replace", 0, body), change_traffic_table(stored, "amend", 7, change), change_traffic_table(spoiled(stored, seed), "amend", 7, change)}) {
+    for (const auto& result :
+         {change_traffic_table("", "replace", 0, body), change_traffic_table(stored, "amend", 7, change),
+          change_traffic_table(spoiled(stored, seed), "amend", 7, change)}) {
       RC_ASSERT(result.code == 200 || !result.reason.empty());
       RC_ASSERT(result.code != 400 || has_errors(result.findings));
-      if (result.code != 200 || result.is_repeat) continue;
+      if (result.code != 200 || result.is_repeat)
+        continue;
       findings.clear();
       RC_ASSERT(read_traffic_table(traffic_document(result.stored), findings).has_value());
     }
@@ -419,7 +453,8 @@
     for (int step = 0; step < 12; ++step) {
       Integer next = revision + 1 + random.below(5);
       Json change{{"revision", next}};
-      if (step == 0) change["upsert"]["pools"] = Json::array({Json{{"name", "m"}}});
+      if (step == 0)
+        change["upsert"]["pools"] = Json::array({Json{{"name", "m"}}});
       auto wanted = model;
       bool is_good = true;
       for (int i = 0; i < 6; ++i) {
@@ -437,8 +472,10 @@
       }
       auto result = change_traffic_table(stored, "amend", revision, change.dump());
       RC_ASSERT(result.code == (is_good ? 200 : 400));
-      if (!is_good && step == 0) return;  // no pool yet
-      if (!is_good) continue;
+      if (!is_good && step == 0)
+        return;  // no pool yet
+      if (!is_good)
+        continue;
       model = wanted;
       revision = next;
       stored = result.stored;
@@ -447,7 +484,8 @@
       RC_ASSERT(table.has_value());
       RC_ASSERT(table->revision == revision);
       std::map<std::string, std::int64_t> seen;
-      for (const auto& each : table->routes) seen[each.name] = each.deadline_ms;
+      for (const auto& each : table->routes)
+        seen[each.name] = each.deadline_ms;
       RC_ASSERT(seen == model);
       RC_ASSERT(table->routes.size() == model.size());
     }
