Split the control daemon by job, with a handler for each kind of message

Cause: control_daemon.cpp (997 lines laid out) held messages, membership, maps, the directory and operators' acts, and on_message was one chain of ifs. Change: six files by job; std::visit with one handler a message; the timer's parts are functions. Nothing else moves.

--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -142,6 +142,27 @@
   bool is_led_by_others(Moment now) const;
   bool is_dead_member(const Address& daemon, Moment now) const;
   bool is_leaderless() const { return settings_.reconciles_membership && election_.master().empty(); }
+  // Ping and PingAnswer tell of daemons before any other part looks at the message.
+  template <class Other>
+  void learn_from(const Address&, const Other&, Moment) {}
+  void learn_from(const Address& from, const Ping& ping, Moment now);
+  void learn_from(const Address& from, const PingAnswer& answer, Moment now);
+  // One handler for each kind of message that this daemon itself answers; its parts look at the others.
+  template <class Other>
+  void handle(const Address&, const Other&, Moment) {}
+  void handle(const Address& from, const Follow& follow, Moment now);
+  void handle(const Address& from, const MapNews& news, Moment now);
+  void handle(const Address& from, const Subscribe& subscribe, Moment now);
+  void handle(const Address& from, const LeaseAsk& ask, Moment now);
+  void handle(const Address& from, const Hold& hold, Moment now);
+  void handle(const Address& from, const EditAsk& ask, Moment now);
+  void handle(const Address& from, const EditAnswer& answer, Moment now);
+  void handle(const Address& from, const ViewAsk& ask, Moment now);
+  void handle(const Address& from, const ViewAnswer& answer, Moment now);
+  void take_report(const InForce& report, Moment now);
+  void gossip(Moment now);
+  void lead(Moment now);
+  void expire_waiting(Moment now);
   void answer_ping(const Address& from, const Ping& ping, Moment now);
   void claim_term(const TermClaim& claim, Moment now);
   void begin_leading(Moment now);
--- /dev/null
+++ b/packages/control-plane/src/control_operators.cpp
@@ -0,0 +1,202 @@
+// Operators' acts at a control daemon: edits and their way to the master, reads, views, founding.
+#include <algorithm>
+
+#include "emberdale/control_daemon.hpp"
+
+namespace emberdale {
+namespace {
+
+constexpr Span poll_pace{350};
+
+}  // namespace
+
+void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
+  ask.ask = ++last_ask_;
+  PassedHold hold = hold_of(ask, version_of(ask), now);
+  if (election_.is_master()) {
+    MasterEdits::Edit edit;
+    edit.ask = std::move(ask);
+    edit.ask.term = election_.term();
+    edit.done = std::move(done);
+    edit.hold = std::move(hold);
+    edits_.take(std::move(edit), now);
+    run_edits(now);
+  } else if (!proposer_.has_state()) {
+    return done(EditAnswer{ask.ask, 503, 0, reason_body("no register is known here", "refused"), 0});
+  } else {
+    forwarder_.take(std::move(ask), std::move(done), std::move(hold), now);
+    forward_edits(now);
+  }
+  collect(now);
+}
+
+// Hands what was taken in here to the master; without one it waits a while for the next. The same change,
+// handed to a second master after the first was lost, counts once.
+void ControlDaemon::forward_edits(Moment now) {
+  if (forwarder_.waiting().empty() || !proposer_.has_state())
+    return;
+  if (election_.is_master()) {
+    for (auto& waiting : forwarder_.take_back()) {
+      MasterEdits::Edit edit;
+      edit.ask = std::move(waiting.ask);
+      edit.ask.term = election_.term();
+      edit.done = std::move(waiting.done);
+      edit.hold = std::move(waiting.hold);
+      edit.has_copies = !waiting.copies.empty();
+      edits_.take(std::move(edit), now);
+    }
+    return run_edits(now);
+  }
+  Address master = election_.master().empty() ? proposer_.state().master : election_.master();
+  if (master == settings_.self.address)
+    return;
+  for (auto& sending : forwarder_.send(master, std::max(proposer_.state().term, election_.term()), now))
+    out_.push_back(std::move(sending));
+}
+
+// "We were told": while an edit that takes a runner or a zone out of work is not settled (no master leads, the
+// core does not answer), every data daemon hears of it all the same. That only ever takes work away, and
+// lapses by itself; a refusal lifts it; the map settles it.
+void ControlDaemon::pass_holds(Moment now) {
+  for (auto& [number, waiting] : forwarder_.waiting())
+    if (waiting.hold.is_due(version_of(waiting.ask), now))
+      pass_hold(*waiting.hold.hold);
+  for (auto& edit : edits_.in_hand())
+    if (edit.from.empty() && edit.hold.is_due(version_of(edit.ask), now))
+      pass_hold(*edit.hold.hold);
+}
+
+Integer ControlDaemon::version_of(const EditAsk& ask) const {
+  if (proposer_.has_state())
+    for (const auto& resource : proposer_.state().resources)
+      if (resource.kind == ask.kind && resource.name == ask.name)
+        return resource.version;
+  return 0;
+}
+
+void ControlDaemon::lift_hold(const PassedHold& passed, const EditAnswer& answer) {
+  if (!passed.hold || answer.code == 200 || answer.code == 201 || answer.code == 504)
+    return;
+  Hold lifted = *passed.hold;
+  lifted.lifted = true;
+  pass_hold(lifted);
+}
+
+void ControlDaemon::pass_hold(const Hold& hold) {
+  ++counts_.holds_passed;
+  for (const auto& gateway : map_.gateways)
+    out_.push_back({gateway.daemon, hold});
+  // Those this daemon can't reach may be in reach of others.
+  Hold relayed = hold;
+  relayed.relayed = true;
+  std::set<Address> others;
+  for (const auto& edge : map_.edges)
+    others.insert(edge.daemon);
+  for (const auto& [address, known] : known_)
+    if (known.entry.role == "edge")
+      others.insert(address);
+  others.erase(settings_.self.address);
+  for (const auto& other : others)
+    out_.push_back({other, relayed});
+}
+
+void ControlDaemon::run_edits(Moment now) {
+  edits_.run(map_.version, now);
+  end_edits();
+}
+
+void ControlDaemon::settle_edits(Moment now) {
+  edits_.settle(
+      map_.version,
+      [this](const MapVersion& covered_by) {
+        std::size_t holders = 1;
+        for (const auto& entry : proposer_.state().roster) {
+          auto version = follower_versions_.find(entry.address);
+          if (entry.address != settings_.self.address && version != follower_versions_.end() &&
+              covered_by <= version->second)
+            ++holders;
+        }
+        return holders;
+      },
+      now);
+  end_edits();
+}
+
+void ControlDaemon::end_edits() {
+  for (auto& edit : edits_.take_ended()) {
+    lift_hold(edit.hold, edit.answer);
+    if (!edit.from.empty())
+      out_.push_back({edit.from, edit.answer});
+    else if (edit.done)
+      edit.done(edit.answer);
+  }
+}
+
+void ControlDaemon::read(std::function<void(const FleetState*)> done, Moment now) {
+  Waiting waiting;
+  waiting.since = now;
+  waiting.deadline = now + Span{2000};
+  waiting.read = std::move(done);
+  waiting_[++last_ask_] = std::move(waiting);
+  poll_next_ = now + poll_pace;
+  proposer_.poll(now, settings_.self.role, false);
+  collect(now);
+}
+
+void ControlDaemon::view(std::function<void(const ViewAnswer&)> done, Moment now) {
+  Address master = election_.master();
+  if (master.empty() && proposer_.has_state())
+    master = proposer_.state().master;
+  if (election_.is_master() || master.empty() || master == settings_.self.address) {
+    done(ViewAnswer{0, election_.is_master(), is_settled(now), map_, in_force(now)});
+    return;
+  }
+  Waiting waiting;
+  waiting.deadline = now + Span{1000};
+  waiting.view = std::move(done);
+  waiting_[++last_ask_] = std::move(waiting);
+  out_.push_back({master, ViewAsk{last_ask_}});
+  collect(now);
+}
+
+void ControlDaemon::found(const std::string& fleet, const std::vector<Address>& cores,
+                          std::function<void(int, const std::string&)> done, Moment now) {
+  if (acceptor_ && !acceptor_->is_blank())
+    return done(409, "a fleet is known here already: it is never founded again");
+  core_set_.found(fleet, cores, std::move(done), now);
+  collect(now);
+}
+
+void ControlDaemon::replace_core(const Address& old_address, const Address& new_address,
+                                 std::function<void(int, const std::string&)> done, Moment now) {
+  core_set_.replace(old_address, new_address, std::move(done), now);
+  collect(now);
+}
+
+// The master opens and closes the maintenance windows of zone orders: each time an edit like any other,
+// durable, covered by a map and barred against older ones. A clock that jumps can flip a zone once in
+// ten seconds, no oftener.
+void ControlDaemon::keep_windows(Moment now) {
+  if (wall_seconds_ == 0 || now < window_next_ || !edits_.empty())
+    return;
+  for (const auto& order : configuration_.orders) {
+    bool is_wanted = order.wants_window(wall_seconds_);
+    if (is_wanted == order.is_window_open)
+      continue;
+    window_next_ = now + Span{10000};
+    EditAsk ask;
+    ask.change = "window-" + order.zone.text + "-" + std::to_string(proposer_.state().version) + "-" +
+                 std::to_string(wall_seconds_);
+    ask.act = "patch";
+    ask.kind = orders_kind;
+    ask.name = order.zone.text;
+    ask.expected = -1;
+    ask.body = is_wanted ? R"({"window_open":true})" : R"({"window_open":false})";
+    note(now, "window", order.zone.text + (is_wanted ? " opens" : " closes"));
+    edit(
+        ask, [](const EditAnswer&) {}, now);
+    return;
+  }
+}
+
+}  // namespace emberdale
