--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -70,7 +70,7 @@
 void RegisterProposer::start_next(Moment now) {
   if (current_ || waiting_.empty())
     return;
-  current_.emplace();
+  current_ = Round();
   current_->job = std::move(waiting_.front());
   waiting_.pop_front();
   begin_prepare(now);
@@ -178,7 +178,7 @@
 
 void RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
   ++counts_.reads;
-  read_.emplace();
+  read_ = Read();
   read_->ask = ++last_ask_;
   read_->begun = now;
   read_->wants_heard = wants_heard;
--- a/packages/fleet-simulator/src/main.cpp
+++ b/packages/fleet-simulator/src/main.cpp
@@ -26,7 +26,8 @@
 
 days: harder days, with every fault of the brief, alone and together, and one last fault; it
 prints how often each fault was brought about and felt. faults: the same with each
-fault alone, five seconds of every ten, and the calls it cost. measure: times and counts of named failures over the seeds; scale: control work as the fleet grows.
+fault alone, five seconds of every ten, and the calls it cost. measure: times and counts of named failures over )"
+    R"(the seeds; scale: control work as the fleet grows.
 hollow: edge and data daemons over real links, all in this process, that join a started fleet.
 
 Options:
--- a/packages/fleet-simulator/src/random_day.cpp
+++ b/packages/fleet-simulator/src/random_day.cpp
@@ -10,8 +10,10 @@
 using Disk = FleetSimulation::Disk;
 
 const char* const check_variants[] = {
-    R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,"prefix_bytes":64})",
-    R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true,"limit_percent":20},"horizon_ms":4000,"prefix_bytes":32})",
+    R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,)"
+    R"("prefix_bytes":64})",
+    R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true,"limit_percent":20},)"
+    R"("horizon_ms":4000,"prefix_bytes":32})",
     R"({"service":"s","match":{"path":"/check"},"pool":"models","horizon_ms":4500,"prefix_bytes":16})",
     R"({"service":"s","match":{"path":"/check"},"pool":"nowhere","horizon_ms":4500})",  // refused: no such pool
     R"({"service":"s","match":{"path":"/homed"},"pool":"models","horizon_ms":4500})"};  // refused: claims another's
--- a/packages/fleet-simulator/src/simulated_operators.cpp
+++ b/packages/fleet-simulator/src/simulated_operators.cpp
@@ -12,14 +12,15 @@
 }
 
 const std::map<std::string, std::string> first_plans{
-    {"check",
-     R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,"prefix_bytes":64})"},
-    {"homed",
-     R"({"service":"s","match":{"path":"/homed"},"pool":"models","home":{"header":"x-home-region"},"horizon_ms":5000})"},
-    {"long",
-     R"({"service":"s","match":{"path":"/chat"},"pool":"models","spill":{"allowed":true},"streaming":true,"horizon_ms":9000})"},
+    {"check", R"({"service":"s","match":{"path":"/check"},"pool":"models","spill":{"allowed":true},"horizon_ms":5000,)"
+              R"("prefix_bytes":64})"},
+    {"homed", R"({"service":"s","match":{"path":"/homed"},"pool":"models","home":{"header":"x-home-region"},)"
+              R"("horizon_ms":5000})"},
+    {"long", R"({"service":"s","match":{"path":"/chat"},"pool":"models","spill":{"allowed":true},"streaming":true,)"
+             R"("horizon_ms":9000})"},
     {"record",
-     R"({"service":"r","match":{"path":"/record"},"pool":"records","spill":{"allowed":true},"repeatable":true,"horizon_ms":3000})"}};
+     R"({"service":"r","match":{"path":"/record"},"pool":"records","spill":{"allowed":true},"repeatable":true,)"
+     R"("horizon_ms":3000})"}};
 
 }  // namespace
 
--- a/packages/fleet-starter/src/trial_main.cpp
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -35,7 +35,8 @@
   --faults LIST       Any of the names below, comma separated; or all, or none [default: master,runner,zone].
   -h --help           Show this.
 
-Faults: master and runner (killed, back), zone (emptied and taken back), freeze (master and a data daemon), core (wiped),
+Faults: master and runner (killed, back), zone (emptied and taken back), freeze (master and a data daemon),)"
+    R"( core (wiped),
 cut (the master's links, one way), split (the core), corecut (the core from everyone), delay (all links), pulled (a
 runner marked and killed at short notice), hung (a runner), rivals (operators), rapid (edits), crowd, rolling
 (restarts), zonelost, regionlost, coremove (a core machine at a new address), disk (slow, stalled, full), total (loss).
--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -42,7 +42,8 @@
 
 KIND is serving-plans, zone-orders or runners. FILE is a JSON document, or '-' for standard input;
 patch takes a JSON merge patch. import-windows reads an iCalendar file whose events name a zone as
-their LOCATION, and writes their windows into the zone orders. CORE, OLD and NEW are IP:PORT link addresses of core daemons.
+their LOCATION, and writes their windows into the zone orders. CORE, OLD and NEW are IP:PORT link addresses of )"
+                            R"(core daemons.
 
 Options:
   --control LIST   IP:PORT of the control daemons' HTTP interfaces, tried in turn
--- a/packages/serving-plans/tests/serving_plans_test.cpp
+++ b/packages/serving-plans/tests/serving_plans_test.cpp
@@ -162,7 +162,8 @@
 
 TEST(ServingPlans, NoDocumentFromOutsideBringsItDownAndEachRefusalHasAFinding) {
   const std::string plan =
-      R"({"service":"s","match":{"path":"/x","headers":{"a":"b"}},"pool":"p","home":{"header":"h"},"horizon_ms":5000,"prefix_bytes":64})";
+      R"({"service":"s","match":{"path":"/x","headers":{"a":"b"}},"pool":"p","home":{"header":"h"},)"
+      R"("horizon_ms":5000,"prefix_bytes":64})";
   const std::string order =
       R"({"state":"serving","windows":[{"from":"2026-12-02T01:00:00Z","until":"2026-12-02T02:00:00Z"}]})";
   const std::string runner =
--- a/packages/traffic-table/include/emberdale/traffic_table.hpp
+++ b/packages/traffic-table/include/emberdale/traffic_table.hpp
@@ -54,8 +54,8 @@
 
 // Reads one document in our words, e.g.
 //   {"revision":7,
-//    "routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","deadline_ms":8000,"target_ms":1000,
-//      "rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],"max_sends":1,"sticky":true,
+//    "routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","deadline_ms":8000,
+//      "target_ms":1000,"rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],"max_sends":1,"sticky":true,
 //      "resumable":false,"gap_ms":400,"home_regions":["north"]},
 //     {"name":"r2", ..., "pool":"m"}],
 //    "pools":[{"name":"m","health_path":"/health","max_links":390,"warmup_s":3.0,"cold_per_s":45.0,
--- a/packages/traffic-table/tests/traffic_table_test.cpp
+++ b/packages/traffic-table/tests/traffic_table_test.cpp
@@ -54,11 +54,13 @@
   std::vector<Finding> findings;
   auto table = read_traffic_table(
       R"({"revision":7,"routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming",
-    "horizon_ms":8000,"target_ms":900,"rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],"max_sends":2,"sticky":true,
+    "horizon_ms":8000,"target_ms":900,"rank":1,"pools":[{"pool":"m","share":90},{"pool":"n","share":10}],)"
+      R"("max_sends":2,"sticky":true,
     "resumable":true,"gap_ms":400,"home_regions":["north"],"extra":1},
     {"name":"r2","host":"a.example","path_prefix":"/","kind":"once_only","horizon_ms":5,"pool":"m"},
     {"name":"r3","host":"b.example","path_prefix":"/","kind":"retry_safe","horizon_ms":5,"pool":"m"}],
-    "pools":[{"name":"m","health_path":"/h","max_links":390,"warmup_s":3.5,"cold_per_s":45,"runtime":{"slots":64,"memory_tokens":319818}},{"name":"n"}],
+    "pools":[{"name":"m","health_path":"/h","max_links":390,"warmup_s":3.5,"cold_per_s":45,"runtime":{"slots":64,)"
+      R"("memory_tokens":319818}},{"name":"n"}],
     "limits":{"max_header_bytes":1,"max_body_bytes":2,"header_timeout_ms":3,"idle_timeout_ms":4}})",
       findings);
   ASSERT_TRUE(table) << findings_json(findings);
