--- /dev/null
+++ b/packages/content-digest/src/content_digest.cpp
@@ -0,0 +1,23 @@
+#include "emberdale/content_digest.hpp"
+
+#include <openssl/evp.h>
+
+#include <stdexcept>
+
+namespace emberdale {
+
+std::string content_digest(const std::string& text) {
+  unsigned char digest[EVP_MAX_MD_SIZE];
+  unsigned int size = 0;
+  if (EVP_Digest(text.data(), text.size(), digest, &size, EVP_sha256(), nullptr) != 1)
+    throw std::runtime_error("SHA-256 is not available");
+  std::string hex;
+  hex.reserve(content_digest_size);
+  for (unsigned int i = 0; i < size; ++i) {
+    hex += "0123456789abcdef"[digest[i] >> 4];
+    hex += "0123456789abcdef"[digest[i] & 15];
+  }
+  return hex;
+}
+
+}  // namespace emberdale
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -133,7 +133,7 @@
     answer.code = result.code;
     answer.version = result.version;
     answer.body = json_text(Json{{"reason", result.reason},
-                                 {"outcome", "refused"},
+                                 {"outcome", result.code == 504 ? "unknown" : "refused"},
                                  {"version", result.version},
                                  {"findings", Json::parse(findings_json(result.findings))}});
   } else if (ended.kind == ChangeEnd::Kind::no_majority) {
--- a/packages/control-plane/tests/traffic_edits_test.cpp
+++ b/packages/control-plane/tests/traffic_edits_test.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "emberdale/avro_codec.hpp"
+
 using namespace emberdale;
 using Json = nlohmann::json;
 
@@ -96,6 +98,19 @@
   EXPECT_EQ(shown(result.edit.resources), shown(state.resources));
 }
 
+TEST(TrafficEdits, AChangeTooOldToTellIsNeitherAcknowledgedNorRefused) {
+  FleetState state = blank_state();
+  for (Integer revision = 1; revision <= 131; ++revision)
+    state = after(state, edit("replace", revision - 1, table(revision)));
+  state = *decode_state(encode_state(state));  // as after a restart
+  EXPECT_TRUE(apply_traffic_edit(state, edit("replace", 130, table(131)), state.config_revision + 1).is_repeat);
+  EXPECT_TRUE(apply_traffic_edit(state, edit("replace", 3, table(4)), state.config_revision + 1).is_repeat);
+  TrafficEditResult old = apply_traffic_edit(state, edit("replace", 2, table(3)), state.config_revision + 1);
+  EXPECT_EQ(old.edit.code, 504);
+  EXPECT_FALSE(old.is_repeat);
+  EXPECT_EQ(shown(old.edit.resources), shown(state.resources));
+}
+
 TEST(TrafficEdits, AnAmendmentChangesWhatItNames) {
   FleetState state = after(blank_state(), edit("replace", 0, table(7)));
   state = after(state, edit("amend", 7,
--- a/packages/traffic-table/include/emberdale/traffic_table.hpp
+++ b/packages/traffic-table/include/emberdale/traffic_table.hpp
@@ -83,9 +83,10 @@
 //   act "replace": `body` is the whole next document.
 //   act "amend": {"revision":9,"upsert":{"routes":[..],"pools":[..]},"remove":{"routes":["r-old"]}}: items are added or
 //   replaced by name; removing a name that is not there is an error; "limits" may stand in upsert as an object.
-// Codes: 200 taken; 412 another version is current; 400 invalid, also a revision not above the current one.
-// The result keeps (in the resource's text, beside the document) what was taken lately, so that the same change
-// sent again is answered 200 without effect, also after others were built on it.
+// Codes: 200 taken; 412 another version is current; 400 invalid, also a revision not above the current one; 504 it
+// may have been taken, too long ago to tell. The result keeps (in the resource's text, beside the document) what was
+// taken, see ChangeHistory, so that the same change sent again is answered 200 without effect, also after others were
+// built on it. The same change is the same act, base and JSON; layout and order of members do not count.
 struct TrafficChange {
   int code = 200;
   bool is_repeat = false;  // taken before: nothing changes
--- a/packages/traffic-table/src/traffic_table.cpp
+++ b/packages/traffic-table/src/traffic_table.cpp
@@ -1,4 +1,5 @@
 #include "emberdale/traffic_table.hpp"
+#include "emberdale/change_history.hpp"
 #include "emberdale/json_text.hpp"
 
 #include <algorithm>
@@ -17,7 +18,6 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t deepest = 32;
-constexpr std::size_t taken_bound = 128;
 constexpr std::int64_t highest = 9007199254740991;  // whole numbers that every JSON reader keeps
 constexpr std::int64_t highest_share = 1000000000;  // so that no sum of shares overflows
 constexpr std::uint64_t share_seed = 0x5ca1ab1e;    // apart from other uses of the same key
@@ -559,17 +559,16 @@
   }
 }
 
-std::string change_digest(const std::string& act, Integer base, const Json& change) {
-  std::uint64_t hash = stable_hash(act + "\n" + std::to_string(base) + "\n" + json_text(change));
-  std::string digest(16, '0');
-  for (std::size_t i = digest.size(); i-- > 0; hash >>= 4)
-    digest[i] = "0123456789abcdef"[hash & 15];
-  return digest;
+TrafficChangeId identity_of(const std::string& act, Integer base, const Json& change) {
+  const Json* revision = FieldReader::find(change, "revision");
+  bool is_whole = revision != nullptr && revision->is_number_integer();
+  return {act, base, is_whole ? revision->get<Integer>() : 0, json_text(change)};
 }
 
 // What the resource's text holds; a text that can't be read counts as none.
 struct StoredTable {
-  Json document = Json::object(), taken = Json::array();
+  Json document = Json::object();
+  ChangeHistory history;
   Integer revision = 0;
 };
 
@@ -582,12 +581,19 @@
   if (revision == nullptr || !revision->is_number_integer())
     return table;
   table.revision = revision->get<Integer>();
+  table.history = ChangeHistory::read(json, table.revision);
   table.document = std::move(json["document"]);
-  if (json.contains("taken") && json["taken"].is_array())
-    table.taken = std::move(json["taken"]);
   return table;
 }
 
+ChangeMemory recall_change(const StoredTable& table, const TrafficChangeId& change) {
+  ChangeMemory memory = table.history.recall(change);
+  bool is_whole_text = change.act == "replace" && table.history.newest_is_legacy_mark_of(change);
+  if (memory == ChangeMemory::uncertain && is_whole_text)
+    return json_text(table.document) == change.text ? ChangeMemory::taken : ChangeMemory::not_taken;
+  return memory;
+}
+
 template <class Value, class Read>
 std::optional<Value> read_row(const std::string& body, Read read) {
   std::vector<Finding> findings;
@@ -671,13 +677,15 @@
   auto change = parse_object(body, result.findings);
   if (!change)
     return refuse_findings();
-  std::string digest = change_digest(act, base, *change);
-  for (const Json& entry : table.taken) {
-    if (!entry.is_object() || entry.value("digest", Json()) != digest)
-      continue;
+  TrafficChangeId identity = identity_of(act, base, *change);
+  ChangeMemory memory = recall_change(table, identity);
+  if (memory == ChangeMemory::taken) {
     result.is_repeat = true;
     return result;
   }
+  if (memory == ChangeMemory::uncertain)
+    return refuse(504, "may have been taken before revision " + std::to_string(table.revision) +
+                           ", too long ago to tell; read the table back");
   if (base != table.revision)
     return refuse(412, "the revision is " + std::to_string(table.revision) + ", not " + std::to_string(base));
   Json next;
@@ -707,12 +715,10 @@
   if (has_errors(result.findings))
     return refuse_findings();
   result.revision = next["revision"].get<Integer>();
-  table.taken.push_back({{"revision", result.revision}, {"digest", digest}});
-  if (table.taken.size() > taken_bound)
-    table.taken.erase(table.taken.begin(), table.taken.end() - static_cast<std::ptrdiff_t>(taken_bound));
+  table.history.add(identity);
   Json text = Json::object();
   text["document"] = std::move(next);
-  text["taken"] = std::move(table.taken);
+  table.history.write(text);
   result.stored = json_text(text);
   return result;
 }
