The register's value and records carry their shape, so that fields can be added

Cause: FleetState and the acceptor's record lay on disk as Avro by field index without a version. A field added later would have made every earlier disk unreadable, and bytes with a missing last byte or with bytes left over were read as whole.

Fields may be added at a record's end: earlier bytes are read with their writer's schema and what it did not know takes its default; bytes with fields, record types or a format that are not known here are refused with a reason. Bytes without the mark have the shape of the versions before it. Ruled out: the writer's whole schema in each value (about 1,600 bytes on each write; the shape is 78), and a table of old schemas by fingerprint (each change of a record would need an entry that is easily forgotten).

The templates of the codec moved into avro_record_codec.hpp, so that tests read one version's bytes as another's. Tests: versioned_records_test, 8 tests, with bytes that the version before this wrote, and its schema word for word.

--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -10,13 +10,6 @@
 
 namespace emberdale {
 
-#define EMBERDALE_ACCEPTOR_RECORD(F) F(Ballot, promised) F(bool, has_value) F(Ballot, accepted) F(Bytes, value)
-EMBERDALE_RECORD(AcceptorRecord, EMBERDALE_ACCEPTOR_RECORD)
-
-// Example: unpack_record(pack_record(record))->promised == record.promised
-std::string pack_record(const AcceptorRecord& record);
-Outcome<AcceptorRecord> unpack_record(const std::string& bytes);
-
 // What to write before any answer may leave: the shell writes `record`, syncs, then calls synced(token).
 struct WriteWish {
   std::int64_t token = 0;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -4,32 +4,12 @@
 
 namespace emberdale {
 
-// On disk a record is carried as an Avro Promise: the same table, one codec.
-std::string pack_record(const AcceptorRecord& record) {
-  Promise shape;
-  shape.granted = record.has_value;
-  shape.promised = record.promised;
-  shape.accepted = record.accepted;
-  shape.value = record.value;
-  return encode_message(Message{shape});
-}
-
-Outcome<AcceptorRecord> unpack_record(const std::string& bytes) {
-  auto message = decode_message(bytes);
-  if (!message)
-    return failure(message.reason);
-  const auto* shape = std::get_if<Promise>(&*message);
-  if (shape == nullptr)
-    return failure("not an acceptor record");
-  return AcceptorRecord{shape->promised, shape->granted, shape->accepted, shape->value};
-}
-
 Outcome<bool> RegisterAcceptor::restore(const std::vector<std::string>& records) {
   // A record without a value names the ballot of the value it stands on: a write that the disk
   // refused half-way, and that nobody was answered for, must not slip in between.
   std::map<Ballot, Bytes> values{{Ballot{}, Bytes{}}};
   for (const auto& bytes : records) {
-    auto record = unpack_record(bytes);
+    auto record = decode_acceptor_record(bytes);
     if (!record)
       return failure(record.reason);
     if (record->has_value) {
@@ -63,7 +43,7 @@
   if (!has_value)
     lean.value = Bytes{};
   held_.push_back({++last_token_, std::move(after), std::move(answer)});
-  writes_.push_back({last_token_, pack_record(lean)});
+  writes_.push_back({last_token_, encode_acceptor_record(lean)});
 }
 
 bool RegisterAcceptor::on_message(const Address& from, const Message& message, Moment now) {
@@ -166,7 +146,7 @@
 std::string RegisterAcceptor::picture() const {
   AcceptorRecord record = synced_;
   record.has_value = true;
-  return pack_record(record);
+  return encode_acceptor_record(record);
 }
 
 }  // namespace emberdale
--- a/packages/message-tables/include/emberdale/avro_codec.hpp
+++ b/packages/message-tables/include/emberdale/avro_codec.hpp
@@ -1,4 +1,9 @@
 // Avro, through avro-c, for every record of the tables.
+//
+// Messages and the rows of slices carry no version: both ends of a link share protocol_fingerprint(), or there is no
+// link. What lies on disk (FleetState, which is the register's value, and AcceptorRecord) is read by later versions,
+// and carries its shape, see encode_versioned(): a field may be added at the end of FleetState, of any record within
+// it, and of AcceptorRecord, and is its type's default where earlier bytes lack it. Nothing else about them may change.
 #pragma once
 #include <optional>
 #include <string>
@@ -16,9 +21,12 @@
 std::string encode_message(const Message& message);
 Outcome<Message> decode_message(const std::string& bytes);
 
-// Example: std::string bytes = encode_state(state); decode_state(bytes)->version == state.version
+// Versioned. Example: std::string bytes = encode_state(state); decode_state(bytes)->version == state.version
 std::string encode_state(const FleetState& state);
 Outcome<FleetState> decode_state(const std::string& bytes);
+// Versioned. Example: decode_acceptor_record(encode_acceptor_record(record))->promised == record.promised
+std::string encode_acceptor_record(const AcceptorRecord& record);
+Outcome<AcceptorRecord> decode_acceptor_record(const std::string& bytes);
 
 // Example: decode_runner_row(encode_runner_row(row))->name == row.name
 std::string encode_runner_row(const RunnerRow& row);
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -33,6 +33,8 @@
 }
 
 // --- what the register holds -----------------------------------------------------------------
+// FleetState and AcceptorRecord, and the records within them, lie on disk: fields are added at a record's end alone
+// (see avro_record_codec.hpp).
 #define EMBERDALE_DAEMON_ENTRY(F) \
   F(Address, address) F(Text, http) F(Text, role) F(ZoneName, zone) F(RegionName, region) F(Integer, incarnation)
 EMBERDALE_RECORD(DaemonEntry, EMBERDALE_DAEMON_ENTRY)  // role: "core", "edge" or "data"
@@ -55,6 +57,10 @@
                   F(std::vector<DoneChange>, done)
 EMBERDALE_RECORD(FleetState, EMBERDALE_FLEET_STATE)
 
+// What one copy of the register keeps: has_value is false where the value stands in an earlier record.
+#define EMBERDALE_ACCEPTOR_RECORD(F) F(Ballot, promised) F(bool, has_value) F(Ballot, accepted) F(Bytes, value)
+EMBERDALE_RECORD(AcceptorRecord, EMBERDALE_ACCEPTOR_RECORD)
+
 // --- the placement map -----------------------------------------------------------------------
 #define EMBERDALE_COLD_GRANT(F) F(Address, daemon) F(Integer, calls)
 EMBERDALE_RECORD(ColdGrant, EMBERDALE_COLD_GRANT)
