Promise "not run" only where it is certain, also at the end of a daemon

Found by reading the data path; each has a test that failed before: - A stopping daemon answered calls that were at a runner with 503, a promise that they did not run. Now 502; 503 with Retry-After only if none can have run. - Calls whose bodies came in whole after the last calls were broken off stayed in the queue: no answer, and stop() waited its 10 s in vain. Now refused at once, and the daemon stays until that refusal is written (without that the new test failed 2 times of 10: the listener closed before the answer went out). - A runner's 408, 429 or 503 without the mark "not run" went on to the caller, who reads it as a promise. Now the call counts as lost. - On a shared link a failure that names no call (500, 404, 307) was handed on as the answer to the next call; so far only a 2xx had to name its call. - Status codes outside 200..599 were handed on. - A body with both a length and chunks, an unknown Transfer-Encoding or a length that is no number left bytes on the link that ran as a second request. Ruled out: two Content-Length headers; the HTTP library keeps the last one and shows no trace of the first, so this can't be seen here.

--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t max_answer = 16 << 20;
 constexpr std::size_t max_parts = 256;
 constexpr Span piece_pace{50};  // the dispatcher hears that often of a stream that goes on
+constexpr Span stopped_retry_after{250};
 constexpr int silent_link_ms = 3000;
 
 std::string header_of(const http_headers& headers, const std::string& name) {
@@ -101,6 +102,21 @@
   return is_named;
 }
 
+// Two readers that see the end of a body at different places could find a second request in it.
+bool has_clear_length(const http_headers& headers) {
+  bool has_length = headers.has("Content-Length");
+  if (headers.has("Transfer-Encoding")) {
+    std::string encoding = header_of(headers, "Transfer-Encoding");
+    return !has_length && strcasecmp(std::string(trimmed(encoding)).c_str(), "chunked") == 0;
+  }
+  return !has_length || number_of(trimmed(header_of(headers, "Content-Length")));
+}
+
+// With these a caller is promised that its call did not run and never will.
+bool promises_not_run(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+bool is_final_status(int status) { return status >= 200 && status <= 599; }
+
 // Numbers are compared as such, however long; other ids only as equal or not.
 bool is_above(const std::string& id, const std::string& last) {
   auto digits_of = [](const std::string& text) -> std::optional<std::string> {
@@ -388,7 +404,7 @@
 
 // Refused here: it surely did not run.
 void RoutedRelay::refuse(const http_request& request, int code, const std::string& reason, const std::string& call_id,
-                         Span retry_after, bool is_link_closed) {
+                         Span retry_after, bool is_link_closed, std::shared_ptr<Handle> held) {
   http_response response(static_cast<web::http::status_code>(code));
   if (!words_.not_run.empty())
     response.headers().add(words_.not_run, words_.not_run_value);
@@ -399,7 +415,7 @@
   if (is_link_closed)
     response.headers().add("Connection", "close");
   response.set_body(json_text(Json{{"reason", reason}}), "application/json");
-  reply(request, response, nullptr);
+  reply(request, response, [held = std::move(held)](bool) {});
 }
 
 void RoutedRelay::answer_final(const FinalAct& act, const std::shared_ptr<Handle>& handle) {
@@ -459,6 +475,10 @@
     if (has_body)
       read_no_further(request);
   };
+  if (!has_clear_length(headers)) {
+    refuse(request, 400, "the end of the body is not clear", id, Span{0}, true);
+    return read_no_further(request);
+  }
   if (header_bytes > static_cast<std::size_t>(max_header_bytes_))
     return refuse_unread(431, "the headers are too large");
   if (id.empty())
@@ -545,12 +565,10 @@
 }
 
 void RoutedRelay::take_in(std::shared_ptr<Handle> handle, RoutedCall call) {
-  http_request request = handle->request;
-  std::string id = handle->id;
-  if (events_.offer(Arrived{std::move(handle), std::move(call)}))
+  if (events_.offer(Arrived{handle, std::move(call)}))
     return;
   ++relay_counts_.accept_refused;
-  refuse(request, 503, "too many calls are in hand here", id, Span{250});
+  refuse(handle->request, 503, "too many calls are in hand here", handle->id, Span{250}, false, handle);
 }
 
 // --- gate and match: the traffic thread --------------------------------------------------------------
@@ -587,9 +605,19 @@
     std::lock_guard<std::mutex> guard(counts_mutex_);
     counts_ = dispatcher_.counts();
   }
+  events_.close();  // a call that arrives from here on is refused there
+  refuse_arrived();
   break_off("this daemon stops");
 }
 
+// Those that no one takes up any more.
+void RoutedRelay::refuse_arrived() {
+  while (auto event = events_.take_within(std::chrono::milliseconds(0)))
+    if (auto* arrived = std::get_if<Arrived>(&*event))
+      refuse(arrived->handle->request, 503, "this daemon stops", arrived->handle->id, stopped_retry_after, false,
+             arrived->handle);
+}
+
 void RoutedRelay::on_event(TrafficEvent& event, Moment now) {
   if (auto* arrived = std::get_if<Arrived>(&event)) {
     CallIndex index = arrived->handle->index;
@@ -603,6 +631,7 @@
     if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != ended->turn)
       return;  // of a send given up
     entry->second.send.reset();
+    entry->second.may_have_run |= ended->kind == RoutedEndKind::lost || ended->kind == RoutedEndKind::broken;
     bool is_over = ended->kind == RoutedEndKind::answered || ended->kind == RoutedEndKind::caller_gone;
     if (is_over)
       calls_.erase(entry);
@@ -640,6 +669,7 @@
     if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != stopped.turn)
       continue;
     ++relay_counts_.stops;
+    entry->second.may_have_run = true;
     give_up(entry->second);
   }
   for (const auto& wish : dispatcher_.take_sends())
@@ -659,9 +689,14 @@
   while (!calls_.empty()) {
     Entry entry = calls_.begin()->second;
     calls_.erase(calls_.begin());
-    bool may_have_run = entry.send != nullptr;
+    bool may_have_run = entry.may_have_run || entry.send != nullptr;
     give_up(entry);
-    answer_final(FinalAct{entry.handle->index, 503, reason, may_have_run, Span{0}, {}}, entry.handle);
+    FinalAct act{entry.handle->index, 503, reason, may_have_run, stopped_retry_after, {}};
+    if (may_have_run) {  // 503 would be a promise
+      act.code = 502;
+      act.retry_after = Span{0};
+    }
+    answer_final(act, entry.handle);
   }
   links_.clear();
 }
@@ -855,6 +890,10 @@
     });
     return;
   }
+  if (!is_final_status(status))
+    return discard(RoutedEndKind::lost, "no status of an answer");
+  if (promises_not_run(status))
+    return discard(RoutedEndKind::lost, "status " + std::to_string(status) + " without a word that it did not run");
   std::string life = header_of(headers, words_.life);
   if (!life.empty() && life != send->act.runner.text) {
     ++relay_counts_.foreign_answers;
@@ -862,8 +901,10 @@
     return discard(RoutedEndKind::lost, "the answer is of another runner");
   }
   bool is_good = status >= 200 && status < 300;
-  // Runners repeat the call's id. A success without it may be an answer too many to an earlier call on this link.
-  if (is_good && id.empty()) {
+  // Runners repeat the call's id. An answer without it may be one too many to an earlier call on this link;
+  // a failure on a link of the call's own can't be.
+  bool is_link_shared = send->act.is_repeatable;
+  if (id.empty() && (is_good || is_link_shared)) {
     ++relay_counts_.foreign_answers;
     send->link->is_spoilt = true;
     return discard(RoutedEndKind::lost, "the answer does not name its call");
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -124,6 +124,7 @@
   struct Entry {
     std::shared_ptr<Handle> handle;
     std::shared_ptr<Send> send;  // the current one
+    bool may_have_run = false;   // by a send before it
   };
   struct Arrived {
     std::shared_ptr<Handle> handle;
@@ -153,6 +154,7 @@
   void send(const RoutedSend& act, Moment now);
   void give_up(Entry& entry);
   void answer_final(const FinalAct& act, const std::shared_ptr<Handle>& handle);
+  void refuse_arrived();
   void break_off(const std::string& reason);
   std::shared_ptr<RunnerLink> link_to(const RoutedSend& act);
   void drop_links(const TrafficView& view);
@@ -167,7 +169,8 @@
   void end_stream(const std::shared_ptr<Send>& send, bool is_broken);
   void open_stream(const std::shared_ptr<Send>& send);
   void refuse(const web::http::http_request& request, int code, const std::string& reason,
-              const std::string& call_id = "", Span retry_after = Span{0}, bool is_link_closed = false);
+              const std::string& call_id = "", Span retry_after = Span{0}, bool is_link_closed = false,
+              std::shared_ptr<Handle> held = nullptr);  // in hand until the answer is written
   void reply(const web::http::http_request& request, web::http::http_response response,
              std::function<void(bool)> on_end);
   void copy_answer_headers(const web::http::http_headers& from, web::http::http_headers& to) const;
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -525,51 +525,106 @@
   EXPECT_FALSE(told.is_whole);
 }
 
-// One too many that names no call at all was once taken for the answer to the next call on its link.
-TEST(RoutedRelay, ASuccessThatDoesNotNameItsCallIsNeverHandedOn) {
+// The answer to call-1 comes once more, in the given form, before call-2 goes over the same link.
+struct LateAnswer {
+  Told told;  // to call-2
+  std::int64_t foreign_answers = 0;
+};
+
+LateAnswer ask_after_late_answer(const std::function<std::string(const RawMessage&)>& late_answer) {
   std::promise<void> go, written;
   std::atomic<int> runs{0};
-  auto script = [&](RawLink& link, const RawMessage& asked) {
+  ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
     int run = ++runs;
     link.write(answer(asked, "for " + asked.header("T-Call")));
     if (run == 1) {
       go.get_future().wait();
-      link.write("HTTP/1.1 200 OK\r\nT-Seal: s\r\nContent-Length: 6\r\n\r\nnobody");
+      link.write(late_answer(asked));
       written.set_value();
     }
     return true;
-  };
-  ScriptedRunner one(script);
-  Bench bench({one.place()});
+  });
+  Bench bench({runner.place()});
   EXPECT_EQ(bench.ask("/again/x", "call-1").body, "for call-1");
   go.set_value();
   written.get_future().wait();
   Told told = bench.ask("/again/x", "call-2");
   EXPECT_TRUE(told.code == 502 || told.body == "for call-2") << told.code << " " << told.body;
+  return {told, bench.relay().relay_counts().foreign_answers};
+}
+
+// One too many that names no call at all was once taken for the answer to the next call on its link.
+TEST(RoutedRelay, AnAnswerThatDoesNotNameItsCallIsNeverHandedOnFromASharedLink) {
+  for (const std::string status : {"200 OK", "500 Own", "404 None", "307 Moved"}) {
+    LateAnswer late = ask_after_late_answer(
+        [&](const RawMessage&) { return "HTTP/1.1 " + status + "\r\nT-Seal: s\r\nContent-Length: 6\r\n\r\nnobody"; });
+    EXPECT_NE(late.told.body, "nobody") << status;
+    EXPECT_EQ(late.foreign_answers, 1) << status;
+  }
 }
 
 TEST(RoutedRelay, ALateAnswerToAnotherCallIsNeverHandedOn) {
-  std::promise<void> go, written;
+  LateAnswer late = ask_after_late_answer(
+      [](const RawMessage& asked) { return answer(asked, "once more for " + asked.header("T-Call")); });
+  EXPECT_NE(late.told.body, "once more for call-1");
+  EXPECT_EQ(late.foreign_answers, 1);
+}
+
+// 408, 429 and 503 promise the caller that the call did not run; only the mark of a runner makes that certain.
+TEST(RoutedRelay, AStatusThatPromisesNotToHaveRunIsNotHandedOnWithoutTheMark) {
+  for (const std::string status : {"503 Full", "429 Busy", "408 Late"}) {
+    std::atomic<int> runs{0};
+    auto script = [&](RawLink& link, const RawMessage& asked) {
+      ++runs;
+      link.write(answer(asked, "unmarked", status));
+      return true;
+    };
+    ScriptedRunner one(script), two(script);
+    Bench bench({one.place(), two.place()});
+    Told once = bench.ask("/once/x", "call-1");
+    EXPECT_EQ(once.code, 502) << status;
+    EXPECT_FALSE(once.message.has("T-Not-Run"));
+    EXPECT_FALSE(once.message.has("T-Seal"));
+    EXPECT_EQ(runs, 1);
+    Told again = bench.ask("/again/x", "call-2");
+    EXPECT_EQ(again.code, 502) << status;
+    EXPECT_FALSE(again.message.has("T-Not-Run"));
+    EXPECT_GE(runs, 2);
+  }
+}
+
+TEST(RoutedRelay, AStatusOutsideTheProtocolIsNeverHandedOn) {
+  for (const std::string status : {"999 Odd", "600 Odd", "099 Odd", "70000 Odd"}) {
+    ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
+      link.write(answer(asked, "odd", status));
+      return true;
+    });
+    Bench bench({runner.place()});
+    EXPECT_EQ(bench.ask("/once/x").code, 502) << status;
+  }
+}
+
+// Two readers that see the end of such a body at different places would see a second request in it.
+TEST(RoutedRelay, ABodyWhoseEndIsNotClearIsRefusedAndNothingInItRuns) {
   std::atomic<int> runs{0};
-  auto script = [&](RawLink& link, const RawMessage& asked) {
-    int run = ++runs;
-    link.write(answer(asked, "for " + asked.header("T-Call")));
-    if (run == 1) {
-      go.get_future().wait();
-      link.write(answer(asked, "once more for " + asked.header("T-Call")));
-      written.set_value();
-    }
+  ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
+    ++runs;
+    link.write(answer(asked, "{}"));
     return true;
-  };
-  ScriptedRunner one(script);
-  Bench bench({one.place()});
-  EXPECT_EQ(bench.ask("/again/x", "call-1").body, "for call-1");
-  go.set_value();
-  written.get_future().wait();
-  Told told = bench.ask("/again/x", "call-2");
-  EXPECT_NE(told.body, "once more for call-1");
-  EXPECT_TRUE(told.code == 502 || told.body == "for call-2") << told.code;
-  EXPECT_EQ(bench.relay().relay_counts().foreign_answers, 1);
+  });
+  for (const std::string framing :
+       {"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip\r\n", "Content-Length: 2x\r\n",
+        "Content-Length: +2\r\n", "Content-Length: -2\r\n"}) {
+    Bench bench({runner.place()});
+    auto link = bench.connect();
+    link->write("POST /once/x HTTP/1.1\r\nHost: front.example\r\nT-Call: c\r\n" + framing + "\r\n0\r\n\r\n" +
+                Bench::call("/once/hidden", "hidden"));
+    Told told = read_answer(*link);
+    EXPECT_EQ(told.code, 400) << framing;
+    EXPECT_EQ(link->read_all(), "") << framing;
+    EXPECT_TRUE(link->is_closed_by_other()) << framing;
+  }
+  EXPECT_EQ(runs, 0);
 }
 
 TEST(RoutedRelay, WhatSurelyDidNotRunGoesToTheNextRunner) {
@@ -835,6 +890,51 @@
   EXPECT_EQ(link->read_all().find("0\r\n\r\n"), std::string::npos);
 }
 
+TEST(RoutedRelay, StoppingPromisesNothingOfACallThatIsAtARunner) {
+  std::promise<void> asked_for;
+  ScriptedRunner runner([&](RawLink& link, const RawMessage&) {
+    asked_for.set_value();
+    return !link.is_closed_by_other();
+  });
+  Bench bench({runner.place()});
+  auto link = bench.connect();
+  link->write(Bench::call("/once/x"));
+  asked_for.get_future().wait();
+  bench.relay().stop(Span{50});
+  Told told = read_answer(*link);
+  EXPECT_EQ(told.code, 502);
+  EXPECT_FALSE(told.message.has("T-Not-Run"));
+}
+
+// A call whose body is whole only after the rest was broken off: no one takes it up any more, so it is refused at once.
+TEST(RoutedRelay, ACallThatArrivesWhileTheDaemonEndsIsRefusedAtOnce) {
+  std::promise<void> asked_for;
+  std::atomic<int> runs{0};
+  ScriptedRunner runner([&](RawLink& link, const RawMessage&) {
+    if (++runs == 1)
+      asked_for.set_value();
+    return !link.is_closed_by_other();
+  });
+  Bench bench({runner.place()});
+  auto late = bench.connect();
+  std::string bytes = Bench::call("/once/late", "late", "", "0123456789");
+  late->write(bytes.substr(0, bytes.size() - 1));
+  auto held = bench.connect();
+  held->write(Bench::call("/once/held", "held"));
+  asked_for.get_future().wait();
+  auto begun = std::chrono::steady_clock::now();
+  std::thread stopping([&] { bench.relay().stop(Span{50}); });
+  EXPECT_EQ(read_answer(*held).code, 502);
+  late->write(bytes.substr(bytes.size() - 1));
+  Told told = read_answer(*late);
+  stopping.join();
+  EXPECT_EQ(told.code, 503);
+  EXPECT_TRUE(told.message.has("T-Not-Run"));
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(8));
+  EXPECT_EQ(bench.relay().in_hand(), 0u);
+  EXPECT_EQ(runs, 1);
+}
+
 TEST(RoutedRelay, LinksToRunnersSendAtOnceAndGiveUpSilentMachines) {
   std::promise<void> asked_for, go;
   ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
