--- a/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
+++ b/packages/fleet-simulator/include/emberdale/fleet_simulation.hpp
@@ -11,6 +11,7 @@
 
 #include "emberdale/call_dispatcher.hpp"
 #include "emberdale/caller_crowd.hpp"
+#include "emberdale/control_call_recorder.hpp"
 #include "emberdale/control_daemon.hpp"
 #include "emberdale/data_daemon.hpp"
 #include "emberdale/rule_watch.hpp"
@@ -99,6 +100,7 @@
     std::string body;
     std::int64_t asked_at = 0, over_at = 0;
     RuleWatch::Ask ask;
+    std::size_t recorded_call = 0;  // its place among operators_calls()
   };
   std::shared_ptr<EditOutcome> edit(const std::string& at, const std::string& act, const std::string& kind,
                                     const std::string& name, const std::string& body, Integer expected = -1);
@@ -131,6 +133,8 @@
   void reset_tally() { tally_ = {}; }
   const std::vector<SimulationBreak>& breaks() const { return watch_.breaks(); }
   RuleWatch& watch() { return watch_; }
+  // Every operator's call and read so far. Example: history::check_history(fleet.operators_calls())
+  const std::vector<history::Operation>& operators_calls() const { return recorder_.operations(); }
   struct Figures {
     std::int64_t messages = 0, sends = 0, retries = 0, cold_peak_over = 0, refused_by_runner = 0, worst_old_plan_ms = 0,
                  worst_leaving_ms = 0, worst_told_ms = 0, maps_published = 0, register_rounds = 0;
@@ -150,6 +154,7 @@
   bool is_retry_budget_off = false;       // data daemons started from now on retry as they like
   bool is_lost_call_resent = false;       // a call whose fate is unknown is sent once more
   bool is_mark_ignored = false;           // data daemons take leaving and emptied runners for warm
+  bool is_read_unconfirmed = false;       // a read shows what its daemon holds, without asking the core
 
  private:
   struct Event {
@@ -209,6 +214,7 @@
   void end_call(CallIndex index, const std::string& outcome, const std::string& reason = "");
   void end_finally(const FinalAct& act);
   bool has_room(const CallRecord& call) const;
+  void end_read(const std::string& where, std::int64_t begun, const FleetState& state);
   void end_edit(const std::shared_ptr<EditOutcome>& outcome, const EditAnswer& answer);
   Node& node(const std::string& name) { return *nodes_.at(name); }
   const Node& node(const std::string& name) const { return *nodes_.at(name); }
@@ -220,6 +226,7 @@
   std::priority_queue<Event> events_;
   SimulatedNetwork network_;
   RuleWatch watch_;
+  history::ControlCallRecorder recorder_{history::ControlCallRecorder::ZoneOrderModel::versions};
   CallerCrowd crowd_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
   std::map<Address, std::string> by_address_;
--- a/packages/fleet-simulator/src/random_day.cpp
+++ b/packages/fleet-simulator/src/random_day.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "emberdale/fleet_simulation.hpp"
+#include "emberdale/linearizability.hpp"
 
 namespace emberdale {
 namespace {
@@ -458,6 +459,7 @@
   }
   void last_fault();
   void after_the_day();
+  void judge_operators_calls();
 
   DayPlan plan_;
   FleetSimulation fleet_;
@@ -563,6 +565,7 @@
   }
   result_.tally = fleet_.tally();
   after_the_day();
+  judge_operators_calls();
   for (const auto& edit : edits_) {
     if (edit->code == 200 || edit->code == 201)
       ++result_.acked;
@@ -630,6 +633,16 @@
     fail("the register can't be read after the day");
 }
 
+// Whether some order of all that operators asked and read explains what they were told.
+void RandomDay::judge_operators_calls() {
+  history::HistoryVerdict verdict = history::check_history(fleet_.operators_calls());
+  if (verdict.verdict == history::Verdict::not_linearizable)
+    fail("the operators' calls are not linearizable", history::report(verdict));
+  if (verdict.verdict == history::Verdict::undecided)
+    fail("the operators' calls can't be judged", history::report(verdict));
+  note(history::report(verdict));
+}
+
 }  // namespace
 
 std::vector<std::string> random_day_faults() {
--- a/packages/fleet-simulator/src/simulated_operators.cpp
+++ b/packages/fleet-simulator/src/simulated_operators.cpp
@@ -43,6 +43,7 @@
   ask.body = body;
   outcome->ask = {ask.change, kind, name, act, body, now_};
   watch_.asked(outcome->ask);
+  outcome->recorded_call = recorder_.asked("operator", where, ask, now_);
   if (getenv("DBG"))
     fprintf(stderr, "%ld ask %s at %s %s/%s %s\n", now_, ask.change.c_str(), where.c_str(), kind.c_str(), name.c_str(),
             body.substr(0, 40).c_str());
@@ -62,6 +63,7 @@
   outcome->code = answer.code;
   outcome->version = answer.version;
   outcome->body = answer.body;
+  recorder_.answered(outcome->recorded_call, answer, now_);
   if (answer.code == 200 || answer.code == 201) {
     auto mark = answer.body.find("\"config_revision\":");
     Integer revision = mark == std::string::npos ? 0 : std::atoll(answer.body.c_str() + mark + 18);
@@ -119,18 +121,28 @@
   Node& target = node(where);
   if (!target.is_up || target.is_frozen || !target.control)
     return shown;
+  if (is_read_unconfirmed && target.control->proposer().has_state()) {
+    *shown = target.control->proposer().state();
+    end_read(where, now_, *shown);
+    return shown;
+  }
   target.control->read(
       [this, shown, where, begun = now_](const FleetState* state) {
         if (state == nullptr)
           return;
         *shown = *state;
-        watch_.was_read(now_, begun, where, *state);
+        end_read(where, begun, *state);
       },
       clock(target));
   flush(target);
   return shown;
 }
 
+void FleetSimulation::end_read(const std::string& where, std::int64_t begun, const FleetState& state) {
+  watch_.was_read(now_, begun, where, state);
+  recorder_.was_read({"reader", where, begun}, now_, state);
+}
+
 bool FleetSimulation::compare_holdings() {
   std::shared_ptr<FleetState> state;
   for (int tries = 0; tries < 5 && (!state || state->version == 0); ++tries) {
