Answer a read by the question that served it; let reads share one question

Cause: a read took the place of the one in flight, so reads that came faster than answers starved one another, and the master's own poll with them; and a read counted by milliseconds, so an answer to a question asked earlier within the same millisecond passed for one to a later question. A read whose answers waited out a pause of this process was answered 20 s late. A large value that came after the next read had begun was thrown away. Now: reads wait for the question in flight to end (at most 200 ms), then share the next; they compare question numbers; one past its deadline is answered 'no majority'; a value is kept by its ballot, whichever read brought it. The harness can cut links one way, keep what comes to a frozen machine, slow a disk, count bytes, and see what is sent.

--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -35,7 +35,7 @@
                   const std::set<StoreId>& answered);
 
 // Example:
-//   RegisterProposer proposer(self, Dice(1)); proposer.learn_acceptors(from_a_ping_answer);
+//   RegisterProposer proposer(self, RandomGenerator(1)); proposer.learn_acceptors(from_a_ping_answer);
 //   proposer.change([](const FleetState& s) { ... }, [](const ChangeEnd& end) { ... }, now, Span{3000});
 //   proposer.poll(now);            // refreshes state() by a majority read, mends stale copies
 //   proposer.on_message(from, message, now); proposer.on_timer(now); for (auto& s : proposer.take_out()) send(s);
@@ -48,7 +48,10 @@
   // answered for a while (it may have been replaced whole). Example: proposer.learn_acceptors(answer.acceptors)
   void learn_acceptors(const std::vector<AcceptorEntry>& acceptors);
   void change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience);
-  void poll(Moment now, const std::string& role, bool wants_heard);
+  // Begins a read in place of the one in flight, and returns its number: numbers of one life only grow.
+  std::int64_t poll(Moment now, const std::string& role, bool wants_heard);
+  // Whether a read is in flight that may yet be answered in time: another would only take its place.
+  bool is_reading(Moment now) const;
   bool on_message(const Address& from, const Message& message, Moment now);
   void on_timer(Moment now);
   std::vector<Sending> take_out();
@@ -57,6 +60,9 @@
   const FleetState& state() const { return state_; }  // the newest state known to be chosen
   const Ballot& ballot() const { return state_ballot_; }
   Moment confirmed_at() const { return confirmed_at_; }  // start of the read that proved it newest
+  // Number of the newest read that a majority has answered alike. Unlike a time it tells a question that was asked
+  // before an event from one that was asked after it within the same millisecond.
+  std::int64_t confirmed_read() const { return confirmed_read_; }
   const std::vector<AcceptorEntry>& acceptors() const { return acceptors_; }
   // Silence of each edge daemon as a majority of copies reports it; empty when not known.
   const std::optional<std::map<Address, Span>>& silences() const { return silences_; }
@@ -99,6 +105,7 @@
     std::map<StoreId, std::map<Address, Span>> heard;
     std::map<StoreId, Span> awake;
     bool wants_heard = false;
+    bool is_over = false;  // settled, or of no more use
   };
   void start_next(Moment now);
   void begin_prepare(Moment now);
@@ -107,6 +114,7 @@
   void finish(ChangeEnd end, Moment now);
   void adopt(const Ballot& ballot, const FleetState& state, Moment proven_from);
   void settle_read(Moment now);
+  void keep_value(const ReadAnswer& answer);
   std::vector<AcceptorEntry> everyone() const;
   void send_each(const std::vector<AcceptorEntry>& stores, const std::function<Message(const StoreId&)>& make);
 
@@ -124,7 +132,8 @@
   std::optional<Round> current_;
   std::deque<Job> waiting_;
   std::optional<Read> read_;
-  std::map<Ballot, Bytes> read_values_;
+  std::int64_t confirmed_read_ = 0;
+  std::map<Ballot, Bytes> read_values_;  // newer than the state; a ballot names one value, whichever read brought it
   int split_reads_ = 0;
   std::optional<std::map<Address, Span>> silences_;
   std::int64_t last_ask_;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -11,6 +11,8 @@
 // A large value takes its time on a narrow link.
 Span patience_for(std::size_t bytes) { return Span{phase_patience.value + static_cast<std::int64_t>(bytes / 400)}; }
 constexpr Span hint_patience{2000};
+constexpr Span read_patience{200};           // a read that is not settled by then may be asked anew
+constexpr std::size_t most_read_values = 2;  // values of reads that are kept at a time
 constexpr std::size_t hint_bound = 24;
 
 bool holds_majority(const std::vector<AcceptorEntry>& set, const std::set<StoreId>& answered) {
@@ -176,13 +178,25 @@
     done(end);
 }
 
-void RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
+bool RegisterProposer::is_reading(Moment now) const {
+  return read_ && !read_->is_over && now - read_->begun < read_patience;
+}
+
+// A large value may take longer on its way than the next read waits: it counts whichever read it answers.
+void RegisterProposer::keep_value(const ReadAnswer& answer) {
+  if (answer.value.data.empty() || (has_state_ && !(state_ballot_ < answer.accepted)))
+    return;
+  read_values_[answer.accepted] = answer.value;
+  while (read_values_.size() > most_read_values)
+    read_values_.erase(read_values_.begin());
+}
+
+std::int64_t RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
   ++counts_.reads;
   read_.emplace();
   read_->ask = ++last_ask_;
   read_->begun = now;
   read_->wants_heard = wants_heard;
-  read_values_.clear();
   ReadAsk ask{read_->ask, role, state_ballot_, wants_heard, false};
   // A large value is asked of one copy: this machine's own, or where the last read saw a newer one.
   bool has_own =
@@ -195,7 +209,7 @@
       one.lean = entry.address != full && entry.address != self_;
       out_.push_back({entry.address, one});
     }
-    return;
+    return read_->ask;
   }
   std::set<Address> hints;
   if (!has_state_ || now - confirmed_at_ > hint_patience)
@@ -205,6 +219,7 @@
   send_each(everyone(), [&](const StoreId&) { return ask; });
   for (const auto& hint : hints)
     out_.push_back({hint, ask});
+  return read_->ask;
 }
 
 void RegisterProposer::settle_read(Moment now) {
@@ -274,8 +289,12 @@
     for (const auto& [store, ballot] : read.answers)
       if (ballot == read.highest)
         value_at_ = read.places[store];  // the next read asks there
+    read.is_over = true;
     return;
   }
+  read.is_over = true;
+  confirmed_read_ = std::max(confirmed_read_, read.ask);
+  read_values_.erase(read_values_.begin(), read_values_.upper_bound(state_ballot_));
   for (const auto& [store, ballot] : read.answers) {  // a read mends the copies that it finds old
     if (!(ballot < read.highest))
       continue;
@@ -344,15 +363,12 @@
     return true;
   }
   if (const auto* answer = std::get_if<ReadAnswer>(&message)) {
+    keep_value(*answer);
     if (!read_ || answer->ask != read_->ask)
       return true;
     Read& read = *read_;
     read.answers[answer->store] = answer->accepted;
     read.places[answer->store] = from;
-    if (!answer->value.data.empty())
-      read_values_[answer->accepted] = answer->value;
-    if (answer->accepted == state_ballot_)
-      read_values_[answer->accepted] = state_bytes_;
     if (read.highest < answer->accepted) {
       read.highest = answer->accepted;
       read.acceptors = answer->acceptors;
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -87,7 +87,8 @@
   // --- operators' acts; each callback comes exactly once -----------------------------------------
   // Done by the master, wherever it is asked. Example: daemon.edit(ask, [](const EditAnswer& a) {...}, now);
   void edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now);
-  // A read that a register majority confirms after `now`. Example: daemon.read([](const FleetState* s) {...}, now);
+  // A read that a majority of the register confirms, in answer to a question asked after `now`; nothing when none does
+  // in time. Example: daemon.read([](const FleetState* s) {...}, now);
   void read(std::function<void(const FleetState*)> done, Moment now);
   // The master's map and who has what in force. Example: daemon.view([](const ViewAnswer& a) {...}, now);
   void view(std::function<void(const ViewAnswer&)> done, Moment now);
@@ -130,9 +131,10 @@
     Address master;
   };
   struct Waiting {  // a view or a read that was asked here
-    Moment deadline, since;
+    Moment deadline;
     std::function<void(const ViewAnswer&)> view;
     std::function<void(const FleetState*)> read;
+    std::int64_t begun_read = 0;  // the register read that was the first to begin after this one came; 0: none yet
   };
 
   bool is_edge() const { return settings_.self.role == "edge"; }
@@ -163,6 +165,9 @@
   void gossip(Moment now);
   void lead(Moment now);
   void expire_waiting(Moment now);
+  void poll_register(Moment now);
+  void poll_for_reads(Moment now);
+  void answer_reads(Moment now);
   void answer_ping(const Address& from, const Ping& ping, Moment now);
   void claim_term(const TermClaim& claim, Moment now);
   void begin_leading(Moment now);
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -6,7 +6,7 @@
 namespace emberdale {
 namespace {
 
-constexpr Span poll_pace{350}, gossip_pace{500};
+constexpr Span gossip_pace{500};
 constexpr Span gateway_memory{600000};
 
 }  // namespace
@@ -86,11 +86,8 @@
   proposer_.on_timer(now);
   if (is_edge())
     election_.on_timer(now);
-  if (poll_next_ <= now) {
-    poll_next_ = now + poll_pace;
-    proposer_.poll(now, settings_.self.role,
-                   is_edge() && (election_.starved_rounds() > 0 || election_.is_master() || is_leaderless()));
-  }
+  if (poll_next_ <= now)
+    poll_register(now);
   gossip(now);
   if (acceptor_ && !acceptor_->is_blank() && proposer_.acceptors().empty())
     proposer_.learn_acceptors(acceptor_->state().acceptors);
--- a/packages/control-plane/src/control_membership.cpp
+++ b/packages/control-plane/src/control_membership.cpp
@@ -34,15 +34,7 @@
     }
     core_set_.on_state();
   }
-  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (entry->second.read && entry->second.since <= proposer_.confirmed_at()) {
-      auto done = std::move(entry->second.read);
-      entry = waiting_.erase(entry);
-      done(&proposer_.state());
-    } else {
-      ++entry;
-    }
-  }
+  answer_reads(now);
 }
 
 void ControlDaemon::keep_roster(Moment now) {
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -6,7 +6,7 @@
 namespace emberdale {
 namespace {
 
-constexpr Span poll_pace{350};
+constexpr Span read_patience{2000}, poll_pace{350};
 
 }  // namespace
 
@@ -134,15 +134,48 @@
 
 void ControlDaemon::read(std::function<void(const FleetState*)> done, Moment now) {
   Waiting waiting;
-  waiting.since = now;
-  waiting.deadline = now + Span{2000};
+  waiting.deadline = now + read_patience;
   waiting.read = std::move(done);
   waiting_[++last_ask_] = std::move(waiting);
-  poll_next_ = now + poll_pace;
-  proposer_.poll(now, settings_.self.role, false);
+  poll_for_reads(now);
   collect(now);
 }
 
+// One question serves all reads that came before it. While it is in flight those that come later wait for the next:
+// a question of their own would take its place, and many reads a second would leave none answered.
+void ControlDaemon::poll_for_reads(Moment now) {
+  bool is_any_unasked = std::any_of(waiting_.begin(), waiting_.end(), [](const auto& entry) {
+    return entry.second.read && entry.second.begun_read == 0;
+  });
+  if (is_any_unasked && !proposer_.is_reading(now))
+    poll_register(now);
+}
+
+void ControlDaemon::poll_register(Moment now) {
+  poll_next_ = now + poll_pace;
+  bool wants_heard = is_edge() && (election_.starved_rounds() > 0 || election_.is_master() || is_leaderless());
+  std::int64_t number = proposer_.poll(now, settings_.self.role, wants_heard);
+  for (auto& [ask, waiting] : waiting_)
+    if (waiting.read && waiting.begun_read == 0)
+      waiting.begun_read = number;
+}
+
+// An answer that comes after the deadline is none: this process may have been paused, and its asker is gone.
+void ControlDaemon::answer_reads(Moment now) {
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    const Waiting& waiting = entry->second;
+    bool is_confirmed = waiting.begun_read != 0 && waiting.begun_read <= proposer_.confirmed_read();
+    if (!waiting.read || !is_confirmed || waiting.deadline <= now) {
+      ++entry;
+      continue;
+    }
+    auto done = std::move(entry->second.read);
+    entry = waiting_.erase(entry);
+    done(&proposer_.state());
+  }
+  poll_for_reads(now);
+}
+
 void ControlDaemon::view(std::function<void(const ViewAnswer&)> done, Moment now) {
   Address master = election_.master();
   if (master.empty() && proposer_.has_state())
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -31,6 +31,10 @@
   std::int64_t clock = 0;
   int starts = 0, life = 0, foundings = 0;
   bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
+  bool keeps_what_comes = false;  // while frozen: messages wait in its buffers, and are taken in when it wakes
+  std::vector<std::function<void()>> buffered;
+  std::int64_t disk_slowness = 1;  // a write takes so many times as long
+  std::int64_t received = 0;       // bytes of messages from others
 };
 
 struct EditOutcome {
@@ -50,6 +54,12 @@
 
   double loss = 0;
   std::int64_t delay = 1;
+  std::size_t segment_bound = 1 << 15;
+  std::function<void(ControlDaemonSettings&)> adjust;  // settings of machines that start from now on
+  bool counts_bytes = false;
+  // Sees each message as it is sent. Example: fleet.on_send = [&](const std::string& from, const Address& to, const
+  // Message& message) { ... };
+  std::function<void(const std::string&, const Address&, const Message&)> on_send;
 
   Machine& at(const std::string& name) { return *machines_.at(name); }
   std::int64_t now() const { return now_; }
@@ -88,7 +98,7 @@
     made.to_write.clear();
     ++made.starts;
     int life = ++made.life;
-    made.log = std::make_unique<SegmentedLog>(made.files, 1 << 15);
+    made.log = std::make_unique<SegmentedLog>(made.files, segment_bound);
     auto opening = made.log->open("store-" + name + "-" + std::to_string(made.starts));
     ASSERT_TRUE(opening) << opening.reason;
     ASSERT_FALSE(opening->was_corrupt) << opening->finding;
@@ -102,6 +112,8 @@
     settings.founds_itself = founds_itself;
     settings.reconciles_membership = true;
     settings.acknowledges_at_once = true;
+    if (adjust)
+      adjust(settings);
     made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
       if (event.kind == "founded")
@@ -140,13 +152,26 @@
   }
 
   void wipe(const std::string& name) { at(name).files->wipe(); }
-  void freeze(const std::string& name, bool is_frozen) { at(name).is_frozen = is_frozen; }
+  void freeze(const std::string& name, bool is_frozen) {
+    at(name).is_frozen = is_frozen;
+    for (auto& act : std::exchange(at(name).buffered, {}))
+      act();
+  }
+
+  // Acts on one daemon, and sends what it wishes for.
+  // Example: fleet.act("a0", [&](ControlDaemon& daemon, Moment now) { daemon.read(done, now); });
+  void act(const std::string& name, const std::function<void(ControlDaemon&, Moment)>& does) {
+    Machine& made = at(name);
+    does(*made.control, clock(made));
+    flush(made);
+  }
 
   void cut_zone(const std::string& zone) { cut_zone_ = zone; }
   void cut_link(const std::string& one, const std::string& other) {
     cuts_.insert({one, other});
     cuts_.insert({other, one});
   }
+  void cut_one_way(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void heal() {
     cut_zone_.clear();
     cuts_.clear();
@@ -346,6 +371,8 @@
   }
 
   void deliver(const std::string& from, const Address& to, Message message) {
+    if (on_send)
+      on_send(from, to, message);
     auto target = by_address_.find(to);
     if (target == by_address_.end())
       return;
@@ -366,10 +393,21 @@
         }
         return;
       }
-      if (awake.is_frozen)
+      if (awake.is_frozen && !awake.keeps_what_comes)
         return;  // its buffers are small
-      awake.control->on_message(sender, *shared, clock(awake));
-      flush(awake);
+      if (counts_bytes && from != name)
+        awake.received += static_cast<std::int64_t>(encode_message(*shared).size());
+      auto take_in = [this, name, sender, shared, life = awake.life] {
+        Machine& made = at(name);
+        if (!made.is_up || made.life != life)
+          return;
+        made.control->on_message(sender, *shared, clock(made));
+        flush(made);
+      };
+      if (awake.is_frozen)
+        awake.buffered.push_back(take_in);
+      else
+        take_in();
     });
   }
 
@@ -400,17 +438,18 @@
     for (auto& write : batch)
       records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
-    later(2 + random_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
-      Machine& awake = at(name);
-      if (!awake.is_up || awake.life != life)
-        return;
-      ASSERT_TRUE(awake.log->sync());
-      awake.control->synced(last, clock(awake));
-      if (awake.log->wants_snapshot())
-        awake.log->snapshot(awake.control->acceptor()->picture());
-      awake.is_writing = false;
-      flush(awake);
-    });
+    later((2 + random_.below(3)) * made.disk_slowness,
+          [this, name = made.name, life = made.life, last = batch.back().token] {
+            Machine& awake = at(name);
+            if (!awake.is_up || awake.life != life)
+              return;
+            ASSERT_TRUE(awake.log->sync());
+            awake.control->synced(last, clock(awake));
+            if (awake.log->wants_snapshot())
+              awake.log->snapshot(awake.control->acceptor()->picture());
+            awake.is_writing = false;
+            flush(awake);
+          });
   }
 
   std::uint64_t seed_;
