Leave asks unanswered while 64 writes wait for the disk

Cause: a stalled disk let writes queue without bound, each with a copy of the value; at 4096 queued jobs the process ended itself. Measured on the acceptor alone: 10000 asks gave 10000 waiting writes; now 64, and the asks beyond are neither granted nor refused, so the asker tries again. Reads go on from what is on disk.

--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -52,6 +52,9 @@
   const StoreId& store() const { return store_; }
   const FleetState& state() const { return state_; }  // of the synced value
   const Ballot& accepted() const { return synced_.accepted; }
+  // Writes that wait for the disk, and asks that were left unanswered since too many did.
+  std::size_t unsynced() const { return held_.size(); }
+  std::int64_t dropped() const { return dropped_; }
 
  private:
   struct Held {
@@ -61,13 +64,14 @@
   };
   void write(AcceptorRecord after, bool has_value, Sending answer);
   void settle(const AcceptorRecord& record);
+  bool is_backlogged();
 
   StoreId store_;
   AcceptorRecord ahead_;   // with what is still being written
   AcceptorRecord synced_;  // what is on disk: reads answer from here
   FleetState state_;
   std::deque<Held> held_;
-  std::int64_t last_token_ = 0;
+  std::int64_t last_token_ = 0, dropped_ = 0;
   std::vector<WriteWish> writes_;
   std::vector<Sending> out_;
   std::map<Address, Moment> heard_;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -3,6 +3,13 @@
 #include "emberdale/avro_codec.hpp"
 
 namespace emberdale {
+namespace {
+
+// Whoever asked waits for less than a second: with so many writes before it, its answer would come too late. The
+// bound also keeps the memory of what waits for a stalled disk small.
+constexpr std::size_t most_unsynced = 64;
+
+}  // namespace
 
 // On disk a record is carried as an Avro Promise: the same table, one codec.
 std::string pack_record(const AcceptorRecord& record) {
@@ -66,12 +73,21 @@
   writes_.push_back({last_token_, pack_record(lean)});
 }
 
+bool RegisterAcceptor::is_backlogged() {
+  if (held_.size() < most_unsynced)
+    return false;
+  ++dropped_;
+  return true;
+}
+
 bool RegisterAcceptor::on_message(const Address& from, const Message& message, Moment now) {
   if (!awake_since_)
     awake_since_ = now;
   if (const auto* prepare = std::get_if<Prepare>(&message)) {
     if (prepare->store != store_)
       return true;  // meant for the store that was here before
+    if (is_backlogged())
+      return true;
     if (prepare->ballot < ahead_.promised || prepare->ballot == ahead_.promised) {
       out_.push_back({from, Promise{prepare->ask, store_, false, ahead_.promised, Ballot{}, Bytes{}}});
       return true;
@@ -84,7 +100,7 @@
     return true;
   }
   if (const auto* accept = std::get_if<Accept>(&message)) {
-    if (accept->store != store_)
+    if (accept->store != store_ || is_backlogged())
       return true;
     if (accept->ballot < ahead_.promised) {
       out_.push_back({from, Accepted{accept->ask, store_, false, ahead_.promised}});
@@ -123,6 +139,8 @@
     return true;
   }
   if (const auto* found = std::get_if<Found>(&message)) {
+    if (is_backlogged())
+      return true;
     FoundAnswer answer{found->ask, store_, false, ""};
     if (found->store != store_)
       answer.reason = "another store";
--- a/packages/configuration-register/tests/configuration_register_test.cpp
+++ b/packages/configuration-register/tests/configuration_register_test.cpp
@@ -383,3 +383,34 @@
   bench.settle(60);
   EXPECT_TRUE(has_seen);
 }
+
+TEST(ConfigurationRegister, AStalledDiskLeavesAsksUnansweredInPlaceOfAnEverLongerQueue) {
+  RegisterAcceptor acceptor(StoreId{"s1"});
+  FleetState state;
+  state.acceptors.push_back({StoreId{"s1"}, Address{"here"}});
+  acceptor.on_message(Address{"founder"}, Found{1, StoreId{"s1"}, {encode_state(state)}}, Moment{0});
+  acceptor.synced(acceptor.take_writes().back().token);
+  acceptor.take_out();
+  std::int64_t last = 0, writes = 0;
+  for (std::int64_t ask = 1; ask <= 10000; ++ask) {
+    acceptor.on_message(Address{"p"}, Prepare{ask, StoreId{"s1"}, Ballot{ask + 1, Address{"p"}}, Ballot{}},
+                        Moment{ask});
+    for (const auto& write : acceptor.take_writes()) {
+      last = write.token;
+      ++writes;
+    }
+  }
+  EXPECT_LE(writes, 64);
+  EXPECT_EQ(acceptor.unsynced(), static_cast<std::size_t>(writes));
+  EXPECT_EQ(acceptor.dropped(), 10000 - writes);
+  EXPECT_TRUE(
+      acceptor.take_out().empty());  // nothing is answered before it is on disk, and a dropped ask is not refused
+  // Reads go on from what is on disk.
+  acceptor.on_message(Address{"p"}, ReadAsk{20000, "edge", Ballot{}, false, false}, Moment{10001});
+  EXPECT_EQ(acceptor.take_out().size(), 1u);
+  acceptor.synced(last);
+  EXPECT_EQ(acceptor.take_out().size(), static_cast<std::size_t>(writes));
+  acceptor.on_message(Address{"p"}, Prepare{30000, StoreId{"s1"}, Ballot{30000, Address{"p"}}, Ballot{}},
+                      Moment{10002});
+  EXPECT_EQ(acceptor.take_writes().size(), 1u);
+}
