--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -57,6 +57,8 @@
   const FleetState& state() const { return state_; }  // the newest state known to be chosen
   const Ballot& ballot() const { return state_ballot_; }
   Moment confirmed_at() const { return confirmed_at_; }  // start of the read that proved it newest
+  // Start of the newest read that a majority has answered, whether or not they held the same value.
+  Moment reached_at() const { return reached_at_; }
   const std::vector<AcceptorEntry>& acceptors() const { return acceptors_; }
   // Silence of each edge daemon as a majority of copies reports it; empty when not known.
   const std::optional<std::map<Address, Span>>& silences() const { return silences_; }
@@ -120,7 +122,7 @@
   FleetState state_;
   Bytes state_bytes_;
   Ballot state_ballot_;
-  Moment confirmed_at_{-1};
+  Moment confirmed_at_{-1}, reached_at_{-1};
   std::optional<Round> current_;
   std::deque<Job> waiting_;
   std::optional<Read> read_;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -228,6 +228,7 @@
     }
     return;
   }
+  reached_at_ = read.begun;
   if (read.wants_heard) {
     // The most recent sign of life that any copy of this majority has seen, once all have watched.
     std::map<Address, Span> silences;
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -11,6 +11,7 @@
 #include "emberdale/cold_shares.hpp"
 #include "emberdale/core_founder.hpp"
 #include "emberdale/core_set.hpp"
+#include "emberdale/edit_age.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
 #include "emberdale/leader_lease.hpp"
@@ -34,6 +35,7 @@
   std::vector<Address> seeds;
   std::uint64_t random_seed = 1;
   ElectionTimes election;
+  EditTimes edit_times;
   // For deployments of one process a machine (docs/design.md): role "edge" with an acceptor.
   bool founds_itself = false;          // true only on the very first start of the whole system, on empty disks
   bool reconciles_membership = false;  // newcomers replace silent core machines, or are added, by themselves
@@ -174,6 +176,8 @@
   void settle_edits(Moment now);
   void end_edits();
   void forward_edits(Moment now);
+  // Why an edit that arrives now is refused at once; nothing: it is not. Example: refusal_at_arrival(ask, now)
+  std::optional<std::string> refusal_at_arrival(const EditAsk& ask, Moment now) const;
   void pass_hold(const Hold& hold);
   void pass_holds(Moment now);
   void lift_hold(const PassedHold& passed, const EditAnswer& answer);
@@ -203,6 +207,7 @@
   LeaderLease lease_;
   MasterEdits edits_;
   EditForwarder forwarder_;
+  PauseDetector pauses_;
   MembershipReconciler reconciler_;
   CoreFounder founder_;
   CoreSet core_set_;
--- a/packages/control-plane/include/emberdale/edit_forwarder.hpp
+++ b/packages/control-plane/include/emberdale/edit_forwarder.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/edit_age.hpp"
 #include "emberdale/freshness_times.hpp"
 #include "emberdale/messages.hpp"
 
@@ -40,16 +41,19 @@
     EditAsk ask;
     EditDone done;
     PassedHold hold;
-    Moment deadline, send_next;
+    Moment taken_at, deadline, send_next;
     // Copies that are out and that nobody has answered, by the term they are for.
     std::map<Integer, int> copies;
   };
+  explicit EditForwarder(EditTimes times = {}) : times_(times) {}
   void take(EditAsk ask, EditDone done, PassedHold hold, Moment now);
   // Hands every waiting edit to the master of that term. An ask or its answer may get lost: it is sent again,
-  // and a master that has answered says the same again.
-  std::vector<Sending> send(const Address& master, Integer term, Moment now);
-  // This daemon has become master: it does them itself. Example: for (auto& mine : forwarder.take_back()) ...
-  std::vector<Waiting> take_back();
+  // and a master that has answered says the same again. An edit that is bound by its age is sent no more once that is
+  // over. `stamp`: the newest known of that master's clock in that term, 0: none.
+  std::vector<Sending> send(const Address& master, Integer term, Moment now, Integer stamp = 0);
+  // This daemon has become master: it does them itself, but for those that are too old, of which a copy may be done
+  // still. Example: for (auto& mine : forwarder.take_back(now)) ...
+  std::vector<Waiting> take_back(Moment now);
   // True when an edit ended: its hold may have to be lifted. Example: if (auto ended = forwarder.on_answer(answer,
   // now)) ...
   std::optional<Waiting> on_answer(const EditAnswer& answer, Moment now);
@@ -58,7 +62,13 @@
   std::map<Integer, Waiting>& waiting() { return waiting_; }
 
  private:
-  std::map<Integer, Waiting> waiting_;  // by ask
+  bool is_too_old(const Waiting& edit, Moment now) const {
+    return is_bound_by_age(edit.ask) && now - edit.taken_at >= times_.asker_patience;
+  }
+
+  EditTimes times_;
+  Integer stamp_ = 0, stamp_term_ = -1;  // the newest that a master has answered a copy with
+  std::map<Integer, Waiting> waiting_;   // by ask
 };
 
 }  // namespace emberdale
--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -40,6 +40,8 @@
   void begin();
   // An edit asked here, or handed over; asked again, it is answered as before. Example: edits.take(edit, now)
   void take(Edit edit, Moment now);
+  // Whether a change is in hand, or was answered in this term. Example: if (!edits.knows(ask.change)) check_age(ask);
+  bool knows(const std::string& change) const;
   void run(const MapVersion& map_version, Moment now);
   // `holders`: how many of the roster hold a map that covers a version, this daemon among them.
   void settle(const MapVersion& map_version, const std::function<std::size_t(const MapVersion&)>& holders, Moment now);
@@ -59,6 +61,7 @@
   const Counts& counts() const { return counts_; }
 
  private:
+  void end_those_of_earlier_terms();
   void end(std::size_t at, EditAnswer answer);
   void on_change_end(const EditAsk& ask, const EditResult& result, const ChangeEnd& end, Moment now);
 
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -20,6 +20,7 @@
       election_(settings_.self, RandomGenerator(settings_.random_seed + 2), settings_.election),
       lease_(proposer_, election_, settings_.self.address),
       edits_(proposer_, election_, lease_, journal_, settings_.self.address),
+      forwarder_(settings_.edit_times),
       reconciler_(proposer_, settings_.self.address, RandomGenerator(settings_.random_seed + 5)),
       founder_(proposer_, journal_, settings_.self.address, settings_.seeds,
                RandomGenerator(settings_.random_seed + 6)),
@@ -40,6 +41,7 @@
   if (acceptor_ && !acceptor_->is_blank())
     proposer_.learn_acceptors(acceptor_->state().acceptors);
   poll_next_ = gossip_next_ = follow_next_ = started_at_ = now;
+  pauses_.start(now);
   reconciler_.start(now);
   core_set_.start(now);
   if (settings_.founds_itself && acceptor_ && acceptor_->is_blank())
@@ -83,6 +85,7 @@
 }
 
 void ControlDaemon::on_timer(Moment now) {
+  pauses_.on_timer(now);
   proposer_.on_timer(now);
   if (is_edge())
     election_.on_timer(now);
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -127,6 +127,13 @@
     out_.push_back({from, EditAnswer{ask.ask, 0, 0, "", ask.term}});
     return;
   }
+  if (is_bound_by_age(ask) && !edits_.knows(ask.change)) {
+    std::optional<Span> age = age_bound(ask, now);
+    if (!age || *age >= settings_.edit_times.asker_patience) {
+      out_.push_back({from, EditAnswer{ask.ask, 0, 0, "", ask.term, now.value}});
+      return;
+    }
+  }
   MasterEdits::Edit edit;
   edit.ask = ask;
   edit.from = from;
@@ -136,6 +143,7 @@
 void ControlDaemon::handle(const Address&, const EditAnswer& answer, Moment now) {
   if (auto ended = forwarder_.on_answer(answer, now))
     lift_hold(ended->hold, answer);
+  forward_edits(now);
 }
 
 void ControlDaemon::handle(const Address& from, const ViewAsk& ask, Moment now) {
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -12,6 +12,8 @@
 
 void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
   ask.ask = ++last_ask_;
+  if (auto refusal = refusal_at_arrival(ask, now))
+    return done(EditAnswer{ask.ask, 503, 0, reason_body(*refusal, "refused"), 0});
   PassedHold hold = hold_of(ask, version_of(ask), now);
   if (election_.is_master()) {
     MasterEdits::Edit edit;
@@ -21,8 +23,6 @@
     edit.hold = std::move(hold);
     edits_.take(std::move(edit), now);
     run_edits(now);
-  } else if (!proposer_.has_state()) {
-    return done(EditAnswer{ask.ask, 503, 0, reason_body("no register is known here", "refused"), 0});
   } else {
     forwarder_.take(std::move(ask), std::move(done), std::move(hold), now);
     forward_edits(now);
@@ -30,13 +30,21 @@
   collect(now);
 }
 
+std::optional<std::string> ControlDaemon::refusal_at_arrival(const EditAsk& ask, Moment now) const {
+  if (!proposer_.has_state())
+    return "no register is known here";
+  if (is_bound_by_age(ask) && pauses_.may_read_old_requests(now, proposer_.reached_at()))
+    return "this daemon did not run for a while: the request may be old";
+  return std::nullopt;
+}
+
 // Hands what was taken in here to the master; without one it waits a while for the next. The same change,
 // handed to a second master after the first was lost, counts once.
 void ControlDaemon::forward_edits(Moment now) {
   if (forwarder_.waiting().empty() || !proposer_.has_state())
     return;
   if (election_.is_master()) {
-    for (auto& waiting : forwarder_.take_back()) {
+    for (auto& waiting : forwarder_.take_back(now)) {
       MasterEdits::Edit edit;
       edit.ask = std::move(waiting.ask);
       edit.ask.term = election_.term();
@@ -50,7 +58,8 @@
   Address master = election_.master().empty() ? proposer_.state().master : election_.master();
   if (master == settings_.self.address)
     return;
-  for (auto& sending : forwarder_.send(master, std::max(proposer_.state().term, election_.term()), now))
+  Integer term = std::max(proposer_.state().term, election_.term());
+  for (auto& sending : forwarder_.send(master, term, now, election_.master_stamp(term)))
     out_.push_back(std::move(sending));
 }
 
--- a/packages/control-plane/src/edit_forwarder.cpp
+++ b/packages/control-plane/src/edit_forwarder.cpp
@@ -9,7 +9,7 @@
 namespace emberdale {
 namespace {
 using Json = nlohmann::json;
-constexpr Span master_patience{7000}, forward_patience{6000 + late_ack_wait.value}, send_pace{500};
+constexpr Span forward_patience{6000 + late_ack_wait.value}, send_pace{500};
 // Told to take work away, we say yes, no or unknown before grants by the old map could outlast 5 s.
 constexpr Span hold_patience{3000};
 }  // namespace
@@ -49,30 +49,40 @@
 
 void EditForwarder::take(EditAsk ask, EditDone done, PassedHold hold, Moment now) {
   Integer number = ask.ask;
-  waiting_[number] = Waiting{std::move(ask), std::move(done), std::move(hold), now + master_patience, Moment{}, {}};
+  waiting_[number] =
+      Waiting{std::move(ask), std::move(done), std::move(hold), now, now + times_.leader_wait, Moment{}, {}};
 }
 
-std::vector<Sending> EditForwarder::send(const Address& master, Integer term, Moment now) {
+std::vector<Sending> EditForwarder::send(const Address& master, Integer term, Moment now, Integer stamp) {
+  if (stamp_term_ == term)
+    stamp = std::max(stamp, stamp_);
   std::vector<Sending> sendings;
   for (auto& [number, edit] : waiting_) {
-    if (master.empty() || now < edit.send_next)
+    if (master.empty() || now < edit.send_next || is_too_old(edit, now))
       continue;
     // A large one takes its time on a narrow link, and so does its answer.
     edit.send_next = now + Span{send_pace.value + static_cast<std::int64_t>(edit.ask.body.size() / 200)};
     if (edit.copies.empty())
       edit.deadline = now + forward_patience;
     edit.ask.term = term;
+    edit.ask.age = (now - edit.taken_at).value;
+    edit.ask.stamp = stamp;
     ++edit.copies[term];
     sendings.push_back({master, edit.ask});
   }
   return sendings;
 }
 
-std::vector<EditForwarder::Waiting> EditForwarder::take_back() {
+std::vector<EditForwarder::Waiting> EditForwarder::take_back(Moment now) {
   std::vector<Waiting> mine;
-  for (auto& [number, edit] : waiting_)
-    mine.push_back(std::move(edit));
-  waiting_.clear();
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    if (is_too_old(entry->second, now)) {
+      ++entry;
+      continue;
+    }
+    mine.push_back(std::move(entry->second));
+    entry = waiting_.erase(entry);
+  }
   return mine;
 }
 
@@ -87,7 +97,12 @@
     if (copy != copies.end() && --copy->second == 0)
       copies.erase(copy);
     if (copies.empty())
-      entry->second.deadline = std::min(entry->second.deadline, now + master_patience);
+      entry->second.deadline = std::min(entry->second.deadline, now + times_.leader_wait);
+    if (answer.stamp > 0) {  // of the master of that term: it could not tell how old the copy was
+      stamp_ = stamp_term_ == answer.term ? std::max(stamp_, answer.stamp) : answer.stamp;
+      stamp_term_ = answer.term;
+      entry->second.send_next = now;
+    }
     return std::nullopt;
   }
   // A refusal settles its own term: asked again, that master says the same. One that was worked out on the
@@ -111,7 +126,9 @@
 std::vector<std::pair<EditForwarder::Waiting, EditAnswer>> EditForwarder::on_timer(Moment now) {
   std::vector<std::pair<Waiting, EditAnswer>> over;
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (now < entry->second.deadline && !entry->second.hold.is_over(now)) {
+    const Waiting& edit = entry->second;
+    bool can_be_sent_no_more = edit.copies.empty() && is_too_old(edit, now);
+    if (now < edit.deadline && !edit.hold.is_over(now) && !can_be_sent_no_more) {
       ++entry;
       continue;
     }
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -33,6 +33,26 @@
   edits_.push_back(std::move(edit));
 }
 
+bool MasterEdits::knows(const std::string& change) const {
+  return answered_.count(change) != 0 ||
+         std::any_of(edits_.begin(), edits_.end(), [&](const Edit& edit) { return edit.ask.change == change; });
+}
+
+// An edit is worked out in the term in which it was taken in, or never: what came in a later term may have been asked
+// later, and been acknowledged by a leader in between.
+void MasterEdits::end_those_of_earlier_terms() {
+  for (std::size_t i = 0; i < edits_.size();) {
+    if (edits_[i].is_committed || edits_[i].ask.term == election_.term()) {
+      ++i;
+      continue;
+    }
+    EditAnswer answer;
+    answer.code = 503;
+    answer.body = reason_body("taken in in an earlier term of this leader", "refused");
+    end(i, std::move(answer));
+  }
+}
+
 void MasterEdits::end(std::size_t at, EditAnswer answer) {
   Edit edit = std::move(edits_[at]);
   edits_.erase(edits_.begin() + static_cast<std::ptrdiff_t>(at));
@@ -59,6 +79,7 @@
 void MasterEdits::run(const MapVersion& map_version, Moment now) {
   if (!election_.is_master() || is_open())
     return;
+  end_those_of_earlier_terms();
   auto next = std::find_if(edits_.begin(), edits_.end(), [](const Edit& edit) { return !edit.is_committed; });
   if (next == edits_.end())
     return;
--- /dev/null
+++ b/packages/control-plane/tests/order_age_test.cpp
@@ -0,0 +1,235 @@
+// An edit without an expected version that its asker gave up must never override what was acknowledged later: whole
+// fleets under virtual time, with cuts, frozen processes, and frames and requests that come late.
+#include "support/machine_fleet.hpp"
+
+using namespace emberdale;
+
+namespace {
+
+constexpr std::uint64_t order_seeds = 20;
+
+// Operators that go to another daemon after a second of silence. Nothing is refused for want of contact here: it
+// is the age alone that must keep an old order out.
+EditTimes impatient_operators() { return EditTimes{Span{800}, Span{800}, std::nullopt}; }
+
+std::string body_of_order(bool is_emptied) { return is_emptied ? "emptied" : "serving"; }
+
+struct Three {
+  explicit Three(std::uint64_t seed) : fleet(seed) {
+    fleet.edit_times = impatient_operators();
+    names = bring_up(fleet, 3);
+    leader = fleet.master();
+    for (const auto& name : names)
+      if (name != leader)
+        (first.empty() ? first : second) = name;
+  }
+
+  // Asked of the running daemons in turn until it is acknowledged, as operators do.
+  bool order_until_done(const std::vector<std::string>& where, bool is_emptied, std::int64_t ms = 20000) {
+    std::int64_t end = fleet.now() + ms;
+    for (std::size_t turn = 0; fleet.now() < end; ++turn) {
+      auto outcome = fleet.order(where[turn % where.size()], "z", is_emptied);
+      fleet.run_until([&] { return outcome->is_over; }, 1000);
+      if (outcome->is_acknowledged())
+        return true;
+      fleet.run(50);
+    }
+    return false;
+  }
+
+  void expect_order(bool is_emptied) {
+    fleet.run(9000);
+    std::string body = fleet.body_of(fleet.master(), "zone-orders", "z");
+    EXPECT_NE(body.find(body_of_order(is_emptied)), std::string::npos) << body << "\n" << fleet.story();
+  }
+
+  MachineFleet fleet;
+  std::vector<std::string> names;
+  std::string leader, first, second;
+};
+
+}  // namespace
+
+// The daemon that takes the order in is cut off from the others; the order goes on when the cut heals.
+TEST(OrderAge, AnOrderOfADaemonThatWasCutOffOverridesNoLaterOne) {
+  for (bool holds_frames : {false, true})
+    for (bool is_emptied : {true, false})
+      for (std::int64_t later : {500, 2000, 4000})
+        for (std::uint64_t seed = 1; seed <= order_seeds; ++seed) {
+          SCOPED_TRACE((holds_frames ? "held frames, " : "lost frames, ") + body_of_order(is_emptied) + " at " +
+                       std::to_string(later) + " seed " + std::to_string(seed));
+          Three three(seed);
+          MachineFleet& fleet = three.fleet;
+          fleet.holds_frames = holds_frames;
+          fleet.cut_zone(fleet.at(three.first).zone.text);
+          fleet.run(3000);
+          auto old = fleet.order(three.first, "z", is_emptied);
+          fleet.run(700);
+          ASSERT_TRUE(three.order_until_done({three.second, three.leader}, is_emptied)) << fleet.story();
+          fleet.run(later);
+          ASSERT_TRUE(three.order_until_done({three.second, three.leader}, !is_emptied)) << fleet.story();
+          fleet.heal();
+          three.expect_order(!is_emptied);
+          EXPECT_FALSE(old->is_acknowledged());
+          if (HasFailure())
+            return;
+        }
+}
+
+// The copy is on its way to the leader when a cut comes, and a connection holds it until the cut heals.
+TEST(OrderAge, AFrameThatACutHeldOverridesNoLaterOrder) {
+  for (bool is_emptied : {true, false})
+    for (std::int64_t later : {500, 2000, 4000})
+      for (std::uint64_t seed = 1; seed <= order_seeds; ++seed) {
+        SCOPED_TRACE(body_of_order(is_emptied) + " at " + std::to_string(later) + " seed " + std::to_string(seed));
+        Three three(seed);
+        MachineFleet& fleet = three.fleet;
+        fleet.holds_frames = true;
+        fleet.cut_zone(fleet.at(three.first).zone.text);
+        auto old = fleet.order(three.first, "z", is_emptied);
+        fleet.run(1000);
+        ASSERT_TRUE(three.order_until_done({three.second, three.leader}, is_emptied)) << fleet.story();
+        fleet.run(later);
+        ASSERT_TRUE(three.order_until_done({three.second, three.leader}, !is_emptied)) << fleet.story();
+        fleet.heal();
+        three.expect_order(!is_emptied);
+        EXPECT_FALSE(old->is_acknowledged());
+        if (HasFailure())
+          return;
+      }
+}
+
+// The leader sleeps, with orders in its queue, in its connections and in its operators' sockets; the others elect
+// another, or it wakes before they do.
+TEST(OrderAge, OrdersThatAFrozenLeaderHoldsOverrideNoLaterOne) {
+  for (bool is_emptied : {true, false})
+    for (std::int64_t frozen : {1300, 4000, 9000})
+      for (std::uint64_t seed = 1; seed <= order_seeds; ++seed) {
+        SCOPED_TRACE(body_of_order(is_emptied) + " frozen for " + std::to_string(frozen) + " seed " +
+                     std::to_string(seed));
+        Three three(seed);
+        MachineFleet& fleet = three.fleet;
+        fleet.holds_frames = true;
+        std::vector<std::shared_ptr<EditOutcome>> in_hand;
+        for (int i = 0; i < 4; ++i)  // the first are being worked out, the others wait in its queue
+          in_hand.push_back(fleet.edit(three.leader));
+        auto queued = fleet.order(three.leader, "z", is_emptied);
+        fleet.run(fleet.random().below(6));
+        fleet.freeze(three.leader, true);
+        auto at_its_socket = fleet.order(three.leader, "z", is_emptied);
+        auto on_its_way = fleet.order(three.first, "z", is_emptied);
+        fleet.later(frozen, [&] { fleet.freeze(three.leader, false); });
+        fleet.run(1000);
+        bool is_done = three.order_until_done({three.second, three.first}, is_emptied) &&
+                       three.order_until_done({three.second, three.first}, !is_emptied);
+        EXPECT_TRUE(is_done) << fleet.story();
+        fleet.run(std::max<std::int64_t>(0, frozen - 4000));
+        three.expect_order(!is_emptied);
+        if (HasFailure())
+          return;
+      }
+}
+
+// A daemon sleeps with an operator's request in its socket; the operator has long gone elsewhere when it wakes.
+TEST(OrderAge, ARequestThatWaitedAtAFrozenDaemonOverridesNoLaterOrder) {
+  for (bool is_emptied : {true, false})
+    for (std::uint64_t seed = 1; seed <= order_seeds; ++seed) {
+      SCOPED_TRACE(body_of_order(is_emptied) + " seed " + std::to_string(seed));
+      Three three(seed);
+      MachineFleet& fleet = three.fleet;
+      fleet.freeze(three.first, true);
+      auto old = fleet.order(three.first, "z", is_emptied);
+      fleet.run(1000);
+      ASSERT_TRUE(three.order_until_done({three.second, three.leader}, is_emptied)) << fleet.story();
+      ASSERT_TRUE(three.order_until_done({three.second, three.leader}, !is_emptied)) << fleet.story();
+      fleet.run(fleet.random().below(4000));
+      fleet.freeze(three.first, false);
+      fleet.run(100);
+      EXPECT_EQ(old->code, 503);
+      // It serves again soon after.
+      EXPECT_TRUE(fleet.edit_until_done(4000, three.first)) << fleet.story();
+      three.expect_order(!is_emptied);
+      if (HasFailure())
+        return;
+    }
+}
+
+TEST(OrderAge, AMarkOfARunnerOverridesNoLaterOne) {
+  for (bool is_leaving : {true, false})
+    for (std::int64_t later : {500, 2000, 4000})
+      for (std::uint64_t seed = 1; seed <= order_seeds; ++seed) {
+        SCOPED_TRACE(std::string(is_leaving ? "leaving" : "staying") + " at " + std::to_string(later) + " seed " +
+                     std::to_string(seed));
+        Three three(seed);
+        MachineFleet& fleet = three.fleet;
+        std::string runner = fleet.edit(three.leader)->name;
+        fleet.run(1000);
+        auto mark_until_done = [&](bool marks_leaving) {
+          for (int tries = 0; tries < 20; ++tries) {
+            auto outcome = fleet.mark_runner(tries % 2 == 0 ? three.second : three.leader, runner, marks_leaving);
+            fleet.run_until([&] { return outcome->is_over; }, 1000);
+            if (outcome->is_acknowledged())
+              return true;
+            fleet.run(50);
+          }
+          return false;
+        };
+        fleet.cut_zone(fleet.at(three.first).zone.text);
+        fleet.run(3000);
+        auto old = fleet.mark_runner(three.first, runner, is_leaving);
+        fleet.run(1000);
+        ASSERT_TRUE(mark_until_done(is_leaving)) << fleet.story();
+        fleet.run(later);
+        ASSERT_TRUE(mark_until_done(!is_leaving)) << fleet.story();
+        fleet.heal();
+        fleet.run(9000);
+        std::string body = fleet.body_of(fleet.master(), "runners", runner);
+        EXPECT_EQ(body.find("\"leaving\":true") != std::string::npos, !is_leaving) << body << fleet.story();
+        EXPECT_FALSE(old->is_acknowledged());
+        if (HasFailure())
+          return;
+      }
+}
+
+TEST(OrderAge, TheLeaderBoundsTheAgeByItsOwnClock) {
+  EditAsk ask;
+  ask.expected = -1;
+  ask.age = 150;
+  EXPECT_FALSE(age_bound(ask, Moment{5000}));  // without a stamp nothing is known
+  ask.stamp = 4700;
+  EXPECT_EQ(age_bound(ask, Moment{5000}), Span{450});
+  EXPECT_FALSE(age_bound(ask, Moment{4600}));  // a stamp that this clock has not reached is no stamp of it
+}
+
+TEST(OrderAge, OnlyAVersionThatIsCurrentButOnceStandsInForTheAge) {
+  EditAsk ask;
+  ask.kind = "zone-orders";
+  ask.expected = -1;
+  EXPECT_TRUE(is_bound_by_age(ask));
+  ask.expected = 0;  // "must not exist" is true again after a deletion
+  EXPECT_TRUE(is_bound_by_age(ask));
+  ask.expected = 3;
+  EXPECT_FALSE(is_bound_by_age(ask));
+  ask.kind = traffic_kind;  // a table's revision only rises, and it is never deleted
+  ask.expected = 0;
+  EXPECT_FALSE(is_bound_by_age(ask));
+}
+
+// An ordinary order goes through at once from every daemon, also across regions.
+TEST(OrderAge, AYoungOrderIsTakenFromEveryDaemon) {
+  for (std::int64_t delay : {1, 28})
+    for (std::uint64_t seed = 1; seed <= order_seeds; ++seed) {
+      SCOPED_TRACE("delay " + std::to_string(delay) + " seed " + std::to_string(seed));
+      Three three(seed);
+      MachineFleet& fleet = three.fleet;
+      fleet.delay = delay;
+      fleet.run(2000);
+      for (const auto& name : three.names) {
+        auto outcome = fleet.order(name, "z", true);
+        EXPECT_TRUE(fleet.run_until([&] { return outcome->is_over; }, 1000)) << name << fleet.story();
+        EXPECT_TRUE(outcome->is_acknowledged()) << name << " " << outcome->code << fleet.story();
+      }
+      if (HasFailure())
+        return;
+    }
+}
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
   std::unique_ptr<SegmentedLog> log;
   std::unique_ptr<ControlDaemon> control;
   std::vector<WriteWish> to_write;
+  std::vector<std::function<void()>> requests;  // of operators, in the sockets of a frozen process
   std::int64_t clock = 0;
   int starts = 0, life = 0, foundings = 0;
   bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
@@ -50,6 +52,9 @@
 
   double loss = 0;
   std::int64_t delay = 1;
+  std::int64_t sync_time = 2;  // of a disk, and as much again at random
+  EditTimes edit_times;        // of machines that start from now on
+  bool holds_frames = false;   // frames that meet a cut or a frozen process come later, and are not lost
 
   Machine& at(const std::string& name) { return *machines_.at(name); }
   std::int64_t now() const { return now_; }
@@ -102,6 +107,7 @@
     settings.founds_itself = founds_itself;
     settings.reconciles_membership = true;
     settings.acknowledges_at_once = true;
+    settings.edit_times = edit_times;
     made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
       if (event.kind == "founded")
@@ -140,7 +146,16 @@
   }
 
   void wipe(const std::string& name) { at(name).files->wipe(); }
-  void freeze(const std::string& name, bool is_frozen) { at(name).is_frozen = is_frozen; }
+  // Once it runs again, what waited in its sockets is read before or after its next timer, as chance has it.
+  void freeze(const std::string& name, bool is_frozen) {
+    Machine& made = at(name);
+    made.is_frozen = is_frozen;
+    if (is_frozen)
+      return;
+    for (auto& request : std::exchange(made.requests, {}))
+      later(random_.below(60), std::move(request));
+    release_frames();
+  }
 
   void cut_zone(const std::string& zone) { cut_zone_ = zone; }
   void cut_link(const std::string& one, const std::string& other) {
@@ -150,6 +165,7 @@
   void heal() {
     cut_zone_.clear();
     cuts_.clear();
+    release_frames();
   }
 
   void later(std::int64_t ms, std::function<void()> act) { events_.push({now_ + ms, ++last_event_, std::move(act)}); }
@@ -227,32 +243,62 @@
   }
 
   std::shared_ptr<EditOutcome> edit(const std::string& where) {
-    auto outcome = std::make_shared<EditOutcome>();
-    outcome->name = "runner-" + std::to_string(++last_edit_);
-    outcome->asked = now_;
     EditAsk ask;
-    ask.change = "change-" + std::to_string(last_edit_);
     ask.act = "put";
     ask.kind = "runners";
-    ask.name = outcome->name;
-    ask.expected = -1;
-    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20000 + last_edit_) +
+    ask.name = "runner-" + std::to_string(last_edit_ + 1);
+    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20001 + last_edit_) +
                R"(","pool":"models","zone":"a","region":"north","seal_key":"k"})";
-    Machine& target = at(where);
-    target.control->edit(
-        ask,
-        [this, outcome](const EditAnswer& answer) {
-          outcome->is_over = true;
-          outcome->code = answer.code;
-          outcome->over = now_;
-          if (outcome->is_acknowledged())
-            acknowledged_.insert(outcome->name);
-        },
-        clock(target));
-    flush(target);
+    return request(where, std::move(ask));
+  }
+
+  // An operator's order for a zone. Example: fleet.order("a0", "a", true)
+  std::shared_ptr<EditOutcome> order(const std::string& where, const std::string& zone, bool is_emptied) {
+    EditAsk ask;
+    ask.act = "put";
+    ask.kind = "zone-orders";
+    ask.name = zone;
+    ask.body = is_emptied ? R"({"state":"emptied"})" : R"({"state":"serving"})";
+    return request(where, std::move(ask));
+  }
+
+  // A runner is marked as leaving, or as staying. Example: fleet.mark_runner("a0", "runner-1", true)
+  std::shared_ptr<EditOutcome> mark_runner(const std::string& where, const std::string& runner, bool is_leaving) {
+    EditAsk ask;
+    ask.act = "patch";
+    ask.kind = "runners";
+    ask.name = runner;
+    ask.body = is_leaving ? R"({"leaving":true})" : R"({"leaving":false})";
+    return request(where, std::move(ask));
+  }
+
+  // An edit without an expected version. To a frozen process it comes once that runs again.
+  std::shared_ptr<EditOutcome> request(const std::string& where, EditAsk ask) {
+    ask.change = "change-" + std::to_string(++last_edit_);
+    ask.expected = -1;
+    auto outcome = std::make_shared<EditOutcome>();
+    outcome->name = ask.name;
+    outcome->asked = now_;
+    if (at(where).is_frozen)
+      at(where).requests.push_back([this, where, ask, outcome] { take_request(where, ask, outcome); });
+    else
+      take_request(where, ask, outcome);
     return outcome;
   }
 
+  // The body of a resource as that daemon's state shows it, without white space.
+  // Example: fleet.body_of("a0", "zone-orders", "a") == R"({"state":"emptied"})"
+  std::string body_of(const std::string& seen_by, const std::string& kind, const std::string& name) {
+    for (const auto& resource : state(seen_by).resources)
+      if (resource.kind == kind && resource.name == name) {
+        std::string body = resource.body;
+        body.erase(std::remove_if(body.begin(), body.end(), [](unsigned char sign) { return std::isspace(sign) != 0; }),
+                   body.end());
+        return body;
+      }
+    return "";
+  }
+
   // Asked at any running machine, or at one alone, until one is acknowledged. Example: fleet.edit_until_done(8000)
   bool edit_until_done(std::int64_t ms, const std::string& where = "") {
     std::int64_t end = now_ + ms;
@@ -350,8 +396,11 @@
     if (target == by_address_.end())
       return;
     const std::string name = target->second;
-    if (is_cut(at(from), at(name)))
+    if (is_cut(at(from), at(name))) {
+      if (holds_frames)
+        held_.push_back({from, to, std::move(message)});
       return;
+    }
     if (from != name && random_.chance(loss))
       return;
     std::int64_t wait = from == name ? 0 : delay + random_.below(delay + 1);
@@ -366,13 +415,45 @@
         }
         return;
       }
-      if (awake.is_frozen)
-        return;  // its buffers are small
+      if (awake.is_frozen) {  // its buffers are small, but where a test says otherwise
+        if (holds_frames)
+          held_.push_back({from, to, std::move(*shared)});
+        return;
+      }
       awake.control->on_message(sender, *shared, clock(awake));
       flush(awake);
     });
   }
 
+  struct HeldFrame {
+    std::string from;
+    Address to;
+    Message message;
+  };
+
+  // Those that still meet a cut are held again.
+  void release_frames() {
+    for (auto& frame : std::exchange(held_, {}))
+      deliver(frame.from, frame.to, std::move(frame.message));
+  }
+
+  void take_request(const std::string& where, const EditAsk& ask, const std::shared_ptr<EditOutcome>& outcome) {
+    Machine& target = at(where);
+    if (!target.is_up)
+      return;
+    target.control->edit(
+        ask,
+        [this, outcome](const EditAnswer& answer) {
+          outcome->is_over = true;
+          outcome->code = answer.code;
+          outcome->over = now_;
+          if (outcome->is_acknowledged())
+            acknowledged_.insert(outcome->name);
+        },
+        clock(target));
+    flush(target);
+  }
+
   void flush(Machine& made) {
     for (auto& write : made.control->take_writes())
       made.to_write.push_back(std::move(write));
@@ -400,17 +481,18 @@
     for (auto& write : batch)
       records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
-    later(2 + random_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
-      Machine& awake = at(name);
-      if (!awake.is_up || awake.life != life)
-        return;
-      ASSERT_TRUE(awake.log->sync());
-      awake.control->synced(last, clock(awake));
-      if (awake.log->wants_snapshot())
-        awake.log->snapshot(awake.control->acceptor()->picture());
-      awake.is_writing = false;
-      flush(awake);
-    });
+    later(sync_time + random_.below(sync_time + 1),
+          [this, name = made.name, life = made.life, last = batch.back().token] {
+            Machine& awake = at(name);
+            if (!awake.is_up || awake.life != life)
+              return;
+            ASSERT_TRUE(awake.log->sync());
+            awake.control->synced(last, clock(awake));
+            if (awake.log->wants_snapshot())
+              awake.log->snapshot(awake.control->acceptor()->picture());
+            awake.is_writing = false;
+            flush(awake);
+          });
   }
 
   std::uint64_t seed_;
@@ -422,6 +504,7 @@
   std::vector<Address> seeds_;
   std::string cut_zone_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::vector<HeldFrame> held_;
   int last_edit_ = 0;
   std::set<std::string> acknowledged_;
   std::map<std::string, Integer> seen_;
--- a/packages/master-election/include/emberdale/master_election.hpp
+++ b/packages/master-election/include/emberdale/master_election.hpp
@@ -52,6 +52,9 @@
   // What a follower acknowledges to its master: the newest stamp of the master's clock; 0: nothing, it has
   // promised not to. Example: follow.acknowledge = election.acknowledge(now)
   Integer acknowledgement(Moment now) const;
+  // The newest stamp of the clock of the master that is followed in that term; 0: none was heard.
+  // Example: ask.stamp = election.master_stamp(ask.term)
+  Integer master_stamp(Integer term) const { return stamp_term_ == term ? stamp_ : 0; }
   // Whether a majority of those daemons has acknowledged a stamp at most so old: they followed this master since.
   // Example: election.is_acknowledged(roster, Span{1200}, now)
   bool is_acknowledged(const std::vector<Address>& roster, Span age, Moment now) const;
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -174,11 +174,17 @@
 // --- operators' acts on their way to the master ----------------------------------------------
 #define EMBERDALE_EDIT_ASK(F) \
   F(Integer, ask)             \
-  F(Text, change) F(Text, act) F(Text, kind) F(Text, name) F(Integer, expected) F(Text, body) F(Integer, term)
+  F(Text, change)           \
+  F(Text, act)              \
+  F(Text, kind) F(Text, name) F(Integer, expected) F(Text, body) F(Integer, term) F(Integer, age) F(Integer, stamp)
 EMBERDALE_RECORD(EditAsk, EMBERDALE_EDIT_ASK)  // expected: -1 any, 0 must not exist;
-                                               // term: for the master of this term alone
-#define EMBERDALE_EDIT_ANSWER(F) F(Integer, ask) F(Integer, code) F(Integer, version) F(Text, body) F(Integer, term)
-EMBERDALE_RECORD(EditAnswer, EMBERDALE_EDIT_ANSWER)
+                                               // term: for the master of this term alone;
+                                               // age: ms since the sender took the edit in; stamp: the newest that
+                                               // the sender has of that master's clock in that term, 0: none
+#define EMBERDALE_EDIT_ANSWER(F) \
+  F(Integer, ask) F(Integer, code) F(Integer, version) F(Text, body) F(Integer, term) F(Integer, stamp)
+EMBERDALE_RECORD(EditAnswer, EMBERDALE_EDIT_ANSWER)  // code 0: this copy does nothing; with the stamp of a master's
+                                                     // clock: send it again with that stamp if it is young enough
 #define EMBERDALE_VIEW_ASK(F) F(Integer, ask)
 EMBERDALE_RECORD(ViewAsk, EMBERDALE_VIEW_ASK)
 #define EMBERDALE_VIEW_ANSWER(F) \
