--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -62,6 +62,8 @@
   void synced(std::int64_t token, Moment now);
   void write_refused(std::int64_t token);
   void stop(Moment now);
+  // The last act after a stop: all edits, reads and views that wait here are answered. Example: daemon.answer_all(now);
+  void answer_all(Moment now);
 
   std::vector<Sending> take_out();
   std::vector<WriteWish> take_writes();
@@ -178,6 +180,12 @@
   void forward_edits(Moment now);
   // Why an edit that arrives now is refused at once; nothing: it is not. Example: refusal_at_arrival(ask, now)
   std::optional<std::string> refusal_at_arrival(const EditAsk& ask, Moment now) const;
+  bool is_out_of_contact(Moment now) const {
+    const auto& limit = settings_.edit_times.contact_limit;
+    return limit && now - proposer_.reached_at() > *limit;
+  }
+  Address leader_to_send_to() const;
+  void end_waiting(const std::function<bool(const Waiting&)>& is_over, Moment now);
   void pass_hold(const Hold& hold);
   void pass_holds(Moment now);
   void lift_hold(const PassedHold& passed, const EditAnswer& answer);
--- a/packages/control-plane/include/emberdale/edit_age.hpp
+++ b/packages/control-plane/include/emberdale/edit_age.hpp
@@ -4,6 +4,7 @@
 #pragma once
 #include <optional>
 
+#include "emberdale/freshness_times.hpp"
 #include "emberdale/messages.hpp"
 #include "emberdale/small_types.hpp"
 
@@ -15,8 +16,10 @@
   Span asker_patience{7000};
   // How long a daemon without a leader keeps an edit that nobody has been sent yet.
   Span leader_wait{7000};
-  // A daemon that has not reached a majority of the register for so long refuses edits and reads at once; nothing:
-  // it keeps them and waits.
+  // How long it waits for the answer of a leader that was sent a copy; then the outcome is unknown.
+  Span answer_wait{6000 + late_ack_wait.value};
+  // A daemon that has not reached a majority of the register for so long refuses edits and reads at once, and it sends
+  // copies to none but the leader that it follows. Nothing: it waits, and tries the leader that the register names.
   std::optional<Span> contact_limit;
 };
 
--- a/packages/control-plane/include/emberdale/edit_forwarder.hpp
+++ b/packages/control-plane/include/emberdale/edit_forwarder.hpp
@@ -59,6 +59,8 @@
   std::optional<Waiting> on_answer(const EditAnswer& answer, Moment now);
   // Those whose time is over have been answered: refused where no copy can be done any more, else unknown.
   std::vector<std::pair<Waiting, EditAnswer>> on_timer(Moment now);
+  // This daemon ends: all that waits is answered, refused where no copy is out, else unknown.
+  std::vector<std::pair<Waiting, EditAnswer>> end_all();
   std::map<Integer, Waiting>& waiting() { return waiting_; }
 
  private:
@@ -66,6 +68,8 @@
     return is_bound_by_age(edit.ask) && now - edit.taken_at >= times_.asker_patience;
   }
 
+  std::pair<Waiting, EditAnswer> ended_without_answer(Waiting edit) const;
+
   EditTimes times_;
   Integer stamp_ = 0, stamp_term_ = -1;  // the newest that a master has answered a copy with
   std::map<Integer, Waiting> waiting_;   // by ask
--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -45,6 +45,8 @@
   void run(const MapVersion& map_version, Moment now);
   // `holders`: how many of the roster hold a map that covers a version, this daemon among them.
   void settle(const MapVersion& map_version, const std::function<std::size_t(const MapVersion&)>& holders, Moment now);
+  // This daemon ends: what has not begun is refused, what may be durable is unknown. Example: edits.end_all()
+  void end_all();
   // What an unknown outcome left open is read back. Example: edits.on_timer(now)
   void on_timer(Moment now);
   // While an edit's two rounds or its unknown outcome are open, no map may take a number.
@@ -72,6 +74,7 @@
   Address self_;
   std::vector<Edit> edits_, ended_;
   bool is_in_flight_ = false, is_outcome_open_ = false;
+  std::string in_flight_;  // the change that is being written
   MapVersion attempted_minimum_version_;
   // What was answered to edits handed over: asked again, this master says the same and does nothing.
   std::map<std::string, EditAnswer> answered_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -76,6 +76,15 @@
   collect(now);
 }
 
+void ControlDaemon::answer_all(Moment now) {
+  for (auto& [ended, answer] : forwarder_.end_all())
+    lift_hold(ended.hold, answer);
+  edits_.end_all();
+  end_edits();
+  end_waiting([](const Waiting&) { return true; }, now);
+  collect(now);
+}
+
 std::vector<DaemonEntry> ControlDaemon::known() const {
   std::vector<DaemonEntry> entries;
   for (const auto& [address, known] : known_)
@@ -179,8 +188,12 @@
 
 // Views and reads whose time is over end without an answer from others.
 void ControlDaemon::expire_waiting(Moment now) {
+  end_waiting([now](const Waiting& waiting) { return waiting.deadline <= now; }, now);
+}
+
+void ControlDaemon::end_waiting(const std::function<bool(const Waiting&)>& is_over, Moment now) {
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (entry->second.deadline > now) {
+    if (!is_over(entry->second)) {
       ++entry;
       continue;
     }
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -6,7 +6,7 @@
 namespace emberdale {
 namespace {
 
-constexpr Span poll_pace{350};
+constexpr Span poll_pace{350}, read_patience{2000};
 
 }  // namespace
 
@@ -31,8 +31,12 @@
 }
 
 std::optional<std::string> ControlDaemon::refusal_at_arrival(const EditAsk& ask, Moment now) const {
+  if (is_stopping_)
+    return "this daemon stops";
   if (!proposer_.has_state())
     return "no register is known here";
+  if (is_out_of_contact(now))
+    return "no majority of the register answers here";
   if (is_bound_by_age(ask) && pauses_.may_read_old_requests(now, proposer_.reached_at()))
     return "this daemon did not run for a while: the request may be old";
   return std::nullopt;
@@ -55,7 +59,7 @@
     }
     return run_edits(now);
   }
-  Address master = election_.master().empty() ? proposer_.state().master : election_.master();
+  Address master = leader_to_send_to();
   if (master == settings_.self.address)
     return;
   Integer term = std::max(proposer_.state().term, election_.term());
@@ -63,6 +67,13 @@
     out_.push_back(std::move(sending));
 }
 
+// A copy that goes to a leader that is gone makes a refusal unknown: where operators are told early, a leader that is
+// only named in the register is not tried.
+Address ControlDaemon::leader_to_send_to() const {
+  bool is_leader_tried = !is_edge() || !settings_.edit_times.contact_limit;
+  return election_.master().empty() && is_leader_tried ? proposer_.state().master : election_.master();
+}
+
 // "We were told": while an edit that takes a runner or a zone out of work is not settled (no master leads, the
 // core does not answer), every data daemon hears of it all the same. That only ever takes work away, and
 // lapses by itself; a refusal lifts it; the map settles it.
@@ -142,9 +153,11 @@
 }
 
 void ControlDaemon::read(std::function<void(const FleetState*)> done, Moment now) {
+  if (is_stopping_ || is_out_of_contact(now))
+    return done(nullptr);
   Waiting waiting;
   waiting.since = now;
-  waiting.deadline = now + Span{2000};
+  waiting.deadline = now + std::min(read_patience, settings_.edit_times.asker_patience);
   waiting.read = std::move(done);
   waiting_[++last_ask_] = std::move(waiting);
   poll_next_ = now + poll_pace;
--- a/packages/control-plane/src/control_process.cpp
+++ b/packages/control-plane/src/control_process.cpp
@@ -63,6 +63,12 @@
   post([](ControlDaemon& daemon) { daemon.stop(steady_now()); });
   // Edits in hand get their answer before the links go.
   std::this_thread::sleep_for(std::chrono::milliseconds(patience.value));
+  std::promise<void> answered;
+  post([&answered](ControlDaemon& daemon) {
+    daemon.answer_all(steady_now());
+    answered.set_value();
+  });
+  answered.get_future().wait();
   before_end();
   boost::asio::post(context_, [this] { context_.stop(); });
   control_.join();
--- a/packages/control-plane/src/edit_forwarder.cpp
+++ b/packages/control-plane/src/edit_forwarder.cpp
@@ -9,7 +9,7 @@
 namespace emberdale {
 namespace {
 using Json = nlohmann::json;
-constexpr Span forward_patience{6000 + late_ack_wait.value}, send_pace{500};
+constexpr Span send_pace{500};
 // Told to take work away, we say yes, no or unknown before grants by the old map could outlast 5 s.
 constexpr Span hold_patience{3000};
 }  // namespace
@@ -63,7 +63,7 @@
     // A large one takes its time on a narrow link, and so does its answer.
     edit.send_next = now + Span{send_pace.value + static_cast<std::int64_t>(edit.ask.body.size() / 200)};
     if (edit.copies.empty())
-      edit.deadline = now + forward_patience;
+      edit.deadline = now + times_.answer_wait;
     edit.ask.term = term;
     edit.ask.age = (now - edit.taken_at).value;
     edit.ask.stamp = stamp;
@@ -132,12 +132,7 @@
       ++entry;
       continue;
     }
-    bool is_refused = entry->second.copies.empty();
-    EditAnswer answer{entry->first, is_refused ? 503 : 504, 0,
-                      is_refused ? reason_body("no master is known here", "refused")
-                                 : reason_body("the master did not answer in time; read it back", "unknown"),
-                      0};
-    over.emplace_back(std::move(entry->second), std::move(answer));
+    over.push_back(ended_without_answer(std::move(entry->second)));
     entry = waiting_.erase(entry);
   }
   for (auto& [edit, answer] : over)
@@ -145,4 +140,23 @@
   return over;
 }
 
+std::vector<std::pair<EditForwarder::Waiting, EditAnswer>> EditForwarder::end_all() {
+  std::vector<std::pair<Waiting, EditAnswer>> over;
+  for (auto& [number, edit] : std::exchange(waiting_, {}))
+    over.push_back(ended_without_answer(std::move(edit)));
+  for (auto& [edit, answer] : over)
+    edit.done(answer);
+  return over;
+}
+
+std::pair<EditForwarder::Waiting, EditAnswer> EditForwarder::ended_without_answer(Waiting edit) const {
+  bool is_refused = edit.copies.empty();
+  EditAnswer answer;
+  answer.ask = edit.ask.ask;
+  answer.code = is_refused ? 503 : 504;
+  answer.body = is_refused ? reason_body("no master is known here", "refused")
+                           : reason_body("the master did not answer in time; read it back", "unknown");
+  return {std::move(edit), std::move(answer)};
+}
+
 }  // namespace emberdale
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -84,6 +84,7 @@
   if (next == edits_.end())
     return;
   is_in_flight_ = true;
+  in_flight_ = next->ask.change;
   ++counts_.edits;
   EditAsk ask = next->ask;
   Integer term = election_.term();
@@ -198,6 +199,18 @@
   }
 }
 
+void MasterEdits::end_all() {
+  while (!edits_.empty()) {
+    const Edit& edit = edits_.front();
+    bool may_be_durable = edit.is_committed || (is_in_flight_ && edit.ask.change == in_flight_);
+    EditAnswer answer;
+    answer.code = may_be_durable ? 504 : 503;
+    answer.body = may_be_durable ? reason_body("this daemon stops; read it back", "unknown")
+                                 : reason_body("this daemon stops", "refused");
+    end(0, std::move(answer));
+  }
+}
+
 void MasterEdits::on_timer(Moment now) {
   if (!is_outcome_open_ || is_in_flight_ || proposer_.changes_in_hand() != 0)
     return;
--- a/packages/control-plane/tests/order_age_test.cpp
+++ b/packages/control-plane/tests/order_age_test.cpp
@@ -10,7 +10,11 @@
 
 // Operators that go to another daemon after a second of silence. Nothing is refused for want of contact here: it
 // is the age alone that must keep an old order out.
-EditTimes impatient_operators() { return EditTimes{Span{800}, Span{800}, std::nullopt}; }
+EditTimes impatient_operators() {
+  EditTimes times;
+  times.asker_patience = times.leader_wait = Span{800};
+  return times;
+}
 
 std::string body_of_order(bool is_emptied) { return is_emptied ? "emptied" : "serving"; }
 
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -54,10 +54,12 @@
   std::int64_t delay = 1;
   std::int64_t sync_time = 2;  // of a disk, and as much again at random
   EditTimes edit_times;        // of machines that start from now on
-  bool holds_frames = false;   // frames that meet a cut or a frozen process come later, and are not lost
+  ElectionTimes election;
+  bool holds_frames = false;  // frames that meet a cut or a frozen process come later, and are not lost
 
   Machine& at(const std::string& name) { return *machines_.at(name); }
   std::int64_t now() const { return now_; }
+  Moment clock(const Machine& made) const { return Moment{now_ + made.clock}; }
 
   void add(const std::string& name, const std::string& zone, bool is_seed) {
     auto made = std::make_unique<Machine>();
@@ -108,6 +110,7 @@
     settings.reconciles_membership = true;
     settings.acknowledges_at_once = true;
     settings.edit_times = edit_times;
+    settings.election = election;
     made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
       if (event.kind == "founded")
@@ -137,6 +140,21 @@
     made.log.reset();
   }
 
+  // A clean stop: the process has a while for what it holds, and ends. Example: fleet.stop("a0", 300)
+  void stop(const std::string& name, std::int64_t patience) {
+    Machine& made = at(name);
+    made.control->stop(clock(made));
+    flush(made);
+    later(patience, [this, name, life = made.life] {
+      Machine& ending = at(name);
+      if (!ending.is_up || ending.life != life)
+        return;
+      ending.control->answer_all(clock(ending));
+      flush(ending);
+      kill(name);
+    });
+  }
+
   // What was not synced is gone, or torn; nobody refuses links there. Example: fleet.power_cut("a0")
   void power_cut(const std::string& name) {
     kill(name);
@@ -370,8 +388,6 @@
     bool operator<(const Event& other) const { return std::tie(other.at, other.number) < std::tie(at, number); }
   };
 
-  Moment clock(const Machine& made) const { return Moment{now_ + made.clock}; }
-
   void tick(const std::string& name, int life) {
     Machine& made = at(name);
     if (!made.is_up || made.life != life)
