--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -63,6 +63,8 @@
   // Number of the newest read that a majority has answered alike. Unlike a time it tells a question that was asked
   // before an event from one that was asked after it within the same millisecond.
   std::int64_t confirmed_read() const { return confirmed_read_; }
+  // Start of the newest read that a majority has answered, whether or not they held the same value.
+  Moment reached_at() const { return reached_at_; }
   const std::vector<AcceptorEntry>& acceptors() const { return acceptors_; }
   // Silence of each edge daemon as a majority of copies reports it; empty when not known.
   const std::optional<std::map<Address, Span>>& silences() const { return silences_; }
@@ -128,7 +130,7 @@
   FleetState state_;
   Bytes state_bytes_;
   Ballot state_ballot_;
-  Moment confirmed_at_{-1};
+  Moment confirmed_at_{-1}, reached_at_{-1};
   std::optional<Round> current_;
   std::deque<Job> waiting_;
   std::optional<Read> read_;
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -12,6 +12,8 @@
 
 void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
   ask.ask = ++last_ask_;
+  if (auto refusal = refusal_at_arrival(ask, now))
+    return done(EditAnswer{ask.ask, 503, 0, reason_body(*refusal, "refused"), 0});
   PassedHold hold = hold_of(ask, version_of(ask), now);
   if (election_.is_master()) {
     MasterEdits::Edit edit;
@@ -21,8 +23,6 @@
     edit.hold = std::move(hold);
     edits_.take(std::move(edit), now);
     run_edits(now);
-  } else if (!proposer_.has_state()) {
-    return done(EditAnswer{ask.ask, 503, 0, reason_body("no register is known here", "refused"), 0});
   } else {
     forwarder_.take(std::move(ask), std::move(done), std::move(hold), now);
     forward_edits(now);
@@ -30,13 +30,25 @@
   collect(now);
 }
 
+std::optional<std::string> ControlDaemon::refusal_at_arrival(const EditAsk& ask, Moment now) const {
+  if (is_stopping_)
+    return "this daemon stops";
+  if (!proposer_.has_state())
+    return "no register is known here";
+  if (is_out_of_contact(now))
+    return "no majority of the register answers here";
+  if (is_bound_by_age(ask) && pauses_.may_read_old_requests(now, proposer_.reached_at()))
+    return "this daemon did not run for a while: the request may be old";
+  return std::nullopt;
+}
+
 // Hands what was taken in here to the master; without one it waits a while for the next. The same change,
 // handed to a second master after the first was lost, counts once.
 void ControlDaemon::forward_edits(Moment now) {
   if (forwarder_.waiting().empty() || !proposer_.has_state())
     return;
   if (election_.is_master()) {
-    for (auto& waiting : forwarder_.take_back()) {
+    for (auto& waiting : forwarder_.take_back(now)) {
       MasterEdits::Edit edit;
       edit.ask = std::move(waiting.ask);
       edit.ask.term = election_.term();
@@ -47,13 +59,21 @@
     }
     return run_edits(now);
   }
-  Address master = election_.master().empty() ? proposer_.state().master : election_.master();
+  Address master = leader_to_send_to();
   if (master == settings_.self.address)
     return;
-  for (auto& sending : forwarder_.send(master, std::max(proposer_.state().term, election_.term()), now))
+  Integer term = std::max(proposer_.state().term, election_.term());
+  for (auto& sending : forwarder_.send(master, term, now, election_.master_stamp(term)))
     out_.push_back(std::move(sending));
 }
 
+// A copy that goes to a leader that is gone makes a refusal unknown: where operators are told early, a leader that is
+// only named in the register is not tried.
+Address ControlDaemon::leader_to_send_to() const {
+  bool is_leader_tried = !is_edge() || !settings_.edit_times.contact_limit;
+  return election_.master().empty() && is_leader_tried ? proposer_.state().master : election_.master();
+}
+
 // "We were told": while an edit that takes a runner or a zone out of work is not settled (no master leads, the
 // core does not answer), every data daemon hears of it all the same. That only ever takes work away, and
 // lapses by itself; a refusal lifts it; the map settles it.
@@ -133,8 +153,10 @@
 }
 
 void ControlDaemon::read(std::function<void(const FleetState*)> done, Moment now) {
+  if (is_stopping_ || is_out_of_contact(now))
+    return done(nullptr);
   Waiting waiting;
-  waiting.deadline = now + read_patience;
+  waiting.deadline = now + std::min(read_patience, settings_.edit_times.asker_patience);
   waiting.read = std::move(done);
   waiting_[++last_ask_] = std::move(waiting);
   poll_for_reads(now);
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
   std::unique_ptr<SegmentedLog> log;
   std::unique_ptr<ControlDaemon> control;
   std::vector<WriteWish> to_write;
+  std::vector<std::function<void()>> requests;  // of operators, in the sockets of a frozen process
   std::int64_t clock = 0;
   int starts = 0, life = 0, foundings = 0;
   bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
@@ -60,9 +62,14 @@
   // Sees each message as it is sent. Example: fleet.on_send = [&](const std::string& from, const Address& to, const
   // Message& message) { ... };
   std::function<void(const std::string&, const Address&, const Message&)> on_send;
+  std::int64_t sync_time = 2;  // of a disk, and as much again at random
+  EditTimes edit_times;        // of machines that start from now on
+  ElectionTimes election;
+  bool holds_frames = false;  // frames that meet a cut or a frozen process come later, and are not lost
 
   Machine& at(const std::string& name) { return *machines_.at(name); }
   std::int64_t now() const { return now_; }
+  Moment clock(const Machine& made) const { return Moment{now_ + made.clock}; }
 
   void add(const std::string& name, const std::string& zone, bool is_seed) {
     auto made = std::make_unique<Machine>();
@@ -114,6 +121,8 @@
     settings.acknowledges_at_once = true;
     if (adjust)
       adjust(settings);
+    settings.edit_times = edit_times;
+    settings.election = election;
     made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
       if (event.kind == "founded")
@@ -143,6 +152,21 @@
     made.log.reset();
   }
 
+  // A clean stop: the process has a while for what it holds, and ends. Example: fleet.stop("a0", 300)
+  void stop(const std::string& name, std::int64_t patience) {
+    Machine& made = at(name);
+    made.control->stop(clock(made));
+    flush(made);
+    later(patience, [this, name, life = made.life] {
+      Machine& ending = at(name);
+      if (!ending.is_up || ending.life != life)
+        return;
+      ending.control->answer_all(clock(ending));
+      flush(ending);
+      kill(name);
+    });
+  }
+
   // What was not synced is gone, or torn; nobody refuses links there. Example: fleet.power_cut("a0")
   void power_cut(const std::string& name) {
     kill(name);
@@ -152,10 +176,17 @@
   }
 
   void wipe(const std::string& name) { at(name).files->wipe(); }
+  // Once it runs again, what waited in its sockets is read before or after its next timer, as chance has it.
   void freeze(const std::string& name, bool is_frozen) {
-    at(name).is_frozen = is_frozen;
-    for (auto& act : std::exchange(at(name).buffered, {}))
+    Machine& made = at(name);
+    made.is_frozen = is_frozen;
+    if (is_frozen)
+      return;
+    for (auto& act : std::exchange(made.buffered, {}))
       act();
+    for (auto& request : std::exchange(made.requests, {}))
+      later(random_.below(60), std::move(request));
+    release_frames();
   }
 
   // Acts on one daemon, and sends what it wishes for.
@@ -175,6 +206,7 @@
   void heal() {
     cut_zone_.clear();
     cuts_.clear();
+    release_frames();
   }
 
   void later(std::int64_t ms, std::function<void()> act) { events_.push({now_ + ms, ++last_event_, std::move(act)}); }
@@ -252,32 +284,64 @@
   }
 
   std::shared_ptr<EditOutcome> edit(const std::string& where) {
-    auto outcome = std::make_shared<EditOutcome>();
-    outcome->name = "runner-" + std::to_string(++last_edit_);
-    outcome->asked = now_;
     EditAsk ask;
-    ask.change = "change-" + std::to_string(last_edit_);
     ask.act = "put";
     ask.kind = "runners";
-    ask.name = outcome->name;
     ask.expected = -1;
-    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20000 + last_edit_) +
+    ask.name = "runner-" + std::to_string(last_edit_ + 1);
+    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20001 + last_edit_) +
                R"(","pool":"models","zone":"a","region":"north","seal_key":"k"})";
-    Machine& target = at(where);
-    target.control->edit(
-        ask,
-        [this, outcome](const EditAnswer& answer) {
-          outcome->is_over = true;
-          outcome->code = answer.code;
-          outcome->over = now_;
-          if (outcome->is_acknowledged())
-            acknowledged_.insert(outcome->name);
-        },
-        clock(target));
-    flush(target);
+    return request(where, std::move(ask));
+  }
+
+  // An operator's order for a zone. Example: fleet.order("a0", "a", true)
+  std::shared_ptr<EditOutcome> order(const std::string& where, const std::string& zone, bool is_emptied) {
+    EditAsk ask;
+    ask.act = "put";
+    ask.kind = "zone-orders";
+    ask.expected = -1;
+    ask.name = zone;
+    ask.body = is_emptied ? R"({"state":"emptied"})" : R"({"state":"serving"})";
+    return request(where, std::move(ask));
+  }
+
+  // A runner is marked as leaving, or as staying. Example: fleet.mark_runner("a0", "runner-1", true)
+  std::shared_ptr<EditOutcome> mark_runner(const std::string& where, const std::string& runner, bool is_leaving) {
+    EditAsk ask;
+    ask.act = "patch";
+    ask.kind = "runners";
+    ask.expected = -1;
+    ask.name = runner;
+    ask.body = is_leaving ? R"({"leaving":true})" : R"({"leaving":false})";
+    return request(where, std::move(ask));
+  }
+
+  // Any edit. To a frozen process it comes once that runs again.
+  std::shared_ptr<EditOutcome> request(const std::string& where, EditAsk ask) {
+    ask.change = "change-" + std::to_string(++last_edit_);
+    auto outcome = std::make_shared<EditOutcome>();
+    outcome->name = ask.name;
+    outcome->asked = now_;
+    if (at(where).is_frozen)
+      at(where).requests.push_back([this, where, ask, outcome] { take_request(where, ask, outcome); });
+    else
+      take_request(where, ask, outcome);
     return outcome;
   }
 
+  // The body of a resource as that daemon's state shows it, without white space.
+  // Example: fleet.body_of("a0", "zone-orders", "a") == R"({"state":"emptied"})"
+  std::string body_of(const std::string& seen_by, const std::string& kind, const std::string& name) {
+    for (const auto& resource : state(seen_by).resources)
+      if (resource.kind == kind && resource.name == name) {
+        std::string body = resource.body;
+        body.erase(std::remove_if(body.begin(), body.end(), [](unsigned char sign) { return std::isspace(sign) != 0; }),
+                   body.end());
+        return body;
+      }
+    return "";
+  }
+
   // Asked at any running machine, or at one alone, until one is acknowledged. Example: fleet.edit_until_done(8000)
   bool edit_until_done(std::int64_t ms, const std::string& where = "") {
     std::int64_t end = now_ + ms;
@@ -349,8 +413,6 @@
     bool operator<(const Event& other) const { return std::tie(other.at, other.number) < std::tie(at, number); }
   };
 
-  Moment clock(const Machine& made) const { return Moment{now_ + made.clock}; }
-
   void tick(const std::string& name, int life) {
     Machine& made = at(name);
     if (!made.is_up || made.life != life)
@@ -377,8 +439,11 @@
     if (target == by_address_.end())
       return;
     const std::string name = target->second;
-    if (is_cut(at(from), at(name)))
+    if (is_cut(at(from), at(name))) {
+      if (holds_frames)
+        held_.push_back({from, to, std::move(message)});
       return;
+    }
     if (from != name && random_.chance(loss))
       return;
     std::int64_t wait = from == name ? 0 : delay + random_.below(delay + 1);
@@ -393,6 +458,10 @@
         }
         return;
       }
+      if (awake.is_frozen && holds_frames) {
+        held_.push_back({from, to, std::move(*shared)});
+        return;
+      }
       if (awake.is_frozen && !awake.keeps_what_comes)
         return;  // its buffers are small
       if (counts_bytes && from != name)
@@ -411,6 +480,35 @@
     });
   }
 
+  struct HeldFrame {
+    std::string from;
+    Address to;
+    Message message;
+  };
+
+  // Those that still meet a cut are held again.
+  void release_frames() {
+    for (auto& frame : std::exchange(held_, {}))
+      deliver(frame.from, frame.to, std::move(frame.message));
+  }
+
+  void take_request(const std::string& where, const EditAsk& ask, const std::shared_ptr<EditOutcome>& outcome) {
+    Machine& target = at(where);
+    if (!target.is_up)
+      return;
+    target.control->edit(
+        ask,
+        [this, outcome](const EditAnswer& answer) {
+          outcome->is_over = true;
+          outcome->code = answer.code;
+          outcome->over = now_;
+          if (outcome->is_acknowledged())
+            acknowledged_.insert(outcome->name);
+        },
+        clock(target));
+    flush(target);
+  }
+
   void flush(Machine& made) {
     for (auto& write : made.control->take_writes())
       made.to_write.push_back(std::move(write));
@@ -438,7 +536,7 @@
     for (auto& write : batch)
       records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
-    later((2 + random_.below(3)) * made.disk_slowness,
+    later((sync_time + random_.below(sync_time + 1)) * made.disk_slowness,
           [this, name = made.name, life = made.life, last = batch.back().token] {
             Machine& awake = at(name);
             if (!awake.is_up || awake.life != life)
@@ -461,6 +559,7 @@
   std::vector<Address> seeds_;
   std::string cut_zone_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::vector<HeldFrame> held_;
   int last_edit_ = 0;
   std::set<std::string> acknowledged_;
   std::map<std::string, Integer> seen_;
