--- /dev/null
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -0,0 +1,447 @@
+// Machines that each run one control process, under virtual time: a harness for tests of whole fleets.
+// Links, cuts, frozen processes and disks in memory; every run of one seed is the same.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emberdale/avro_codec.hpp"
+#include "emberdale/control_daemon.hpp"
+#include "emberdale/segmented_log.hpp"
+
+namespace emberdale {
+
+struct Machine {
+  std::string name;
+  Address address;
+  ZoneName zone;
+  std::vector<Address> seeds;
+  std::shared_ptr<MemoryFileSystem> files = std::make_shared<MemoryFileSystem>();
+  std::unique_ptr<SegmentedLog> log;
+  std::unique_ptr<ControlDaemon> control;
+  std::vector<WriteWish> to_write;
+  std::int64_t clock = 0;
+  int starts = 0, life = 0, foundings = 0;
+  bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
+};
+
+struct EditOutcome {
+  bool is_over = false;
+  Integer code = 0;
+  std::string name;
+  std::int64_t asked = 0, over = 0;
+  bool is_acknowledged() const { return code == 200 || code == 201; }
+};
+
+// Example:
+//   MachineFleet fleet(7); fleet.add("a", 3); fleet.start("a0", true); fleet.run(1000);
+//   fleet.power_cut("a0"); fleet.run_until([&] { return !fleet.master().empty(); }, 6000);
+class MachineFleet {
+ public:
+  explicit MachineFleet(std::uint64_t seed) : seed_(seed), random_(seed) {}
+
+  double loss = 0;
+  std::int64_t delay = 1;
+
+  Machine& at(const std::string& name) { return *machines_.at(name); }
+  std::int64_t now() const { return now_; }
+
+  void add(const std::string& name, const std::string& zone, bool is_seed) {
+    auto made = std::make_unique<Machine>();
+    made->name = name;
+    made->zone.text = zone;
+    made->address.text = "10.0.0." + std::to_string(10 + machines_.size()) + ":7000";
+    made->clock = 1000000 + random_.below(100000000);
+    by_address_[made->address] = name;
+    if (is_seed)
+      seeds_.push_back(made->address);
+    else if (!running().empty())
+      set_seeds(*made);
+    machines_[name] = std::move(made);
+  }
+
+  // Three machines are seeds; the zones are a, b, c in turn.
+  std::vector<std::string> add_many(int count) {
+    std::vector<std::string> names;
+    for (int i = 0; i < count; ++i) {
+      std::string zone(1, static_cast<char>('a' + i % 3));
+      names.push_back(zone + std::to_string(i / 3));
+      add(names.back(), zone, i < 3);
+    }
+    return names;
+  }
+
+  void start(const std::string& name, bool founds_itself) {
+    Machine& made = at(name);
+    if (made.is_up)
+      return;
+    made.is_up = made.has_power = true;
+    made.is_writing = made.is_frozen = false;
+    made.to_write.clear();
+    ++made.starts;
+    int life = ++made.life;
+    made.log = std::make_unique<SegmentedLog>(made.files, 1 << 15);
+    auto opening = made.log->open("store-" + name + "-" + std::to_string(made.starts));
+    ASSERT_TRUE(opening) << opening.reason;
+    ASSERT_FALSE(opening->was_corrupt) << opening->finding;
+    auto acceptor = std::make_unique<RegisterAcceptor>(opening->store);
+    auto restored = acceptor->restore(opening->records);
+    ASSERT_TRUE(restored) << restored.reason;
+    ControlDaemonSettings settings;
+    settings.self = DaemonEntry{made.address, "http-" + name, "edge", made.zone, RegionName{"north"}, made.starts};
+    settings.seeds = made.seeds.empty() ? seeds_ : made.seeds;
+    settings.random_seed = seed_ * 1000003 + stable_hash(name) + static_cast<std::uint64_t>(made.starts);
+    settings.founds_itself = founds_itself;
+    settings.reconciles_membership = true;
+    settings.acknowledges_at_once = true;
+    made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
+    made.control->journal().on_event = [this, &made](const JournalEvent& event) {
+      if (event.kind == "founded")
+        ++made.foundings;
+      story_ += std::to_string(now_) + " " + made.name + " " + event.kind + " " + event.detail + "\n";
+    };
+    made.control->start(clock(made));
+    flush(made);
+    later(1 + random_.below(25), [this, name, life] { tick(name, life); });
+  }
+
+  // Who comes later is told of machines that run. Example: fleet.set_seeds(fleet.at("new"))
+  void set_seeds(Machine& made) {
+    made.seeds.clear();
+    for (const auto& name : running())
+      if (made.seeds.size() < 3)
+        made.seeds.push_back(at(name).address);
+  }
+
+  void kill(const std::string& name) {
+    Machine& made = at(name);
+    if (!made.is_up)
+      return;
+    made.is_up = false;
+    ++made.life;
+    made.control.reset();
+    made.log.reset();
+  }
+
+  // What was not synced is gone, or torn; nobody refuses links there. Example: fleet.power_cut("a0")
+  void power_cut(const std::string& name) {
+    kill(name);
+    at(name).has_power = false;
+    at(name).files->is_off = true;
+    at(name).files->power_on(random_);
+  }
+
+  void wipe(const std::string& name) { at(name).files->wipe(); }
+  void freeze(const std::string& name, bool is_frozen) { at(name).is_frozen = is_frozen; }
+
+  void cut_zone(const std::string& zone) { cut_zone_ = zone; }
+  void cut_link(const std::string& one, const std::string& other) {
+    cuts_.insert({one, other});
+    cuts_.insert({other, one});
+  }
+  void heal() {
+    cut_zone_.clear();
+    cuts_.clear();
+  }
+
+  void later(std::int64_t ms, std::function<void()> act) { events_.push({now_ + ms, ++last_event_, std::move(act)}); }
+
+  void run(std::int64_t ms) {
+    run_until([] { return false; }, ms);
+  }
+
+  bool run_until(const std::function<bool()>& question, std::int64_t ms) {
+    std::int64_t end = now_ + ms;
+    while (!events_.empty() && events_.top().at <= end) {
+      Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.act();
+      if (question())
+        return true;
+    }
+    now_ = end;
+    return question();
+  }
+
+  // --- what is seen -----------------------------------------------------------------------------
+  std::string master() const {
+    std::string best;
+    Integer term = 0;
+    for (const auto& [name, made] : machines_)
+      if (made->is_up && !made->is_frozen && made->control->election().is_master() &&
+          made->control->election().term() > term) {
+        term = made->control->election().term();
+        best = name;
+      }
+    return best;
+  }
+
+  std::vector<std::string> running() const {
+    std::vector<std::string> names;
+    for (const auto& [name, made] : machines_)
+      if (made->is_up && !made->is_frozen)
+        names.push_back(name);
+    return names;
+  }
+
+  const FleetState& state(const std::string& name) { return at(name).control->proposer().state(); }
+
+  // Whether that daemon's state names just these machines' stores, as they are, as the set.
+  bool has_set(const std::string& seen_by, std::vector<std::string> names) {
+    if (!at(seen_by).is_up)
+      return false;
+    const FleetState& shown = state(seen_by);
+    if (!shown.next_acceptors.empty() || shown.acceptors.size() != names.size())
+      return false;
+    return std::all_of(names.begin(), names.end(), [&](const std::string& name) {
+      return std::any_of(shown.acceptors.begin(), shown.acceptors.end(), [&](const auto& entry) {
+        return entry.address == at(name).address &&
+               (!at(name).is_up || at(name).control->acceptor()->store() == entry.store);
+      });
+    });
+  }
+
+  bool is_settled(const std::vector<std::string>& names) {
+    std::string leader = master();
+    if (leader.empty())
+      return false;
+    return std::all_of(names.begin(), names.end(), [&](const auto& name) {
+      return has_set(name, names) && (name == leader || at(name).control->election().master() == at(leader).address);
+    });
+  }
+
+  int foundings() const {
+    int count = 0;
+    for (const auto& [name, made] : machines_)
+      count += made->foundings;
+    return count;
+  }
+
+  std::shared_ptr<EditOutcome> edit(const std::string& where) {
+    auto outcome = std::make_shared<EditOutcome>();
+    outcome->name = "runner-" + std::to_string(++last_edit_);
+    outcome->asked = now_;
+    EditAsk ask;
+    ask.change = "change-" + std::to_string(last_edit_);
+    ask.act = "put";
+    ask.kind = "runners";
+    ask.name = outcome->name;
+    ask.expected = -1;
+    ask.body = R"({"address":"127.0.0.1:)" + std::to_string(20000 + last_edit_) +
+               R"(","pool":"models","zone":"a","region":"north","seal_key":"k"})";
+    Machine& target = at(where);
+    target.control->edit(
+        ask,
+        [this, outcome](const EditAnswer& answer) {
+          outcome->is_over = true;
+          outcome->code = answer.code;
+          outcome->over = now_;
+          if (outcome->is_acknowledged())
+            acknowledged_.insert(outcome->name);
+        },
+        clock(target));
+    flush(target);
+    return outcome;
+  }
+
+  // Asked at any running machine, or at one alone, until one is acknowledged. Example: fleet.edit_until_done(8000)
+  bool edit_until_done(std::int64_t ms, const std::string& where = "") {
+    std::int64_t end = now_ + ms;
+    while (now_ < end) {
+      auto names = running();
+      if (names.empty())
+        return false;
+      if (!where.empty())
+        names = {where};
+      auto outcome = edit(names[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(names.size())))]);
+      run_until([&] { return outcome->is_over; }, end - now_);
+      if (outcome->is_acknowledged())
+        return true;
+      run(50);
+    }
+    return false;
+  }
+
+  // All that was acknowledged is in a state that a majority confirms now, and no two daemons ever held two
+  // states of one version.
+  void expect_nothing_lost(const std::string& where) {
+    std::shared_ptr<FleetState> shown;
+    for (int tries = 0; tries < 5 && !shown; ++tries) {
+      at(where).control->read(
+          [&shown](const FleetState* read) {
+            if (read != nullptr)
+              shown = std::make_shared<FleetState>(*read);
+          },
+          clock(at(where)));
+      flush(at(where));
+      run_until([&] { return shown != nullptr; }, 2500);
+    }
+    ASSERT_TRUE(shown) << story();
+    std::set<std::string> held;
+    for (const auto& resource : shown->resources)
+      held.insert(resource.name);
+    for (const auto& name : acknowledged_)
+      EXPECT_EQ(held.count(name), 1u) << name << " was acknowledged and is gone\n" << story();
+    EXPECT_TRUE(split_.empty()) << split_ << story();
+  }
+
+  // What happened so far and how each daemon stands, to read after a break.
+  std::string story() {
+    std::string text = "at " + std::to_string(now_) + "\n" + story_;
+    for (const auto& [name, made] : machines_) {
+      text += name + " " + made->address.text + (made->is_up ? made->is_frozen ? " frozen" : " up" : " down");
+      if (made->is_up) {
+        const auto& election = made->control->election();
+        text += " phase " + std::to_string(static_cast<int>(election.phase())) + " master " + election.master().text +
+                " starved " + std::to_string(election.starved_rounds()) + " state " +
+                std::to_string(state(name).version) + " map " + show(made->control->map().version) + " roster " +
+                std::to_string(state(name).roster.size()) + " set";
+        for (const auto& entry : state(name).acceptors)
+          text += " " + entry.address.text + "=" + entry.store.text;
+        for (const auto& entry : state(name).next_acceptors)
+          text += " next " + entry.address.text + "=" + entry.store.text;
+      }
+      text += "\n";
+    }
+    return text;
+  }
+  RandomGenerator& random() { return random_; }
+  std::size_t acknowledged() const { return acknowledged_.size(); }
+
+ private:
+  struct Event {
+    std::int64_t at, number;
+    std::function<void()> act;
+    bool operator<(const Event& other) const { return std::tie(other.at, other.number) < std::tie(at, number); }
+  };
+
+  Moment clock(const Machine& made) const { return Moment{now_ + made.clock}; }
+
+  void tick(const std::string& name, int life) {
+    Machine& made = at(name);
+    if (!made.is_up || made.life != life)
+      return;
+    if (!made.is_frozen) {
+      made.control->on_timer(clock(made));
+      flush(made);
+    }
+    later(25, [this, name, life] { tick(name, life); });
+  }
+
+  bool is_cut(const Machine& from, const Machine& to) const {
+    if (&from == &to)
+      return false;
+    if (!cut_zone_.empty() && (from.zone.text == cut_zone_) != (to.zone.text == cut_zone_))
+      return true;
+    return cuts_.count({from.name, to.name}) != 0;
+  }
+
+  void deliver(const std::string& from, const Address& to, Message message) {
+    auto target = by_address_.find(to);
+    if (target == by_address_.end())
+      return;
+    const std::string name = target->second;
+    if (is_cut(at(from), at(name)))
+      return;
+    if (from != name && random_.chance(loss))
+      return;
+    std::int64_t wait = from == name ? 0 : delay + random_.below(delay + 1);
+    Address sender = at(from).address;
+    auto shared = std::make_shared<Message>(std::move(message));
+    later(wait, [this, name, from, sender, shared, to] {
+      Machine& awake = at(name);
+      if (!awake.is_up) {
+        if (awake.has_power && !is_cut(awake, at(from)) && at(from).is_up && !at(from).is_frozen) {
+          at(from).control->on_refused(to, clock(at(from)));
+          flush(at(from));
+        }
+        return;
+      }
+      if (awake.is_frozen)
+        return;  // its buffers are small
+      awake.control->on_message(sender, *shared, clock(awake));
+      flush(awake);
+    });
+  }
+
+  void flush(Machine& made) {
+    for (auto& write : made.control->take_writes())
+      made.to_write.push_back(std::move(write));
+    start_writing(made);
+    for (auto& sending : made.control->take_out())
+      deliver(made.name, sending.to, std::move(sending.message));
+    made.control->take_probes();
+    if (!made.control->proposer().has_state())
+      return;
+    const FleetState& shown = state(made.name);
+    if (seen_[made.name] == shown.version)
+      return;
+    seen_[made.name] = shown.version;
+    auto [entry, is_new] = versions_.insert({shown.version, encode_state(shown)});
+    if (!is_new && entry->second != encode_state(shown))
+      split_ += made.name + " holds another version " + std::to_string(shown.version) + "\n";
+  }
+
+  void start_writing(Machine& made) {
+    if (made.is_writing || made.to_write.empty())
+      return;
+    made.is_writing = true;
+    std::vector<WriteWish> batch = std::exchange(made.to_write, {});
+    std::vector<std::string> records;
+    for (auto& write : batch)
+      records.push_back(write.record);
+    ASSERT_TRUE(made.log->append(records));
+    later(2 + random_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
+      Machine& awake = at(name);
+      if (!awake.is_up || awake.life != life)
+        return;
+      ASSERT_TRUE(awake.log->sync());
+      awake.control->synced(last, clock(awake));
+      if (awake.log->wants_snapshot())
+        awake.log->snapshot(awake.control->acceptor()->picture());
+      awake.is_writing = false;
+      flush(awake);
+    });
+  }
+
+  std::uint64_t seed_;
+  RandomGenerator random_;
+  std::int64_t now_ = 0, last_event_ = 0;
+  std::priority_queue<Event> events_;
+  std::map<std::string, std::unique_ptr<Machine>> machines_;
+  std::map<Address, std::string> by_address_;
+  std::vector<Address> seeds_;
+  std::string cut_zone_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  int last_edit_ = 0;
+  std::set<std::string> acknowledged_;
+  std::map<std::string, Integer> seen_;
+  std::map<Integer, std::string> versions_;
+  std::string split_, story_;
+};
+
+// More of them by hand: EMBERDALE_SEEDS=1000 one-process-test
+inline const std::uint64_t seeds =
+    std::getenv("EMBERDALE_SEEDS") == nullptr ? 30 : std::strtoull(std::getenv("EMBERDALE_SEEDS"), nullptr, 10);
+
+// A fleet of so many machines, founded and led.
+inline std::vector<std::string> bring_up(MachineFleet& fleet, int count) {
+  auto names = fleet.add_many(count);
+  for (const auto& name : names)
+    fleet.start(name, true);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, count <= 6 ? 4000 : 8000)) << fleet.story();
+  EXPECT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
+  fleet.run(fleet.random().below(1000));
+  return names;
+}
+
+}  // namespace emberdale
