Hand a leaving replica's place over, and keep newcomers as synced learners

Cause: on SIGTERM a control machine stayed in the register's set until it had been silent for 2.5 s, and a newcomer beside three healthy replicas made four, of which three are needed. A second loss in between left no majority.

Now the wanted size comes from the policy (2 x lost machines + 1, at least three, always odd). A newcomer beside a full set is a learner: the master gives it each chosen value, it has no vote. A replica that is asked to end replaces itself by a learner in a joint change, waits until that is whole and the successor synced (4 s at most), then lays its term down. Without a learner it ends at once, as before. Dead members leave only in numbers that lower the majority. Whether a replica is dead is the master's decision alone (any member's while there is none), on the word of a majority of replicas; every change is refused unless a majority of the old and of the next set has just answered. A control daemon without a store says so, and founding does not wait for its store.

--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -55,11 +55,13 @@
 
   bool has_state() const { return has_state_; }
   const FleetState& state() const { return state_; }  // the newest state known to be chosen
+  const Bytes& state_bytes() const { return state_bytes_; }  // the same state, encoded
   const Ballot& ballot() const { return state_ballot_; }
   Moment confirmed_at() const { return confirmed_at_; }  // start of the read that proved it newest
   const std::vector<AcceptorEntry>& acceptors() const { return acceptors_; }
   // Silence of each edge daemon as a majority of copies reports it; empty when not known.
   const std::optional<std::map<Address, Span>>& silences() const { return silences_; }
+  Moment silences_at() const { return silences_at_; }  // start of the read that told them
   std::size_t changes_in_hand() const { return waiting_.size() + (current_ ? 1 : 0); }
 
   struct Counts {
@@ -127,6 +129,7 @@
   std::map<Ballot, Bytes> read_values_;
   int split_reads_ = 0;
   std::optional<std::map<Address, Span>> silences_;
+  Moment silences_at_{-1};
   std::int64_t last_ask_;
   std::vector<Sending> out_;
   Counts counts_;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -242,6 +242,7 @@
       }
     silences[Address{}] = watched;
     silences_ = std::move(silences);
+    silences_at_ = read.begun;
   }
   if (!has_majority(read.acceptors, read.next, same)) {
     // A change is under way, or was left behind: mend it by carrying the newest through once more.
@@ -344,7 +345,7 @@
     return true;
   }
   if (const auto* answer = std::get_if<ReadAnswer>(&message)) {
-    if (!read_ || answer->ask != read_->ask)
+    if (!read_ || answer->ask != read_->ask || answer->store.empty())
       return true;
     Read& read = *read_;
     read.answers[answer->store] = answer->accepted;
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -36,7 +36,9 @@
   ElectionTimes election;
   // For deployments of one process a machine (docs/design.md): role "edge" with an acceptor.
   bool founds_itself = false;          // true only on the very first start of the whole system, on empty disks
-  bool reconciles_membership = false;  // newcomers replace silent core machines, or are added, by themselves
+  bool reconciles_membership = false;  // learners replace silent or leaving replicas, or are added, by themselves
+  MembershipPolicy membership;         // what the set of replicas has to bear
+  Span hand_over_patience{4000};       // a replica that ends waits so long at most for its successor
   bool acknowledges_at_once = false;   // data daemons serve on without grants: no elder's word is waited for
   bool reads_runner_list = false;      // runners come from an outside list, not from operators' documents
   Span probe_pace{400};                // between two probes of one runner
@@ -59,7 +61,10 @@
   void on_refused(const Address& peer, Moment now);
   void synced(std::int64_t token, Moment now);
   void write_refused(std::int64_t token);
+  // Begins to end in order. A replica first hands its place over to a learner, if one is known.
   void stop(Moment now);
+  // After stop(): the place is handed over, or there is nothing to hand over. Example: daemon.is_ready_to_end()
+  bool is_ready_to_end() const { return is_stopping_ && !is_handing_over_; }
 
   std::vector<Sending> take_out();
   std::vector<WriteWish> take_writes();
@@ -139,6 +144,11 @@
   void see_state(Moment now);
   void keep_roster(Moment now);
   void reconcile_membership(Moment now);
+  DecisionRight decision_right() const;
+  bool is_replica() const;
+  void continue_stopping(Moment now);
+  void take_leave(Moment now);
+  bool answer_without_store(const Address& from, const Message& message);
   bool is_led_by_others(Moment now) const;
   bool is_dead_member(const Address& daemon, Moment now) const;
   bool is_leaderless() const { return settings_.reconciles_membership && election_.master().empty(); }
@@ -221,7 +231,9 @@
   Configuration configuration_;
   Integer configuration_of_ = -1;
   PlacementMap map_;
-  bool was_master_ = false, is_stopping_ = false;
+  bool was_master_ = false;
+  bool is_stopping_ = false, is_handing_over_ = false;  // asked to end; its place in the set goes to another first
+  Moment hand_over_end_;
   std::map<Address, std::pair<InForce, Moment>> in_force_;
   std::map<Address, MapVersion> follower_versions_;
   struct FollowerTraffic {
--- a/packages/control-plane/include/emberdale/core_set.hpp
+++ b/packages/control-plane/include/emberdale/core_set.hpp
@@ -32,6 +32,8 @@
   void start(Moment now) {
     mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1000)} : Span{random_.below(200)});
   }
+  // Looked after at the next timer: what is due does not wait for its turn. Example: cores.hurry()
+  void hurry() { mend_next_ = Moment{0}; }
   // From now on the set minds itself, and is looked after several times a second. Example:
   // cores.set_reconciler(reconciler)
   void set_reconciler(MembershipReconciler& reconciler) { reconciler_ = &reconciler; }
@@ -73,6 +75,8 @@
   void end_replacing(const ChangeEnd& end);
   void end_founding(int code, const std::string& reason);
   void mend(Moment now);
+  std::optional<SetChange> due_change(Moment now);
+  std::optional<SetChange> due_readmission(Moment now) const;
 
   RegisterProposer& proposer_;
   EventJournal& journal_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -20,7 +20,7 @@
       election_(settings_.self, RandomGenerator(settings_.random_seed + 2), settings_.election),
       lease_(proposer_, election_, settings_.self.address),
       edits_(proposer_, election_, lease_, journal_, settings_.self.address),
-      reconciler_(proposer_, settings_.self.address, RandomGenerator(settings_.random_seed + 5)),
+      reconciler_(proposer_, settings_.self, settings_.membership, RandomGenerator(settings_.random_seed + 5)),
       founder_(proposer_, journal_, settings_.self.address, settings_.seeds,
                RandomGenerator(settings_.random_seed + 6)),
       core_set_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr,
@@ -29,7 +29,7 @@
                      settings_.dead_member_span),
       runner_watch_(settings_.self, settings_.probe_pace) {
   lease_.is_wait_off = settings_.acknowledges_at_once;
-  if (settings_.reconciles_membership && acceptor_)
+  if (settings_.reconciles_membership)
     core_set_.set_reconciler(reconciler_);
 }
 
@@ -42,7 +42,7 @@
   poll_next_ = gossip_next_ = follow_next_ = started_at_ = now;
   reconciler_.start(now);
   core_set_.start(now);
-  if (settings_.founds_itself && acceptor_ && acceptor_->is_blank())
+  if (settings_.founds_itself && (!acceptor_ || acceptor_->is_blank()))
     founder_.start(now);
   roster_keeper_.start(now);
   if (is_edge()) {
@@ -54,6 +54,35 @@
 }
 
 void ControlDaemon::stop(Moment now) {
+  if (is_stopping_)
+    return;
+  is_stopping_ = true;
+  note(now, "stopping", settings_.self.address.text);
+  if (settings_.reconciles_membership && acceptor_) {
+    reconciler_.begin_leaving();
+    is_handing_over_ = is_replica() && reconciler_.is_handing_over(now);
+    hand_over_end_ = now + settings_.hand_over_patience;
+    core_set_.hurry();
+  }
+  if (is_handing_over_)
+    core_set_.on_timer(now);
+  else
+    take_leave(now);
+  collect(now);
+}
+
+// The place in the set is handed over first, and the term is laid down then: a master leads on meanwhile.
+void ControlDaemon::continue_stopping(Moment now) {
+  if (!is_handing_over_)
+    return;
+  if (hand_over_end_ > now && reconciler_.is_handing_over(now))
+    return;
+  note(now, is_replica() ? "not handed over" : "handed over", settings_.self.address.text);
+  is_handing_over_ = false;
+  take_leave(now);
+}
+
+void ControlDaemon::take_leave(Moment now) {
   if (election_.is_master() && !lease_.is_waiting(now)) {
     // Lays the term down in the register: the next master need not wait for this one's word to lapse.
     Address self = settings_.self.address;
@@ -67,11 +96,8 @@
         },
         nullptr, now, Span{1000});
   }
-  is_stopping_ = true;  // grants leases on nothing, and answers no ping any more: a leaving daemon must not be ranked
   if (is_edge())
     election_.leave();
-  note(now, "stopping", settings_.self.address.text);
-  collect(now);
 }
 
 std::vector<DaemonEntry> ControlDaemon::known() const {
@@ -98,9 +124,10 @@
   if (is_edge())
     keep_roster(now);
   founder_.on_timer(now);
-  if (settings_.reconciles_membership && acceptor_)
+  if (settings_.reconciles_membership)
     reconcile_membership(now);
   core_set_.on_timer(now);
+  continue_stopping(now);
   if (is_edge() && follow_next_ <= now)
     send_follow(now);
   hear_master(now);
--- a/packages/control-plane/src/control_membership.cpp
+++ b/packages/control-plane/src/control_membership.cpp
@@ -81,6 +81,7 @@
 
 // Who was heard lately, or is enrolled, may keep a store that belongs into the set of core machines.
 void ControlDaemon::reconcile_membership(Moment now) {
+  reconciler_.set_right(decision_right());
   reconciler_.on_timer(now);
   std::vector<DaemonEntry> daemons;
   for (const auto& [address, known] : known_) {
@@ -89,9 +90,28 @@
     if (is_near && !known.entry.role.empty() && known.entry.role != "data")
       daemons.push_back(known.entry);
   }
+  daemons.push_back(settings_.self);  // a master outside the set minds its own store as any other learner's
   reconciler_.see_daemons(daemons, now);
 }
 
+DecisionRight ControlDaemon::decision_right() const {
+  if (election_.is_master())
+    return {DecisionRight::Kind::master, election_.term()};
+  if (is_leaderless() && proposer_.has_state())
+    return {DecisionRight::Kind::leaderless, proposer_.state().term};
+  return {};
+}
+
+// Whether this daemon's store is in the set of replicas, or in the set that follows.
+bool ControlDaemon::is_replica() const {
+  if (!acceptor_ || !proposer_.has_state())
+    return false;
+  for (const auto* set : {&proposer_.state().acceptors, &proposer_.state().next_acceptors})
+    if (std::any_of(set->begin(), set->end(), [&](const auto& entry) { return entry.store == acceptor_->store(); }))
+      return true;
+  return false;
+}
+
 void ControlDaemon::claim_term(const TermClaim& claim, Moment now) {
   if (is_claiming_)
     return;
@@ -137,6 +157,7 @@
 }
 
 void ControlDaemon::on_refused(const Address& peer, Moment now) {
+  reconciler_.on_refused(peer);
   if (is_edge())
     election_.refused(peer, now);
   auto known = known_.find(peer);
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -13,6 +13,10 @@
 void ControlDaemon::on_message(const Address& from, const Message& message, Moment now) {
   ++counts_.messages_in;
   hear_master(now);
+  if (answer_without_store(from, message)) {
+    collect(now);
+    return;
+  }
   if (acceptor_ && acceptor_->on_message(from, message, now)) {
     collect(now);
     return;
@@ -47,7 +51,8 @@
     known.heard = now;
     known.master = ping.master;
   }
-  if (!is_stopping_)
+  // A leaving daemon must not be ranked in an election; one that hands over still leads or follows.
+  if (!is_stopping_ || is_handing_over_)
     answer_ping(from, ping, now);
 }
 
@@ -62,6 +67,21 @@
   proposer_.learn_acceptors(answer.acceptors);
 }
 
+// A control daemon without a store says so, for a founder waits for the word of each seed. And a store outside the
+// set is not offered as a learner any more by a daemon that ends: it says nothing.
+bool ControlDaemon::answer_without_store(const Address& from, const Message& message) {
+  const auto* ask = std::get_if<ReadAsk>(&message);
+  if (ask == nullptr || !settings_.reconciles_membership)
+    return false;
+  if (acceptor_)
+    return is_stopping_ && !is_replica();
+  ReadAnswer answer;
+  answer.ask = ask->ask;
+  answer.blank = true;
+  out_.push_back({from, std::move(answer)});
+  return true;
+}
+
 void ControlDaemon::take_report(const InForce& report, Moment now) {
   Moment at{now.value - report.age};
   auto& entry = in_force_[report.daemon.address];
@@ -106,7 +126,7 @@
 }
 
 void ControlDaemon::handle(const Address& from, const LeaseAsk& ask, Moment now) {
-  if (is_stopping_ || !lease_.may_grant_lease(now))
+  if ((is_stopping_ && !is_handing_over_) || !lease_.may_grant_lease(now))
     return;
   MapVersion minimum = std::max(edits_.attempted_minimum_version(), proposer_.state().minimum_version);
   out_.push_back({from, LeaseGrant{ask.ask, minimum}});
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -12,6 +12,8 @@
 
 void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
   ask.ask = ++last_ask_;
+  if (is_handing_over_)
+    return done(EditAnswer{ask.ask, 503, 0, reason_body("this daemon is stopping", "refused"), 0});
   PassedHold hold = hold_of(ask, version_of(ask), now);
   if (election_.is_master()) {
     MasterEdits::Edit edit;
--- a/packages/control-plane/src/core_founder.cpp
+++ b/packages/control-plane/src/core_founder.cpp
@@ -53,7 +53,8 @@
   state.fleet = fleet_name;
   state.version = 1;
   for (const auto& [address, blank] : blanks_)
-    acceptors_.push_back({blank.store, address});
+    if (!blank.store.empty())
+      acceptors_.push_back({blank.store, address});
   state.acceptors = acceptors_;
   value_.data = encode_state(state);
   ask_next_ = now + ask_pace;
@@ -94,7 +95,9 @@
       auto blank = blanks_.find(seed);
       return blank != blanks_.end() && now - blank->second.heard <= answer_age;
     });
-    if (has_all)
+    bool has_store =
+        std::any_of(blanks_.begin(), blanks_.end(), [](const auto& blank) { return !blank.second.store.empty(); });
+    if (has_all && has_store)
       begin_founding(now);
   }
   if (!is_at_work() || now < ask_next_)
--- a/packages/control-plane/src/core_set.cpp
+++ b/packages/control-plane/src/core_set.cpp
@@ -45,6 +45,8 @@
 
 void CoreSet::on_read(const Address& from, const ReadAnswer& answer, Moment now) {
   if (founding_ && answer.ask == founding_->ask) {
+    if (answer.store.empty())
+      return end_founding(409, from.text + " keeps no store");
     if (!answer.blank)
       return end_founding(409, from.text + " already holds a register");
     founding_->stores[from] = answer.store;
@@ -63,7 +65,7 @@
     begin_replacing(answer, now);
   // A core machine's address that answers as another, blank store: the old one is gone.
   for (const auto& entry : proposer_.acceptors())
-    if (entry.address == from) {
+    if (entry.address == from && !answer.store.empty()) {
       if ((answer.blank ||
            (reconciler_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < answer.accepted))) &&
           entry.store != answer.store)
@@ -161,17 +163,33 @@
   done(200, "replaced");
 }
 
-// The daemons with an acceptor finish a joint change that was left half-way, and admit a wiped machine's new store.
-void CoreSet::mend(Moment now) {
-  if (!has_acceptor_ && !replacing_)
-    return;
-  if (is_mending_ || now < mend_next_ || !proposer_.has_state())
-    return;
-  mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1500)} : Span{100 + random_.below(200)});
-  const FleetState& state = proposer_.state();
-  Change change;
-  if (!state.next_acceptors.empty()) {
-    change = [](const FleetState& found) -> Verdict {
+// A machine of the set that answers as another, blank store: its disk is gone, and its new store is due in its place.
+std::optional<SetChange> CoreSet::due_readmission(Moment now) const {
+  for (const auto& old : proposer_.state().acceptors) {
+    auto fresh = blank_stores_.find(old.address);
+    if (fresh == blank_stores_.end() || fresh->second == old.store)
+      continue;
+    if (reconciler_ != nullptr)
+      return reconciler_->readmission(old, fresh->second, now);
+    auto change = [old, renewed = AcceptorEntry{fresh->second, old.address}](const FleetState& found) -> Verdict {
+      auto is_old = [&](const auto& entry) {
+        return entry.store == old.store;
+      };
+      if (!found.next_acceptors.empty() || std::none_of(found.acceptors.begin(), found.acceptors.end(), is_old))
+        return {Verdict::Kind::already_there, {}, ""};
+      FleetState next = found;
+      next.next_acceptors = found.acceptors;
+      std::replace_if(next.next_acceptors.begin(), next.next_acceptors.end(), is_old, renewed);
+      return {Verdict::Kind::apply, next, ""};
+    };
+    return SetChange{std::move(change), "admitting", fresh->second.text + " at " + old.address.text};
+  }
+  return std::nullopt;
+}
+
+std::optional<SetChange> CoreSet::due_change(Moment now) {
+  if (!proposer_.state().next_acceptors.empty()) {
+    auto second_half = [](const FleetState& found) -> Verdict {
       if (found.next_acceptors.empty())
         return {Verdict::Kind::already_there, {}, ""};
       FleetState next = found;
@@ -179,39 +197,29 @@
       next.next_acceptors.clear();
       return {Verdict::Kind::apply, next, ""};
     };
-  } else {
-    for (const auto& entry : state.acceptors) {
-      auto fresh = blank_stores_.find(entry.address);
-      if (fresh == blank_stores_.end() || fresh->second == entry.store)
-        continue;
-      change = [old = entry,
-                renewed = AcceptorEntry{fresh->second, entry.address}](const FleetState& found) -> Verdict {
-        auto is_old = [&](const auto& e) {
-          return e.store == old.store;
-        };
-        if (!found.next_acceptors.empty() || std::none_of(found.acceptors.begin(), found.acceptors.end(), is_old))
-          return {Verdict::Kind::already_there, {}, ""};
-        FleetState next = found;
-        next.next_acceptors = found.acceptors;
-        for (auto& e : next.next_acceptors)
-          if (is_old(e))
-            e = renewed;
-        return {Verdict::Kind::apply, next, ""};
-      };
-      journal_.append(now, "admitting", fresh->second.text + " at " + entry.address.text);
-      break;
-    }
-    if (!change && reconciler_ != nullptr)
-      if (auto due = reconciler_->due_change(now)) {
-        change = std::move(due->change);
-        journal_.append(now, due->kind, due->detail);
-      }
+    return SetChange{std::move(second_half), "", ""};
   }
-  if (!change)
+  if (auto due = due_readmission(now))
+    return due;
+  return reconciler_ != nullptr ? reconciler_->due_change(now) : std::nullopt;
+}
+
+// The daemons with an acceptor, and all that reconcile the set, finish a joint change that was left half-way, and
+// begin one that is due.
+void CoreSet::mend(Moment now) {
+  if (!has_acceptor_ && !replacing_ && reconciler_ == nullptr)
+    return;
+  if (is_mending_ || now < mend_next_ || !proposer_.has_state())
+    return;
+  mend_next_ = now + (reconciler_ == nullptr ? Span{1000 + random_.below(1500)} : Span{100 + random_.below(200)});
+  auto due = due_change(now);
+  if (!due)
     return;
+  if (!due->kind.empty())
+    journal_.append(now, due->kind, due->detail);
   is_mending_ = true;
   proposer_.change(
-      std::move(change),
+      std::move(due->change),
       [this](const ChangeEnd&) {
         is_mending_ = false;
         mend_next_ = Moment{0};
--- a/packages/control-plane/src/membership_reconciler.cpp
+++ b/packages/control-plane/src/membership_reconciler.cpp
@@ -4,49 +4,32 @@
 
 namespace emberdale {
 namespace {
-constexpr Span ask_pace{950};                // a newcomer is asked about once a second
-constexpr Span newcomer_memory{2200};        // one that has not answered for so long is gone again
-constexpr Span silent_span{2500};            // a copy silent for so long is replaced if a newcomer is there
-constexpr Span growth_wait{6000};            // a newcomer known for so long is added when all copies answer
+constexpr Span ask_pace{950};                // a learner is asked about once a second
+constexpr Span learner_memory{2200};         // one that has not answered for so long is gone again
+constexpr Span silent_span{2500};            // a replica that nobody has heard for so long is replaced...
+constexpr Span unreachable_span{10000};      // ...and one that others hear, but that never answers here, after this
+constexpr Span report_age{1200};             // the word of the replicas on who is silent counts for so long
+constexpr Span growth_wait{6000};            // a learner known for so long may grow the set
 constexpr Span founding_span{3000};          // so long after a founding, who was there at once is added at once...
 constexpr Span first_arrival{300};           // ...if it was known this soon after it
-constexpr Span answering_span{800};          // a copy that answered within this lives: a bit more than two polls
-constexpr Span dead_member_span{30000};      // a copy silent for so long may leave the set...
-constexpr Span even_dead_member_span{8000};  // (sooner where that makes the majority smaller: a set of even size)
-constexpr std::size_t least_replicas = 3, most_replicas = 9;  // ...when so many living ones remain
+constexpr Span answering_span{800};          // a replica that answered within this lives: a bit more than two polls
+constexpr Span dead_member_span{30000};      // a replica silent for so long may leave the set...
+constexpr Span even_dead_member_span{8000};  // ...sooner from a set of even size, where the majority gets smaller
+constexpr Span replacement_pause{3000};      // between a change of the set and the next replacement
+constexpr Span change_pause{10000};          // between a change of the set and any other that the master decides
 constexpr Span longest_pause{1000};
 constexpr int most_overtaken = 2;
 
+bool is_same_set(const std::vector<AcceptorEntry>& a, const std::vector<AcceptorEntry>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto& one, const auto& other) {
+    return one.store == other.store && one.address == other.address;
+  });
+}
+
 bool holds(const std::vector<AcceptorEntry>& set, const StoreId& store, const Address& address) {
   return std::any_of(set.begin(), set.end(),
                      [&](const auto& entry) { return entry.store == store || entry.address == address; });
 }
-
-// Puts `fresh` in the place of `old`; either may be missing. Refuses when the set has changed meanwhile.
-Change exchange_replicas(std::optional<AcceptorEntry> old, std::optional<AcceptorEntry> fresh) {
-  return [old = std::move(old), fresh = std::move(fresh)](const FleetState& state) -> Verdict {
-    auto is_old = [&](const AcceptorEntry& entry) {
-      return entry.store == old->store && entry.address == old->address;
-    };
-    bool is_unchanged = state.next_acceptors.empty() &&
-                        !(fresh && holds(state.acceptors, fresh->store, fresh->address)) &&
-                        !(old && std::none_of(state.acceptors.begin(), state.acceptors.end(), is_old));
-    bool has_room =
-        (old || state.acceptors.size() < most_replicas) && (fresh || state.acceptors.size() > least_replicas);
-    if (!is_unchanged || !has_room)
-      return {Verdict::Kind::already_there, {}, ""};
-    FleetState next = state;
-    next.next_acceptors = state.acceptors;
-    if (old)
-      next.next_acceptors.erase(std::remove_if(next.next_acceptors.begin(), next.next_acceptors.end(), is_old),
-                                next.next_acceptors.end());
-    if (fresh)
-      next.next_acceptors.push_back(*fresh);
-    std::sort(next.next_acceptors.begin(), next.next_acceptors.end(),
-              [](const auto& a, const auto& b) { return a.address < b.address; });
-    return {Verdict::Kind::apply, next, ""};
-  };
-}
 }  // namespace
 
 bool MembershipReconciler::is_in_set(const Address& address) const {
@@ -60,7 +43,7 @@
 void MembershipReconciler::see_daemons(const std::vector<DaemonEntry>& daemons, Moment now) {
   for (const auto& daemon : daemons) {
     zones_[daemon.address] = daemon.zone;
-    if (!proposer_.has_state() || is_in_set(daemon.address))
+    if (!proposer_.has_state() || is_in_set(daemon.address) || is_leaving_)
       continue;
     auto asked = asked_.find(daemon.address);
     if (asked != asked_.end() && now - asked->second < ask_pace)
@@ -71,27 +54,53 @@
 }
 
 void MembershipReconciler::on_message(const Address& from, const Message& message, Moment now) {
+  if (std::holds_alternative<Leave>(message))
+    learners_.erase(from);
+  if (const auto* accepted = std::get_if<Accepted>(&message))
+    on_accepted(from, *accepted);
   const auto* answer = std::get_if<ReadAnswer>(&message);
-  if (answer == nullptr)
+  if (answer == nullptr || answer->store.empty())
     return;
-  answered_[from] = {answer->store, now};
-  if (answer->ask != ask_)
+  answered_[from] = {answer->store, answer->accepted, now};
+  if (answer->ask != ask_ || is_in_set(from))
     return;
-  auto [entry, is_new] = newcomers_.insert({from, {answer->store, now, now, false, 0}});
-  Newcomer& newcomer = entry->second;
-  if (newcomer.store != answer->store)
-    newcomer = {answer->store, now, now, false, 0};
-  newcomer.heard = now;
-  // Old data of this register is never above what is chosen now, or will be with the next write: it can't win
-  // against it. Data that stays above is of another register, and is kept out.
-  newcomer.may_join = answer->blank || !(proposer_.ballot() < answer->accepted);
+  Learner fresh{answer->store, now, now, answer->accepted, now, 0};
+  auto [entry, is_new] = learners_.insert({from, fresh});
+  Learner& learner = entry->second;
+  if (learner.store != answer->store)
+    learner = fresh;
+  learner.heard = now;
+  learner.accepted = answer->accepted;
+  sync_learner(from, learner);
 }
 
-void MembershipReconciler::on_timer(Moment now) {
-  if (now - timer_at_ > longest_pause)
-    awake_since_ = now;
-  timer_at_ = now;
+// A learner that was a replica may have promised more than was chosen since: the next write gets past that.
+void MembershipReconciler::on_accepted(const Address& from, const Accepted& accepted) {
+  auto learner = learners_.find(from);
+  if (learner != learners_.end() && learner->second.store == accepted.store && !accepted.granted)
+    learner->second.is_refusing = true;
+}
+
+// Old data of this register is never above what is chosen now, or will be with the next write: it can't win
+// against it. Data that stays above is of another register, and is kept out.
+bool MembershipReconciler::may_join(const Learner& learner) const { return !(proposer_.ballot() < learner.accepted); }
+
+// A learner is given each chosen value, under the ballot it was chosen with, as a read gives it to an old replica.
+// It has no vote: its store is not in the set, so no majority counts it.
+void MembershipReconciler::sync_learner(const Address& address, const Learner& learner) {
+  bool is_due = right_.kind == DecisionRight::Kind::master && learner.accepted < proposer_.ballot();
+  if (is_due)
+    out_.push_back({address, Accept{0, learner.store, proposer_.ballot(), proposer_.state_bytes()}});
+}
+
+void MembershipReconciler::watch_set(Moment now) {
   const FleetState& state = proposer_.state();
+  if (!is_same_set(watched_set_, state.acceptors)) {
+    bool is_first = watched_set_.empty();
+    watched_set_ = state.acceptors;
+    if (!is_first)
+      set_changed_at_ = now;
+  }
   for (const auto* set : {&state.acceptors, &state.next_acceptors})
     for (const auto& member : *set)
       member_since_.insert({member.address, now});
@@ -101,12 +110,27 @@
     else
       ++entry;
   }
-  for (auto entry = newcomers_.begin(); entry != newcomers_.end();) {
-    if (now - entry->second.heard > newcomer_memory || is_in_set(entry->first))
-      entry = newcomers_.erase(entry);
+}
+
+void MembershipReconciler::on_timer(Moment now) {
+  if (now - timer_at_ > longest_pause)
+    awake_since_ = now;
+  timer_at_ = now;
+  watch_set(now);
+  for (auto entry = learners_.begin(); entry != learners_.end();) {
+    if (now - entry->second.heard > learner_memory || is_in_set(entry->first))
+      entry = learners_.erase(entry);
     else
       ++entry;
   }
+  for (auto& [address, learner] : learners_) {
+    if (may_join(learner))
+      learner.joinable_at = now;
+    if (learner.accepted == proposer_.ballot()) {
+      learner.is_refusing = false;
+      learner.overtaken = 0;
+    }
+  }
   for (auto entry = asked_.begin(); entry != asked_.end();) {
     if (now - entry->second > dead_member_span)
       entry = asked_.erase(entry);
@@ -126,58 +150,160 @@
   return now - last;
 }
 
-std::optional<SetChange> MembershipReconciler::due_change(Moment now) {
-  if (!proposer_.has_state() || !proposer_.state().next_acceptors.empty() ||
-      now - proposer_.confirmed_at() > silent_span)
-    return std::nullopt;
+// How long no replica of a majority has heard that daemon; zero while that is not known.
+Span MembershipReconciler::reported_silence(const Address& address, Moment now) const {
+  const auto& silences = proposer_.silences();
+  if (!silences || now - proposer_.silences_at() > report_age)
+    return Span{0};
+  auto watched = silences->find(Address{});
+  if (watched == silences->end())
+    return Span{0};
+  auto silence = silences->find(address);
+  return silence == silences->end() ? watched->second : std::min(watched->second, silence->second);
+}
+
+std::vector<MemberView> MembershipReconciler::members(Moment now) const {
   const std::vector<AcceptorEntry>& set = proposer_.state().acceptors;
-  if (!is_in_set(self_))
-    return std::nullopt;
-  const AcceptorEntry* most_silent = nullptr;
-  std::size_t living = 0;
-  bool is_each_heard = true;
+  Span long_dead = set.size() % 2 == 0 ? even_dead_member_span : dead_member_span;
+  // Who is cut off from its master alone sees that master as silent: it has no right to replace it.
+  bool may_judge_alone = right_.kind == DecisionRight::Kind::master && now - set_changed_at_ >= change_pause;
+  std::vector<MemberView> views;
   for (const auto& entry : set) {
-    Span span = silence(entry, now);
+    MemberView view;
+    view.entry = entry;
+    auto zone = zones_.find(entry.address);
+    if (zone != zones_.end())
+      view.zone = zone->second;
+    Span silent_here = silence(entry, now), silent = std::min(silent_here, reported_silence(entry.address, now));
     auto answered = answered_.find(entry.address);
-    bool is_answering = span <= answering_span && answered != answered_.end() && answered->second.store == entry.store;
-    living += is_answering ? 1 : 0;
-    is_each_heard = is_each_heard && is_answering;
-    if (most_silent == nullptr || silence(*most_silent, now) < span)
-      most_silent = &entry;
+    view.is_answering =
+        silent_here <= answering_span && answered != answered_.end() && answered->second.store == entry.store;
+    view.is_dead = silent >= silent_span || (may_judge_alone && silent_here >= unreachable_span);
+    view.is_long_dead = silent >= silent_span && silent_here >= long_dead;
+    views.push_back(view);
   }
-  if (most_silent == nullptr)
-    return std::nullopt;
-  Span longest = silence(*most_silent, now);
-  const std::pair<const Address, Newcomer>* pick = nullptr;
-  for (const auto& candidate : newcomers_) {
-    const auto& [address, newcomer] = candidate;
-    if (!newcomer.may_join || newcomer.heard < awake_since_ || holds(set, newcomer.store, address))
+  return views;
+}
+
+std::vector<LearnerView> MembershipReconciler::learners(Moment now) const {
+  bool was_just_founded = now - founded_at_ <= founding_span;
+  std::vector<LearnerView> views;
+  for (const auto& [address, learner] : learners_) {
+    if (!may_join(learner) || learner.heard < awake_since_ ||
+        holds(proposer_.state().acceptors, learner.store, address))
       continue;
-    bool is_near = zones_[address] == zones_[most_silent->address];
-    if (pick == nullptr || (is_near && zones_[pick->first] != zones_[most_silent->address]))
-      pick = &candidate;
+    LearnerView view;
+    view.entry = AcceptorEntry{learner.store, address};
+    auto zone = zones_.find(address);
+    if (zone != zones_.end())
+      view.zone = zone->second;
+    view.is_synced = learner.accepted == proposer_.ballot();
+    view.is_awaited =
+        now - learner.since >= growth_wait || (was_just_founded && learner.since <= founded_at_ + first_arrival);
+    view.is_answering = now - learner.heard <= answering_span;
+    views.push_back(view);
   }
-  if (pick != nullptr && longest >= silent_span)
-    return SetChange{exchange_replicas(*most_silent, AcceptorEntry{pick->second.store, pick->first}), "replacing",
-                     most_silent->address.text + " by " + pick->first.text};
-  bool was_just_founded = now - founded_at_ <= founding_span;
-  for (const auto& [address, newcomer] : newcomers_)
-    if (is_each_heard && set.size() < most_replicas && newcomer.may_join && !holds(set, newcomer.store, address) &&
-        ((was_just_founded && newcomer.since <= founded_at_ + first_arrival) || now - newcomer.since >= growth_wait))
-      return SetChange{exchange_replicas(std::nullopt, AcceptorEntry{newcomer.store, address}), "adding", address.text};
-  for (auto& [address, newcomer] : newcomers_)
-    if (!newcomer.may_join && newcomer.overtaken < most_overtaken &&
-        now - newcomer.since >= Span{growth_wait.value * (newcomer.overtaken + 1)}) {
-      ++newcomer.overtaken;
-      return SetChange{[](const FleetState& state) {
-                         return Verdict{Verdict::Kind::apply, state, ""};
-                       },
-                       "overtaking", address.text};
-    }
-  if (longest >= (set.size() % 2 == 0 ? even_dead_member_span : dead_member_span) && living >= least_replicas &&
-      set.size() > least_replicas)
-    return SetChange{exchange_replicas(*most_silent, std::nullopt), "dropping", most_silent->address.text};
+  return views;
+}
+
+// Carries out what was planned only on the very set, and in the term, that it was planned for.
+SetChange MembershipReconciler::guarded(const MembershipChange& planned, const DecisionRight& right) const {
+  auto change = [planned, set = proposer_.state().acceptors, right,
+                 self = self_.address](const FleetState& found) -> Verdict {
+    bool is_term_over = right.kind != DecisionRight::Kind::none && found.term != right.term;
+    bool is_deposed = right.kind == DecisionRight::Kind::master && found.master != self;
+    if (is_term_over || is_deposed || !found.next_acceptors.empty() || !is_same_set(found.acceptors, set))
+      return {Verdict::Kind::already_there, {}, ""};
+    FleetState next = found;
+    next.next_acceptors = planned.applied_to(found.acceptors);
+    return {Verdict::Kind::apply, next, ""};
+  };
+  return SetChange{std::move(change), planned.kind, planned.detail()};
+}
+
+// A write may get past the data of a learner that are above all that is chosen here, if they are this register's;
+// and past what it has promised.
+std::optional<SetChange> MembershipReconciler::due_overtaking(Moment now) {
+  for (auto& [address, learner] : learners_) {
+    bool is_long_above =
+        !may_join(learner) && now - learner.joinable_at >= Span{growth_wait.value * (learner.overtaken + 1)};
+    if (learner.overtaken == most_overtaken || (!is_long_above && !learner.is_refusing))
+      continue;
+    ++learner.overtaken;
+    learner.is_refusing = false;
+    auto rewrite = [](const FleetState& state) {
+      return Verdict{Verdict::Kind::apply, state, ""};
+    };
+    return SetChange{rewrite, "overtaking", address.text};
+  }
+  return std::nullopt;
+}
+
+std::optional<MembershipChange> MembershipReconciler::plan(Moment now) const {
+  std::vector<MemberView> members = this->members(now);
+  std::vector<LearnerView> learners = this->learners(now);
+  std::optional<MembershipChange> planned;
+  if (is_leaving_) {
+    for (const auto& entry : proposer_.state().acceptors)
+      if (entry.address == self_.address)
+        planned = plan_hand_over(entry, members, learners, policy_);
+  } else if (right_.kind != DecisionRight::Kind::none) {
+    bool is_rested = now - set_changed_at_ >= change_pause || now - founded_at_ <= founding_span;
+    if (now - set_changed_at_ >= replacement_pause)
+      planned = plan_replacement(members, learners);
+    if (!planned && is_rested)
+      planned = plan_growth(members, learners, policy_);
+    if (!planned && is_rested)
+      planned = plan_drop(members);
+  }
+  if (!planned || !is_borne_by_living(*planned, members, learners))
+    return std::nullopt;
+  return planned;
+}
+
+std::optional<SetChange> MembershipReconciler::due_change(Moment now) {
+  bool is_state_confirmed = proposer_.has_state() && now - proposer_.confirmed_at() <= silent_span;
+  if (!is_state_confirmed || !proposer_.state().next_acceptors.empty())
+    return std::nullopt;
+  if (!is_in_set(self_.address) && right_.kind != DecisionRight::Kind::master)
+    return std::nullopt;
+  if (auto planned = plan(now)) {
+    if (is_leaving_)
+      for (const auto& entry : planned->added)
+        successors_.push_back(entry.store);
+    return guarded(*planned, is_leaving_ ? DecisionRight{} : right_);
+  }
+  if (right_.kind != DecisionRight::Kind::none && !is_leaving_)
+    return due_overtaking(now);
   return std::nullopt;
 }
 
+std::optional<SetChange> MembershipReconciler::readmission(const AcceptorEntry& wiped, const StoreId& fresh,
+                                                           Moment now) const {
+  MembershipChange change{{wiped}, {AcceptorEntry{fresh, wiped.address}}, "admitting"};
+  if (!proposer_.state().next_acceptors.empty() || !is_borne_by_living(change, members(now), {}))
+    return std::nullopt;
+  return guarded(change, DecisionRight{});
+}
+
+bool MembershipReconciler::is_handing_over(Moment now) const {
+  if (!proposer_.has_state())
+    return false;
+  if (is_in_set(self_.address)) {
+    bool is_under_way = !proposer_.state().next_acceptors.empty();
+    return is_under_way || plan(now).has_value() || !learners(now).empty();
+  }
+  if (!proposer_.state().next_acceptors.empty())
+    return true;
+  for (const auto& entry : proposer_.state().acceptors) {
+    auto answered = answered_.find(entry.address);
+    bool is_successor = std::find(successors_.begin(), successors_.end(), entry.store) != successors_.end();
+    bool is_synced = answered != answered_.end() && answered->second.store == entry.store &&
+                     !(answered->second.accepted < proposer_.ballot());
+    if (is_successor && !is_synced)
+      return true;
+  }
+  return false;
+}
+
 }  // namespace emberdale
