--- /dev/null
+++ b/packages/fleet-simulator/src/scale_measurements.cpp
@@ -0,0 +1,162 @@
+// What the scale runs measure: counts since the last reset, grants, changes of configuration, sizes and memory.
+#include <malloc.h>
+
+#include <algorithm>
+#include <string_view>
+
+#include "emberdale/avro_codec.hpp"
+#include "scale_runs.hpp"
+
+namespace emberdale::scale {
+namespace {
+
+constexpr std::int64_t sample_ms = 50;
+constexpr std::int64_t minute_ms = 60000;
+constexpr std::string_view revision_field = "\"config_revision\":";
+
+std::int64_t heap_bytes() {
+  auto heap = mallinfo2();
+  return static_cast<std::int64_t>(heap.uordblks + heap.hblkhd);
+}
+
+std::int64_t topic_bytes(const PlacementMap& map, const std::string& topic) {
+  std::int64_t bytes = 0;
+  for (const auto& [key, body] : slice_rows(map, topic))
+    bytes += static_cast<std::int64_t>(key.size() + body.size() + 3);
+  return bytes;
+}
+
+// The revision that an answer to a change names; 0 if it was not taken.
+Integer acknowledged_revision(const EditAnswer& answer) {
+  auto mark = answer.body.find(revision_field);
+  if (answer.code != 200 || mark == std::string::npos)
+    return 0;
+  return std::atoll(answer.body.c_str() + mark + revision_field.size());
+}
+
+}  // namespace
+
+const char* message_name(std::size_t kind) {
+#define EMBERDALE_MESSAGE_NAME(Name) #Name,
+  static const char* const names[] = {EMBERDALE_MESSAGES(EMBERDALE_MESSAGE_NAME) "ViewAnswer"};
+#undef EMBERDALE_MESSAGE_NAME
+  static_assert(std::size(names) == message_kinds);
+  return names[kind];
+}
+
+const char* role_name(int role) {
+  static const char* const names[] = {"core", "master", "edge", "data"};
+  return names[role];
+}
+
+void ScaleFleet::reset() {
+  counts_ = {};
+  counts_.daemons.resize(daemons_.size());
+  rounds_before_ = 0;
+  for (const auto& daemon : daemons_)
+    if (daemon.control)
+      rounds_before_ += daemon.control->proposer().counts().rounds;
+  samples = samples_without_grant = changes_asked = changes_failed = maps_published = 0;
+  acknowledged_ms.clear();
+  in_force_ms.clear();
+  if (shape_.changes_a_minute > 0 && changes_from_ < 0 && master()) {
+    changes_from_ = now_;
+    change();
+  }
+}
+
+const ScaleCounts& ScaleFleet::counts() {
+  counts_.register_rounds = -rounds_before_;
+  for (const auto& daemon : daemons_)
+    if (daemon.control)
+      counts_.register_rounds += daemon.control->proposer().counts().rounds;
+  return counts_;
+}
+
+void ScaleFleet::sample() {
+  Integer oldest = INT64_MAX;
+  for (const auto& daemon : daemons_) {
+    if (!daemon.data)
+      continue;
+    ++samples;
+    if (!has_grant(daemon))
+      ++samples_without_grant;
+    oldest = std::min(oldest, daemon.data->view()->config_revision);
+  }
+  for (auto entry = changes_.begin(); entry != changes_.end();) {
+    if (entry->revision > 0 && entry->revision <= oldest) {
+      in_force_ms.push_back(now_ - entry->asked);
+      entry = changes_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  later(sample_ms, [this] { sample(); });
+}
+
+// One change of configuration, asked at the edge daemons in turn; then the next at its time.
+void ScaleFleet::change() {
+  later(minute_ms / shape_.changes_a_minute, [this] { change(); });
+  auto edges = of_role("edge");
+  std::size_t index = edges[static_cast<std::size_t>(changes_asked) % edges.size()];
+  ++changes_asked;
+  if (!daemons_[index].is_up)
+    return;
+  changes_.push_back({now_, 0, 0});
+  EditAsk ask;
+  ask.change = "change-" + std::to_string(now_) + "-" + std::to_string(changes_asked);
+  ask.act = "patch";
+  ask.kind = plans_kind;
+  ask.name = "plan-" + std::to_string(changes_asked % shape_.plans);
+  ask.expected = -1;
+  ask.body = R"({"horizon_ms":)" + std::to_string(4000 + changes_asked % 1000) + "}";
+  daemons_[index].control->edit(
+      ask, [this, asked = now_](const EditAnswer& answer) { end_change(asked, answer); }, clock(daemons_[index]));
+  flush(index);
+}
+
+void ScaleFleet::end_change(std::int64_t asked, const EditAnswer& answer) {
+  auto entry =
+      std::find_if(changes_.begin(), changes_.end(), [&](const Change& change) { return change.asked == asked; });
+  if (entry == changes_.end())
+    return;
+  Integer revision = acknowledged_revision(answer);
+  if (revision == 0) {
+    ++changes_failed;
+    changes_.erase(entry);
+    return;
+  }
+  entry->revision = revision;
+  acknowledged_ms.push_back(now_ - asked);
+}
+
+ScaleFleet::Sizes ScaleFleet::sizes() const {
+  Sizes sizes;
+  auto leader = master();
+  if (!leader)
+    return sizes;
+  const ControlDaemon& control = *daemons_[*leader].control;
+  sizes.state = static_cast<std::int64_t>(encode_state(control.proposer().state()).size());
+  sizes.map = static_cast<std::int64_t>(encode_message(Message{MapNews{control.map()}}).size());
+  sizes.plans_slice = topic_bytes(control.map(), plans_topic);
+  std::set<PoolName> pools;
+  for (const auto& runner : control.map().runners)
+    pools.insert(runner.pool);
+  for (const auto& pool : pools)
+    sizes.pool_slices += topic_bytes(control.map(), pool_topic(pool));
+  for (const auto& daemon : daemons_)
+    sizes.disk = std::max(sizes.disk, daemon.disk_bytes);
+  return sizes;
+}
+
+std::int64_t ScaleFleet::weigh(std::size_t index) {
+  Daemon& daemon = daemons_[index];
+  std::int64_t before = heap_bytes();
+  ++daemon.life;
+  daemon.is_up = false;
+  daemon.control.reset();
+  daemon.data.reset();
+  return before - heap_bytes();
+}
+
+}  // namespace emberdale::scale
--- a/packages/fleet-simulator/src/scale_runs.hpp
+++ b/packages/fleet-simulator/src/scale_runs.hpp
@@ -103,6 +103,10 @@
     std::int64_t state = 0, map = 0, plans_slice = 0, pool_slices = 0, disk = 0;
   };
   Sizes sizes() const;
+  // What a message takes on the wire, and the time to encode it.
+  struct EncodingCost {
+    std::int64_t bytes = 0, ns = 0;
+  };
   // Heap that goes with one daemon, by ending it. Example: fleet.weigh(*fleet.master())
   std::int64_t weigh(std::size_t index);
 
@@ -116,22 +120,44 @@
     std::int64_t asked = 0, acknowledged = 0;
     Integer revision = 0;
   };
+  // A message on its way.
+  struct Delivery {
+    std::size_t from = 0, target = 0;
+    int sender_life = 0, sender_role = 0;
+    std::int64_t bytes = 0;
+    std::shared_ptr<const Message> message;
+  };
+
   FleetState first_state() const;
+  Resource plan_resource(int number) const;
+  Resource runner_resource(int number) const;
+  std::string model_name(int number) const;
   std::string runner_name(int number) const;
-  ZoneName zone_of(int number, int total) const;
+  ZoneName zone_of(int number) const;
   RegionName region_of(int zone) const;
-  void add(const std::string& role, int number, int total);
+  void add(const std::string& role, int number);
+  void found();
+  bool is_led() const;
+  bool has_grant(const Daemon& daemon) const;
+  void start_control(Daemon& daemon, const DaemonEntry& self, std::uint64_t random);
   void later(std::int64_t ms, std::function<void()> act) { events_.push({now_ + ms, ++last_event_, std::move(act)}); }
   Moment clock(const Daemon& daemon) const { return Moment{now_ + daemon.clock}; }
   int role(std::size_t index) const;
-  template <class Act>
-  void timed(std::size_t index, std::size_t kind, const Act& act);
+  // Runs the act, and charges its time to the daemon and to its role's work of the kind.
+  void timed(std::size_t index, std::size_t kind, const std::function<void()>& act);
   void tick(std::size_t index, int life);
   void flush(std::size_t index);
+  EncodingCost encoding_cost(std::size_t from, const Message& message);
+  void charge_sender(std::size_t from, std::size_t kind, const EncodingCost& cost);
   void deliver(std::size_t from, const Address& to, Message message);
+  void arrive(const Delivery& delivery);
+  void refuse(const Delivery& delivery);
+  void charge_receiver(const Delivery& delivery);
+  std::int64_t decoding_ns(std::size_t kind, const Delivery& delivery);
   void probe(std::size_t index, const ProbeWish& wish);
   void sample();
   void change();
+  void end_change(std::int64_t asked, const EditAnswer& answer);
   bool is_cut(std::size_t one, std::size_t other) const;
   std::int64_t travel(std::size_t from, std::size_t to);
 
@@ -147,7 +173,7 @@
   std::set<std::string> down_;
   RegionName cut_off_;
   std::deque<Change> changes_;
-  std::map<std::pair<Address, MapVersion>, std::pair<std::int64_t, std::int64_t>> map_sizes_;  // bytes, ns to encode
+  std::map<std::pair<Address, MapVersion>, EncodingCost> known_maps_;
   ScaleCounts counts_;
   std::int64_t rounds_before_ = 0;
 };
