The register refuses bad input from peers with a reason, counts it and tells it once

Cause: one Prepare, Accept or answer with a ballot number near the end of its range made every later ballot impossible (the next number overflows). An Accept whose value could not be read was stored, and the copy went on with the state before it. Promises, Accepteds and read answers counted from stores and addresses that were not asked; a read answer for the known ballot with a set of copies of its own was a majority by itself.

message_validation.hpp checks ballots (range, step, owner), values (readable, of this fleet, version and term that the ballot can have given, a sound set of copies) and answers (asked for, fitting). A log with an unreadable value or a second fleet's is not replayed. Values are decoded once, when they arrive, and a promise that leaves out a known value costs no decoding any more.

Not refused, on purpose: a lower version by a higher ballot (a proposer may not have seen a write that went no further; refusing it would stop the register), and a store that wiped its disk and answers under a new name (it has no vote).

--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/message_validation.hpp"
 #include "emberdale/messages.hpp"
 
 namespace emberdale {
@@ -24,7 +25,8 @@
  public:
   explicit RegisterAcceptor(StoreId store) : store_(std::move(store)) {}
 
-  // Replays records of the log in order. Example: acceptor.restore(opening.records)
+  // Replays records of the log in order. Refused with a reason, and nothing is taken over, if one can't be read, was
+  // written by a newer version or holds another register's value. Example: acceptor.restore(opening.records)
   Outcome<bool> restore(const std::vector<std::string>& records);
 
   // Takes the register's messages; others are left alone (returns false).
@@ -45,15 +47,22 @@
   const StoreId& store() const { return store_; }
   const FleetState& state() const { return state_; }  // of the synced value
   const Ballot& accepted() const { return synced_.accepted; }
+  const RefusedMessages& refusals() const { return refusals_; }
+  RefusedMessages& refusals() { return refusals_; }  // bad input from peers
 
  private:
   struct Held {
     std::int64_t token;
     AcceptorRecord after;
+    std::optional<FleetState> state;  // of the value, if it is a new one
     Sending answer;
   };
-  void write(AcceptorRecord after, bool has_value, Sending answer);
-  void settle(const AcceptorRecord& record);
+  void on_prepare(const Address& from, const Prepare& prepare);
+  void on_accept(const Address& from, const Accept& accept);
+  void on_read(const Address& from, const ReadAsk& read, Moment now);
+  void on_found(const Address& from, const Found& found);
+  // `state`: the decoded value, where the record brings a new one; else the record names the value it stands on.
+  void write(AcceptorRecord after, std::optional<FleetState> state, Sending answer);
 
   StoreId store_;
   AcceptorRecord ahead_;   // with what is still being written
@@ -65,6 +74,7 @@
   std::vector<Sending> out_;
   std::map<Address, Moment> heard_;
   std::optional<Moment> awake_since_;
+  RefusedMessages refusals_;
 };
 
 }  // namespace emberdale
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/message_validation.hpp"
 #include "emberdale/messages.hpp"
 
 namespace emberdale {
@@ -66,6 +67,8 @@
     std::int64_t rounds = 0, conflicts = 0, committed = 0, unknown = 0, mended = 0, reads = 0;
   };
   const Counts& counts() const { return counts_; }
+  const RefusedMessages& refusals() const { return refusals_; }
+  RefusedMessages& refusals() { return refusals_; }  // bad input from peers
 
  private:
   struct Job {
@@ -81,9 +84,9 @@
     Ballot ballot;
     Moment phase_end;
     int tries = 0;
-    std::set<StoreId> granted;
+    std::set<StoreId> asked, granted;
     Ballot highest;
-    Bytes value;
+    FleetState found;       // the value of the highest ballot
     std::set<Ballot> seen;  // accepted ballots among the promises
     // What the accept round carries, and how the job ends if it is chosen.
     FleetState proposed;
@@ -92,6 +95,7 @@
   struct Read {
     std::int64_t ask = 0;
     Moment begun;
+    std::set<Address> asked;
     std::map<StoreId, Ballot> answers;
     std::map<StoreId, Address> places;
     Ballot highest;
@@ -107,8 +111,18 @@
   void finish(ChangeEnd end, Moment now);
   void adopt(const Ballot& ballot, const FleetState& state, Moment proven_from);
   void settle_read(Moment now);
+  void on_promise(const Address& from, const Promise& promise, Moment now);
+  void on_accepted(const Address& from, const Accepted& accepted, Moment now);
+  void on_read_answer(const Address& from, const ReadAnswer& answer, Moment now);
+  // Whether the answer of a round comes from a store that was asked, and its ballot fits; raises the highest seen.
+  bool takes_round_answer(const Address& from, const StoreId& store, bool granted, const Ballot& promised);
+  // Reads the value of a promise that is newer than the ones before it; false if it is refused.
+  bool take_promised_value(const Address& from, const Promise& promise);
+  std::optional<InvalidInput> check_read_answer(const Address& from, const ReadAnswer& answer) const;
   std::vector<AcceptorEntry> everyone() const;
   void send_each(const std::vector<AcceptorEntry>& stores, const std::function<Message(const StoreId&)>& make);
+  // The same, of the round: its answers are taken from these stores alone.
+  void ask_each(const std::vector<AcceptorEntry>& stores, const std::function<Message(const StoreId&)>& make);
 
   Address self_;
   RandomGenerator random_;
@@ -124,12 +138,13 @@
   std::optional<Round> current_;
   std::deque<Job> waiting_;
   std::optional<Read> read_;
-  std::map<Ballot, Bytes> read_values_;
+  std::map<Ballot, FleetState> read_states_;  // what the answers of this read brought
   int split_reads_ = 0;
   std::optional<std::map<Address, Span>> silences_;
   std::int64_t last_ask_;
   std::vector<Sending> out_;
   Counts counts_;
+  RefusedMessages refusals_;
 };
 
 }  // namespace emberdale
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -8,128 +8,156 @@
   // A record without a value names the ballot of the value it stands on: a write that the disk
   // refused half-way, and that nobody was answered for, must not slip in between.
   std::map<Ballot, Bytes> values{{Ballot{}, Bytes{}}};
+  AcceptorRecord newest;
+  FleetState state;
   for (const auto& bytes : records) {
     auto record = decode_acceptor_record(bytes);
     if (!record)
       return failure(record.reason);
-    if (record->has_value) {
+    if (record->has_value && record->accepted != Ballot{}) {
+      auto value = decode_state(record->value.data);
+      if (!value)
+        return failure(value.reason);
+      if (!state.fleet.empty() && value->fleet != state.fleet)
+        return failure("the log holds a value of '" + value->fleet + "' after one of '" + state.fleet + "'");
       values[record->accepted] = record->value;
+      state = std::move(*value);
     } else {
       auto stands_on = values.find(record->accepted);
       if (stands_on == values.end())
         return failure("a promise stands on a value that is not in the log");
       record->value = stands_on->second;
     }
-    settle(*record);
+    newest = std::move(*record);
   }
-  ahead_ = synced_;
+  if (newest.accepted != Ballot{})
+    state = *decode_state(newest.value.data);  // the newest record may stand on an older value
+  synced_ = ahead_ = std::move(newest);
+  state_ = std::move(state);
   return true;
 }
 
-void RegisterAcceptor::settle(const AcceptorRecord& record) {
-  bool is_new_value = record.accepted != synced_.accepted;
-  synced_ = record;
-  if (is_new_value) {
-    auto state = decode_state(record.value.data);
-    if (state)
-      state_ = std::move(*state);
-  }
-}
-
-void RegisterAcceptor::write(AcceptorRecord after, bool has_value, Sending answer) {
+void RegisterAcceptor::write(AcceptorRecord after, std::optional<FleetState> state, Sending answer) {
   ahead_ = after;
   AcceptorRecord lean = after;
-  lean.has_value = has_value;
-  if (!has_value)
+  lean.has_value = state.has_value();
+  if (!lean.has_value)
     lean.value = Bytes{};
-  held_.push_back({++last_token_, std::move(after), std::move(answer)});
+  held_.push_back({++last_token_, std::move(after), std::move(state), std::move(answer)});
   writes_.push_back({last_token_, encode_acceptor_record(lean)});
 }
 
 bool RegisterAcceptor::on_message(const Address& from, const Message& message, Moment now) {
   if (!awake_since_)
     awake_since_ = now;
-  if (const auto* prepare = std::get_if<Prepare>(&message)) {
-    if (prepare->store != store_)
-      return true;  // meant for the store that was here before
-    if (prepare->ballot < ahead_.promised || prepare->ballot == ahead_.promised) {
-      out_.push_back({from, Promise{prepare->ask, store_, false, ahead_.promised, Ballot{}, Bytes{}}});
-      return true;
-    }
-    AcceptorRecord after = ahead_;
-    after.promised = prepare->ballot;
-    bool is_known = prepare->known == ahead_.accepted;
-    Promise promise{prepare->ask, store_, true, prepare->ballot, ahead_.accepted, is_known ? Bytes{} : ahead_.value};
-    write(after, false, {from, std::move(promise)});
-    return true;
+  if (const auto* prepare = std::get_if<Prepare>(&message))
+    on_prepare(from, *prepare);
+  else if (const auto* accept = std::get_if<Accept>(&message))
+    on_accept(from, *accept);
+  else if (const auto* read = std::get_if<ReadAsk>(&message))
+    on_read(from, *read, now);
+  else if (const auto* found = std::get_if<Found>(&message))
+    on_found(from, *found);
+  else
+    return false;
+  return true;
+}
+
+void RegisterAcceptor::on_prepare(const Address& from, const Prepare& prepare) {
+  if (prepare.store != store_)
+    return;  // meant for the store that was here before
+  auto fault = check_ballot_step(prepare.ballot, ahead_.promised);
+  if (!fault && prepare.ballot.proposer != from)
+    fault = InvalidInput::ballot_of_another;
+  if (fault)
+    return refusals_.add(from, *fault, "Prepare with ballot " + std::to_string(prepare.ballot.number));
+  if (prepare.ballot < ahead_.promised || prepare.ballot == ahead_.promised) {
+    out_.push_back({from, Promise{prepare.ask, store_, false, ahead_.promised, Ballot{}, Bytes{}}});
+    return;
   }
-  if (const auto* accept = std::get_if<Accept>(&message)) {
-    if (accept->store != store_)
-      return true;
-    if (accept->ballot < ahead_.promised) {
-      out_.push_back({from, Accepted{accept->ask, store_, false, ahead_.promised}});
-      return true;
-    }
-    Sending answer{from, Accepted{accept->ask, store_, true, accept->ballot}};
-    if (accept->ballot == ahead_.accepted) {  // a copy that is already here, or on its way to disk
-      if (held_.empty())
-        out_.push_back(std::move(answer));
-      else
-        write(ahead_, false, std::move(answer));
-      return true;
-    }
-    AcceptorRecord after{accept->ballot, true, accept->ballot, accept->value};
-    write(after, true, std::move(answer));
-    return true;
+  AcceptorRecord after = ahead_;
+  after.promised = prepare.ballot;
+  bool is_known = prepare.known == ahead_.accepted;
+  Promise promise{prepare.ask, store_, true, prepare.ballot, ahead_.accepted, is_known ? Bytes{} : ahead_.value};
+  write(after, std::nullopt, {from, std::move(promise)});
+}
+
+void RegisterAcceptor::on_accept(const Address& from, const Accept& accept) {
+  if (accept.store != store_)
+    return;
+  if (auto fault = check_ballot_step(accept.ballot, ahead_.promised))
+    return refusals_.add(from, *fault, "Accept with ballot " + std::to_string(accept.ballot.number));
+  if (accept.ballot < ahead_.promised) {
+    out_.push_back({from, Accepted{accept.ask, store_, false, ahead_.promised}});
+    return;
   }
-  if (const auto* read = std::get_if<ReadAsk>(&message)) {
-    if (read->role == "edge")
-      heard_[from] = now;
-    ReadAnswer answer;
-    answer.ask = read->ask;
-    answer.store = store_;
-    answer.blank = is_blank();
-    answer.accepted = synced_.accepted;
-    answer.minimum_version = state_.minimum_version;
-    answer.acceptors = state_.acceptors;
-    answer.next_acceptors = state_.next_acceptors;
-    answer.awake = (now - *awake_since_).value;
-    if (read->role != "data" && !read->lean && read->known != synced_.accepted)
-      answer.value = synced_.value;
-    if (read->wants_heard)
-      for (const auto& [daemon, moment] : heard_)
-        answer.heard.push_back({daemon, (now - moment).value});
-    out_.push_back({from, std::move(answer)});
-    return true;
+  Sending answer{from, Accepted{accept.ask, store_, true, accept.ballot}};
+  if (accept.ballot == ahead_.accepted) {  // a copy that is already here, or on its way to disk
+    if (held_.empty())
+      out_.push_back(std::move(answer));
+    else
+      write(ahead_, std::nullopt, std::move(answer));
+    return;
   }
-  if (const auto* found = std::get_if<Found>(&message)) {
-    FoundAnswer answer{found->ask, store_, false, ""};
-    if (found->store != store_)
-      answer.reason = "another store";
-    else if (ahead_.accepted != Ballot{} && !(ahead_.value == found->value))
-      answer.reason = "this store already holds a register";
-    if (!answer.reason.empty()) {
-      out_.push_back({from, answer});
-      return true;
-    }
-    answer.granted = true;
-    Ballot first{1, Address{"founding"}};
-    if (ahead_.accepted == Ballot{}) {
-      AcceptorRecord after{ahead_.promised < first ? first : ahead_.promised, true, first, found->value};
-      write(after, true, {from, answer});
-    } else {
-      out_.push_back({from, answer});
-    }
-    return true;
+  auto checked = check_value(accept.value, accept.ballot, state_.fleet);
+  if (checked.fault)
+    return refusals_.add(from, *checked.fault, "Accept: " + checked.detail);
+  write({accept.ballot, true, accept.ballot, accept.value}, std::move(checked.state), std::move(answer));
+}
+
+void RegisterAcceptor::on_read(const Address& from, const ReadAsk& read, Moment now) {
+  if (read.role == "edge")
+    heard_[from] = now;
+  ReadAnswer answer;
+  answer.ask = read.ask;
+  answer.store = store_;
+  answer.blank = is_blank();
+  answer.accepted = synced_.accepted;
+  answer.minimum_version = state_.minimum_version;
+  answer.acceptors = state_.acceptors;
+  answer.next_acceptors = state_.next_acceptors;
+  answer.awake = (now - *awake_since_).value;
+  if (read.role != "data" && !read.lean && read.known != synced_.accepted)
+    answer.value = synced_.value;
+  if (read.wants_heard)
+    for (const auto& [daemon, moment] : heard_)
+      answer.heard.push_back({daemon, (now - moment).value});
+  out_.push_back({from, std::move(answer)});
+}
+
+void RegisterAcceptor::on_found(const Address& from, const Found& found) {
+  FoundAnswer answer{found.ask, store_, false, ""};
+  const Ballot first{1, Address{"founding"}};
+  if (found.store != store_)
+    answer.reason = "another store";
+  else if (ahead_.accepted != Ballot{} && !(ahead_.value == found.value))
+    answer.reason = "this store already holds a register";
+  bool is_new = answer.reason.empty() && ahead_.accepted == Ballot{};
+  CheckedValue checked;
+  if (is_new)
+    checked = check_value(found.value, first, "");
+  if (checked.fault) {
+    answer.reason = checked.detail;
+    refusals_.add(from, *checked.fault, "Found: " + checked.detail);
+  }
+  answer.granted = answer.reason.empty();
+  if (answer.granted && !is_new && !held_.empty())
+    return write(ahead_, std::nullopt, {from, answer});  // the same value may still be on its way to disk
+  if (!answer.granted || !is_new) {
+    out_.push_back({from, answer});
+    return;
   }
-  return false;
+  AcceptorRecord after{ahead_.promised < first ? first : ahead_.promised, true, first, found.value};
+  write(after, std::move(checked.state), {from, answer});
 }
 
 void RegisterAcceptor::synced(std::int64_t token) {
   while (!held_.empty() && held_.front().token <= token) {
     Held held = std::move(held_.front());
     held_.pop_front();
-    settle(held.after);
+    synced_ = std::move(held.after);
+    if (held.state)
+      state_ = std::move(*held.state);
     out_.push_back(std::move(held.answer));
   }
 }
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -61,6 +61,14 @@
     out_.push_back({entry.address, make(entry.store)});
 }
 
+void RegisterProposer::ask_each(const std::vector<AcceptorEntry>& stores,
+                                const std::function<Message(const StoreId&)>& make) {
+  current_->asked.clear();
+  for (const auto& entry : stores)
+    current_->asked.insert(entry.store);
+  send_each(stores, make);
+}
+
 void RegisterProposer::change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience) {
   waiting_.push_back({std::move(change), std::move(done), now + patience});
   if (!current_)
@@ -88,10 +96,10 @@
   round.granted.clear();
   round.seen.clear();
   round.highest = Ballot{};
-  round.value = Bytes{};
+  round.found = FleetState{};
   bool is_large = state_bytes_.data.size() >= large_value;
   Ballot known = is_large ? state_ballot_ : Ballot{};
-  send_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
+  ask_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
 }
 
 void RegisterProposer::pause(Moment now) {
@@ -104,11 +112,7 @@
 
 void RegisterProposer::begin_accept(Moment now) {
   Round& round = *current_;
-  auto found = decode_state(round.value.data);
-  if (!found) {
-    finish({ChangeEnd::Kind::no_majority, {}, found.reason}, now);
-    return;
-  }
+  const FleetState* found = &round.found;
   // The set that voted must be the set the value names: else vote again among those.
   if (!same_set(found->acceptors, acceptors_) || !same_set(found->next_acceptors, next_acceptors_)) {
     acceptors_ = found->acceptors;
@@ -137,8 +141,8 @@
   }
   round.phase = Round::Phase::accepting;
   round.granted.clear();
-  round.value.data = encode_state(round.proposed);
-  round.phase_end = now + patience_for(round.value.data.size());
+  const Bytes value{encode_state(round.proposed)};
+  round.phase_end = now + patience_for(value.data.size());
   if (verdict.kind == Verdict::Kind::apply)
     round.job.was_accept_sent = true;
   std::vector<AcceptorEntry> stores = everyone();
@@ -146,7 +150,7 @@
     for (const auto& entry : set)
       if (std::none_of(stores.begin(), stores.end(), [&](const auto& known) { return known.store == entry.store; }))
         stores.push_back(entry);
-  send_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, round.value}; });
+  ask_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, value}; });
 }
 
 void RegisterProposer::adopt(const Ballot& ballot, const FleetState& state, Moment proven_from) {
@@ -182,7 +186,7 @@
   read_->ask = ++last_ask_;
   read_->begun = now;
   read_->wants_heard = wants_heard;
-  read_values_.clear();
+  read_states_.clear();
   ReadAsk ask{read_->ask, role, state_ballot_, wants_heard, false};
   // A large value is asked of one copy: this machine's own, or where the last read saw a newer one.
   bool has_own =
@@ -191,6 +195,7 @@
     Address full = value_at_.empty() ? self_ : value_at_;
     value_at_ = Address{};
     for (const auto& entry : everyone()) {
+      read_->asked.insert(entry.address);
       ReadAsk one = ask;
       one.lean = entry.address != full && entry.address != self_;
       out_.push_back({entry.address, one});
@@ -205,6 +210,9 @@
   send_each(everyone(), [&](const StoreId&) { return ask; });
   for (const auto& hint : hints)
     out_.push_back({hint, ask});
+  read_->asked = hints;
+  for (const auto& entry : everyone())
+    read_->asked.insert(entry.address);
 }
 
 void RegisterProposer::settle_read(Moment now) {
@@ -259,17 +267,11 @@
     return;
   }
   split_reads_ = 0;
-  Bytes* value = nullptr;
-  auto entry = read_values_.find(read.highest);
-  if (entry != read_values_.end())
-    value = &entry->second;
+  auto value = read_states_.find(read.highest);
   if (read.highest == state_ballot_) {
     adopt(state_ballot_, state_, read.begun);
-  } else if (value != nullptr) {
-    auto state = decode_state(value->data);
-    if (!state)
-      return;
-    adopt(read.highest, *state, read.begun);
+  } else if (value != read_states_.end()) {
+    adopt(read.highest, value->second, read.begun);
   } else {
     for (const auto& [store, ballot] : read.answers)
       if (ballot == read.highest)
@@ -291,82 +293,153 @@
 }
 
 bool RegisterProposer::on_message(const Address& from, const Message& message, Moment now) {
-  if (const auto* promise = std::get_if<Promise>(&message)) {
-    if (highest_seen_ < promise->promised)
-      highest_seen_ = promise->promised;
-    if (!current_ || current_->phase != Round::Phase::preparing || promise->ask != current_->ask)
-      return true;
-    Round& round = *current_;
-    if (!promise->granted) {
-      ++counts_.conflicts;
-      pause(now);
-      return true;
-    }
-    round.granted.insert(promise->store);
-    round.seen.insert(promise->accepted);
-    if (round.highest < promise->accepted) {
-      round.highest = promise->accepted;
-      round.value = promise->value;
-      // Left out because it is known here; if it is not any more, the round begins anew.
-      if (round.value.data.empty() && promise->accepted == state_ballot_)
-        round.value = state_bytes_;
-      if (round.value.data.empty()) {
-        pause(now);
-        return true;
-      }
-    }
-    if (has_majority(acceptors_, next_acceptors_, round.granted)) {
-      if (round.highest == Ballot{})
-        finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
-      else
-        begin_accept(now);
+  if (const auto* promise = std::get_if<Promise>(&message))
+    on_promise(from, *promise, now);
+  else if (const auto* accepted = std::get_if<Accepted>(&message))
+    on_accepted(from, *accepted, now);
+  else if (const auto* answer = std::get_if<ReadAnswer>(&message))
+    on_read_answer(from, *answer, now);
+  else
+    return false;
+  return true;
+}
+
+bool RegisterProposer::takes_round_answer(const Address& from, const StoreId& store, bool granted,
+                                          const Ballot& promised) {
+  const Round& round = *current_;
+  auto refuse = [&](InvalidInput reason, const std::string& detail) {
+    refusals_.add(from, reason, "answer of a round: " + detail);
+    return false;
+  };
+  if (round.asked.count(store) == 0)
+    return refuse(InvalidInput::sender_unknown, "store " + store.text + " was not asked");
+  if (auto fault = check_ballot_step(promised, highest_seen_))
+    return refuse(*fault, "ballot " + std::to_string(promised.number));
+  // Granted is the ballot that was asked for; in its way stands a higher one, or itself (of a former life, or a copy).
+  if (granted ? promised != round.ballot : promised < round.ballot)
+    return refuse(InvalidInput::not_as_asked,
+                  "ballot " + std::to_string(promised.number) + " for " + std::to_string(round.ballot.number));
+  if (highest_seen_ < promised)
+    highest_seen_ = promised;
+  return true;
+}
+
+bool RegisterProposer::take_promised_value(const Address& from, const Promise& promise) {
+  Round& round = *current_;
+  if (!promise.value.data.empty()) {
+    auto checked = check_value(promise.value, promise.accepted, has_state_ ? state_.fleet : "");
+    if (checked.fault) {
+      refusals_.add(from, *checked.fault, "Promise: " + checked.detail);
+      return false;
     }
-    return true;
+    round.found = std::move(checked.state);
+  } else {
+    round.found = state_;  // left out because it is known here
   }
-  if (const auto* accepted = std::get_if<Accepted>(&message)) {
-    if (highest_seen_ < accepted->promised)
-      highest_seen_ = accepted->promised;
-    if (!current_ || current_->phase != Round::Phase::accepting || accepted->ask != current_->ask)
-      return true;
-    Round& round = *current_;
-    if (!accepted->granted) {
-      ++counts_.conflicts;
-      pause(now);
-      return true;
-    }
-    round.granted.insert(accepted->store);
-    // Both the set that voted and the set that the new value names must hold it.
-    if (has_majority(acceptors_, next_acceptors_, round.granted) &&
-        has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
-      adopt(round.ballot, round.proposed, confirmed_at_);
-      finish(round.end, now);
-    }
-    return true;
+  round.highest = promise.accepted;
+  return true;
+}
+
+void RegisterProposer::on_promise(const Address& from, const Promise& promise, Moment now) {
+  if (!current_ || current_->phase != Round::Phase::preparing || promise.ask != current_->ask)
+    return;
+  if (!takes_round_answer(from, promise.store, promise.granted, promise.promised))
+    return;
+  Round& round = *current_;
+  if (!promise.granted) {
+    ++counts_.conflicts;
+    return pause(now);
   }
-  if (const auto* answer = std::get_if<ReadAnswer>(&message)) {
-    if (!read_ || answer->ask != read_->ask)
-      return true;
-    Read& read = *read_;
-    read.answers[answer->store] = answer->accepted;
-    read.places[answer->store] = from;
-    if (!answer->value.data.empty())
-      read_values_[answer->accepted] = answer->value;
-    if (answer->accepted == state_ballot_)
-      read_values_[answer->accepted] = state_bytes_;
-    if (read.highest < answer->accepted) {
-      read.highest = answer->accepted;
-      read.acceptors = answer->acceptors;
-      read.next = answer->next_acceptors;
-    }
-    if (read.wants_heard) {
-      for (const auto& heard : answer->heard)
-        read.heard[answer->store][heard.daemon] = Span{heard.age};
-      read.awake[answer->store] = Span{answer->awake};
-    }
-    settle_read(now);
-    return true;
+  bool has_accepted = promise.accepted != Ballot{};
+  if (has_accepted && (check_ballot(promise.accepted) || !(promise.accepted < round.ballot)))
+    return refusals_.add(from, InvalidInput::not_as_asked,
+                         "Promise: holds ballot " + std::to_string(promise.accepted.number));
+  if (round.highest < promise.accepted) {
+    // What was known when the round began may have been overtaken: the round begins anew.
+    if (promise.value.data.empty() && promise.accepted != state_ballot_)
+      return pause(now);
+    if (!take_promised_value(from, promise))
+      return;
+  }
+  round.granted.insert(promise.store);
+  round.seen.insert(promise.accepted);
+  if (!has_majority(acceptors_, next_acceptors_, round.granted))
+    return;
+  if (round.highest == Ballot{})
+    finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
+  else
+    begin_accept(now);
+}
+
+void RegisterProposer::on_accepted(const Address& from, const Accepted& accepted, Moment now) {
+  if (!current_ || current_->phase != Round::Phase::accepting || accepted.ask != current_->ask)
+    return;
+  if (!takes_round_answer(from, accepted.store, accepted.granted, accepted.promised))
+    return;
+  Round& round = *current_;
+  if (!accepted.granted) {
+    ++counts_.conflicts;
+    return pause(now);
+  }
+  round.granted.insert(accepted.store);
+  // Both the set that voted and the set that the new value names must hold it.
+  if (has_majority(acceptors_, next_acceptors_, round.granted) &&
+      has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
+    adopt(round.ballot, round.proposed, confirmed_at_);
+    finish(round.end, now);
+  }
+}
+
+std::optional<InvalidInput> RegisterProposer::check_read_answer(const Address& from, const ReadAnswer& answer) const {
+  if (read_->asked.count(from) == 0)
+    return InvalidInput::sender_unknown;
+  bool holds_nothing = answer.accepted == Ballot{};
+  bool has_ages = answer.awake >= 0 && std::all_of(answer.heard.begin(), answer.heard.end(),
+                                                   [](const Heard& heard) { return heard.age >= 0; });
+  if (!has_ages || answer.blank != holds_nothing || (holds_nothing && !answer.value.data.empty()))
+    return InvalidInput::not_as_asked;
+  if (holds_nothing)
+    return std::nullopt;
+  if (auto fault = check_ballot_step(answer.accepted, highest_seen_))
+    return fault;
+  // The copies that a known value names are known as well.
+  bool is_known = has_state_ && answer.accepted == state_ballot_;
+  if (is_known &&
+      !(same_set(answer.acceptors, state_.acceptors) && same_set(answer.next_acceptors, state_.next_acceptors)))
+    return InvalidInput::not_as_asked;
+  return std::nullopt;
+}
+
+void RegisterProposer::on_read_answer(const Address& from, const ReadAnswer& answer, Moment now) {
+  if (!read_ || answer.ask != read_->ask)
+    return;
+  if (auto fault = check_read_answer(from, answer))
+    return refusals_.add(from, *fault, "ReadAnswer with ballot " + std::to_string(answer.accepted.number));
+  bool is_new_value =
+      !answer.value.data.empty() && answer.accepted != state_ballot_ && read_states_.count(answer.accepted) == 0;
+  if (is_new_value) {
+    auto checked = check_value(answer.value, answer.accepted, has_state_ ? state_.fleet : "");
+    if (!checked.fault && !(same_set(answer.acceptors, checked.state.acceptors) &&
+                            same_set(answer.next_acceptors, checked.state.next_acceptors)))
+      checked.fault = InvalidInput::not_as_asked;
+    if (checked.fault)
+      return refusals_.add(from, *checked.fault, "ReadAnswer: " + checked.detail);
+    read_states_[answer.accepted] = std::move(checked.state);
+  }
+  Read& read = *read_;
+  read.answers[answer.store] = answer.accepted;
+  read.places[answer.store] = from;
+  if (read.highest < answer.accepted) {
+    read.highest = answer.accepted;
+    read.acceptors = answer.acceptors;
+    read.next = answer.next_acceptors;
+  }
+  if (read.wants_heard) {
+    for (const auto& heard : answer.heard)
+      read.heard[answer.store][heard.daemon] = Span{heard.age};
+    read.awake[answer.store] = Span{answer.awake};
   }
-  return false;
+  settle_read(now);
 }
 
 void RegisterProposer::on_timer(Moment now) {
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -978,8 +978,15 @@
       out_.push_back(std::move(sending));
     }
   };
-  if (acceptor_)
+  auto tell = [&](RefusedMessages& refusals) {
+    for (const auto& refused : refusals.take_news())
+      note(now, "refused_message", refused.from.text + " " + reason_word(refused.reason) + " " + refused.detail);
+  };
+  tell(proposer_.refusals());
+  if (acceptor_) {
+    tell(acceptor_->refusals());
     take(acceptor_->take_out());
+  }
   take(proposer_.take_out());
   take(election_.take_out());
   take(slices_.take_out());
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -431,6 +431,9 @@
 void ControlInterface::metrics(http_request request) {
   const auto& c = daemon_.counts();
   const auto& p = daemon_.proposer().counts();
+  std::int64_t refused_messages = daemon_.proposer().refusals().total();
+  if (daemon_.acceptor() != nullptr)
+    refused_messages += daemon_.acceptor()->refusals().total();
   const auto& e = daemon_.election().counts();
   const auto& l = links_.counts();
   std::map<std::string, std::int64_t> counters{{"maps_published", c.maps_published},
@@ -449,6 +452,7 @@
                                                {"register_unknown", p.unknown},
                                                {"register_mended", p.mended},
                                                {"register_reads", p.reads},
+                                               {"register_refused_messages", refused_messages},
                                                {"election_rounds", e.rounds},
                                                {"election_starved_rounds", e.starved},
                                                {"election_joins_failed", e.joins_failed},
