An order id that comes again with another content is refused, not acknowledged

Cause: the leader and the register knew orders by their id alone. A doubled id was acknowledged with the answer of another order (or dropped without one, while that was in hand) and never done.

A doubled id is answered 409, counted (edits_doubled_ids) and told once (doubled_id). Cost: 33 bytes for each of 64 orders in the value.

--- a/packages/content-digest/tests/content_digest_test.cpp
+++ b/packages/content-digest/tests/content_digest_test.cpp
@@ -15,4 +15,5 @@
 TEST(ContentDigest, TakesZeroBytesForContent) {
   EXPECT_NE(content_digest(std::string("a\0b", 3)), content_digest("a"));
   EXPECT_EQ(content_digest(std::string("a\0b", 3)).size(), content_digest_size);
+  EXPECT_EQ(content_digest_bytes("abc").size() * 2, content_digest_size);
 }
--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -54,11 +54,18 @@
   // Those that ended, each with its answer. Example: for (auto& edit : edits.take_ended()) send(edit.answer)
   std::vector<Edit> take_ended() { return std::exchange(ended_, {}); }
   struct Counts {
-    std::int64_t edits = 0, unknown = 0;
+    std::int64_t edits = 0, unknown = 0, doubled_ids = 0;
   };
   const Counts& counts() const { return counts_; }
 
  private:
+  // What was answered to an order, and which one it was.
+  struct Answered {
+    Bytes digest;
+    EditAnswer answer;
+  };
+  void count_doubled_id(const Edit& edit, Moment now);
+  void refuse_doubled_id(Edit edit, Moment now);
   void end(std::size_t at, EditAnswer answer);
   void on_change_end(const EditAsk& ask, const EditResult& result, const ChangeEnd& end, Moment now);
 
@@ -71,7 +78,7 @@
   bool is_in_flight_ = false, is_outcome_open_ = false;
   MapVersion attempted_minimum_version_;
   // What was answered to edits handed over: asked again, this master says the same and does nothing.
-  std::map<std::string, EditAnswer> answered_;
+  std::map<std::string, Answered> answered_;
   std::deque<std::string> answered_order_;
   Counts counts_;
 };
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -441,6 +441,7 @@
                                                {"maps_fenced", c.maps_fenced},
                                                {"edits", daemon_.edit_counts().edits},
                                                {"edits_unknown", daemon_.edit_counts().unknown},
+                                               {"edits_doubled_ids", daemon_.edit_counts().doubled_ids},
                                                {"probes", daemon_.probes_made()},
                                                {"enrolled", daemon_.roster_counts().enrolled},
                                                {"ghosts_evicted", daemon_.roster_counts().dead_members_evicted},
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -1,5 +1,6 @@
 #include "emberdale/master_edits.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/order_identity.hpp"
 #include "emberdale/traffic_edits.hpp"
 
 #include <algorithm>
@@ -23,16 +24,34 @@
 void MasterEdits::take(Edit edit, Moment now) {
   auto known = answered_.find(edit.ask.change);
   if (!edit.from.empty() && known != answered_.end()) {
-    edit.answer = known->second;
+    if (!(known->second.digest == order_digest(edit.ask)))
+      return refuse_doubled_id(std::move(edit), now);
+    edit.answer = known->second.answer;
     ended_.push_back(std::move(edit));
     return;
   }
-  if (std::any_of(edits_.begin(), edits_.end(), [&](const auto& other) { return other.ask.change == edit.ask.change; }))
+  auto in_hand = std::find_if(edits_.begin(), edits_.end(),
+                              [&](const Edit& other) { return other.ask.change == edit.ask.change; });
+  if (in_hand != edits_.end()) {
+    if (!(order_digest(in_hand->ask) == order_digest(edit.ask)))
+      refuse_doubled_id(std::move(edit), now);
     return;
+  }
   edit.deadline = now + edit_patience;
   edits_.push_back(std::move(edit));
 }
 
+void MasterEdits::count_doubled_id(const Edit& edit, Moment now) {
+  if (++counts_.doubled_ids == 1)  // told once, counted always
+    journal_.append(now, "doubled_id", edit.from.text + " " + edit.ask.change);
+}
+
+void MasterEdits::refuse_doubled_id(Edit edit, Moment now) {
+  count_doubled_id(edit, now);
+  edit.answer = EditAnswer{edit.ask.ask, doubled_id_code, 0, reason_body(doubled_id_reason, "refused"), edit.ask.term};
+  ended_.push_back(std::move(edit));
+}
+
 void MasterEdits::end(std::size_t at, EditAnswer answer) {
   Edit edit = std::move(edits_[at]);
   edits_.erase(edits_.begin() + static_cast<std::ptrdiff_t>(at));
@@ -45,7 +64,7 @@
   if (answer.code == 504)
     ++counts_.unknown;
   if (!edit.from.empty()) {
-    answered_[edit.ask.change] = answer;
+    answered_[edit.ask.change] = Answered{order_digest(edit.ask), answer};
     answered_order_.push_back(edit.ask.change);
     if (answered_order_.size() > answered_kept) {
       answered_.erase(answered_order_.front());
@@ -74,11 +93,15 @@
   proposer_.change(
       [ask, term, self = self_, last, result](const FleetState& state) -> Verdict {
         *result = EditResult{};
-        for (const auto& done : state.done)
-          if (done.change == ask.change) {
-            result->version = done.version;
-            return {Verdict::Kind::already_there, {}, ""};
-          }
+        RecalledOrder recalled = recall_order(state.done, ask);
+        result->version = recalled.version;
+        if (recalled.memory == OrderMemory::done)
+          return {Verdict::Kind::already_there, {}, ""};
+        if (recalled.memory == OrderMemory::doubled_id) {
+          result->code = doubled_id_code;
+          result->reason = doubled_id_reason;
+          return {Verdict::Kind::refuse, {}, result->reason};
+        }
         if (state.term != term || state.master != self) {
           result->code = 503;
           result->reason = "this daemon is master no more";
@@ -100,7 +123,7 @@
         changed.config_revision += 1;
         // One write makes the change durable and holds every map that does not cover it.
         changed.minimum_version = MapVersion{term, std::max(last, state.minimum_version.number) + 1};
-        changed.done.push_back({ask.change, result->version, changed.config_revision});
+        changed.done.push_back({ask.change, result->version, changed.config_revision, order_digest(ask)});
         if (changed.done.size() > done_kept)
           changed.done.erase(changed.done.begin());
         return {Verdict::Kind::apply, changed, ""};
@@ -130,6 +153,8 @@
   }
   EditAnswer answer;
   if (ended.kind == ChangeEnd::Kind::refused) {
+    if (result.code == doubled_id_code)
+      count_doubled_id(*edit, now);
     answer.code = result.code;
     answer.version = result.version;
     answer.body = json_text(Json{{"reason", result.reason},
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -45,8 +45,8 @@
 #define EMBERDALE_RESOURCE(F) F(Text, kind) F(Text, name) F(Integer, version) F(Integer, config_revision) F(Text, body)
 EMBERDALE_RECORD(Resource, EMBERDALE_RESOURCE)  // kind: "serving-plans", "zone-orders", "runners"
 
-#define EMBERDALE_DONE_CHANGE(F) F(Text, change) F(Integer, version) F(Integer, config_revision)
-EMBERDALE_RECORD(DoneChange, EMBERDALE_DONE_CHANGE)
+#define EMBERDALE_DONE_CHANGE(F) F(Text, change) F(Integer, version) F(Integer, config_revision) F(Bytes, digest)
+EMBERDALE_RECORD(DoneChange, EMBERDALE_DONE_CHANGE)  // digest: of what was asked; empty in those of earlier versions
 
 #define EMBERDALE_FLEET_STATE(F)                                                                                  \
   F(Text, fleet)                                                                                                  \
