--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -60,12 +60,19 @@
   // Those that ended, each with its answer. Example: for (auto& edit : edits.take_ended()) send(edit.answer)
   std::vector<Edit> take_ended() { return std::exchange(ended_, {}); }
   struct Counts {
-    std::int64_t edits = 0, writes = 0, unknown = 0;
+    std::int64_t edits = 0, writes = 0, unknown = 0, doubled_ids = 0;
   };
   const Counts& counts() const { return counts_; }
 
  private:
   void end_those_of_earlier_terms();
+  // What was answered to an order, and which one it was.
+  struct Answered {
+    Bytes digest;
+    EditAnswer answer;
+  };
+  void count_doubled_id(const Edit& edit, Moment now);
+  void refuse_doubled_id(Edit edit, Moment now);
   void end(std::size_t at, EditAnswer answer);
   EditBatch next_batch() const;
   void on_change_end(const EditBatch& batch, const ChangeEnd& ended, Moment now);
@@ -81,7 +88,7 @@
   std::set<std::string> in_flight_;  // the changes that are being written
   MapVersion attempted_minimum_version_;
   // What was answered to edits handed over: asked again, this master says the same and does nothing.
-  std::map<std::string, EditAnswer> answered_;
+  std::map<std::string, Answered> answered_;
   std::deque<std::string> answered_order_;
   Counts counts_;
 };
--- a/packages/control-plane/src/edit_batch.cpp
+++ b/packages/control-plane/src/edit_batch.cpp
@@ -1,7 +1,6 @@
 #include "emberdale/edit_batch.hpp"
 
-#include <algorithm>
-
+#include "emberdale/order_identity.hpp"
 #include "emberdale/traffic_edits.hpp"
 
 namespace emberdale {
@@ -27,10 +26,11 @@
 }
 
 Step step_on(const FleetState& state, const EditAsk& ask, bool is_leader) {
-  auto done = std::find_if(state.done.begin(), state.done.end(),
-                           [&](const DoneChange& change) { return change.change == ask.change; });
-  if (done != state.done.end())
-    return already_there(done->version);
+  RecalledOrder recalled = recall_order(state.done, ask);
+  if (recalled.memory == OrderMemory::done)
+    return already_there(recalled.version);
+  if (recalled.memory == OrderMemory::doubled_id)
+    return refused(doubled_id_code, doubled_id_reason);
   if (!is_leader)
     return refused(503, "this daemon is master no more");
   Step step;
@@ -55,7 +55,7 @@
       state.resources = std::move(step.result.resources);
       state.deleted_version = step.result.deleted_version;
       state.config_revision += 1;
-      state.done.push_back({edit.ask.change, step.result.version, state.config_revision});
+      state.done.push_back({edit.ask.change, step.result.version, state.config_revision, order_digest(edit.ask)});
     }
     step.result.resources.clear();
     edit.result = std::move(step.result);
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -1,5 +1,6 @@
 #include "emberdale/master_edits.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/order_identity.hpp"
 #include "emberdale/traffic_table.hpp"
 
 #include <algorithm>
@@ -45,12 +46,19 @@
 void MasterEdits::take(Edit edit, Moment now) {
   auto known = answered_.find(edit.ask.change);
   if (!edit.from.empty() && known != answered_.end()) {
-    edit.answer = known->second;
+    if (!(known->second.digest == order_digest(edit.ask)))
+      return refuse_doubled_id(std::move(edit), now);
+    edit.answer = known->second.answer;
     ended_.push_back(std::move(edit));
     return;
   }
-  if (std::any_of(edits_.begin(), edits_.end(), [&](const auto& other) { return other.ask.change == edit.ask.change; }))
+  auto in_hand = std::find_if(edits_.begin(), edits_.end(),
+                              [&](const Edit& other) { return other.ask.change == edit.ask.change; });
+  if (in_hand != edits_.end()) {
+    if (!(order_digest(in_hand->ask) == order_digest(edit.ask)))
+      refuse_doubled_id(std::move(edit), now);
     return;
+  }
   edit.deadline = now + edit_patience;
   edits_.push_back(std::move(edit));
 }
@@ -75,6 +83,17 @@
   }
 }
 
+void MasterEdits::count_doubled_id(const Edit& edit, Moment now) {
+  if (++counts_.doubled_ids == 1)  // told once, counted always
+    journal_.append(now, "doubled_id", edit.from.text + " " + edit.ask.change);
+}
+
+void MasterEdits::refuse_doubled_id(Edit edit, Moment now) {
+  count_doubled_id(edit, now);
+  edit.answer = EditAnswer{edit.ask.ask, doubled_id_code, 0, reason_body(doubled_id_reason, "refused"), edit.ask.term};
+  ended_.push_back(std::move(edit));
+}
+
 void MasterEdits::end(std::size_t at, EditAnswer answer) {
   Edit edit = std::move(edits_[at]);
   edits_.erase(edits_.begin() + static_cast<std::ptrdiff_t>(at));
@@ -87,7 +106,7 @@
   if (answer.code == 504)
     ++counts_.unknown;
   if (!edit.from.empty()) {
-    answered_[edit.ask.change] = answer;
+    answered_[edit.ask.change] = Answered{order_digest(edit.ask), answer};
     answered_order_.push_back(edit.ask.change);
     if (answered_order_.size() > answered_kept) {
       answered_.erase(answered_order_.front());
@@ -153,6 +172,8 @@
     });
     if (edit == edits_.end())
       continue;
+    if (worked_out.result.code == doubled_id_code && ended.kind == ChangeEnd::Kind::committed)
+      count_doubled_id(*edit, now);
     if (ended.kind == ChangeEnd::Kind::committed && worked_out.result.code < 300)
       commit(*edit, worked_out.result, ended.state, now);
     else
