Take a refusal for no promise when the call was written twice

How often a call was written is now counted through the library's progress handler, and the dispatcher gives 502 "unknown" where a copy may have run. Calls that may not be repeated are untouched: they go over a link of their own, where the library doesn't repeat.

Ruled out: keeping the library from repeating (a body that can't be rewound). Idle links that runners close would then cost a resend each.

Before: DataPathFinds.ARefusalAfterAResetOfAReusedLinkIsNoPromise failed for both a reset and a close.

--- a/packages/call-routing/include/emberdale/route_dispatcher.hpp
+++ b/packages/call-routing/include/emberdale/route_dispatcher.hpp
@@ -67,6 +67,7 @@
   std::string last_event;   // broken: the id of the last event that went to the caller
   bool has_report = false;  // the runner told its load along
   Integer running = 0, waiting = 0, slots = 0;
+  bool may_have_run = false;         // refused or unsent: yet it was written before, over a link that then closed
   bool was_link_refused = false;     // a definite word: no one listens there
   bool was_slow_to_connect = false;  // the link did not come up in time: silent machine
 };
--- a/packages/call-routing/src/route_dispatcher.cpp
+++ b/packages/call-routing/src/route_dispatcher.cpp
@@ -464,6 +464,7 @@
   };
   if (end.kind != RoutedEndKind::unsent && end.kind != RoutedEndKind::caller_gone)
     call.tried.insert(call.runner);
+  call.may_have_run |= end.may_have_run;
   switch (end.kind) {
     case RoutedEndKind::answered:
       ++counts_.answered;
--- a/packages/call-routing/tests/route_dispatcher_test.cpp
+++ b/packages/call-routing/tests/route_dispatcher_test.cpp
@@ -474,6 +474,25 @@
   }
 }
 
+// A copy of it was written before, over a link that then closed: the refusal of the second copy says nothing of it.
+TEST(RouteDispatcher, ARefusalPromisesNothingOfACopyThatMayHaveRun) {
+  for (RoutedEndKind kind : {RoutedEndKind::refused, RoutedEndKind::wrong_life, RoutedEndKind::unsent}) {
+    Bench bench;
+    bench.see({runner_of("r1", "north")});
+    EXPECT_FALSE(bench.arrive("free", 1));
+    auto sends = bench.dispatcher.take_sends();
+    ASSERT_EQ(sends.size(), 1u);
+    RoutedEnd end = bench.end_of(sends[0], kind);
+    end.may_have_run = true;
+    bench.dispatcher.end_send(end, bench.now);
+    bench.run_to(bench.now + Span{3000});
+    auto finals = bench.dispatcher.take_finals();
+    ASSERT_EQ(finals.size(), 1u);
+    EXPECT_EQ(finals[0].code, 502);
+    EXPECT_TRUE(finals[0].may_have_run);
+  }
+}
+
 TEST(RouteDispatcher, ASecondSendAfterARefusalMayBeLostAndThenNoThirdFollows) {
   Bench bench;
   bench.see({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("n3", "north")});
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -311,6 +311,7 @@
   std::shared_ptr<RunnerLink> link;
   pplx::cancellation_token_source stop;
   Moment begun;
+  std::shared_ptr<std::atomic<int>> times_written = std::make_shared<std::atomic<int>>(0);
   http_response response{0};
   RawCutter cutter;
   EventSieve sieve;
@@ -631,7 +632,8 @@
     if (entry == calls_.end() || !entry->second.send || entry->second.send->act.turn != ended->turn)
       return;  // of a send given up
     entry->second.send.reset();
-    entry->second.may_have_run |= ended->kind == RoutedEndKind::lost || ended->kind == RoutedEndKind::broken;
+    entry->second.may_have_run |=
+        ended->may_have_run || ended->kind == RoutedEndKind::lost || ended->kind == RoutedEndKind::broken;
     bool is_over = ended->kind == RoutedEndKind::answered || ended->kind == RoutedEndKind::caller_gone;
     if (is_over)
       calls_.erase(entry);
@@ -780,10 +782,14 @@
                        body.size());
       if (!has_type)
         request.headers().remove("Content-Type");
-      // The body is not copied: it lives as long as the request, through this handler.
-      request.set_progress_handler(
-          [kept = handle->body](web::http::message_direction::direction, utility::size64_t) {});
     }
+    // The body is not copied: it lives as long as the request, through this handler. Over a link that turns out
+    // closed the library sends the request again by itself, which shows here alone.
+    request.set_progress_handler([body = handle->body, times_written = sending->times_written](
+                                     web::http::message_direction::direction direction, utility::size64_t bytes) {
+      if (direction == web::http::message_direction::upload && bytes == body->size())
+        ++*times_written;
+    });
     sending->link = link_to(act);
   } catch (const std::exception& fault) {
     return end(sending, RoutedEndKind::unsent, fault.what());
@@ -836,6 +842,7 @@
   over.turn = send.act.turn;
   over.kind = kind;
   over.reason = reason;
+  over.may_have_run = *send.times_written > (kind == RoutedEndKind::unsent ? 0 : 1);
   std::string load = header_of(send.response.headers(), words_.load);
   if (!load.empty()) {
     auto [running, waiting, slots] = read_numbers<3>(load);
--- a/packages/data-plane/tests/data_path_fuzz_test.cpp
+++ b/packages/data-plane/tests/data_path_fuzz_test.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <thread>
 
 #include "support/call_ledger.hpp"
 #include "support/faulty_runner.hpp"
@@ -220,6 +221,26 @@
   EXPECT_TRUE(path.ledger().runs(second).empty());
 }
 
+// --- finds, each as the case that showed it -----------------------------------------------------------
+
+// Seed 20261202, case 30: the library sent the call again by itself, and the refusal of that copy was taken for a
+// promise about both.
+TEST(DataPathFinds, ARefusalAfterAResetOfAReusedLinkIsNoPromise) {
+  DataPath path;
+  for (RunnerAct broken : {RunnerAct::reset_before_head, RunnerAct::close_before_head}) {
+    CallPlan plan;
+    plan.route = CallRoute::again;
+    for (const auto& acts : {std::vector<RunnerAct>{RunnerAct::answer}, {broken, RunnerAct::refuse_full}}) {
+      plan.acts = acts;
+      path.caller(0).send(plan);
+      path.caller(0).collect();
+      // The library lays the link by a moment after the answer.
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  }
+  EXPECT_EQ(joined(path.finish_case()), "");
+}
+
 TEST(DataPathFuzz, AnAnswerGoesToItsCallOrToNoOne) {
   DataPath path;
   bool is_sound = rc::check("an answer goes to its call or to no one", [&path] {
--- a/packages/data-plane/tests/support/relay_under_test.cpp
+++ b/packages/data-plane/tests/support/relay_under_test.cpp
@@ -57,6 +57,10 @@
     row.capacity = 8;
     view->runners[row.name] = row;
     view->pools[row.pool].push_back(row.name);
+    auto& region = view->regions[{row.pool, row.region}];  // without it no runner is a prompt's keeper
+    region.pool = row.pool;
+    region.region = row.region;
+    region.capacity += row.capacity;
   }
   return view;
 }
