--- a/packages/data-plane/tests/data_path_fuzz_test.cpp
+++ b/packages/data-plane/tests/data_path_fuzz_test.cpp
@@ -7,7 +7,6 @@
 #include <rapidcheck/state.h>
 
 #include <array>
-#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <thread>
@@ -15,6 +14,7 @@
 #include "support/call_ledger.hpp"
 #include "support/faulty_runner.hpp"
 #include "support/fuzz_caller.hpp"
+#include "support/fuzz_cases.hpp"
 #include "support/relay_under_test.hpp"
 
 using namespace emberdale_test;
@@ -24,17 +24,7 @@
 [[maybe_unused]] const bool has_threads = (crossplat::threadpool::initialize_with_threads(4), true);
 
 constexpr int default_cases = 150;
-constexpr const char* fixed_seed = "20261202";
-
-// RapidCheck reads its settings from the environment, once, at the first property.
-bool set_up_rapidcheck() {
-  const char* given = std::getenv("RC_PARAMS");
-  const char* cases = std::getenv("EMBERDALE_FUZZ_CASES");
-  std::string params = given != nullptr ? given : std::string("seed=") + fixed_seed;
-  params += " max_success=" + (cases != nullptr ? std::string(cases) : std::to_string(default_cases));
-  return ::setenv("RC_PARAMS", params.c_str(), 1) == 0;
-}
-[[maybe_unused]] const bool is_rapidcheck_set_up = set_up_rapidcheck();
+[[maybe_unused]] const bool is_rapidcheck_set_up = set_up_rapidcheck(default_cases);
 
 constexpr std::size_t connection_count = 4;
 // The HTTP library drops a request that came along with the one before it (HttpListenerBehaviour).
@@ -103,34 +93,6 @@
   std::size_t ledger_faults_told_ = 0;
 };
 
-// --- generators --------------------------------------------------------------------------------------
-
-rc::Gen<RunnerAct> any_act() {
-  auto range = [](RunnerAct first, RunnerAct last) {
-    return rc::gen::map(rc::gen::inRange(static_cast<int>(first), static_cast<int>(last) + 1),
-                        [](int act) { return static_cast<RunnerAct>(act); });
-  };
-  // Silence costs time: it is rarer than all else.
-  return rc::gen::weightedOneOf<RunnerAct>({{20, range(RunnerAct::answer, RunnerAct::answer_then_garbage)},
-                                            {8, range(RunnerAct::refuse_full, RunnerAct::unmarked_busy)},
-                                            {20, range(RunnerAct::reset_before_head, RunnerAct::unsealed)},
-                                            {1, range(RunnerAct::silence, RunnerAct::silence_then_answer)}});
-}
-
-rc::Gen<CallPlan> any_plan() {
-  auto acts = rc::gen::mapcat(rc::gen::inRange<std::size_t>(1, 4), [](std::size_t count) {
-    return rc::gen::container<std::vector<RunnerAct>>(count, any_act());
-  });
-  return rc::gen::build<CallPlan>(
-      rc::gen::set(&CallPlan::route,
-                   rc::gen::element(CallRoute::once, CallRoute::again, CallRoute::stream, CallRoute::resume)),
-      rc::gen::set(&CallPlan::is_chunked, rc::gen::arbitrary<bool>()),
-      rc::gen::set(&CallPlan::body_size, rc::gen::element(0, 1, 100, 5000)),
-      rc::gen::set(&CallPlan::pieces, rc::gen::inRange(1, 4)), rc::gen::set(&CallPlan::events, rc::gen::inRange(0, 7)),
-      rc::gen::set(&CallPlan::cut, rc::gen::inRange(0, 1000)), rc::gen::set(&CallPlan::prompt, rc::gen::inRange(1, 4)),
-      rc::gen::set(&CallPlan::acts, acts));
-}
-
 // --- commands ----------------------------------------------------------------------------------------
 
 using Command = rc::state::Command<ConnectionsModel, DataPath>;
@@ -198,13 +160,6 @@
   void show(std::ostream& out) const override { out << "ResetNextRunnerConnection()"; }
 };
 
-std::string joined(const std::vector<std::string>& lines) {
-  std::string text;
-  for (const auto& line : lines)
-    text += line + "\n";
-  return text;
-}
-
 }  // namespace
 
 // The finding, not a wish: the library empties its buffer between two requests of a connection.
