--- a/packages/data-plane/tests/data_path_fuzz_test.cpp
+++ b/packages/data-plane/tests/data_path_fuzz_test.cpp
@@ -76,6 +76,7 @@
     auto of_runners = ledger_.faults();
     for (; ledger_faults_told_ < of_runners.size(); ++ledger_faults_told_)
       found.push_back(of_runners[ledger_faults_told_]);
+    std::cout << joined(found);  // while a find is shrunk, only the last case's own report would be left
     return found;
   }
   RelayUnderTest& relay() { return relay_; }
--- a/packages/data-plane/tests/data_path_stop_fuzz_test.cpp
+++ b/packages/data-plane/tests/data_path_stop_fuzz_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <chrono>
+#include <iostream>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -80,6 +81,7 @@
     for (const CallPlan& plan : chosen.plans)
       RC_LOG() << plan.text() << "\n";
     auto faults = run_stop_case(chosen);
+    std::cout << joined(faults);
     RC_LOG(joined(faults));
     RC_ASSERT(faults.empty());
   });
