Split the routed relay by job; both relays share their header readers

The small readers and the quiet replies that call_relay.cpp repeated come from http_fields. Refusals are a typed value in place of six arguments. Behaviour is meant to be the same.

--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -7,6 +7,7 @@
 
 #include "emberdale/json_text.hpp"
 #include "emberdale/program_settings.hpp"
+#include "http_fields.hpp"
 
 namespace emberdale {
 
@@ -23,26 +24,12 @@
 constexpr std::size_t stream_bound = 256 * 1024;  // what a caller may lag behind its stream
 constexpr std::size_t max_answer = 16 << 20;
 
-std::string header_of(const web::http::http_headers& headers, const char* name) {
-  auto entry = headers.find(name);
-  return entry == headers.end() ? "" : entry->second;
-}
+constexpr std::size_t max_digits = 18;  // of a number in a header
 
-std::int64_t number_of(const std::string& text) {
-  if (text.empty() || text.size() > 18 || text.find_first_not_of("0123456789") != std::string::npos)
-    return 0;
-  return std::stoll(text);
-}
+std::int64_t number_or_zero(const std::string& text) { return number_of(text, max_digits).value_or(0); }
 
-void reply_quietly(const http_request& request, const http_response& response, std::function<void()> after = nullptr) {
-  request.reply(response).then([after](pplx::task<void> ended) {
-    try {
-      ended.get();
-    } catch (const std::exception&) {  // the caller left
-    }
-    if (after)
-      after();
-  });
+void reply_quietly(const http_request& request, const http_response& response) {
+  send_reply(request, response, [](bool) {});
 }
 
 void refuse(const http_request& request, int code, const std::string& reason, int retry_after = 0) {
@@ -138,9 +125,9 @@
                   [](unsigned char letter) { return letter < 0x20 || letter > 0x7e; }))
     return refuse(request, 400, "X-Call-Id must be printable ASCII");
   std::string deadline = header_of(headers, "X-Horizon-Ms");
-  if (!deadline.empty() && number_of(deadline) <= 0)
+  if (!deadline.empty() && number_or_zero(deadline) <= 0)
     return refuse(request, 400, "X-Horizon-Ms must be a number of milliseconds");
-  call.deadline = Span{number_of(deadline)};
+  call.deadline = Span{number_or_zero(deadline)};
   call.id.text = handle->id;
   call.body_bytes = static_cast<std::int64_t>(length);
   handle->request = request;
@@ -335,12 +322,7 @@
         if (header_of(response.headers(), "X-Runner") == act.runner.text &&
             response.headers().has("X-Runner-Refused")) {
           std::string why = header_of(response.headers(), "X-Runner-Refused");
-          response.content_ready().then([](pplx::task<http_response> done) {
-            try {
-              done.get();
-            } catch (const std::exception&) {
-            }
-          });
+          read_off(response);
           return end(act.call, SendEndKind::refused, why, &response);
         }
         std::string type = header_of(response.headers(), "Content-Type");
@@ -359,9 +341,9 @@
   if (response != nullptr && response->headers().has("X-Runner-Incarnation")) {
     const auto& headers = response->headers();
     done.has_report = true;
-    done.incarnation = number_of(header_of(headers, "X-Runner-Incarnation"));
-    done.load = number_of(header_of(headers, "X-Runner-Burden"));
-    done.capacity = number_of(header_of(headers, "X-Runner-Capacity"));
+    done.incarnation = number_or_zero(header_of(headers, "X-Runner-Incarnation"));
+    done.load = number_or_zero(header_of(headers, "X-Runner-Burden"));
+    done.capacity = number_or_zero(header_of(headers, "X-Runner-Capacity"));
     done.is_cold = header_of(headers, "X-Runner-Cold") == "true";
   }
   if (kind == SendEndKind::answered || kind == SendEndKind::caller_gone)
@@ -390,7 +372,7 @@
       return end(act.call, SendEndKind::lost, "link broke", nullptr);
     }
     const auto& headers = response.headers();
-    std::int64_t incarnation = number_of(header_of(headers, "X-Runner-Incarnation"));
+    std::int64_t incarnation = number_or_zero(header_of(headers, "X-Runner-Incarnation"));
     std::string seal = header_of(headers, "X-Runner-Seal");
     std::string sealed_text = std::to_string(response.status_code()) + "\n" + body;
     if (header_of(headers, "X-Runner") != act.runner.text ||
@@ -434,7 +416,7 @@
     stop.cancel();
     return end(act.call, SendEndKind::lost, "the stream comes from another runner", nullptr);
   }
-  auto relay = std::make_shared<Relay>(act, number_of(header_of(response.headers(), "X-Runner-Incarnation")));
+  auto relay = std::make_shared<Relay>(act, number_or_zero(header_of(response.headers(), "X-Runner-Incarnation")));
   relay->handle = handle;
   relay->response = response;
   relay->stop = stop;
@@ -502,13 +484,7 @@
         response.headers().add("X-Call-Id", handle->caller_id);
       response.set_body(handle->pieces.create_istream(), "text/event-stream");
       CallIndex index = relay->act.call;
-      handle->request.reply(response).then([this, handle, index](pplx::task<void> ended) {
-        bool was_sent = true;
-        try {
-          ended.get();
-        } catch (const std::exception&) {
-          was_sent = false;
-        }
+      send_reply(handle->request, response, [this, handle, index](bool was_sent) {
         if (!was_sent) {  // the caller left: its runner slot is freed
           handle->is_caller_gone = true;
           ++relay_counts_.callers_gone;
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -17,9 +17,11 @@
 #include <variant>
 #include <vector>
 
+#include "call_fields.hpp"
 #include "call_relay.hpp"
 #include "emberdale/bounded_queue.hpp"
 #include "emberdale/route_dispatcher.hpp"
+#include "event_stream.hpp"
 
 namespace emberdale {
 
@@ -39,53 +41,6 @@
   std::string resume = "Last-Event-Id";
 };
 
-// The parts of a prompt, up to the first that can't be read. Example: read_prompt("9c41:120,7:3")[1].tokens == 3
-std::vector<PromptPart> read_prompt(const std::string& text);
-// Numbers with commas between; what can't be read is 0. Example: read_numbers<2>("120,16")[1] == 16
-template <std::size_t Count>
-std::array<Integer, Count> read_numbers(const std::string& text);
-// Milliseconds; none if it is no positive number. Example: read_deadline("250")->value == 250
-std::optional<Span> read_deadline(const std::string& text);
-// Seconds with a fraction. Example: retry_after_text(Span{250}) == "0.250"
-std::string retry_after_text(Span span);
-
-// One event of a stream, byte for byte.
-struct RawEvent {
-  std::string bytes;  // with the blank line that ends it
-  std::string id;
-  bool has_data = false;
-};
-
-// Cuts a byte stream into whole events; what has not ended yet waits.
-// Example: RawCutter cutter; cutter.feed("id: 1\ndata: a\n\nid: 2")[0].id == "1"; cutter.rest() == "id: 2"
-class RawCutter {
- public:
-  std::vector<RawEvent> feed(const std::string& bytes);
-  const std::string& rest() const { return rest_; }
-
- private:
-  std::string rest_;
-  std::size_t line_begin_ = 0;  // what lies before was looked at
-};
-
-// What of one runner's stream may go to the caller: on a resumed one nothing that went there before.
-// Example: EventSieve sieve("7"); sieve.pass({"id: 7\n\n", "7", true}) == ""; sieve.pass({"id: 8\n\n", "8", true}) ==
-// "id: 8\n\n"
-class EventSieve {
- public:
-  explicit EventSieve(std::string last) : last_(std::move(last)), is_resumed_(!last_.empty()) {}
-  // The bytes that go out now. An event without data or, on a resumed stream, without an id waits for the next one.
-  std::string pass(const RawEvent& event);
-  // At a clean end: what still waits. Example: sieve.finish() == ""
-  std::string finish() { return std::exchange(held_, {}); }
-  const std::string& last() const { return last_; }
-  std::size_t waiting() const { return held_.size(); }
-
- private:
-  std::string last_, held_;
-  bool is_resumed_, has_passed_ = false;
-};
-
 // Lives as long as something is in hand that uses the relay.
 struct InHand {
   std::mutex mutex;
@@ -118,6 +73,13 @@
   std::size_t in_hand() const;
 
  private:
+  // What the daemon itself answers to a call that surely did not run.
+  struct Refusal {
+    int code = 503;
+    std::string reason;
+    Span retry_after{0};
+    bool is_link_closed = false;
+  };
   struct Handle;      // one call in hand
   struct Send;        // one send of it
   struct RunnerLink;  // a client of one runner
@@ -145,32 +107,60 @@
   using TrafficEvent = std::variant<Arrived, RoutedEnd, Begun, Piece, Gone, Woken>;
   using Bytes = std::shared_ptr<std::vector<std::uint8_t>>;
 
+  // Admission: routed_relay_admission.cpp
   void handle(web::http::http_request request);
+  std::optional<Refusal> refusal_of(const web::http::http_request& request) const;
+  bool reserve(std::size_t body_size);
+  std::shared_ptr<Handle> take_up(const web::http::http_request& request, std::size_t body_size);
+  RoutedCall call_of(const web::http::http_request& request) const;
+  void read_body(std::shared_ptr<Handle> handle, RoutedCall call);
   void read_chunked(std::shared_ptr<Handle> handle, RoutedCall call);
   void take_in(std::shared_ptr<Handle> handle, RoutedCall call);
+  bool grow(const std::shared_ptr<Handle>& handle, const std::string& bytes);
+
+  // The traffic thread: routed_relay.cpp
   void run_traffic();
+  void take_snapshot(Moment now);
   void on_event(TrafficEvent& event, Moment now);
   void act(Moment now);
-  void send(const RoutedSend& act, Moment now);
+  void on_arrived(Arrived& arrived, Moment now);
+  void on_end(const RoutedEnd& ended, Moment now);
+  void on_gone(const Gone& gone, Moment now);
   void give_up(Entry& entry);
-  void answer_final(const FinalAct& act, const std::shared_ptr<Handle>& handle);
   void refuse_arrived();
   void break_off(const std::string& reason);
+
+  // Sending: routed_relay_sending.cpp
+  void send(const RoutedSend& act, Moment now);
+  web::http::http_request request_to_runner(const Send& send, const std::string& resume_after, Moment now) const;
+  void begin(const std::shared_ptr<Send>& send, const web::http::http_request& request);
   std::shared_ptr<RunnerLink> link_to(const RoutedSend& act);
   void drop_links(const TrafficView& view);
   RoutedEnd end_of(const Send& send, RoutedEndKind kind, const std::string& reason) const;
   void end(const std::shared_ptr<Send>& send, RoutedEndKind kind, const std::string& reason);
   void take_fault(const std::shared_ptr<Send>& send, const std::exception& fault);
+
+  // Answers of runners: routed_relay_answers.cpp
   void take_head(const std::shared_ptr<Send>& send);
+  std::optional<std::string> fault_of(const std::shared_ptr<Send>& send);
+  void take_refusal(const std::shared_ptr<Send>& send);
+  void discard(const std::shared_ptr<Send>& send, RoutedEndKind kind, const std::string& reason);
   void take_answer(const std::shared_ptr<Send>& send);
   void hand_on(const std::shared_ptr<Send>& send, const Bytes& body);
+
+  // Streams: routed_relay_streams.cpp
   void take_stream(const std::shared_ptr<Send>& send);
   bool pass_events(const std::shared_ptr<Send>& send, const std::string& bytes);
   void end_stream(const std::shared_ptr<Send>& send, bool is_broken);
   void open_stream(const std::shared_ptr<Send>& send);
-  void refuse(const web::http::http_request& request, int code, const std::string& reason,
-              const std::string& call_id = "", Span retry_after = Span{0}, bool is_link_closed = false,
+
+  // Answers to callers: routed_relay_replies.cpp
+  void refuse(const web::http::http_request& request, const std::string& call_id, const Refusal& refusal,
               std::shared_ptr<Handle> held = nullptr);  // in hand until the answer is written
+  void refuse_unread(const web::http::http_request& request, Refusal refusal);
+  void answer_final(const FinalAct& act, const std::shared_ptr<Handle>& handle);
+  web::http::http_response response_of(const FinalAct& act, const std::string& call_id) const;
+  void promise_not_run(web::http::http_response& response) const;
   void reply(const web::http::http_request& request, web::http::http_response response,
              std::function<void(bool)> on_end);
   void copy_answer_headers(const web::http::http_headers& from, web::http::http_headers& to) const;
