--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -253,6 +253,13 @@
     return outcome;
   }
 
+  // Lets something be asked of a daemon at its own time. Example: fleet.ask("a0", [&](auto& daemon, Moment now) {..});
+  void ask(const std::string& where, const std::function<void(ControlDaemon&, Moment)>& act) {
+    Machine& target = at(where);
+    act(*target.control, clock(target));
+    flush(target);
+  }
+
   // Asked at any running machine, or at one alone, until one is acknowledged. Example: fleet.edit_until_done(8000)
   bool edit_until_done(std::int64_t ms, const std::string& where = "") {
     std::int64_t end = now_ + ms;
