Trials on real processes record their operators' calls and judge them

Each emberdale-client run that changes or reads a resource writes two lines, as it begins and as it ends; before the fleet is stopped everything is read back, and a history without an order is a break of the trial.

--- a/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
+++ b/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -13,6 +14,8 @@
 
 namespace emberdale {
 
+class ClientCallRecorder;
+
 struct FleetProcess {
   std::string name;  // e.g. "a2-control", "model-3"
   std::string role;  // core, edge, data, model, record
@@ -52,7 +55,9 @@
   // Stops everything cleanly; tells who did not stop in time.
   std::vector<std::string> stop();
 
+  // Runs emberdale-client; what it changes or reads is recorded in history_file().
   ProgramEnd client(std::vector<std::string> words);
+  std::string history_file() const { return folder_ + "/history.jsonl"; }
   pid_t start_program(const std::vector<std::string>& words, const std::string& log);
   ProgramEnd run_program(const std::vector<std::string>& words);
   int wait_program(pid_t id);
@@ -73,6 +78,7 @@
   void add(FleetProcess process) { processes_[process.name] = std::move(process); }
   std::string deployment_, folder_, programs_;
   std::map<std::string, FleetProcess> processes_;
+  std::unique_ptr<ClientCallRecorder> recorder_;
 };
 
 // Addresses on loopback that are free now, below the range the system gives to outgoing links.
--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -19,6 +19,7 @@
 #include <random>
 #include <thread>
 
+#include "client_call_recorder.hpp"
 #include "emberdale/serving_plans.hpp"
 
 extern char** environ;
@@ -54,6 +55,7 @@
 FleetOfProcesses::FleetOfProcesses(std::string deployment, std::string folder, std::string programs)
     : deployment_(std::move(deployment)), folder_(std::move(folder)), programs_(std::move(programs)) {
   ::mkdir(folder_.c_str(), 0755);
+  recorder_ = std::make_unique<ClientCallRecorder>(history_file());
   bool is_caspian = deployment_ == "caspian";
   // Two regions of unequal size: zones a and b in the first, zone c in the second.
   std::map<std::string, std::string> region_of{{"a", is_caspian ? "north" : "valley"},
@@ -303,8 +305,12 @@
 }
 
 ProgramEnd FleetOfProcesses::client(std::vector<std::string> words) {
+  auto call = recorder_->began(words);
   words.insert(words.begin(), {programs_ + "/emberdale-client", "--control", controls()});
-  return run_program(words);
+  ProgramEnd end = run_program(words);
+  if (call)
+    recorder_->ended(*call, end.status, end.out);
+  return end;
 }
 
 std::optional<std::string> FleetOfProcesses::page(const std::string& http, const std::string& path) const {
--- a/packages/fleet-starter/src/trial_main.cpp
+++ b/packages/fleet-starter/src/trial_main.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "emberdale/fleet_of_processes.hpp"
+#include "emberdale/linearizability.hpp"
 #include "emberdale/program_settings.hpp"
 
 using namespace emberdale;
@@ -110,6 +111,29 @@
   return sums;
 }
 
+struct HistoryEnd {
+  bool is_linearizable = false;
+  Json figures;
+};
+
+// Reads everything back once more, then judges all that the trial's operators did and were told.
+HistoryEnd judge_history(FleetOfProcesses& fleet) {
+  for (const char* kind : {"serving-plans", "zone-orders", "runners"})
+    fleet.client({"get", kind});
+  std::ifstream file(fleet.history_file());
+  auto recorded = history::read_history(file);
+  if (!recorded)
+    return {false, {{"unreadable", recorded.reason}}};
+  auto began = Clock::now();
+  history::HistoryVerdict verdict = history::check_history(*recorded);
+  auto took = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - began);
+  return {verdict.verdict == history::Verdict::linearizable,
+          {{"calls", verdict.operations},
+           {"states", verdict.states},
+           {"took_us", took.count()},
+           {"verdict", history::report(verdict)}}};
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -566,6 +590,9 @@
   }
   result["prefix"] = {{"hits", hits}, {"misses", misses}};
   result["cold_peak_of_any_runner"] = cold_peak;
+  HistoryEnd history_end = judge_history(fleet);
+  result["history"] = history_end.figures;
+  result["breaks"]["operators' calls without an order that explains them"] = history_end.is_linearizable ? 0 : 1;
   auto late = fleet.stop();
   result["not_stopped_cleanly"] = late;
   std::ofstream(fleet.folder() + "/trial.json") << result.dump(2) << "\n";
