--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -448,6 +448,13 @@
   RandomGenerator& random() { return random_; }
   std::size_t acknowledged() const { return acknowledged_.size(); }
 
+  // Lets something be asked of a daemon at its own time. Example: fleet.ask("a0", [&](auto& daemon, Moment now) {..});
+  void ask(const std::string& where, const std::function<void(ControlDaemon&, Moment)>& act) {
+    Machine& target = at(where);
+    act(*target.control, clock(target));
+    flush(target);
+  }
+
  private:
   struct Event {
     std::int64_t at, number;
