Tell how old the master's quorum is; ask the register after a pause

Cause: a master told its subscribers the age 0 whatever its followers did, also right after a pause of 20 s, and a follower counted its master's answers by their arrival: a data daemon could use cold shares on the word of a deposed master. One that had just started took any map before it knew the register's term. A data daemon stayed with a home that was cut off. Now: followers show the newest stamp of their master's clock, the master's answers echo the follower's clock and tell since when a quorum surely followed it, and news of slices echo the subscriber's clock. A home confirms with it only while it holds its master's newest map, a data daemon only for the rows that it holds: an interval that was waited out in a buffer counts as old. A daemon that was paused for a second asks the register before it feeds or publishes, for at most a second. The list is read while a quorum followed within 1.5 s. A data daemon that hears another control daemon name a newer map for 1 s leaves the homes that did not bring it. With the mends taken out the four tests of control daemons fail.

--- a/packages/call-matching/include/emberdale/traffic_view.hpp
+++ b/packages/call-matching/include/emberdale/traffic_view.hpp
@@ -40,6 +40,9 @@
   std::vector<TopicKnown> known() const;
   const std::shared_ptr<const TrafficView>& view() const { return view_; }
   MapVersion version() const { return view_->version; }
+  // Of one topic, and of the topic that is furthest behind; none of a topic that has not come yet.
+  MapVersion version_of(const std::string& topic) const;
+  MapVersion oldest_version() const;
 
  private:
   void fold();
--- a/packages/call-matching/src/traffic_view.cpp
+++ b/packages/call-matching/src/traffic_view.cpp
@@ -16,12 +16,22 @@
 
 std::vector<std::string> SliceBook::topics() const { return {topics_.begin(), topics_.end()}; }
 
+MapVersion SliceBook::version_of(const std::string& topic) const {
+  auto holder = holders_.find(topic);
+  return holder == holders_.end() ? MapVersion{} : holder->second.version();
+}
+
+MapVersion SliceBook::oldest_version() const {
+  MapVersion oldest = version_of(plans_topic);
+  for (const auto& topic : topics_)
+    oldest = std::min(oldest, version_of(topic));
+  return oldest;
+}
+
 std::vector<TopicKnown> SliceBook::known() const {
   std::vector<TopicKnown> known;
-  for (const auto& topic : topics()) {
-    auto holder = holders_.find(topic);
-    known.push_back({topic, holder == holders_.end() ? MapVersion{} : holder->second.version()});
-  }
+  for (const auto& topic : topics())
+    known.push_back({topic, version_of(topic)});
   return known;
 }
 
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -60,6 +60,7 @@
   const FleetState& state() const { return state_; }  // the newest state known to be chosen
   const Ballot& ballot() const { return state_ballot_; }
   Moment confirmed_at() const { return confirmed_at_; }  // start of the read that proved it newest
+  std::int64_t last_read() const { return read_ ? read_->ask : 0; }
   // Number of the newest read that a majority has answered alike. Unlike a time it tells a question that was asked
   // before an event from one that was asked after it within the same millisecond.
   std::int64_t confirmed_read() const { return confirmed_read_; }
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -49,6 +49,9 @@
 //   for (auto& s : daemon.take_out()) links.send(s.to, s.message);
 class ControlDaemon {
  public:
+  // The master reads the outside list of runners while a quorum has followed it within this time.
+  static constexpr Span list_quorum_age{1500};
+
   ControlDaemon(ControlDaemonSettings settings, std::unique_ptr<RegisterAcceptor> acceptor);
 
   void start(Moment now);
@@ -68,7 +71,7 @@
   // True when the outside list of runners is to be read now: at the master, if it reads one at all.
   // Example: if (daemon.takes_list(now)) read_list([&](auto runners) { daemon.on_runner_list(runners, begun, now); });
   bool takes_list(Moment now) {
-    return settings_.reads_runner_list && election_.is_master() && runner_list_.is_read_due(now);
+    return settings_.reads_runner_list && may_read_list(now) && runner_list_.is_read_due(now);
   }
   // The list as read from `begun` on; nothing: it could not be read. Example: daemon.on_runner_list(std::nullopt,
   // begun, now)
@@ -175,6 +178,8 @@
   void take_map(const PlacementMap& map, Moment now);
   void send_follow(Moment now);
   void hear_master(Moment now);
+  void notice_pause(Moment now);
+  bool is_resuming(Moment now) const;
   void run_edits(Moment now);
   void settle_edits(Moment now);
   void end_edits();
@@ -188,6 +193,10 @@
   bool is_settled(Moment now) const {
     return election_.is_master() && now - lease_.leading_since() >= Span{lease_.ack_wait().value + 3000};
   }
+  // The outside list takes few calls a second from all daemons together: a master that may have been deposed is silent.
+  bool may_read_list(Moment now) const {
+    return election_.is_master() && now - election_.quorum_confirmed(now) <= list_quorum_age;
+  }
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
@@ -241,6 +250,8 @@
   Moment window_next_;
   bool is_claiming_ = false;
   Moment poll_next_, gossip_next_, follow_next_, started_at_;
+  Moment active_at_, resumed_at_;            // the last timer or message; the end of the last pause
+  std::int64_t resume_read_ = 0;             // the read that was begun then
   std::map<Address, Moment> gateways_seen_;  // data daemons that the map has named, and when last
   std::vector<Sending> out_;
   Counts counts_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -39,7 +39,7 @@
       known_[seed].entry.address = seed;
   if (acceptor_ && !acceptor_->is_blank())
     proposer_.learn_acceptors(acceptor_->state().acceptors);
-  poll_next_ = gossip_next_ = follow_next_ = started_at_ = now;
+  poll_next_ = gossip_next_ = follow_next_ = started_at_ = active_at_ = now;
   reconciler_.start(now);
   core_set_.start(now);
   if (settings_.founds_itself && acceptor_ && acceptor_->is_blank())
@@ -83,6 +83,7 @@
 }
 
 void ControlDaemon::on_timer(Moment now) {
+  notice_pause(now);
   proposer_.on_timer(now);
   if (is_edge())
     election_.on_timer(now);
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -72,7 +72,7 @@
 }
 
 void ControlDaemon::publish(Moment now, bool is_due) {
-  if (!election_.is_master() || edits_.is_open() || !proposer_.has_state())
+  if (!election_.is_master() || edits_.is_open() || !proposer_.has_state() || is_resuming(now))
     return;
   const FleetState& state = proposer_.state();
   if (state.term != election_.term() || state.master != settings_.self.address)
@@ -170,6 +170,8 @@
   follow.traffic_of = map_.traffic_of;
   follow.statuses = runner_watch_.reports(now);
   follow.in_force = slices_.in_force(now);
+  follow.stamp = election_.master_stamp();
+  follow.sent = now.value;
   out_.push_back({election_.master(), std::move(follow)});
 }
 
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -6,12 +6,15 @@
 namespace emberdale {
 namespace {
 
-constexpr Span map_resend_pace{250};  // a map is sent again to one follower at most this often
+constexpr Span pause_span{1000};       // this long without a timer: the process was paused
+constexpr Span resume_patience{1000};  // how long it then waits for a majority of the register
+constexpr Span map_resend_pace{250};   // a map is sent again to one follower at most this often
 
 }  // namespace
 
 void ControlDaemon::on_message(const Address& from, const Message& message, Moment now) {
   ++counts_.messages_in;
+  notice_pause(now);
   hear_master(now);
   if (acceptor_ && acceptor_->on_message(from, message, now)) {
     collect(now);
@@ -87,8 +90,8 @@
 }
 
 void ControlDaemon::handle(const Address&, const MapNews& news, Moment now) {
-  Integer term = proposer_.has_state() ? proposer_.state().term : 0;
-  if (news.map.version.term < term) {
+  // One that has just started asks the register first: until it has answered, any term might be over.
+  if (!proposer_.has_state() || news.map.version.term < proposer_.state().term) {
     ++counts_.maps_fenced;
   } else if (!election_.is_master() && map_.version < news.map.version) {
     // Without the table's rows, and they aren't here: the follow below says so, and the whole map comes.
@@ -178,11 +181,28 @@
   out_.push_back({from, std::move(answer)});
 }
 
+// A process that was paused knows nothing of what came meanwhile: it asks the register before it feeds subscribers or
+// publishes again. When no majority answers within a moment it goes on with what it has, and tells how old that is.
+void ControlDaemon::notice_pause(Moment now) {
+  if (now - active_at_ > pause_span) {
+    resumed_at_ = now;
+    poll_register(now);
+    resume_read_ = proposer_.last_read();
+    note(now, "resumed", "after " + std::to_string((now - active_at_).value) + " ms");
+  }
+  active_at_ = now;
+  slices_.set_held(is_resuming(now));
+}
+
+bool ControlDaemon::is_resuming(Moment now) const {
+  return proposer_.confirmed_read() < resume_read_ && now - resumed_at_ <= resume_patience;
+}
+
 void ControlDaemon::hear_master(Moment now) {
-  if (election_.is_master())
-    slices_.hear_master(now);
-  else if (election_.phase() == MasterElection::Phase::following)
-    slices_.hear_master(election_.master_heard());
+  if (!election_.is_master())
+    slices_.hear_master(election_.master_confirmed());
+  else if (map_.version.term == election_.term())
+    slices_.hear_master(election_.quorum_confirmed(now));
 }
 
 void ControlDaemon::synced(std::int64_t token, Moment now) {
--- a/packages/control-plane/tests/stale_daemon_test.cpp
+++ b/packages/control-plane/tests/stale_daemon_test.cpp
@@ -100,3 +100,164 @@
   EXPECT_EQ(reads->answered, 0);
   EXPECT_EQ(reads->unanswered, 1);
 }
+
+namespace {
+
+Subscribe subscribe_from_blank(Integer stamp) {
+  Subscribe subscribe;
+  subscribe.sender = DaemonEntry{Address{"10.0.1.1:7001"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1};
+  subscribe.topics.push_back({plans_topic, MapVersion{}});
+  subscribe.stamp = stamp;
+  return subscribe;
+}
+
+// News that one machine sends from now on, and when.
+struct SentNews {
+  std::int64_t at;
+  SliceNews news;
+};
+
+std::shared_ptr<std::vector<SentNews>> watch_news(MachineFleet& fleet, const std::string& of) {
+  auto sent = std::make_shared<std::vector<SentNews>>();
+  fleet.on_send = [&fleet, sent, of](const std::string& from, const Address&, const Message& message) {
+    const auto* news = std::get_if<SliceNews>(&message);
+    if (news != nullptr && from == of)
+      sent->push_back({fleet.now(), *news});
+  };
+  return sent;
+}
+
+}  // namespace
+
+TEST(StaleDaemon, AMasterThatWakesAsksBeforeItFeedsANewcomer) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    MachineFleet fleet(seed);
+    bring_up(fleet, 3);
+    std::string elder = fleet.master();
+    fleet.at(elder).keeps_what_comes = seed % 2 == 0;
+    fleet.freeze(elder, true);
+    fleet.run(20000);
+    ASSERT_TRUE(fleet.edit_until_done(4000)) << fleet.story();
+    Integer elder_term = fleet.at(elder).control->map().version.term;
+    auto sent = watch_news(fleet, elder);
+    Address newcomer = subscribe_from_blank(0).sender.address;
+    for (int i = 0; i < 10; ++i)
+      fleet.later(i * 200, [&, i] {
+        fleet.act(elder, [&](ControlDaemon& daemon, Moment now) {
+          daemon.on_message(newcomer, subscribe_from_blank(i + 1), now);
+        });
+      });
+    std::int64_t woke = fleet.now();
+    fleet.freeze(elder, false);
+    fleet.run(4000);
+    ASSERT_FALSE(sent->empty());
+    for (const auto& [at, news] : *sent)
+      EXPECT_TRUE(news.version.term > elder_term || news.age >= 20000)
+          << at - woke << " ms after it woke it tells of " << show(news.version) << " with the age " << news.age;
+    if (HasFailure())
+      return;
+  }
+}
+
+TEST(StaleDaemon, AMasterThatIsCutOffTellsHowOldItsQuorumIs) {
+  for (bool is_one_way : {false, true}) {
+    MachineFleet fleet(8);
+    auto names = bring_up(fleet, 3);
+    std::string elder = fleet.master();
+    auto sent = watch_news(fleet, elder);
+    fleet.run(2000);
+    std::int64_t cut = fleet.now();
+    for (const auto& name : names)
+      if (name != elder) {
+        fleet.cut_one_way(name, elder);
+        if (!is_one_way)
+          fleet.cut_one_way(elder, name);
+      }
+    Address newcomer = subscribe_from_blank(0).sender.address;
+    for (int i = 0; i < 100; ++i)
+      fleet.later(i * 200, [&, i] {
+        fleet.act(elder, [&](ControlDaemon& daemon, Moment now) {
+          daemon.on_message(newcomer, subscribe_from_blank(i + 1), now);
+        });
+      });
+    fleet.run(20000);
+    ASSERT_FALSE(sent->empty());
+    for (const auto& [at, news] : *sent) {
+      EXPECT_GE(news.age, at - cut) << at - cut << " ms after the cut";
+      EXPECT_LE(news.age, at - cut + 1300)
+          << at - cut << " ms after the cut";  // and it is not told as older than it is
+    }
+  }
+}
+
+TEST(StaleDaemon, OneThatHasJustStartedTakesNoMapBeforeTheRegisterHasAnswered) {
+  MachineFleet fleet(9);
+  auto names = bring_up(fleet, 3);
+  std::string late = fleet.master() == names[0] ? names[1] : names[0];
+  PlacementMap elder_map = fleet.at(late).control->map();
+  fleet.power_cut(late);
+  ASSERT_TRUE(fleet.edit_until_done(8000)) << fleet.story();
+  for (const auto& name : names)
+    fleet.cut_link(name, late);
+  fleet.start(late, false);
+  fleet.act(late, [&](ControlDaemon& daemon, Moment now) {
+    daemon.on_message(Address{"10.0.0.99:7000"}, MapNews{elder_map, false}, now);
+  });
+  fleet.run(3000);
+  EXPECT_EQ(show(fleet.at(late).control->map().version), show(MapVersion{}));
+  fleet.heal();
+  EXPECT_TRUE(fleet.run_until(
+      [&] { return fleet.at(late).control->map().version == fleet.at(fleet.master()).control->map().version; }, 8000))
+      << fleet.story();
+}
+
+TEST(StaleDaemon, OneMasterAtATimeReadsTheRunnersList) {
+  enum class Fault { cut, cut_one_way, paused };
+  for (Fault fault : {Fault::cut, Fault::cut_one_way, Fault::paused})
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      SCOPED_TRACE("fault " + std::to_string(static_cast<int>(fault)) + " seed " + std::to_string(seed));
+      MachineFleet fleet(seed);
+      fleet.adjust = [](ControlDaemonSettings& settings) {
+        settings.reads_runner_list = true;
+      };
+      auto names = bring_up(fleet, 3);
+      std::string elder = fleet.master();
+      std::map<std::string, std::vector<std::int64_t>> readings;
+      std::function<void()> read_lists = [&] {
+        for (const auto& name : fleet.running())
+          fleet.act(name, [&](ControlDaemon& daemon, Moment now) {
+            if (!daemon.takes_list(now))
+              return;
+            readings[name].push_back(fleet.now());
+            daemon.on_runner_list(std::vector<ListedRunner>{}, now, now);
+          });
+        fleet.later(25, read_lists);
+      };
+      read_lists();
+      fleet.run(3000);
+      EXPECT_GE(readings[elder].size(), 3u);
+      std::int64_t cut = fleet.now();
+      for (const auto& name : names)
+        if (name != elder && fault != Fault::paused) {
+          fleet.cut_one_way(elder, name);
+          if (fault == Fault::cut)
+            fleet.cut_one_way(name, elder);
+        }
+      fleet.at(elder).keeps_what_comes = true;
+      if (fault == Fault::paused)
+        fleet.freeze(elder, true);
+      fleet.run(20000);
+      fleet.freeze(elder, false);
+      fleet.run(3000);
+      ASSERT_FALSE(readings[elder].empty());
+      std::int64_t first_of_next = INT64_MAX;
+      for (const auto& [name, times] : readings)
+        if (name != elder)
+          first_of_next = std::min(first_of_next, times.front());
+      EXPECT_LT(readings[elder].back(), first_of_next)
+          << readings[elder].back() - cut << " ms after the cut; the next began at " << first_of_next - cut;
+      if (HasFailure())
+        return;
+    }
+}
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,7 +53,8 @@
   };
   struct Home {
     Address address;
-    Moment since{-100000}, news{-100000}, master_heard{-100000};
+    Moment since{-100000}, news{-100000};
+    Moment master_confirmed{-100000};  // on this clock: a quorum surely followed the master then
   };
   std::vector<std::string> live_edges(Moment now) const;
   void subscribe(Moment now);
@@ -61,6 +63,10 @@
   void fold_view(Moment now);
   void keep_cold_shares();
   void leave_outdated_homes(Moment now);
+  void shun_home(const std::string& topic, const Home& home, Moment now);
+  void take_news(const Address& from, const SliceNews& news, Moment now);
+  void confirm_home(const Address& from, const SliceNews& news, Moment now);
+  void see_named_version(const DaemonEntry& sender, const MapVersion& version, Moment now);
 
   DaemonEntry self_;
   std::vector<Address> seeds_;
@@ -78,6 +84,13 @@
   GrantKeeper keeper_;
   EventJournal journal_{256};
   Moment ping_next_, ask_next_, hurried_next_, subscribe_next_;
+  Moment started_at_;
+  // A control daemon named a map that no home has brought yet, and when.
+  struct NamedVersion {
+    MapVersion version;
+    Moment since;
+  };
+  std::optional<NamedVersion> awaited_;
   bool was_granted_ = false, is_leaving_ = false;
   std::vector<Sending> out_;
   Counts counts_;
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -10,12 +10,13 @@
 constexpr Span ping_pace{500}, ask_pace{500}, hurried_pace{100}, subscribe_pace{400};
 constexpr Span seeking_pace{100};  // between pings while no map is known: the seeds may be starting as well
 constexpr Span alive_span{2000}, silent_home{1300}, shun_span{3000}, outdated_span{700};
+constexpr Span named_span{1000};  // another control daemon's word may be ahead of the home's by the way it has to go
 }  // namespace
 
 void DataDaemon::start(Moment now) {
   for (const auto& seed : seeds_)
     known_[seed].entry.address = seed;
-  ping_next_ = ask_next_ = subscribe_next_ = now;
+  ping_next_ = ask_next_ = subscribe_next_ = started_at_ = now;
   on_timer(now);
 }
 
@@ -24,21 +25,35 @@
   subscribe(now);
 }
 
-// The register shows a minimum version above this map and no home has brought it: they may follow a master that is cut
-// off with them. Others are asked.
+// The register shows a minimum version above this map, or another control daemon names a newer one, and no home has
+// brought it: they may follow a master that is cut off with them. Others are asked.
 void DataDaemon::leave_outdated_homes(Moment now) {
-  const auto& since = keeper_.behind_since();
-  if (keeps_outdated_homes || !since || now - *since < outdated_span)
+  if (keeps_outdated_homes)
     return;
-  for (auto& [topic, home] : homes_) {
-    if (home.address.empty() || now - home.since < outdated_span)
-      continue;
-    shunned_[home.address] = now + shun_span;
-    ++counts_.homes_outdated;
-    journal_.append(now, "home_outdated", topic + " at " + home.address.text);
+  const auto& since = keeper_.behind_since();
+  bool is_behind_register = since && now - *since >= outdated_span;
+  bool is_behind_others = awaited_ && now - awaited_->since >= named_span;
+  for (const auto& known : book_.known()) {
+    const Home& home = homes_[known.topic];
+    bool is_outdated =
+        is_behind_register || (is_behind_others && known.version != MapVersion{} && known.version < awaited_->version);
+    if (is_outdated && !home.address.empty() && now - home.since >= outdated_span)
+      shun_home(known.topic, home, now);
   }
 }
 
+void DataDaemon::shun_home(const std::string& topic, const Home& home, Moment now) {
+  shunned_[home.address] = now + shun_span;
+  ++counts_.homes_outdated;
+  journal_.append(now, "home_outdated", topic + " at " + home.address.text);
+}
+
+// Any control daemon's word counts: a home that is cut off from the master can't know that it is.
+void DataDaemon::see_named_version(const DaemonEntry& sender, const MapVersion& version, Moment now) {
+  if (sender.role == "edge" && !awaited_ && book_.oldest_version() < version)
+    awaited_ = NamedVersion{version, now};
+}
+
 std::vector<std::string> DataDaemon::live_edges(Moment now) const {
   std::vector<std::string> near, all;
   // Who lives is the leader lease, in the map; before there is a map, whoever answered a ping.
@@ -95,8 +110,8 @@
   keep_cold_shares();
   bool is_granted = now < grant().until && grant().minimum_version <= book_.version();
   for (auto& [home, topics] : by_home)
-    out_.push_back(
-        {home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted, is_leaving_}});
+    out_.push_back({home, Subscribe{self_, std::move(topics), book_.version(), view()->config_revision, is_granted,
+                                    is_leaving_, now.value}});
 }
 
 void DataDaemon::on_message(const Address& from, const Message& message, Moment now) {
@@ -105,11 +120,13 @@
     auto& known = known_[from];
     known.entry = ping->sender;
     known.heard = now;
+    see_named_version(ping->sender, ping->version, now);
   }
   if (const auto* answer = std::get_if<PingAnswer>(&message)) {
     auto& known = known_[from];
     known.entry = answer->sender;
     known.heard = now;
+    see_named_version(answer->sender, answer->version, now);
     bool is_new = false;
     for (const auto& entry : answer->known)
       if (known_[entry.address].entry.role.empty()) {
@@ -131,36 +148,51 @@
     keeper_.on_lease_grant(*lease_grant, book_.version());
   if (const auto* hold = std::get_if<Hold>(&message))
     take_hold(*hold, now);
-  if (const auto* news = std::get_if<SliceNews>(&message)) {
-    ++counts_.news;
-    auto home = homes_.find(news->topic);
-    if (home != homes_.end() && home->second.address == from) {
-      home->second.news = now;
-      home->second.master_heard = std::max(home->second.master_heard, Moment{now.value - news->age});
-      keep_cold_shares();
-    }
-    auto topics = book_.topics();
-    Integer revision = view()->config_revision;
-    if (std::find(topics.begin(), topics.end(), news->topic) != topics.end() && book_.apply(*news)) {
-      ++counts_.news_used;
-      fold_view(now);
-      keeper_.on_version(book_.version());
-      if (view()->config_revision != revision) {
-        journal_.append(now, "in_force", show(book_.version()) + " config " + std::to_string(view()->config_revision));
-        subscribe(now);  // the homes, and through them the operators, hear of it at once
-      } else if (book_.topics() != topics) {
-        subscribe(now);
-      }
-    }
+  if (const auto* news = std::get_if<SliceNews>(&message))
+    take_news(from, *news, now);
+}
+
+void DataDaemon::take_news(const Address& from, const SliceNews& news, Moment now) {
+  ++counts_.news;
+  auto topics = book_.topics();
+  Integer revision = view()->config_revision;
+  bool is_used = std::find(topics.begin(), topics.end(), news.topic) != topics.end() && book_.apply(news);
+  if (is_used) {
+    ++counts_.news_used;
+    fold_view(now);
+    keeper_.on_version(book_.version());
+    if (awaited_ && !(book_.oldest_version() < awaited_->version))
+      awaited_.reset();
+  }
+  confirm_home(from, news, now);
+  if (is_used && view()->config_revision != revision) {
+    journal_.append(now, "in_force", show(book_.version()) + " config " + std::to_string(view()->config_revision));
+    subscribe(now);  // the homes, and through them the operators, hear of it at once
+  } else if (is_used && book_.topics() != topics) {
+    subscribe(now);
   }
 }
 
+// What the news says of its master holds from the stamp of ours that its sender had seen: the news itself may have
+// waited in a paused process. It confirms nothing for rows of another version, nor in another life of this daemon.
+void DataDaemon::confirm_home(const Address& from, const SliceNews& news, Moment now) {
+  auto entry = homes_.find(news.topic);
+  if (entry == homes_.end() || entry->second.address != from)
+    return;
+  Home& home = entry->second;
+  home.news = now;
+  bool is_of_this_life = started_at_.value <= news.stamp && news.stamp <= now.value;
+  if (is_of_this_life && book_.version_of(news.topic) == news.version)
+    home.master_confirmed = std::max(home.master_confirmed, Moment{news.stamp - news.age});
+  keep_cold_shares();
+}
+
 // Shares of cold runners hold only while every pool's home has heard the master lately.
 void DataDaemon::keep_cold_shares() {
   Moment until{INT64_MAX};
   for (const auto& [topic, home] : homes_)
     if (topic != plans_topic)
-      until = std::min(until, home.master_heard + ColdShares::lease);
+      until = std::min(until, home.master_confirmed + ColdShares::lease);
   keeper_.set_cold_until(until);
 }
 
--- a/packages/data-plane/tests/data_daemon_test.cpp
+++ b/packages/data-plane/tests/data_daemon_test.cpp
@@ -252,3 +252,59 @@
     present.on_message(Address{store}, answer_to(asked_now, store), Moment{180});
   EXPECT_GT(present.grant().until.value, 1000);
 }
+
+TEST(DataDaemon, AHomeThatIsCutOffIsLeftWhenAnotherControlDaemonNamesANewerMap) {
+  // The register is out of reach; a control daemon that is no home answers pings.
+  for (bool is_guard_out : {false, true}) {
+    DataDaemon daemon = with_two_homes();
+    daemon.keeps_outdated_homes = is_guard_out;
+    std::int64_t has_next_at = -1;
+    Address cut_off;
+    for (std::int64_t ms = 100; ms <= 4000; ms += 50) {
+      Moment now{ms};
+      daemon.on_timer(now);
+      PingAnswer answer;
+      answer.sender = DaemonEntry{Address{"e3"}, "http-e3", "edge", ZoneName{"b"}, RegionName{"north"}, 1};
+      answer.version = next_map;
+      if (ms % 500 == 0)
+        daemon.on_message(Address{"e3"}, answer, now);
+      for (const auto& sending : daemon.take_out()) {
+        if (!std::holds_alternative<Subscribe>(sending.message))
+          continue;
+        if (cut_off.empty())
+          cut_off = sending.to;
+        daemon.on_message(sending.to, plans_news(sending.to == cut_off ? old_map : next_map), now);
+      }
+      if (has_next_at < 0 && daemon.view()->version == next_map)
+        has_next_at = ms;
+    }
+    if (is_guard_out) {
+      EXPECT_EQ(has_next_at, -1);
+      EXPECT_EQ(daemon.counts().homes_outdated, 0);
+    } else {
+      EXPECT_GE(has_next_at, 1500);  // it is given the time that news takes on its way
+      EXPECT_LE(has_next_at, 2000);
+    }
+  }
+}
+
+TEST(DataDaemon, NewsThatWaitedInAPausedHomeDoesNotLengthenTheUseOfColdShares) {
+  DataDaemon daemon = started(1);
+  give_map(daemon, Moment{200});
+  daemon.on_timer(Moment{600});
+  SliceNews pool;
+  pool.topic = "pool:models";
+  pool.version = pool.base = {1, 1};
+  pool.age = 100;
+  pool.stamp = 600;
+  daemon.on_message(Address{"e"}, pool, Moment{650});
+  EXPECT_EQ(daemon.grant().cold_until.value, 2500);
+  daemon.on_message(Address{"e"}, pool, Moment{20000});  // composed at 600, sent after a pause of the home
+  EXPECT_EQ(daemon.grant().cold_until.value, 2500);
+  SliceNews later = pool;
+  later.stamp = 19990;
+  later.base = {1, 2};
+  later.version = {1, 3};  // of rows that this daemon does not hold
+  daemon.on_message(Address{"e"}, later, Moment{20000});
+  EXPECT_EQ(daemon.grant().cold_until.value, 2500);
+}
--- a/packages/master-election/include/emberdale/master_election.hpp
+++ b/packages/master-election/include/emberdale/master_election.hpp
@@ -70,8 +70,13 @@
   std::size_t quorum() const { return roster_.size() / 2 + 1; }
   // Rounds in a row that had too few answers for a ranking.
   int starved_rounds() const { return starved_rounds_; }
-  // When the master that is followed last answered. Example: slices.hear_master(election.master_heard())
-  Moment master_heard() const { return master_heard_; }
+  // The newest stamp of its master's clock that this follower has seen in this term; 0: none.
+  Integer master_stamp() const { return stamp_term_ == term_ ? stamp_ : 0; }
+  // A moment at which a quorum surely followed this master: each has shown a stamp that its clock had then. Frames that
+  // waited through a pause show old stamps. Example: now - election.quorum_confirmed(now) <= Span{1500}
+  Moment quorum_confirmed(Moment now) const;
+  // The same at a follower that holds its master's newest map: from before it asked, less what the master told.
+  Moment master_confirmed() const { return master_confirmed_; }
   const std::map<Address, Moment>& followers() const { return followers_; }
   std::vector<Sending> take_out();
 
@@ -119,6 +124,8 @@
   Integer promised_through_ = -1;  // acknowledges for no term up to this one
   Integer stamp_ = 0, stamp_term_ = -1;
   std::map<Address, Moment> followers_;
+  std::map<Address, Moment> shown_stamps_;  // by follower: the newest stamp of this master's clock that it has shown
+  Moment master_confirmed_{-1000000};
   std::set<Address> left_;  // stopped cleanly: not waited for until they speak again
   Integer ask_;
   Moment phase_end_, ping_next_, follow_next_, master_heard_, quorum_heard_;
--- a/packages/master-election/src/master_election.cpp
+++ b/packages/master-election/src/master_election.cpp
@@ -168,8 +168,9 @@
   quorum_heard_ = now;
   followers_.clear();
   acknowledgements_.clear();
+  shown_stamps_.clear();
   for (const auto& [daemon, join] : joins_) {
-    followers_[daemon] = now;
+    followers_[daemon] = shown_stamps_[daemon] = now;
     out_.push_back({daemon, JoinAnswer{join.ask, true, term_, ""}});
   }
   joins_.clear();
@@ -232,6 +233,21 @@
   return acknowledged > roster.size() / 2;
 }
 
+Moment MasterElection::quorum_confirmed(Moment now) const {
+  std::vector<Moment> shown;
+  for (const auto& daemon : roster_) {
+    auto entry = shown_stamps_.find(daemon);
+    if (daemon == self_.address)
+      shown.push_back(now);
+    else if (entry != shown_stamps_.end())
+      shown.push_back(entry->second);
+  }
+  if (phase_ != Phase::leading || shown.size() < quorum())
+    return Moment{-1000000};
+  std::sort(shown.begin(), shown.end(), [](Moment a, Moment b) { return b < a; });
+  return shown[quorum() - 1];
+}
+
 bool MasterElection::on_message(const Address& from, const Message& message, Moment now) {
   if (const auto* ping = std::get_if<Ping>(&message)) {
     if (ping->sender.role == "edge")
@@ -307,8 +323,12 @@
       Moment acknowledged{follow->acknowledgement};
       if (follow->term == term_ && follow->acknowledgement > 0 && acknowledgements_[from] < acknowledged)
         acknowledgements_[from] = acknowledged;
+      Moment shown{follow->stamp};
+      if (follow->term == term_ && follow->stamp > 0 && shown <= now && shown_stamps_[from] < shown)
+        shown_stamps_[from] = shown;
     }
-    out_.push_back({from, FollowAnswer{is_ours ? term_ : 0, is_ours, version_, now.value}});
+    Integer quorum_age = is_ours ? (now - quorum_confirmed(now)).value : 0;
+    out_.push_back({from, FollowAnswer{is_ours ? term_ : 0, is_ours, version_, now.value, follow->sent, quorum_age}});
     return false;  // the daemon reads the statuses in it
   }
   if (const auto* answer = std::get_if<FollowAnswer>(&message)) {
@@ -322,6 +342,10 @@
     master_heard_ = now;
     stamp_ = answer->stamp;
     stamp_term_ = answer->term;
+    // What an older map says is not confirmed by the master that has a newer one.
+    Moment confirmed{answer->follow_sent - answer->quorum_age};
+    if (answer->follow_sent > 0 && !(version_ < answer->version) && master_confirmed_ < confirmed)
+      master_confirmed_ = confirmed;
     return true;
   }
   return false;
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -46,12 +46,13 @@
 #define EMBERDALE_DONE_CHANGE(F) F(Text, change) F(Integer, version) F(Integer, config_revision)
 EMBERDALE_RECORD(DoneChange, EMBERDALE_DONE_CHANGE)
 
-#define EMBERDALE_FLEET_STATE(F)                                                                                  \
-  F(Text, fleet)                                                                                                  \
-  F(Integer, version) F(Integer, config_revision) F(std::vector<Resource>, resources) F(Integer, deleted_version) \
-      F(std::vector<DaemonEntry>, roster) F(Integer, term) F(Address, master) F(Integer, ack_wait)                \
-          F(MapVersion, minimum_version) F(std::vector<Address>, lease_roster)                                    \
-              F(std::vector<AcceptorEntry>, acceptors) F(std::vector<AcceptorEntry>, next_acceptors)              \
+#define EMBERDALE_FLEET_STATE(F)                                                                     \
+  F(Text, fleet)                                                                                     \
+  F(Integer, version)                                                                                \
+  F(Integer, config_revision) F(std::vector<Resource>, resources) F(Integer, deleted_version)        \
+      F(std::vector<DaemonEntry>, roster) F(Integer, term) F(Address, master) F(Integer, ack_wait)   \
+          F(MapVersion, minimum_version) F(std::vector<Address>, lease_roster)                       \
+              F(std::vector<AcceptorEntry>, acceptors) F(std::vector<AcceptorEntry>, next_acceptors) \
                   F(std::vector<DoneChange>, done)
 EMBERDALE_RECORD(FleetState, EMBERDALE_FLEET_STATE)
 
@@ -59,9 +60,10 @@
 #define EMBERDALE_COLD_GRANT(F) F(Address, daemon) F(Integer, calls)
 EMBERDALE_RECORD(ColdGrant, EMBERDALE_COLD_GRANT)
 
-#define EMBERDALE_RUNNER_ROW(F)                                                                                   \
-  F(RunnerName, name)                                                                                             \
-  F(Text, http) F(PoolName, pool) F(ZoneName, zone) F(RegionName, region) F(Text, status) F(Integer, incarnation) \
+#define EMBERDALE_RUNNER_ROW(F)                                                                     \
+  F(RunnerName, name)                                                                               \
+  F(Text, http)                                                                                     \
+  F(PoolName, pool) F(ZoneName, zone) F(RegionName, region) F(Text, status) F(Integer, incarnation) \
       F(Integer, capacity) F(Integer, load) F(Integer, allowance) F(std::vector<ColdGrant>, grants) F(Text, seal_key)
 EMBERDALE_RECORD(RunnerRow, EMBERDALE_RUNNER_ROW)  // status: warm, cold, leaving, emptied, down
 
@@ -78,11 +80,12 @@
 #define EMBERDALE_SLICE_ROW(F) F(Text, key) F(Bytes, body)
 EMBERDALE_RECORD(SliceRow, EMBERDALE_SLICE_ROW)
 
-#define EMBERDALE_PLACEMENT_MAP(F)                                                                            \
-  F(MapVersion, version)                                                                                      \
-  F(Integer, config_revision) F(Address, master) F(std::vector<PlanRow>, plans) F(Integer, traffic_of)        \
-      F(std::vector<SliceRow>, traffic) F(std::vector<RunnerRow>, runners) F(std::vector<RegionRow>, regions) \
-          F(std::vector<GatewayRow>, gateways) F(std::vector<GatewayRow>, edges) F(std::vector<ZoneName>, emptied)
+#define EMBERDALE_PLACEMENT_MAP(F)                                                                               \
+  F(MapVersion, version)                                                                                         \
+  F(Integer, config_revision)                                                                                    \
+  F(Address, master) F(std::vector<PlanRow>, plans) F(Integer, traffic_of) F(std::vector<SliceRow>, traffic)     \
+      F(std::vector<RunnerRow>, runners) F(std::vector<RegionRow>, regions) F(std::vector<GatewayRow>, gateways) \
+          F(std::vector<GatewayRow>, edges) F(std::vector<ZoneName>, emptied)
 EMBERDALE_RECORD(PlacementMap, EMBERDALE_PLACEMENT_MAP)  // traffic: the traffic table,
 // cut into rows, as it stands since configuration traffic_of; left out (and so said by `has_traffic` of the news) for
 // who holds these rows already
@@ -101,10 +104,11 @@
 EMBERDALE_RECORD(ReadAsk, EMBERDALE_READ_ASK)  // lean: ballots alone, no value
 #define EMBERDALE_HEARD(F) F(Address, daemon) F(Integer, age)
 EMBERDALE_RECORD(Heard, EMBERDALE_HEARD)
-#define EMBERDALE_READ_ANSWER(F)                                                                      \
-  F(Integer, ask)                                                                                     \
-  F(StoreId, store) F(bool, blank) F(Ballot, accepted) F(Bytes, value) F(MapVersion, minimum_version) \
-      F(std::vector<AcceptorEntry>, acceptors) F(std::vector<AcceptorEntry>, next_acceptors)          \
+#define EMBERDALE_READ_ANSWER(F)                                                             \
+  F(Integer, ask)                                                                            \
+  F(StoreId, store)                                                                          \
+  F(bool, blank) F(Ballot, accepted) F(Bytes, value) F(MapVersion, minimum_version)          \
+      F(std::vector<AcceptorEntry>, acceptors) F(std::vector<AcceptorEntry>, next_acceptors) \
           F(std::vector<Heard>, heard) F(Integer, awake)
 EMBERDALE_RECORD(ReadAnswer, EMBERDALE_READ_ANSWER)
 #define EMBERDALE_FOUND(F) F(Integer, ask) F(StoreId, store) F(Bytes, value)
@@ -115,9 +119,10 @@
 // --- discovery and election ------------------------------------------------------------------
 #define EMBERDALE_PING(F) F(Integer, ask) F(DaemonEntry, sender) F(Address, master) F(MapVersion, version)
 EMBERDALE_RECORD(Ping, EMBERDALE_PING)
-#define EMBERDALE_PING_ANSWER(F)                                                                      \
-  F(Integer, ask)                                                                                     \
-  F(DaemonEntry, sender) F(Address, master) F(MapVersion, version) F(std::vector<DaemonEntry>, known) \
+#define EMBERDALE_PING_ANSWER(F)                                               \
+  F(Integer, ask)                                                              \
+  F(DaemonEntry, sender)                                                       \
+  F(Address, master) F(MapVersion, version) F(std::vector<DaemonEntry>, known) \
       F(std::vector<AcceptorEntry>, acceptors) F(Text, fleet) F(Integer, stamp)
 EMBERDALE_RECORD(PingAnswer, EMBERDALE_PING_ANSWER)
 #define EMBERDALE_JOIN(F) \
@@ -131,35 +136,43 @@
 // --- the map on its way ----------------------------------------------------------------------
 #define EMBERDALE_MAP_NEWS(F) F(PlacementMap, map) F(bool, lacks_traffic)
 EMBERDALE_RECORD(MapNews, EMBERDALE_MAP_NEWS)
-#define EMBERDALE_RUNNER_STATUS(F)                                                                                   \
-  F(RunnerName, name)                                                                                                \
-  F(bool, answers) F(bool, cold) F(Integer, incarnation) F(Integer, capacity) F(Integer, load) F(Integer, allowance) \
-      F(Integer, age)
+#define EMBERDALE_RUNNER_STATUS(F) \
+  F(RunnerName, name)              \
+  F(bool, answers)                 \
+  F(bool, cold) F(Integer, incarnation) F(Integer, capacity) F(Integer, load) F(Integer, allowance) F(Integer, age)
 EMBERDALE_RECORD(RunnerStatus, EMBERDALE_RUNNER_STATUS)
 #define EMBERDALE_IN_FORCE(F) \
   F(DaemonEntry, daemon)      \
   F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving) F(Integer, age)
 EMBERDALE_RECORD(InForce, EMBERDALE_IN_FORCE)
-#define EMBERDALE_FOLLOW(F)                                                                  \
-  F(DaemonEntry, sender)                                                                     \
-  F(Integer, term) F(Integer, acknowledgement) F(MapVersion, version) F(Integer, traffic_of) \
-      F(std::vector<RunnerStatus>, statuses) F(std::vector<InForce>, in_force)
-EMBERDALE_RECORD(Follow, EMBERDALE_FOLLOW)
-#define EMBERDALE_FOLLOW_ANSWER(F) F(Integer, term) F(bool, master) F(MapVersion, version) F(Integer, stamp)
-EMBERDALE_RECORD(FollowAnswer, EMBERDALE_FOLLOW_ANSWER)
+#define EMBERDALE_FOLLOW(F)                                                                                        \
+  F(DaemonEntry, sender)                                                                                           \
+  F(Integer, term)                                                                                                 \
+  F(Integer, acknowledgement) F(MapVersion, version) F(Integer, traffic_of) F(std::vector<RunnerStatus>, statuses) \
+      F(std::vector<InForce>, in_force) F(Integer, stamp) F(Integer, sent)
+EMBERDALE_RECORD(Follow, EMBERDALE_FOLLOW)  // stamp: the newest of its master's clock that the follower has seen in
+                                            // this term; sent: the follower's own clock
+#define EMBERDALE_FOLLOW_ANSWER(F) \
+  F(Integer, term)                 \
+  F(bool, master) F(MapVersion, version) F(Integer, stamp) F(Integer, follow_sent) F(Integer, quorum_age)
+EMBERDALE_RECORD(FollowAnswer, EMBERDALE_FOLLOW_ANSWER)  // follow_sent: of the Follow that this answers; quorum_age:
+                                                         // since a quorum surely followed this master, ms
 
 #define EMBERDALE_TOPIC_KNOWN(F) F(Text, topic) F(MapVersion, version)
 EMBERDALE_RECORD(TopicKnown, EMBERDALE_TOPIC_KNOWN)
-#define EMBERDALE_SUBSCRIBE(F)                                                                           \
-  F(DaemonEntry, sender)                                                                                 \
-  F(std::vector<TopicKnown>, topics) F(MapVersion, version) F(Integer, config_revision) F(bool, granted) \
-      F(bool, leaving)
-EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)
-#define EMBERDALE_SLICE_NEWS(F)                                                                         \
-  F(Text, topic)                                                                                        \
-  F(MapVersion, version) F(Integer, config_revision) F(bool, whole) F(MapVersion, base) F(Integer, age) \
-      F(std::vector<SliceRow>, rows) F(std::vector<Text>, gone)
-EMBERDALE_RECORD(SliceNews, EMBERDALE_SLICE_NEWS)  // age: since the home last heard its master, ms
+#define EMBERDALE_SUBSCRIBE(F)       \
+  F(DaemonEntry, sender)             \
+  F(std::vector<TopicKnown>, topics) \
+  F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving) F(Integer, stamp)
+EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)  // stamp: the subscriber's own clock
+#define EMBERDALE_SLICE_NEWS(F)                                                                                 \
+  F(Text, topic)                                                                                                \
+  F(MapVersion, version)                                                                                        \
+  F(Integer, config_revision) F(bool, whole) F(MapVersion, base) F(Integer, age) F(std::vector<SliceRow>, rows) \
+      F(std::vector<Text>, gone) F(Integer, stamp)
+EMBERDALE_RECORD(SliceNews,
+                 EMBERDALE_SLICE_NEWS)  // stamp: of the newest Subscribe that had come when this was composed;
+                                        // age: at that time, since a quorum surely followed the master, ms
 
 // --- the second source of grants ---------------------------------------------------------------
 #define EMBERDALE_LEASE_ASK(F) F(Integer, ask)
@@ -187,9 +200,10 @@
 
 #define EMBERDALE_MESSAGES(M)                                                                                        \
   M(Prepare)                                                                                                         \
-  M(Promise) M(Accept) M(Accepted) M(ReadAsk) M(ReadAnswer) M(Found) M(FoundAnswer) M(Ping) M(PingAnswer) M(Join)    \
-      M(JoinAnswer) M(Leave) M(MapNews) M(Follow) M(FollowAnswer) M(Subscribe) M(SliceNews) M(EditAsk) M(EditAnswer) \
-          M(LeaseAsk) M(LeaseGrant) M(Hold) M(ViewAsk)
+  M(Promise)                                                                                                         \
+  M(Accept) M(Accepted) M(ReadAsk) M(ReadAnswer) M(Found) M(FoundAnswer) M(Ping) M(PingAnswer) M(Join) M(JoinAnswer) \
+      M(Leave) M(MapNews) M(Follow) M(FollowAnswer) M(Subscribe) M(SliceNews) M(EditAsk) M(EditAnswer) M(LeaseAsk)   \
+          M(LeaseGrant) M(Hold) M(ViewAsk)
 
 #define EMBERDALE_VARIANT_ENTRY(Name) Name,
 using Message = std::variant<EMBERDALE_MESSAGES(EMBERDALE_VARIANT_ENTRY) ViewAnswer>;
--- a/packages/placement-map/include/emberdale/map_slices.hpp
+++ b/packages/placement-map/include/emberdale/map_slices.hpp
@@ -1,5 +1,6 @@
 // Slices of the map: what a home daemon feeds its subscribers, and what a subscriber holds.
 #pragma once
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,11 +23,13 @@
 class SlicePublisher {
  public:
   void on_map(const PlacementMap& map, Moment now);
-  // When this home last heard its master: its subscribers are told how old that is.
-  void hear_master(Moment at) { master_heard_ = at; }
+  // When a quorum last surely followed the master whose map this is: subscribers are told how long ago that was.
+  void hear_master(Moment at) { master_heard_ = std::max(master_heard_, at); }
   void on_subscribe(const Address& from, const Subscribe& subscribe, Moment now);
   // Who subscribes and what they say is in force, with the age of that word.
   std::vector<InForce> in_force(Moment now) const;
+  // While held no subscriber is fed. Example: publisher.set_held(true)
+  void set_held(bool is_held) { is_held_ = is_held; }
   void forget_silent(Moment now, Span silence);
   std::vector<Sending> take_out();
   std::int64_t rows_sent() const { return rows_sent_; }
@@ -45,11 +48,14 @@
   struct Subscriber {
     InForce report;
     Moment heard;
+    Integer stamp = 0;  // of its clock, the newest seen
     std::map<std::string, Topic> topics;
   };
-  void feed(const Address& to, const std::string& name, Topic& topic, const MapVersion& known, Moment now);
+  void feed(const Address& to, Integer stamp, const std::string& name, Topic& topic, const MapVersion& known,
+            Moment now);
 
   PlacementMap map_;
+  bool is_held_ = false;
   Moment master_heard_{-1000000};
   std::map<Address, Subscriber> subscribers_;
   std::map<std::string, std::shared_ptr<const Rows>> rows_;                // of the map, cut once
--- a/packages/placement-map/src/map_slices.cpp
+++ b/packages/placement-map/src/map_slices.cpp
@@ -34,7 +34,7 @@
   differences_.clear();
   for (auto& [address, subscriber] : subscribers_)
     for (auto& [name, topic] : subscriber.topics)
-      feed(address, name, topic, topic.sent, now);
+      feed(address, subscriber.stamp, name, topic, topic.sent, now);
   differences_.clear();  // they name rows that may go now
 }
 
@@ -55,9 +55,9 @@
   return found;
 }
 
-void SlicePublisher::feed(const Address& to, const std::string& name, Topic& topic, const MapVersion& known,
-                          Moment now) {
-  if (map_.version == MapVersion{})
+void SlicePublisher::feed(const Address& to, Integer stamp, const std::string& name, Topic& topic,
+                          const MapVersion& known, Moment now) {
+  if (is_held_ || map_.version == MapVersion{})
     return;
   auto cut = rows_.find(name);
   if (cut == rows_.end())
@@ -68,6 +68,7 @@
   news.version = map_.version;
   news.config_revision = map_.config_revision;
   news.age = (now - master_heard_).value;
+  news.stamp = stamp;
   // A subscriber that is further than this home is left alone: versions never go back.
   if (map_.version < known)
     return;
@@ -90,12 +91,13 @@
 void SlicePublisher::on_subscribe(const Address& from, const Subscribe& subscribe, Moment now) {
   auto& subscriber = subscribers_[from];
   subscriber.heard = now;
+  subscriber.stamp = subscribe.stamp;
   subscriber.report =
       InForce{subscribe.sender, subscribe.version, subscribe.config_revision, subscribe.granted, subscribe.leaving, 0};
   std::map<std::string, Topic> topics;
   for (const auto& known : subscribe.topics) {
     auto& topic = topics[known.topic] = std::move(subscriber.topics[known.topic]);
-    feed(from, known.topic, topic, known.version, now);
+    feed(from, subscriber.stamp, known.topic, topic, known.version, now);
   }
   subscriber.topics = std::move(topics);
   differences_.clear();
