Bound a cut-off directory's answers by the age of its master's quorum

Cause: a control daemon that is cut off named the data daemons of its last map however old that was, and those that had fallen silent came back into its answers after 10 s, when their subscriptions were forgotten: right after a pause of 20 s it named one that had died in it. Figures in virtual time: a data daemon known from the map alone was named for all 20 s of a cut, now for at most 10 s; one that died was named right after a pause, now never.

--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -77,7 +77,9 @@
   // begun, now)
   void on_runner_list(std::optional<std::vector<ListedRunner>> runners, Moment begun, Moment now);
   // Where callers near that place should go: the ready data daemons of their zone, else of their region, else all.
-  // Example: daemon.front_addresses({"north"}, {"north-1"}, 64, now)
+  // The map's word on those who do not subscribe here counts for 10 s after a quorum last followed its master; when it
+  // has ended and nobody subscribes here, none are named. Example: daemon.front_addresses({"north"}, {"north-1"}, 64,
+  // now)
   std::vector<std::string> front_addresses(const RegionName& region, const ZoneName& zone, std::size_t most,
                                            Moment now);
   // What the traffic table says of a pool; nothing if it isn't in force here. Example:
@@ -197,6 +199,9 @@
   bool may_read_list(Moment now) const {
     return election_.is_master() && now - election_.quorum_confirmed(now) <= list_quorum_age;
   }
+  std::vector<GatewayRow> ready_fronts(Moment now) const;
+  std::map<Address, GatewayRow> fronts_of_map(const std::vector<InForce>& subscribers, Moment now) const;
+  std::set<ZoneName> zones_served_here_alone(const std::vector<InForce>& subscribers, Moment now) const;
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
--- a/packages/control-plane/src/control_directory.cpp
+++ b/packages/control-plane/src/control_directory.cpp
@@ -6,49 +6,79 @@
 namespace emberdale {
 namespace {
 
-constexpr Span front_silence{1300};
+constexpr Span front_silence{1300};  // a data daemon that has been silent for longer is not named at first hand
+// The map's word on daemons that do not subscribe here counts for so long after a quorum last followed its master:
+// longer than an election takes. Afterwards only those who subscribe here are named.
+constexpr Span map_trust{10000};
+
+// What one subscriber's last word makes of it.
+enum class FrontStanding { ready, not_ready, unknown };
+
+FrontStanding standing_of(const InForce& report) {
+  if (report.leaving)
+    return FrontStanding::not_ready;
+  if (report.age <= front_silence.value)
+    return report.version != MapVersion{} ? FrontStanding::ready : FrontStanding::not_ready;
+  return report.age <= map_trust.value ? FrontStanding::not_ready : FrontStanding::unknown;
+}
 
 }  // namespace
 
-std::vector<std::string> ControlDaemon::front_addresses(const RegionName& region, const ZoneName& zone,
-                                                        std::size_t most, Moment now) {
-  // Who subscribes here is known at first hand; of the others the map tells.
+std::map<Address, GatewayRow> ControlDaemon::fronts_of_map(const std::vector<InForce>& subscribers, Moment now) const {
   std::map<Address, GatewayRow> rows;
+  if (now - slices_.master_heard() > map_trust)
+    return rows;
+  std::set<ZoneName> known_at_first_hand = zones_served_here_alone(subscribers, now);
   for (const auto& row : map_.gateways)
-    rows[row.daemon] = row;
-  for (const auto& report : slices_.in_force(now)) {
-    const DaemonEntry& daemon = report.daemon;
-    bool is_ready = !report.leaving && report.version != MapVersion{} && report.age <= front_silence.value;
-    if (is_ready)
-      rows[daemon.address] = {daemon.address, daemon.http, daemon.zone, daemon.region};
-    else if (report.leaving || report.age <= 10 * front_silence.value)
-      rows.erase(daemon.address);
-  }
-  // Where a zone's own control daemons are silent, its data daemons subscribe elsewhere: if some do so here, all that
-  // live do, and the map's word on the others is old.
-  std::set<ZoneName> heard_zones, homed_zones{settings_.self.zone};
-  for (const auto& report : slices_.in_force(now))
+    if (known_at_first_hand.count(row.zone) == 0)
+      rows[row.daemon] = row;
+  return rows;
+}
+
+// Where a zone's own control daemons are silent, its data daemons subscribe elsewhere: if some do so here, all that
+// live do, and the map's word on the others is old.
+std::set<ZoneName> ControlDaemon::zones_served_here_alone(const std::vector<InForce>& subscribers, Moment now) const {
+  std::set<ZoneName> zones;
+  for (const auto& report : subscribers)
     if (report.age <= front_silence.value)
-      heard_zones.insert(report.daemon.zone);
+      zones.insert(report.daemon.zone);
+  zones.erase(settings_.self.zone);
   for (const auto& [address, known] : known_)
     if (known.entry.role == "edge" && now - known.heard <= front_silence)
-      homed_zones.insert(known.entry.zone);
-  std::set<Address> heard;
-  for (const auto& report : slices_.in_force(now))
-    if (report.age <= front_silence.value)
-      heard.insert(report.daemon.address);
-  std::vector<std::string> near, around, all;
-  for (const auto& [address, row] : rows) {
-    bool is_unheard = heard_zones.count(row.zone) != 0 && homed_zones.count(row.zone) == 0 && heard.count(address) == 0;
-    if (row.http.empty() || is_unheard)
-      continue;
-    (row.zone == zone ? near : row.region == region ? around : all).push_back(row.http);
+      zones.erase(known.entry.zone);
+  return zones;
+}
+
+// Who subscribes here is known at first hand; of the others the map tells.
+std::vector<GatewayRow> ControlDaemon::ready_fronts(Moment now) const {
+  std::vector<InForce> subscribers = slices_.in_force(now);
+  std::map<Address, GatewayRow> rows = fronts_of_map(subscribers, now);
+  for (const auto& report : subscribers) {
+    const DaemonEntry& daemon = report.daemon;
+    FrontStanding standing = standing_of(report);
+    if (standing == FrontStanding::ready)
+      rows[daemon.address] = {daemon.address, daemon.http, daemon.zone, daemon.region};
+    else if (standing == FrontStanding::not_ready)
+      rows.erase(daemon.address);
   }
+  std::vector<GatewayRow> ready;
+  for (auto& [address, row] : rows)
+    if (!row.http.empty())
+      ready.push_back(std::move(row));
+  return ready;
+}
+
+std::vector<std::string> ControlDaemon::front_addresses(const RegionName& region, const ZoneName& zone,
+                                                        std::size_t most, Moment now) {
+  notice_pause(now);
+  std::vector<std::string> near, around, others;
+  for (const auto& row : ready_fronts(now))
+    (row.zone == zone ? near : row.region == region ? around : others).push_back(row.http);
   // One daemon alone would have nobody to stand in for it.
   if (near.size() < 2)
     near.insert(near.end(), around.begin(), around.end());
   if (near.size() < 2)
-    near.insert(near.end(), all.begin(), all.end());
+    near.insert(near.end(), others.begin(), others.end());
   for (std::size_t i = near.size(); i > 1; --i)
     std::swap(near[i - 1], near[static_cast<std::size_t>(random_.below(static_cast<std::int64_t>(i)))]);
   if (near.size() > most)
--- a/packages/control-plane/tests/stale_daemon_test.cpp
+++ b/packages/control-plane/tests/stale_daemon_test.cpp
@@ -261,3 +261,109 @@
         return;
     }
 }
+
+namespace {
+
+// Data daemons by hand, that subscribe at machines of the fleet every 0.4 s.
+class Fronts {
+ public:
+  explicit Fronts(MachineFleet& fleet) : fleet_(fleet) {}
+
+  // Example: fronts.subscribe("d1", "a", {"a0"}, [&] { return is_alive; })
+  void subscribe(const std::string& name, const std::string& zone, const std::string& home,
+                 std::function<bool()> is_alive) {
+    if (is_alive() && fleet_.at(home).is_up && !fleet_.at(home).is_frozen) {
+      Subscribe subscribe;
+      subscribe.sender = DaemonEntry{address_of(name), "http-" + name, "data", ZoneName{zone}, RegionName{"north"}, 1};
+      subscribe.topics.push_back({plans_topic, MapVersion{1, 1}});
+      subscribe.version = MapVersion{1, 1};
+      subscribe.stamp = fleet_.now() + 1;
+      fleet_.act(home, [&](ControlDaemon& daemon, Moment now) { daemon.on_message(address_of(name), subscribe, now); });
+    }
+    fleet_.later(400, [=] { subscribe_again(name, zone, home, is_alive); });
+  }
+
+  std::set<std::string> named_by(const std::string& machine, const std::string& zone) {
+    std::set<std::string> named;
+    fleet_.act(machine, [&](ControlDaemon& daemon, Moment now) {
+      for (const auto& http : daemon.front_addresses(RegionName{"north"}, ZoneName{zone}, 64, now))
+        named.insert(http);
+    });
+    return named;
+  }
+
+ private:
+  void subscribe_again(const std::string& name, const std::string& zone, const std::string& home,
+                       const std::function<bool()>& is_alive) {
+    subscribe(name, zone, home, is_alive);
+  }
+  static Address address_of(const std::string& name) { return Address{"10.0.1." + name.substr(1) + ":7001"}; }
+
+  MachineFleet& fleet_;
+};
+
+using Names = std::set<std::string>;
+
+}  // namespace
+
+TEST(StaleDaemon, ACutOffDirectoryNamesAtLastOnlyWhoStillSubscribesThere) {
+  MachineFleet fleet(12);
+  auto names = bring_up(fleet, 3);
+  std::string cut_off = fleet.master() == "a0" ? "b0" : "a0";
+  std::string zone = cut_off.substr(0, 1), other = fleet.master();
+  Fronts fronts(fleet);
+  bool is_first_alive = true;
+  fronts.subscribe("d1", zone, cut_off, [&] { return is_first_alive; });
+  fronts.subscribe("d2", zone, cut_off, [] { return true; });
+  fronts.subscribe("d3", other.substr(0, 1), other, [] { return true; });
+  ASSERT_TRUE(fleet.run_until([&] { return fronts.named_by(cut_off, "none").size() == 3; }, 5000)) << fleet.story();
+  EXPECT_EQ(fronts.named_by(cut_off, zone), (Names{"http-d1", "http-d2"}));
+  // From here on it hears no other control daemon, and one of its data daemons dies.
+  is_first_alive = false;
+  for (const auto& name : names)
+    fleet.cut_link(name, cut_off);
+  std::int64_t cut = fleet.now();
+  std::int64_t last_named_dead = 0, last_named_far = 0;
+  for (std::int64_t ms = 0; ms < 20000; ms += 100) {
+    fleet.run(100);
+    auto named = fronts.named_by(cut_off, "none");
+    EXPECT_EQ(named.count("http-d2"), 1u) << ms;
+    if (named.count("http-d1") != 0)
+      last_named_dead = fleet.now() - cut;
+    if (named.count("http-d3") != 0)
+      last_named_far = fleet.now() - cut;
+  }
+  EXPECT_LE(last_named_dead, 1800);
+  EXPECT_GE(last_named_far, 5000);  // the map's word still counts through an election
+  EXPECT_LE(last_named_far, 10000);
+  fleet.heal();
+  EXPECT_TRUE(fleet.run_until(
+      [&] {
+        return fronts.named_by(cut_off, "none") == Names{"http-d2", "http-d3"};
+      },
+      8000))
+      << fleet.story();
+}
+
+TEST(StaleDaemon, ADirectoryThatWakesNamesNobodyOnAnOldMapsWord) {
+  MachineFleet fleet(13);
+  bring_up(fleet, 3);
+  std::string paused = fleet.master() == "a0" ? "b0" : "a0";
+  std::string zone = paused.substr(0, 1);
+  Fronts fronts(fleet);
+  bool is_first_alive = true;
+  fronts.subscribe("d1", zone, paused, [&] { return is_first_alive; });
+  fronts.subscribe("d2", zone, paused, [] { return true; });
+  ASSERT_TRUE(fleet.run_until([&] { return fronts.named_by(paused, zone).size() == 2; }, 5000)) << fleet.story();
+  fleet.run(1000);
+  fleet.freeze(paused, true);
+  fleet.run(1000);
+  is_first_alive = false;
+  fleet.run(20000);
+  fleet.freeze(paused, false);
+  for (int i = 0; i < 80; ++i) {
+    EXPECT_EQ(fronts.named_by(paused, zone).count("http-d1"), 0u) << i * 50 << " ms after it woke";
+    fleet.run(50);
+  }
+  EXPECT_EQ(fronts.named_by(paused, zone).count("http-d2"), 1u);
+}
--- a/packages/placement-map/include/emberdale/map_slices.hpp
+++ b/packages/placement-map/include/emberdale/map_slices.hpp
@@ -25,6 +25,7 @@
   void on_map(const PlacementMap& map, Moment now);
   // When a quorum last surely followed the master whose map this is: subscribers are told how long ago that was.
   void hear_master(Moment at) { master_heard_ = std::max(master_heard_, at); }
+  Moment master_heard() const { return master_heard_; }
   void on_subscribe(const Address& from, const Subscribe& subscribe, Moment now);
   // Who subscribes and what they say is in force, with the age of that word.
   std::vector<InForce> in_force(Moment now) const;
