Measure catching up and 20 s of being cut off; bound unsynced bytes

It answered no read and fed no slice with older state, and did not lead with an old map. 64 waiting writes of an 8 MB value would still be 512 MB: at 8 MB of unsynced records asks are left unanswered as well. Cut off for 20 s (whole, not heard, hearing nobody; leader or follower; with a restart or a pause inside): no old read, no refusal, no step back of its map.

--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -61,6 +61,7 @@
     std::int64_t token;
     AcceptorRecord after;
     Sending answer;
+    std::size_t size = 0;  // of its record
   };
   void write(AcceptorRecord after, bool has_value, Sending answer);
   void settle(const AcceptorRecord& record);
@@ -72,6 +73,7 @@
   FleetState state_;
   std::deque<Held> held_;
   std::int64_t last_token_ = 0, dropped_ = 0;
+  std::size_t unsynced_bytes_ = 0;
   std::vector<WriteWish> writes_;
   std::vector<Sending> out_;
   std::map<Address, Moment> heard_;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -8,6 +8,7 @@
 // Whoever asked waits for less than a second: with so many writes before it, its answer would come too late. The
 // bound also keeps the memory of what waits for a stalled disk small.
 constexpr std::size_t most_unsynced = 64;
+constexpr std::size_t most_unsynced_bytes = 8 << 20;
 
 }  // namespace
 
@@ -69,12 +70,14 @@
   lean.has_value = has_value;
   if (!has_value)
     lean.value = Bytes{};
-  held_.push_back({++last_token_, std::move(after), std::move(answer)});
-  writes_.push_back({last_token_, pack_record(lean)});
+  std::string record = pack_record(lean);
+  unsynced_bytes_ += record.size();
+  held_.push_back({++last_token_, std::move(after), std::move(answer), record.size()});
+  writes_.push_back({last_token_, std::move(record)});
 }
 
 bool RegisterAcceptor::is_backlogged() {
-  if (held_.size() < most_unsynced)
+  if (held_.size() < most_unsynced && unsynced_bytes_ < most_unsynced_bytes)
     return false;
   ++dropped_;
   return true;
@@ -167,6 +170,7 @@
   while (!held_.empty() && held_.front().token <= token) {
     Held held = std::move(held_.front());
     held_.pop_front();
+    unsynced_bytes_ -= held.size;
     settle(held.after);
     out_.push_back(std::move(held.answer));
   }
@@ -175,6 +179,7 @@
 void RegisterAcceptor::refused(std::int64_t) {
   // What is still held was thought out on top of the refused write: none of it may be answered.
   held_.clear();
+  unsynced_bytes_ = 0;
   ahead_ = synced_;
 }
 
--- /dev/null
+++ b/packages/control-plane/tests/catch_up_test.cpp
@@ -0,0 +1,232 @@
+// A machine that was down through hundreds of changes of a large configuration comes back: how long and how many bytes
+// it takes, what its disk holds, and that it says nothing old meanwhile. Virtual time, disks in memory.
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+#include "support/machine_fleet.hpp"
+
+using namespace emberdale;
+
+namespace {
+
+constexpr int routes = 1400;
+constexpr std::size_t disk_bound = 64u << 20;
+
+std::string route(int number, int horizon_ms) {
+  std::string digits = std::to_string(number);
+  return R"({"name":"route-)" + digits + R"(","host":"host-)" + digits + R"(.example","path_prefix":"/service/)" +
+         std::string(100, 'x') + digits + R"(/","kind":"retry_safe","horizon_ms":)" + std::to_string(horizon_ms) +
+         R"(,"pool":"m"})";
+}
+
+std::string first_table() {
+  std::string body = R"({"revision":1,"pools":[{"name":"m"}],"routes":[)";
+  for (int i = 0; i < routes; ++i)
+    body += (i == 0 ? "" : ",") + route(i, 8000);
+  return body + "]}";
+}
+
+std::string amendment(Integer revision) {
+  return R"({"revision":)" + std::to_string(revision) + R"(,"upsert":{"routes":[)" +
+         route(static_cast<int>(revision) % routes, 8000 + static_cast<int>(revision)) + "]}}";
+}
+
+// Changes the table at one machine, and waits until that is acknowledged.
+bool change_table(MachineFleet& fleet, const std::string& where, const std::string& act, Integer base,
+                  const std::string& body) {
+  Integer code = 0;
+  fleet.act(where, [&](ControlDaemon& daemon, Moment now) {
+    EditAsk ask{0, "table-" + std::to_string(base), act, traffic_kind, traffic_name, base, body};
+    daemon.edit(
+        ask, [&](const EditAnswer& answer) { code = answer.code; }, now);
+  });
+  fleet.run_until([&] { return code != 0; }, 10000);
+  return code == 200 || code == 201;
+}
+
+std::size_t value_size(MachineFleet& fleet, const std::string& name) { return encode_state(fleet.state(name)).size(); }
+
+// What a machine that comes back said until it had the newest state.
+struct Watch {
+  Integer newest_state = 0;
+  MapVersion newest_map;
+  int old_slices = 0, old_reads = 0, reads = 0, led_with_old_map = 0;
+};
+
+void watch(MachineFleet& fleet, const std::string& late, const std::shared_ptr<Watch>& seen) {
+  fleet.on_send = [seen, late](const std::string& from, const Address&, const Message& message) {
+    const auto* news = std::get_if<SliceNews>(&message);
+    if (news != nullptr && from == late && news->version < seen->newest_map)
+      ++seen->old_slices;
+  };
+  auto step = std::make_shared<std::function<void()>>();
+  *step = [&fleet, late, seen, step] {
+    fleet.act(late, [&](ControlDaemon& daemon, Moment now) {
+      Subscribe subscribe;
+      subscribe.sender = DaemonEntry{Address{"10.0.1.1:7001"}, "http-d", "data", ZoneName{"a"}, RegionName{"north"}, 1};
+      subscribe.topics.push_back({plans_topic, MapVersion{}});
+      subscribe.stamp = 1;
+      daemon.on_message(subscribe.sender.address, subscribe, now);
+      daemon.read(
+          [seen](const FleetState* state) {
+            seen->reads += state != nullptr;
+            seen->old_reads += state != nullptr && state->version < seen->newest_state;
+          },
+          now);
+      seen->led_with_old_map += daemon.election().is_master() && daemon.map().version < seen->newest_map;
+    });
+    fleet.later(100, *step);
+  };
+  (*step)();
+}
+
+struct Speed {
+  std::int64_t link_delay, disk_slowness;
+  int changes;
+};
+
+}  // namespace
+
+TEST(CatchUp, AMachineThatWasDownThroughHundredsOfChangesTakesTheNewestValueAlone) {
+  for (Speed speed : {Speed{1, 1, 400}, Speed{30, 1, 40}, Speed{1, 30, 40}}) {
+    SCOPED_TRACE("delay " + std::to_string(speed.link_delay) + " disk " + std::to_string(speed.disk_slowness));
+    MachineFleet fleet(21);
+    fleet.segment_bound = 1 << 20;
+    auto names = bring_up(fleet, 3);
+    std::string master = fleet.master();
+    std::string late = master == names[0] ? names[1] : names[0];
+    ASSERT_TRUE(change_table(fleet, master, "replace", 0, first_table()));
+    fleet.run(1000);
+    std::size_t disk_before = fleet.at(late).files->bytes();
+    fleet.power_cut(late);
+    fleet.run(3000);
+    for (int i = 0; i < speed.changes; ++i)
+      ASSERT_TRUE(change_table(fleet, fleet.master(), "amend", i + 1, amendment(i + 2))) << i << fleet.story();
+    master = fleet.master();
+    std::size_t value = value_size(fleet, master);
+    EXPECT_GT(value, 300000u);
+
+    fleet.delay = speed.link_delay;
+    fleet.at(late).disk_slowness = speed.disk_slowness;
+    fleet.run(1000);
+    auto seen = std::make_shared<Watch>();
+    seen->newest_state = fleet.state(master).version;
+    seen->newest_map = fleet.at(master).control->map().version;
+    fleet.counts_bytes = true;
+    fleet.at(late).received = 0;
+    std::int64_t started = fleet.now();
+    fleet.start(late, false);
+    watch(fleet, late, seen);
+    auto has_value = [&] {
+      return fleet.at(late).control->proposer().has_state() && fleet.state(late).version >= seen->newest_state;
+    };
+    auto has_map = [&] {
+      return !(fleet.at(late).control->map().version < seen->newest_map);
+    };
+    auto has_copy = [&] {
+      return fleet.at(late).control->acceptor()->state().version >= seen->newest_state;
+    };
+    EXPECT_TRUE(fleet.run_until(has_value, 5000)) << fleet.story();
+    std::int64_t value_after = fleet.now() - started;
+    EXPECT_TRUE(fleet.run_until([&] { return has_map() && has_copy(); }, 10000)) << fleet.story();
+    std::int64_t all_after = fleet.now() - started;
+    std::int64_t bytes = fleet.at(late).received;
+    fleet.run(5000);
+    std::cout << speed.changes << " changes, links " << speed.link_delay << " ms, disk x" << speed.disk_slowness
+              << ": value of " << value << " bytes after " << value_after << " ms, map and copy after " << all_after
+              << " ms, " << bytes << " bytes received by then, " << fleet.at(late).received << " after 5 s more; disk "
+              << disk_before << " before, " << fleet.at(late).files->bytes() << " after, most "
+              << fleet.at(late).files->most_bytes() << "; others' disks at most "
+              << fleet.at(master).files->most_bytes() << "\n";
+    EXPECT_LE(all_after, 3000);
+    EXPECT_LE(bytes, static_cast<std::int64_t>(8 * value));  // far from a replay of 400 changes
+    EXPECT_LE(fleet.at(late).received, static_cast<std::int64_t>(10 * value));
+    for (const auto& name : names)
+      EXPECT_LT(fleet.at(name).files->most_bytes(), disk_bound);
+    EXPECT_EQ(seen->old_slices, 0);
+    EXPECT_EQ(seen->old_reads, 0);
+    EXPECT_EQ(seen->led_with_old_map, 0);
+    EXPECT_GT(seen->reads, 0);
+    if (HasFailure())
+      return;
+  }
+}
+
+TEST(CatchUp, ItDoesNotLeadWithAnOldMapWhenTheMasterDiesAsItComesBack) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    MachineFleet fleet(seed);
+    fleet.segment_bound = 1 << 20;
+    auto names = bring_up(fleet, 3);
+    std::string master = fleet.master();
+    std::string late = master == names[0] ? names[1] : names[0];
+    ASSERT_TRUE(change_table(fleet, master, "replace", 0, first_table()));
+    fleet.power_cut(late);
+    fleet.run(3000);
+    for (int i = 0; i < 20; ++i)
+      ASSERT_TRUE(change_table(fleet, fleet.master(), "amend", i + 1, amendment(i + 2))) << i << fleet.story();
+    master = fleet.master();
+    auto seen = std::make_shared<Watch>();
+    seen->newest_state = fleet.state(master).version;
+    seen->newest_map = fleet.at(master).control->map().version;
+    fleet.at(late).disk_slowness = 30;
+    fleet.start(late, false);
+    watch(fleet, late, seen);
+    fleet.run(fleet.random().below(600));
+    fleet.power_cut(master);
+    EXPECT_TRUE(fleet.run_until([&] { return !fleet.master().empty() && fleet.master() != master; }, 15000))
+        << fleet.story();
+    fleet.run(3000);
+    EXPECT_EQ(seen->old_slices, 0);
+    EXPECT_EQ(seen->old_reads, 0);
+    EXPECT_GE(fleet.state(fleet.master()).config_revision, fleet.state(late).config_revision);
+    EXPECT_NE(traffic_document_of(fleet.state(late)).find("\"revision\":21"), std::string::npos);
+    if (HasFailure())
+      return;
+  }
+}
+
+TEST(CatchUp, TheLogStaysSmallThroughAThousandChangesOfALargeValue) {
+  for (int batch : {1, 27}) {  // a stalled disk: as many writes at once as the acceptor lets wait
+    auto disk = std::make_shared<MemoryFileSystem>();
+    SegmentedLog log(disk, 1 << 20);
+    ASSERT_TRUE(log.open("store"));
+    const std::string record(300 << 10, 'v');
+    for (int written = 0; written < 1000; written += batch) {
+      ASSERT_TRUE(log.append(std::vector<std::string>(static_cast<std::size_t>(batch), record)));
+      ASSERT_TRUE(log.sync());
+      if (log.wants_snapshot()) {
+        ASSERT_TRUE(log.snapshot(record));
+      }
+    }
+    std::cout << "in batches of " << batch << ": " << disk->bytes() << " bytes, most " << disk->most_bytes() << "\n";
+    EXPECT_LT(disk->most_bytes(), disk_bound / 4);
+  }
+}
+
+TEST(CatchUp, ADiskThatStallsForTwentySecondsKeepsTheQueueShort) {
+  MachineFleet fleet(22);
+  fleet.segment_bound = 1 << 20;
+  auto names = bring_up(fleet, 6);
+  std::string master = fleet.master();
+  std::string slow = master == names[0] ? names[1] : names[0];
+  ASSERT_TRUE(change_table(fleet, master, "replace", 0, first_table()));
+  fleet.at(slow).disk_slowness = 10000;
+  std::size_t most = 0;
+  std::int64_t end = fleet.now() + 20000;
+  int done = 0;
+  while (fleet.now() < end) {
+    ASSERT_TRUE(change_table(fleet, fleet.master(), "amend", done + 1, amendment(done + 2))) << fleet.story();
+    ++done;
+    fleet.run(50);
+    most = std::max(most, fleet.at(slow).to_write.size() + fleet.at(slow).control->acceptor()->unsynced());
+  }
+  std::cout << done << " changes in 20 s; at most " << most << " writes waiting, "
+            << fleet.at(slow).control->acceptor()->dropped() << " asks left unanswered\n";
+  EXPECT_LE(most, 2u * 64);
+  fleet.at(slow).disk_slowness = 1;
+  Integer newest = fleet.state(fleet.master()).version;
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.at(slow).control->acceptor()->state().version >= newest; }, 60000))
+      << fleet.story();
+}
--- a/packages/control-plane/tests/stale_daemon_test.cpp
+++ b/packages/control-plane/tests/stale_daemon_test.cpp
@@ -367,3 +367,92 @@
   }
   EXPECT_EQ(fronts.named_by(paused, zone).count("http-d2"), 1u);
 }
+
+namespace {
+
+enum class Cut { whole, unheard, deaf };  // both ways; it is not heard; it hears nobody
+enum class Inside { nothing, restart, pause };
+
+// What one machine that is cut off says in those 20 s.
+struct Said {
+  int reads = 0, old_reads = 0, refused_edits = 0, steps_back = 0;
+};
+
+// Asks the machine for a read and an edit, and looks at its map, every 250 ms.
+void question(MachineFleet& fleet, const std::string& name, const std::shared_ptr<Said>& said,
+              const std::shared_ptr<Integer>& acknowledged, int life, MapVersion last) {
+  if (fleet.at(name).is_up && !fleet.at(name).is_frozen) {
+    MapVersion shown = fleet.at(name).control->map().version;
+    said->steps_back += life == fleet.at(name).life && shown < last;
+    life = fleet.at(name).life;
+    last = shown;
+    fleet.act(name, [&](ControlDaemon& daemon, Moment now) {
+      daemon.read(
+          [said, floor = *acknowledged](const FleetState* state) {
+            said->reads += state != nullptr;
+            said->old_reads += state != nullptr && state->config_revision < floor;
+          },
+          now);
+    });
+    auto outcome = fleet.edit(name);
+    fleet.later(9000, [said, outcome] {
+      said->refused_edits += outcome->is_over && outcome->code >= 400 && outcome->code < 500;
+    });
+  }
+  fleet.later(
+      250, [&fleet, name, said, acknowledged, life, last] { question(fleet, name, said, acknowledged, life, last); });
+}
+
+}  // namespace
+
+TEST(StaleDaemon, CutOffForTwentySecondsItNeitherTellsOldStateNorRefusesNorStepsBack) {
+  for (Cut cut : {Cut::whole, Cut::unheard, Cut::deaf})
+    for (bool is_leader : {true, false})
+      for (Inside inside : {Inside::nothing, Inside::restart, Inside::pause})
+        for (std::uint64_t seed = 1; seed <= std::max<std::uint64_t>(1, seeds / 30); ++seed) {
+          SCOPED_TRACE("cut " + std::to_string(static_cast<int>(cut)) + " leader " + std::to_string(is_leader) +
+                       " inside " + std::to_string(static_cast<int>(inside)) + " seed " + std::to_string(seed));
+          MachineFleet fleet(seed);
+          auto names = bring_up(fleet, 3);
+          std::string lone = fleet.master();
+          if (!is_leader)
+            lone = lone == names[0] ? names[1] : names[0];
+          std::string other = lone == names[2] ? names[1] : names[2];
+          auto said = std::make_shared<Said>();
+          auto acknowledged = std::make_shared<Integer>(fleet.state(fleet.master()).config_revision);
+          question(fleet, lone, said, acknowledged, fleet.at(lone).life, MapVersion{});
+          for (const auto& name : names)
+            if (name != lone) {
+              if (cut != Cut::deaf)
+                fleet.cut_one_way(lone, name);
+              if (cut != Cut::unheard)
+                fleet.cut_one_way(name, lone);
+            }
+          std::int64_t end = fleet.now() + 20000;
+          fleet.later(4000 + fleet.random().below(8000), [&] {
+            fleet.at(lone).keeps_what_comes = seed % 2 == 0;
+            if (inside == Inside::restart) {
+              fleet.power_cut(lone);
+              fleet.later(500, [&] { fleet.start(lone, false); });
+            } else if (inside == Inside::pause) {
+              fleet.freeze(lone, true);
+              fleet.later(5000, [&] { fleet.freeze(lone, false); });
+            }
+          });
+          while (fleet.now() < end) {
+            if (fleet.edit_until_done(std::min<std::int64_t>(9000, end - fleet.now()), other))
+              *acknowledged = std::max(*acknowledged, fleet.state(other).config_revision);
+            fleet.run(500);
+          }
+          fleet.heal();
+          EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(names); }, 12000)) << fleet.story();
+          fleet.run(10000);
+          EXPECT_EQ(said->old_reads, 0);
+          EXPECT_EQ(said->refused_edits, 0);
+          EXPECT_EQ(said->steps_back, 0);
+          EXPECT_GT(said->reads, 0);
+          fleet.expect_nothing_lost(lone);
+          if (HasFailure())
+            return;
+        }
+}
--- a/packages/segmented-log/include/emberdale/file_system.hpp
+++ b/packages/segmented-log/include/emberdale/file_system.hpp
@@ -44,6 +44,9 @@
   // Example: disk.power_on(random generator); SegmentedLog log(disk);
   void power_on(RandomGenerator& random);
   void wipe();
+  // Bytes of all files, and the most there ever were. Example: EXPECT_LT(disk.most_bytes(), 64u << 20)
+  std::size_t bytes() const;
+  std::size_t most_bytes() const { return most_bytes_; }
   // Example: disk.flip_bit("segment-1", 40);
   void flip_bit(const std::string& file, std::size_t position);
 
@@ -64,6 +67,7 @@
   using Folder = std::map<std::string, std::shared_ptr<File>>;
   Fault step(const std::string& act);
   Folder now_, synced_;
+  std::size_t most_bytes_ = 0;
 };
 
 }  // namespace emberdale
--- a/packages/segmented-log/src/memory_file_system.cpp
+++ b/packages/segmented-log/src/memory_file_system.cpp
@@ -1,5 +1,7 @@
 #include "emberdale/file_system.hpp"
 
+#include <algorithm>
+
 namespace emberdale {
 
 MemoryFileSystem::Fault MemoryFileSystem::step(const std::string& act) {
@@ -43,6 +45,13 @@
   synced_.clear();
 }
 
+std::size_t MemoryFileSystem::bytes() const {
+  std::size_t sum = 0;
+  for (const auto& [name, file] : now_)
+    sum += file->content.size();
+  return sum;
+}
+
 void MemoryFileSystem::flip_bit(const std::string& file, std::size_t position) {
   auto entry = now_.find(file);
   if (entry != now_.end() && position < entry->second->content.size())
@@ -81,6 +90,7 @@
     return failure("write cut short");
   }
   entry->content += bytes;
+  most_bytes_ = std::max(most_bytes_, this->bytes());
   return true;
 }
 
