--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -59,6 +59,7 @@
     AcceptorRecord after;
     std::optional<FleetState> state;  // of the value, if it is a new one
     Sending answer;
+    std::size_t size = 0;  // of its record
   };
   bool is_backlogged();
   void on_prepare(const Address& from, const Prepare& prepare);
@@ -74,6 +75,7 @@
   FleetState state_;
   std::deque<Held> held_;
   std::int64_t last_token_ = 0, dropped_ = 0;
+  std::size_t unsynced_bytes_ = 0;
   std::vector<WriteWish> writes_;
   std::vector<Sending> out_;
   std::map<Address, Moment> heard_;
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -53,6 +53,9 @@
 //   for (auto& s : daemon.take_out()) links.send(s.to, s.message);
 class ControlDaemon {
  public:
+  // The master reads the outside list of runners while a quorum has followed it within this time.
+  static constexpr Span list_quorum_age{1500};
+
   ControlDaemon(ControlDaemonSettings settings, std::unique_ptr<RegisterAcceptor> acceptor);
 
   void start(Moment now);
@@ -77,13 +80,15 @@
   // True when the outside list of runners is to be read now: at the master, if it reads one at all.
   // Example: if (daemon.takes_list(now)) read_list([&](auto runners) { daemon.on_runner_list(runners, begun, now); });
   bool takes_list(Moment now) {
-    return settings_.reads_runner_list && election_.is_master() && runner_list_.is_read_due(now);
+    return settings_.reads_runner_list && may_read_list(now) && runner_list_.is_read_due(now);
   }
   // The list as read from `begun` on; nothing: it could not be read. Example: daemon.on_runner_list(std::nullopt,
   // begun, now)
   void on_runner_list(std::optional<std::vector<ListedRunner>> runners, Moment begun, Moment now);
   // Where callers near that place should go: the ready data daemons of their zone, else of their region, else all.
-  // Example: daemon.front_addresses({"north"}, {"north-1"}, 64, now)
+  // The map's word on those who do not subscribe here counts for 10 s after a quorum last followed its master; when it
+  // has ended and nobody subscribes here, none are named. Example: daemon.front_addresses({"north"}, {"north-1"}, 64,
+  // now)
   std::vector<std::string> front_addresses(const RegionName& region, const ZoneName& zone, std::size_t most,
                                            Moment now);
   // What the traffic table says of a pool; nothing if it isn't in force here. Example:
@@ -189,6 +194,8 @@
   void take_map(const PlacementMap& map, Moment now);
   void send_follow(Moment now);
   void hear_master(Moment now);
+  void notice_pause(Moment now);
+  bool is_resuming(Moment now) const;
   void run_edits(Moment now);
   void settle_edits(Moment now);
   void end_edits();
@@ -210,6 +217,13 @@
   bool is_settled(Moment now) const {
     return election_.is_master() && now - lease_.leading_since() >= Span{lease_.ack_wait().value + 3000};
   }
+  // The outside list takes few calls a second from all daemons together: a master that may have been deposed is silent.
+  bool may_read_list(Moment now) const {
+    return election_.is_master() && now - election_.quorum_confirmed(now) <= list_quorum_age;
+  }
+  std::vector<GatewayRow> ready_fronts(Moment now) const;
+  std::map<Address, GatewayRow> fronts_of_map(const std::vector<InForce>& subscribers, Moment now) const;
+  std::set<ZoneName> zones_served_here_alone(const std::vector<InForce>& subscribers, Moment now) const;
   std::vector<std::string> live_edges(const ZoneName& zone, Moment now) const;
   std::vector<GatewayRow> gateways(Moment now) const;
   std::vector<GatewayRow> followers_alive(Moment now) const;
@@ -266,6 +280,8 @@
   Moment window_next_;
   bool is_claiming_ = false;
   Moment poll_next_, gossip_next_, follow_next_, started_at_;
+  Moment active_at_, resumed_at_;            // the last timer or message; the end of the last pause
+  std::int64_t resume_read_ = 0;             // the read that was begun then
   std::map<Address, Moment> gateways_seen_;  // data daemons that the map has named, and when last
   std::vector<Sending> out_;
   Counts counts_;
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -169,13 +169,26 @@
   F(DaemonEntry, daemon)      \
   F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving) F(Integer, age)
 EMBERDALE_RECORD(InForce, EMBERDALE_IN_FORCE)
-#define EMBERDALE_FOLLOW(F)   \
-  F(DaemonEntry, sender)      \
-  F(Integer, term)            \
-  F(Integer, acknowledgement) \
-  F(MapVersion, version) F(Integer, traffic_of) F(std::vector<RunnerStatus>, statuses) F(std::vector<InForce>, in_force)
+#define EMBERDALE_FOLLOW(F)              \
+  F(DaemonEntry, sender)                 \
+  F(Integer, term)                       \
+  F(Integer, acknowledgement)            \
+  F(MapVersion, version)                 \
+  F(Integer, traffic_of)                 \
+  F(std::vector<RunnerStatus>, statuses) \
+  F(std::vector<InForce>, in_force)      \
+  F(Integer, stamp)                      \
+  F(Integer, sent)
+// stamp: the newest of its master's clock that the follower has seen in this term; sent: the follower's own clock
 EMBERDALE_RECORD(Follow, EMBERDALE_FOLLOW)
-#define EMBERDALE_FOLLOW_ANSWER(F) F(Integer, term) F(bool, master) F(MapVersion, version) F(Integer, stamp)
+#define EMBERDALE_FOLLOW_ANSWER(F) \
+  F(Integer, term)                 \
+  F(bool, master)                  \
+  F(MapVersion, version)           \
+  F(Integer, stamp)                \
+  F(Integer, follow_sent)          \
+  F(Integer, quorum_age)
+// follow_sent: of the Follow that this answers; quorum_age: since a quorum surely followed this master, ms
 EMBERDALE_RECORD(FollowAnswer, EMBERDALE_FOLLOW_ANSWER)
 
 #define EMBERDALE_TOPIC_KNOWN(F) F(Text, topic) F(MapVersion, version)
@@ -183,14 +196,25 @@
 #define EMBERDALE_SUBSCRIBE(F)       \
   F(DaemonEntry, sender)             \
   F(std::vector<TopicKnown>, topics) \
-  F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving)
-EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)
-#define EMBERDALE_SLICE_NEWS(F) \
-  F(Text, topic)                \
-  F(MapVersion, version)        \
-  F(Integer, config_revision)   \
-  F(bool, whole) F(MapVersion, base) F(Integer, age) F(std::vector<SliceRow>, rows) F(std::vector<Text>, gone)
-EMBERDALE_RECORD(SliceNews, EMBERDALE_SLICE_NEWS)  // age: since the home last heard its master, ms
+  F(MapVersion, version)             \
+  F(Integer, config_revision)        \
+  F(bool, granted)                   \
+  F(bool, leaving)                   \
+  F(Integer, stamp)
+EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)  // stamp: the subscriber's own clock
+#define EMBERDALE_SLICE_NEWS(F)  \
+  F(Text, topic)                 \
+  F(MapVersion, version)         \
+  F(Integer, config_revision)    \
+  F(bool, whole)                 \
+  F(MapVersion, base)            \
+  F(Integer, age)                \
+  F(std::vector<SliceRow>, rows) \
+  F(std::vector<Text>, gone)     \
+  F(Integer, stamp)
+// stamp: of the newest Subscribe that had come when this was composed; age: at that time, since a quorum surely
+// followed the master, ms
+EMBERDALE_RECORD(SliceNews, EMBERDALE_SLICE_NEWS)
 
 // --- the second source of grants ---------------------------------------------------------------
 #define EMBERDALE_LEASE_ASK(F) F(Integer, ask)
@@ -205,8 +229,8 @@
 // --- operators' acts on their way to the master ----------------------------------------------
 #define EMBERDALE_EDIT_ASK(F) \
   F(Integer, ask)             \
-  F(Text, change)           \
-  F(Text, act)              \
+  F(Text, change)             \
+  F(Text, act)                \
   F(Text, kind) F(Text, name) F(Integer, expected) F(Text, body) F(Integer, term) F(Integer, age) F(Integer, stamp)
 EMBERDALE_RECORD(EditAsk, EMBERDALE_EDIT_ASK)  // expected: -1 any, 0 must not exist;
                                                // term: for the master of this term alone;
