--- a/packages/control-plane/include/emberdale/membership_plan.hpp
+++ b/packages/control-plane/include/emberdale/membership_plan.hpp
@@ -1,6 +1,7 @@
 // Which replicas the register should have: pure decisions on what is known of members and learners.
 // Without I/O, clock or state.
 #pragma once
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,8 +14,8 @@
 struct MembershipPolicy {
   std::size_t lost_machines = 1;  // how many machines may be lost at the same time
 
-  // Odd, and at least three: an even set bears no more losses than the odd one below it, and needs one vote more.
-  std::size_t wanted_members() const { return lost_machines < 1 ? 3 : 2 * lost_machines + 1; }
+  // Odd, from three to nine: an even set bears no more losses than the odd one below it, and needs one vote more.
+  std::size_t wanted_members() const { return std::clamp(lost_machines, std::size_t{1}, std::size_t{4}) * 2 + 1; }
 };
 
 // A replica that votes, as the decider sees it.
--- a/packages/control-plane/include/emberdale/membership_reconciler.hpp
+++ b/packages/control-plane/include/emberdale/membership_reconciler.hpp
@@ -50,8 +50,9 @@
   // This daemon has just founded the fleet: who is there by now is added without the usual wait.
   void on_founded(Moment now) { founded_at_ = now; }
 
-  // This daemon is about to end. From now on the only change due is to hand its own place over.
-  void begin_leaving() { is_leaving_ = true; }
+  // This daemon is about to end. From now on the only change due is to hand its own place over; who may take it is
+  // asked anew, at once. Example: reconciler.begin_leaving(now)
+  void begin_leaving(Moment now);
   // Whether this daemon's store is still in the set, or its successor does not hold the newest value yet.
   bool is_handing_over(Moment now) const;
 
@@ -96,6 +97,7 @@
   Integer ask_;
   DecisionRight right_;
   bool is_leaving_ = false;
+  Moment leaving_since_;
   std::vector<StoreId> successors_;  // who was asked to take this daemon's place
   Moment timer_at_, awake_since_, founded_at_{-100000};
   std::vector<AcceptorEntry> watched_set_;
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Span poll_pace{350}, gossip_pace{500};
+constexpr Span hand_over_poll_pace{50};
 constexpr Span gateway_memory{600000};
 
 }  // namespace
@@ -59,7 +60,8 @@
   is_stopping_ = true;
   note(now, "stopping", settings_.self.address.text);
   if (settings_.reconciles_membership && acceptor_) {
-    reconciler_.begin_leaving();
+    reconciler_.begin_leaving(now);
+    reconcile_membership(now);
     is_handing_over_ = is_replica() && reconciler_.is_handing_over(now);
     hand_over_end_ = now + settings_.hand_over_patience;
     core_set_.hurry();
@@ -75,8 +77,11 @@
 void ControlDaemon::continue_stopping(Moment now) {
   if (!is_handing_over_)
     return;
-  if (hand_over_end_ > now && reconciler_.is_handing_over(now))
+  if (hand_over_end_ > now && reconciler_.is_handing_over(now)) {
+    if (!is_replica() && poll_next_ > now + hand_over_poll_pace)
+      poll_next_ = now + hand_over_poll_pace;  // whether the successor holds the value
     return;
+  }
   note(now, is_replica() ? "not handed over" : "handed over", settings_.self.address.text);
   is_handing_over_ = false;
   take_leave(now);
--- a/packages/control-plane/src/control_process.cpp
+++ b/packages/control-plane/src/control_process.cpp
@@ -61,6 +61,7 @@
 
 void ControlProcess::stop(Span patience, std::function<void()> before_end) {
   post([](ControlDaemon& daemon) { daemon.stop(steady_now()); });
+  wait_until_ready_to_end();
   // Edits in hand get their answer before the links go.
   std::this_thread::sleep_for(std::chrono::milliseconds(patience.value));
   before_end();
@@ -71,6 +72,19 @@
     disk_.join();
 }
 
+// A replica hands its place over first; the daemon bounds that time by its own patience.
+void ControlProcess::wait_until_ready_to_end() {
+  const Moment end = steady_now() + settings_.daemon.hand_over_patience + Span{500};
+  while (steady_now() < end) {
+    auto asked = std::make_shared<std::promise<bool>>();
+    auto answer = asked->get_future();
+    post([asked](ControlDaemon& daemon) { asked->set_value(daemon.is_ready_to_end()); });
+    if (answer.wait_for(std::chrono::seconds(1)) == std::future_status::ready && answer.get())
+      return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(settings_.timer_interval.value));
+  }
+}
+
 void ControlProcess::post(std::function<void(ControlDaemon&)> act) {
   boost::asio::post(context_, [this, act = std::move(act)] {
     act(*daemon_);
--- a/packages/control-plane/src/control_process.hpp
+++ b/packages/control-plane/src/control_process.hpp
@@ -30,8 +30,8 @@
   // Opens the data folder and the peer links; the reason tells what can't be had.
   Outcome<bool> open();
   void start();
-  // Lays down what can be laid down, waits for `patience`, ends the threads. Example: process.stop(Span{300}, [&] {
-  // interface.close(); });
+  // Hands its place in the set over, lays down what can be laid down, waits for `patience`, ends the threads. Example:
+  // process.stop(Span{300}, [&] { interface.close(); });
   void stop(Span patience, std::function<void()> before_end);
 
   // On the control thread: a probe is wished for; an timer has passed.
@@ -58,6 +58,7 @@
     std::int64_t epoch = 0;  // what was thought out on top of a refused write is refused as well
   };
   void tick();
+  void wait_until_ready_to_end();
   void run_disk();
 
   ControlProcessSettings settings_;
--- a/packages/control-plane/src/membership_reconciler.cpp
+++ b/packages/control-plane/src/membership_reconciler.cpp
@@ -17,6 +17,7 @@
 constexpr Span even_dead_member_span{8000};  // ...sooner from a set of even size, where the majority gets smaller
 constexpr Span replacement_pause{3000};      // between a change of the set and the next replacement
 constexpr Span change_pause{10000};          // between a change of the set and any other that the master decides
+constexpr Span search_span{300};             // who leaves waits so long for the answers of possible successors
 constexpr Span longest_pause{1000};
 constexpr int most_overtaken = 2;
 
@@ -43,7 +44,7 @@
 void MembershipReconciler::see_daemons(const std::vector<DaemonEntry>& daemons, Moment now) {
   for (const auto& daemon : daemons) {
     zones_[daemon.address] = daemon.zone;
-    if (!proposer_.has_state() || is_in_set(daemon.address) || is_leaving_)
+    if (!proposer_.has_state() || is_in_set(daemon.address) || (is_leaving_ && !is_in_set(self_.address)))
       continue;
     auto asked = asked_.find(daemon.address);
     if (asked != asked_.end() && now - asked->second < ask_pace)
@@ -286,12 +287,19 @@
   return guarded(change, DecisionRight{});
 }
 
+void MembershipReconciler::begin_leaving(Moment now) {
+  is_leaving_ = true;
+  leaving_since_ = now;
+  asked_.clear();
+}
+
 bool MembershipReconciler::is_handing_over(Moment now) const {
   if (!proposer_.has_state())
     return false;
   if (is_in_set(self_.address)) {
     bool is_under_way = !proposer_.state().next_acceptors.empty();
-    return is_under_way || plan(now).has_value() || !learners(now).empty();
+    bool is_asking = !asked_.empty() && now - leaving_since_ <= search_span;
+    return is_under_way || is_asking || plan(now).has_value() || !learners(now).empty();
   }
   if (!proposer_.state().next_acceptors.empty())
     return true;
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -29,6 +29,7 @@
   std::unique_ptr<ControlDaemon> control;
   std::vector<WriteWish> to_write;
   std::int64_t clock = 0;
+  std::int64_t disk_delay = 0;  // on top of the few milliseconds that each sync takes
   int starts = 0, life = 0, foundings = 0;
   bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
 };
@@ -158,6 +159,8 @@
     cuts_.insert({one, other});
     cuts_.insert({other, one});
   }
+  // What `from` sends to `to` is lost; what comes the other way arrives.
+  void cut_one_way(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void heal() {
     cut_zone_.clear();
     cuts_.clear();
@@ -249,6 +252,25 @@
     return std::any_of(set.begin(), set.end(), [&](const auto& entry) { return entry.address == at(name).address; });
   }
 
+  // The newest state that any running daemon knows.
+  const FleetState& newest_state() {
+    const FleetState* newest = nullptr;
+    for (const auto& name : running())
+      if (newest == nullptr || newest->version < state(name).version)
+        newest = &state(name);
+    return *newest;
+  }
+
+  // Whether a majority of the set, and of the next one while it is joined, runs on the stores that it names.
+  bool has_living_majority() {
+    std::set<StoreId> living;
+    for (const auto& name : running())
+      if (at(name).control->acceptor() != nullptr)
+        living.insert(at(name).control->acceptor()->store());
+    const FleetState& newest = newest_state();
+    return has_majority(newest.acceptors, newest.next_acceptors, living);
+  }
+
   // One master, known to all of these; one set of the wanted size, known to all; and who is not in it is synced.
   bool is_settled(const std::vector<std::string>& names) {
     std::string leader = master();
@@ -455,17 +477,18 @@
     for (auto& write : batch)
       records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
-    later(2 + random_.below(3), [this, name = made.name, life = made.life, last = batch.back().token] {
-      Machine& awake = at(name);
-      if (!awake.is_up || awake.life != life)
-        return;
-      ASSERT_TRUE(awake.log->sync());
-      awake.control->synced(last, clock(awake));
-      if (awake.log->wants_snapshot())
-        awake.log->snapshot(awake.control->acceptor()->picture());
-      awake.is_writing = false;
-      flush(awake);
-    });
+    later(2 + random_.below(3) + made.disk_delay,
+          [this, name = made.name, life = made.life, last = batch.back().token] {
+            Machine& awake = at(name);
+            if (!awake.is_up || awake.life != life)
+              return;
+            ASSERT_TRUE(awake.log->sync());
+            awake.control->synced(last, clock(awake));
+            if (awake.log->wants_snapshot())
+              awake.log->snapshot(awake.control->acceptor()->picture());
+            awake.is_writing = false;
+            flush(awake);
+          });
   }
 
   std::uint64_t seed_;
