--- a/packages/control-plane/tests/membership_test.cpp
+++ b/packages/control-plane/tests/membership_test.cpp
@@ -373,3 +373,57 @@
     std::cout << count << " machines: longest without a living majority " << longest << " ms\n";
   }
 }
+
+// Control daemons without a disk keep no replica: they may be seeds, found the fleet, lead it, and decide on the set.
+TEST(Membership, MachinesWithoutADiskTakePartWithoutAReplica) {
+  for (std::size_t diskless : {0u, 2u})
+    for (std::uint64_t seed = 1; seed <= seeds / 3; ++seed) {
+      SCOPED_TRACE("diskless " + std::to_string(diskless) + " seed " + std::to_string(seed));
+      MachineFleet fleet(seed);
+      auto names = fleet.add_many(6);
+      fleet.at(names[diskless]).has_disk = false;
+      for (const auto& name : names)
+        fleet.start(name, true);
+      auto stores = names;
+      stores.erase(stores.begin() + static_cast<std::ptrdiff_t>(diskless));
+      auto is_whole = [&] {
+        return !fleet.master().empty() && fleet.has_wanted_set(names[diskless], stores);
+      };
+      EXPECT_TRUE(fleet.run_until(is_whole, 12000)) << fleet.story();
+      EXPECT_EQ(fleet.foundings(), 1) << fleet.story();
+      fleet.run(2000);
+      // The loss of a replica is mended, whoever leads; the loss of one more takes no majority away.
+      std::string lost = fleet.is_member(stores[0], names[diskless]) ? stores[0] : stores[1];
+      fleet.power_cut(lost);
+      stores.erase(std::find(stores.begin(), stores.end(), lost));
+      EXPECT_TRUE(fleet.run_until([&] { return fleet.has_wanted_set(names[diskless], stores); }, 9000))
+          << fleet.story();
+      EXPECT_TRUE(fleet.has_living_majority());
+      EXPECT_TRUE(fleet.edit_until_done(15000)) << fleet.story();
+      fleet.expect_nothing_lost(names[diskless]);
+      if (HasFailure())
+        return;
+    }
+}
+
+// Two disks in each of three zones, and two machines or one zone may be lost: five replicas, two a zone at most.
+TEST(Membership, TwoDisksAZoneBearTheLossOfTwoMachinesOrOfAZone) {
+  for (bool is_zone_lost : {false, true})
+    for (std::uint64_t seed = 1; seed <= seeds / 3; ++seed) {
+      SCOPED_TRACE("seed " + std::to_string(seed));
+      MachineFleet fleet(seed);
+      auto names = bring_up(fleet, 6);
+      ASSERT_EQ(fleet.newest_state().acceptors.size(), 5u) << fleet.story();
+      std::size_t first = static_cast<std::size_t>(fleet.random().below(3)), second = first + 3;
+      if (!is_zone_lost)
+        second = 3 + (first + 1) % 3;
+      fleet.power_cut(names[first]);
+      fleet.power_cut(names[second]);
+      Watched watched = watch(fleet, 6000);
+      EXPECT_EQ(watched.without_majority, 0) << fleet.story();
+      EXPECT_TRUE(fleet.edit_until_done(15000)) << fleet.story();
+      fleet.expect_nothing_lost(fleet.running().front());
+      if (HasFailure())
+        return;
+    }
+}
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -31,6 +31,7 @@
   std::int64_t clock = 0;
   std::int64_t disk_delay = 0;  // on top of the few milliseconds that each sync takes
   int starts = 0, life = 0, foundings = 0;
+  bool has_disk = true;  // without one it keeps no replica
   bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
 };
 
@@ -104,7 +105,7 @@
     settings.reconciles_membership = true;
     settings.acknowledges_at_once = true;
     settings.membership = membership;
-    made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
+    made.control = std::make_unique<ControlDaemon>(settings, made.has_disk ? std::move(acceptor) : nullptr);
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
       if (event.kind == "founded")
         ++made.foundings;
