--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -31,7 +31,9 @@
   std::vector<WriteWish> to_write;
   std::vector<std::function<void()>> requests;  // of operators, in the sockets of a frozen process
   std::int64_t clock = 0;
+  std::int64_t disk_delay = 0;  // on top of the few milliseconds that each sync takes
   int starts = 0, life = 0, foundings = 0;
+  bool has_disk = true;  // without one it keeps no replica
   bool is_up = false, has_power = true, is_writing = false, is_frozen = false;
   bool keeps_what_comes = false;  // while frozen: messages wait in its buffers, and are taken in when it wakes
   std::vector<std::function<void()>> buffered;
@@ -124,7 +126,7 @@
     settings.edit_times = edit_times;
     settings.election = election;
     settings.membership = membership;
-    made.control = std::make_unique<ControlDaemon>(settings, std::move(acceptor));
+    made.control = std::make_unique<ControlDaemon>(settings, made.has_disk ? std::move(acceptor) : nullptr);
     made.control->journal().on_event = [this, &made](const JournalEvent& event) {
       if (event.kind == "founded")
         ++made.foundings;
@@ -213,6 +215,7 @@
     cuts_.insert({one, other});
     cuts_.insert({other, one});
   }
+  // What `from` sends to `to` is lost; what comes the other way arrives.
   void cut_one_way(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
   void heal() {
     cut_zone_.clear();
@@ -306,6 +309,25 @@
     return std::any_of(set.begin(), set.end(), [&](const auto& entry) { return entry.address == at(name).address; });
   }
 
+  // The newest state that any running daemon knows.
+  const FleetState& newest_state() {
+    const FleetState* newest = nullptr;
+    for (const auto& name : running())
+      if (newest == nullptr || newest->version < state(name).version)
+        newest = &state(name);
+    return *newest;
+  }
+
+  // Whether a majority of the set, and of the next one while it is joined, runs on the stores that it names.
+  bool has_living_majority() {
+    std::set<StoreId> living;
+    for (const auto& name : running())
+      if (at(name).control->acceptor() != nullptr)
+        living.insert(at(name).control->acceptor()->store());
+    const FleetState& newest = newest_state();
+    return has_majority(newest.acceptors, newest.next_acceptors, living);
+  }
+
   // One master, known to all of these; one set of the wanted size, known to all; and who is not in it is synced.
   bool is_settled(const std::vector<std::string>& names) {
     std::string leader = master();
@@ -598,7 +620,7 @@
     for (auto& write : batch)
       records.push_back(write.record);
     ASSERT_TRUE(made.log->append(records));
-    later((sync_time + random_.below(sync_time + 1)) * made.disk_slowness,
+    later((sync_time + random_.below(sync_time + 1)) * made.disk_slowness + made.disk_delay,
           [this, name = made.name, life = made.life, last = batch.back().token] {
             Machine& awake = at(name);
             if (!awake.is_up || awake.life != life)
