Register: a set change stands on a chosen state; a newer value found stays known

A change of the set was worked out on any value found, chosen or not. A joint change that one old member alone held could be ended on top: the end of it then needed the new set alone, while a majority of the old set, which had seen neither, chose another value. An acknowledged change was lost (two values of a version). Now a change of the set first carries what was found through, unless it is known to be chosen. 2. The end of a joint change had reached the leaving member alone and one staying member was down. Who asked both sets found the end, voted again among the new set, found the joint value there, voted again among both, for ever, with three of four machines living. Now the newest value that a job was told of stays known over its tries; the argument: a majority of that value's set has promised since, so nothing chosen later can be missed.

Ruled out: taking the later value's set as given without a vote there (unsafe); stopping at the joint value (it may be older than what is chosen). The proposal of an accept round is kept apart from the value found: before, a second try would have started from it.

StateInspector is a friend for the checker's fingerprints alone.

--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -54,6 +54,7 @@
   const Ballot& accepted() const { return synced_.accepted; }
 
  private:
+  friend class StateInspector;  // the model checker fingerprints the whole state
   struct Held {
     std::int64_t token;
     AcceptorRecord after;
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -68,6 +68,7 @@
   const Counts& counts() const { return counts_; }
 
  private:
+  friend class StateInspector;  // the model checker fingerprints the whole state
   struct Job {
     Change change;
     std::function<void(const ChangeEnd&)> done;
@@ -84,7 +85,8 @@
     std::set<StoreId> granted;
     Ballot highest;
     Bytes value;
-    std::set<Ballot> seen;  // accepted ballots among the promises
+    std::set<Ballot> seen;     // accepted ballots among the promises, and the highest known before
+    bool is_carrying = false;  // what was found is carried through unchanged first, then the job begins anew
     // What the accept round carries, and how the job ends if it is chosen.
     FleetState proposed;
     ChangeEnd end;
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -86,9 +86,11 @@
   highest_seen_ = round.ballot;
   round.phase_end = now + patience_for(state_bytes_.data.size());
   round.granted.clear();
+  // The newest value that an earlier try was told of stays known: the copy that holds it may not be among those asked
+  // now, and what they hold may name the former set, which would name the later one again, for ever.
   round.seen.clear();
-  round.highest = Ballot{};
-  round.value = Bytes{};
+  if (round.highest != Ballot{})
+    round.seen.insert(round.highest);
   bool is_large = state_bytes_.data.size() >= large_value;
   Ballot known = is_large ? state_ballot_ : Ballot{};
   send_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
@@ -118,7 +120,15 @@
   }
   Verdict verdict = round.job.change(*found);
   bool is_settled = round.seen.size() == 1;  // every promise shows one ballot: a majority holds it
-  if (verdict.kind == Verdict::Kind::apply) {
+  // A change of the set stands on a state that is known to be chosen: else the new set alone could decide while a
+  // majority of the old one has chosen something else.
+  bool is_chosen = is_settled || (has_state_ && round.highest == state_ballot_);
+  round.is_carrying = verdict.kind == Verdict::Kind::apply && !is_chosen &&
+                      !(same_set(verdict.state.acceptors, found->acceptors) &&
+                        same_set(verdict.state.next_acceptors, found->next_acceptors));
+  if (round.is_carrying) {
+    round.proposed = *found;
+  } else if (verdict.kind == Verdict::Kind::apply) {
     round.proposed = std::move(verdict.state);
     round.proposed.version = found->version + 1;
     round.end = {ChangeEnd::Kind::committed, round.proposed, ""};
@@ -137,16 +147,16 @@
   }
   round.phase = Round::Phase::accepting;
   round.granted.clear();
-  round.value.data = encode_state(round.proposed);
-  round.phase_end = now + patience_for(round.value.data.size());
-  if (verdict.kind == Verdict::Kind::apply)
+  Bytes proposal{encode_state(round.proposed)};
+  round.phase_end = now + patience_for(proposal.data.size());
+  if (verdict.kind == Verdict::Kind::apply && !round.is_carrying)
     round.job.was_accept_sent = true;
   std::vector<AcceptorEntry> stores = everyone();
   for (const auto& set : {round.proposed.acceptors, round.proposed.next_acceptors})
     for (const auto& entry : set)
       if (std::none_of(stores.begin(), stores.end(), [&](const auto& known) { return known.store == entry.store; }))
         stores.push_back(entry);
-  send_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, round.value}; });
+  send_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, proposal}; });
 }
 
 void RegisterProposer::adopt(const Ballot& ballot, const FleetState& state, Moment proven_from) {
@@ -339,7 +349,12 @@
     if (has_majority(acceptors_, next_acceptors_, round.granted) &&
         has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
       adopt(round.ballot, round.proposed, confirmed_at_);
-      finish(round.end, now);
+      if (round.is_carrying) {
+        round.highest = round.ballot;
+        begin_prepare(now);
+      } else {
+        finish(round.end, now);
+      }
     }
     return true;
   }
