Model checker: every interleaving of the register's acceptors, proposers and disks

Until now the register was tested by seeded random orders alone. The checker drives the real RegisterAcceptor and RegisterProposer depth first through deliveries, duplicates, timers, polls, syncs, crashes, wipes and give-ups, each state once by its fingerprint, acceptors exchangeable where every value names the same set.

--- /dev/null
+++ b/packages/model-checker/src/state_inspector.cpp
@@ -0,0 +1,80 @@
+#include "state_inspector.hpp"
+
+#include "emberdale/avro_codec.hpp"
+
+namespace emberdale {
+namespace {
+constexpr std::int64_t far_off = 1000000;  // a deadline so far ahead is reached only when the order is given up
+
+void add_set(Fingerprint& print, const std::vector<AcceptorEntry>& set) {
+  print.add(set.size());
+  for (const auto& entry : set)
+    print.add(entry.store.text).add(entry.address.text);
+}
+}  // namespace
+
+ProposerPrint StateInspector::print(const RegisterProposer& proposer, Moment clock, std::size_t acceptors,
+                                    const std::function<std::size_t(const StoreId&)>& place, bool is_symmetric) {
+  Fingerprint own;
+  std::vector<Fingerprint> each(acceptors);
+  // A store that is named by its acceptor's index stands in that acceptor's part; the life of the store is its suffix.
+  auto life_of = [](const StoreId& store) {
+    return store.text.substr(store.text.find('-'));
+  };
+  if (!is_symmetric) {
+    add_set(own, proposer.acceptors_);
+    add_set(own, proposer.next_acceptors_);
+  }
+  own.add(proposer.highest_seen_).add(proposer.has_state_ ? 1 : 0).add(proposer.state_ballot_);
+  own.add(proposer.state_bytes_.data).add(proposer.waiting_.size());
+  own.add(static_cast<std::uint64_t>(proposer.split_reads_));
+  own.add(proposer.current_ ? 1 : 0);
+  if (proposer.current_) {
+    const auto& round = *proposer.current_;
+    std::int64_t left = (round.job.deadline - clock).value;
+    own.add(static_cast<std::uint64_t>(round.phase)).add(round.ballot).add(round.highest).add(round.value.data);
+    if (round.phase == RegisterProposer::Round::Phase::accepting)
+      own.add(encode_state(round.proposed));
+    own.add(round.is_carrying ? 1 : 0).add(round.job.was_accept_sent ? 1 : 0).add(round.job.done ? 1 : 0);
+    own.add(static_cast<std::uint64_t>(std::min(left, far_off))).add(static_cast<std::uint64_t>(round.end.kind));
+    for (const auto& ballot : round.seen)
+      own.add(ballot);
+    for (const auto& store : round.granted)
+      each[place(store)].add(1).add(life_of(store));
+  }
+  own.add(proposer.read_ ? 1 : 0);
+  if (proposer.read_) {
+    const auto& read = *proposer.read_;
+    own.add(read.highest).add(read.begun == proposer.confirmed_at_ ? 1 : 0);
+    if (!is_symmetric) {
+      add_set(own, read.acceptors);
+      add_set(own, read.next);
+    }
+    for (const auto& [store, ballot] : read.answers)
+      each[place(store)].add(2).add(life_of(store)).add(ballot);
+    for (const auto& [ballot, value] : proposer.read_values_)
+      own.add(ballot).add(value.data);
+  }
+  ProposerPrint result;
+  result.own = own.value();
+  for (const auto& print : each)
+    result.per_acceptor.push_back(print.value());
+  return result;
+}
+
+std::uint64_t StateInspector::print(const RegisterAcceptor& acceptor) {
+  Fingerprint print;
+  for (const auto* record : {&acceptor.ahead_, &acceptor.synced_})
+    print.add(record->promised).add(record->accepted).add(record->value.data);
+  for (const auto& held : acceptor.held_)
+    print.add(held.after.promised).add(held.after.accepted).add(held.answer.to.text).add(held.answer.message.index());
+  return print.value();
+}
+
+AskClass StateInspector::ask_class(const RegisterProposer& proposer, Integer ask) {
+  if (proposer.current_ && proposer.current_->ask == ask)
+    return AskClass::round;
+  return proposer.read_ && proposer.read_->ask == ask ? AskClass::read : AskClass::stale;
+}
+
+}  // namespace emberdale
