Model checker: walks of whole fleets of control daemons, and the older zone order found

Uses the shared harness of whole fleets under virtual time. Each half second one choice: a cut, a crash, a power cut, a wipe, a frozen process, an edit at any machine; after every event each reader's state is judged, at the end a majority must acknowledge an edit, first with the faults that stand and then with all of them mended.

--- a/packages/model-checker/src/register_world.cpp
+++ b/packages/model-checker/src/register_world.cpp
@@ -432,11 +432,11 @@
 
 void RegisterWorld::restart(std::size_t index) {
   AcceptorNode& node = change_acceptor(index);
-  auto record = unpack_record(node.disk);
+  auto record = decode_acceptor_record(node.disk);
   if (scenario_->fault == PlantedFault::forgets_promise)
     record->promised = record->accepted;
   node.machine = RegisterAcceptor(node.machine.store());
-  auto restored = node.machine.restore({pack_record(*record)});
+  auto restored = node.machine.restore({encode_acceptor_record(*record)});
   if (!restored)
     fail("a disk cannot be read again: " + restored.reason);
   node.unsynced.clear();
--- /dev/null
+++ b/packages/model-checker/tests/fleet_walk_test.cpp
@@ -0,0 +1,60 @@
+// Whole fleets: seeded walks of faults, every short list of faults, and the older zone order that is to be found.
+#include <gtest/gtest.h>
+
+#include "emberdale/fleet_walk.hpp"
+
+using namespace emberdale;
+
+namespace {
+
+std::string story(FleetScenario scenario, const FleetSearchResult& result) {
+  std::string text = "seed " + std::to_string(result.seed) + "\n";
+  scenario.seed = result.seed;
+  if (result.violation)
+    for (const auto& line : tell(scenario, result.violation->choices))
+      text += line + "\n";
+  return text;
+}
+
+void expect_sound(const FleetScenario& scenario, const FleetSearchResult& result) {
+  EXPECT_FALSE(result.violation) << result.violation->reason << "\n" << story(scenario, result);
+}
+
+FleetScenario orders_and_cuts() {
+  FleetScenario scenario;
+  scenario.left_out = {FleetChoiceKind::crash, FleetChoiceKind::power_cut, FleetChoiceKind::wipe,
+                       FleetChoiceKind::freeze, FleetChoiceKind::put_runner};
+  return scenario;
+}
+
+}  // namespace
+
+// Judged without the older zone order, which has a test of its own.
+TEST(FleetWalk, RandomWalksOfThreeAndFiveMachines) {
+  FleetScenario scenario;
+  scenario.watches_orders = false;
+  expect_sound(scenario, walk_fleets(scenario, 300));
+  scenario.machines = 5;
+  scenario.length = 20;
+  expect_sound(scenario, walk_fleets(scenario, 60));
+}
+
+TEST(FleetWalk, EveryPairOfChoices) {
+  FleetScenario scenario;
+  scenario.watches_orders = false;
+  scenario.length = 2;
+  auto result = search_fleets(scenario);
+  expect_sound(scenario, result);
+  EXPECT_GT(result.walks, 200u);
+}
+
+// A daemon that is cut off keeps an order for as long as its asker is taken to wait, and hands it on once the cut is
+// healed. An asker that gave up before that, and had a newer order acknowledged elsewhere, is overridden.
+TEST(FleetWalk, AnOlderZoneOrderOverANewerOneIsFound) {
+  FleetScenario scenario = orders_and_cuts();
+  auto result = walk_fleets(scenario, 200);
+  ASSERT_TRUE(result.violation);
+  EXPECT_NE(result.violation->reason.find("an older zone order, overrides"), std::string::npos);
+  scenario.seed = result.seed;
+  EXPECT_EQ(tell(scenario, result.violation->choices).back(), "VIOLATION: " + result.violation->reason);
+}
