--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -54,6 +54,7 @@
   RefusedMessages& refusals() { return refusals_; }  // bad input from peers
 
  private:
+  friend class StateInspector;  // the model checker fingerprints the whole state
   struct Held {
     std::int64_t token;
     AcceptorRecord after;
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -82,6 +82,7 @@
   RefusedMessages& refusals() { return refusals_; }  // bad input from peers
 
  private:
+  friend class StateInspector;  // the model checker fingerprints the whole state
   struct Job {
     Change change;
     std::function<void(const ChangeEnd&)> done;
@@ -97,8 +98,9 @@
     int tries = 0;
     std::set<StoreId> asked, granted;
     Ballot highest;
-    FleetState found;       // the value of the highest ballot
-    std::set<Ballot> seen;  // accepted ballots among the promises
+    FleetState found;          // the value of the highest ballot
+    std::set<Ballot> seen;     // accepted ballots among the promises, and the highest known before
+    bool is_carrying = false;  // what was found is carried through unchanged first, then the job begins anew
     // What the accept round carries, and how the job ends if it is chosen.
     FleetState proposed;
     ChangeEnd end;
