Keep the front's listener until the relay itself goes

In the data daemon's process the readiness listener keeps the library's server going, so after stop() every call on an open link got 404, until the process ended; callers do not try again after a 404.

stop() now leaves the listener open: what still comes is refused with 503 and Connection: close. The destructor closes it. Ruled out: a wait before closing; any length leaves a moment in which the library says 404.

Before: RoutedRelay.AfterItsEndADaemonStillRefusesOnOpenLinks got 404. Left: the moment between the destructor's closing and the end of the process.

--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -11,8 +11,10 @@
 namespace emberdale {
 
 namespace {
-constexpr int max_events_at_once = 64;  // before the dispatcher's timer is looked at again
-}
+constexpr Span last_answers_patience{300};    // for what was broken off to be written
+constexpr Span closed_links_patience{10000};  // for what was in hand on links that are closed now
+constexpr int max_events_at_once = 64;        // before the dispatcher's timer is looked at again
+}  // namespace
 
 RoutedRelay::RoutedRelay(RouteDispatcherSettings settings, RelayWords words, const ControlSnapshot& snapshot,
                          const std::string& http)
@@ -24,7 +26,10 @@
   listener_.support([this](web::http::http_request request) { handle(std::move(request)); });
 }
 
-RoutedRelay::~RoutedRelay() { stop(Span{0}); }
+RoutedRelay::~RoutedRelay() {
+  stop(Span{0});
+  close_listener();
+}
 
 Outcome<bool> RoutedRelay::open() {
   try {
@@ -32,7 +37,7 @@
   } catch (const std::exception& fault) {
     return failure(std::string("can't listen for HTTP: ") + fault.what());
   }
-  is_open_ = true;
+  is_open_ = is_listening_ = true;
   traffic_ = std::thread([this] { run_traffic(); });
   return true;
 }
@@ -42,27 +47,34 @@
     events_.force(Woken{});
 }
 
+// The listener stays: where it is gone, the library says 404 on links that are still open, and callers would not try
+// again. Until the relay itself goes, what still comes is refused with 503.
 void RoutedRelay::stop(Span patience) {
   begin_stopping();
   if (!is_open_.exchange(false))
     return;
-  auto wait_empty = [&](Span span) {
-    std::unique_lock<std::mutex> guard(in_hand_->mutex);
-    return in_hand_->changed.wait_for(guard, std::chrono::milliseconds(span.value),
-                                      [&] { return in_hand_->calls == 0; });
-  };
-  wait_empty(patience);
+  wait_none_in_hand(patience);
   is_closing_ = true;
   wake();
   if (traffic_.joinable())
     traffic_.join();  // what is left was broken off
-  wait_empty(Span{300});
+  wait_none_in_hand(last_answers_patience);
+}
+
+bool RoutedRelay::wait_none_in_hand(Span patience) {
+  std::unique_lock<std::mutex> guard(in_hand_->mutex);
+  return in_hand_->changed.wait_for(guard, std::chrono::milliseconds(patience.value),
+                                    [&] { return in_hand_->calls == 0; });
+}
+
+void RoutedRelay::close_listener() {
+  if (!is_listening_)
+    return;
   try {
     listener_.close().wait();
   } catch (const std::exception&) {
   }
-  events_.close();
-  if (!wait_empty(Span{10000}))
+  if (!wait_none_in_hand(closed_links_patience))
     LOG(ERROR) << "calls are still in hand after the end";
 }
 
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -62,7 +62,8 @@
   // From here on answers ask callers to leave this link; calls are still taken. Example: relay.begin_stopping();
   void begin_stopping() { is_stopping_ = true; }
   bool ready() const { return is_open_ && !is_stopping_; }
-  // Finishes what is in hand, or breaks it off when patience is over. Example: relay.stop(Span{5000})
+  // Finishes what is in hand, or breaks it off when patience is over; what comes later is refused.
+  // Example: relay.stop(Span{5000})
   void stop(Span patience);
   RouteDispatcher::Counts counts() const;
   struct RelayCounts {
@@ -120,6 +121,8 @@
 
   // The traffic thread: routed_relay.cpp
   void run_traffic();
+  bool wait_none_in_hand(Span patience);
+  void close_listener();
   void take_snapshot(Moment now);
   void on_event(TrafficEvent& event, Moment now);
   void act(Moment now);
@@ -177,7 +180,7 @@
   std::thread traffic_;
   std::shared_ptr<InHand> in_hand_ = std::make_shared<InHand>();
   std::atomic<CallIndex> last_index_{0};
-  std::atomic<bool> is_open_{false}, is_stopping_{false}, is_closing_{false}, is_woken_{false};
+  std::atomic<bool> is_open_{false}, is_listening_{false}, is_stopping_{false}, is_closing_{false}, is_woken_{false};
   std::atomic<std::int64_t> max_header_bytes_{TrafficLimits{}.max_header_bytes},
       max_body_bytes_{TrafficLimits{}.max_body_bytes};
   RelayCounts relay_counts_;
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -931,10 +931,32 @@
   EXPECT_EQ(told.code, 503);
   EXPECT_TRUE(told.message.has("T-Not-Run"));
   EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(8));
+  for (int waited_ms = 0; bench.relay().in_hand() > 0 && waited_ms < 5000; ++waited_ms)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));  // it counts until its refusal is written
   EXPECT_EQ(bench.relay().in_hand(), 0u);
   EXPECT_EQ(runs, 1);
 }
 
+// Another listener in the process keeps the library's server going, which says 404 where a listener is gone; after a
+// 404 a caller does not try again.
+TEST(RoutedRelay, AfterItsEndADaemonStillRefusesOnOpenLinks) {
+  ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
+    link.write(answer(asked, "{}"));
+    return true;
+  });
+  Bench other({runner.place()});
+  Bench bench({runner.place()});
+  auto link = bench.connect();
+  link->write(Bench::call("/once/x", "call-1"));
+  EXPECT_EQ(read_answer(*link).code, 200);
+  bench.relay().stop(Span{0});
+  link->write(Bench::call("/once/x", "call-2"));
+  Told told = read_answer(*link);
+  EXPECT_EQ(told.code, 503);
+  EXPECT_TRUE(told.message.has("T-Not-Run"));
+  EXPECT_EQ(told.message.header("Connection"), "close");
+}
+
 TEST(RoutedRelay, LinksToRunnersSendAtOnceAndGiveUpSilentMachines) {
   std::promise<void> asked_for, go;
   ScriptedRunner runner([&](RawLink& link, const RawMessage& asked) {
