No step of the history's minimizer may break a linearizable history

Cause: that each step is sound was argued and not tested; an unsound one would show faults of the cutting. The steps are now visited one by one, so that a property test can take each on histories of a correct register.

--- a/packages/history-checker/src/history_minimizer.cpp
+++ b/packages/history-checker/src/history_minimizer.cpp
@@ -91,17 +91,10 @@
   return smaller;
 }
 
-bool drop_one(SmallHistory& history, std::int64_t state_limit) {
-  for (const auto& operation : history.operations) {
-    if (!is_droppable(history, operation))
-      continue;
-    SmallHistory smaller = without(history, operation);
-    if (!fails(smaller, state_limit))
-      continue;
-    history = std::move(smaller);
-    return true;
-  }
-  return false;
+bool any_dropped(const SmallHistory& history, const ReductionVisitor& visit) {
+  return std::any_of(history.operations.begin(), history.operations.end(), [&](const Operation& operation) {
+    return is_droppable(history, operation) && visit(without(history, operation));
+  });
 }
 
 // Whether the acknowledged change took effect before anything else that remains had any.
@@ -122,36 +115,41 @@
 }
 
 // One change at least stays, to be seen with the answer that contradicts it.
-bool advance_start(SmallHistory& history, std::int64_t state_limit) {
+bool any_advanced(const SmallHistory& history, const ReductionVisitor& visit) {
   auto changes = std::count_if(history.operations.begin(), history.operations.end(),
                                [](const Operation& operation) { return !is_condition_only(operation); });
   if (changes < 2)
     return false;
-  for (const auto& operation : history.operations) {
-    if (!is_surely_first(history, operation))
-      continue;
-    auto initial = step(history.initial, operation, false);
+  return std::any_of(history.operations.begin(), history.operations.end(), [&](const Operation& operation) {
+    auto initial = is_surely_first(history, operation) ? step(history.initial, operation, false) : std::nullopt;
     if (!initial)
-      continue;
+      return false;
     SmallHistory smaller = without(history, operation);
     smaller.initial = *initial;
-    if (!fails(smaller, state_limit))
-      continue;
-    history = std::move(smaller);
-    return true;
-  }
-  return false;
+    return visit(smaller);
+  });
 }
 
 }  // namespace
 
+bool any_reduction(const SmallHistory& history, const ReductionVisitor& visit) {
+  return any_dropped(history, visit) || any_advanced(history, visit);
+}
+
 SmallHistory minimize(SmallHistory history, std::int64_t state_limit) {
   history.operations.erase(std::remove_if(history.operations.begin(), history.operations.end(),
                                           [](const Operation& operation) { return !is_relevant(operation); }),
                            history.operations.end());
   cut_end(history, state_limit);
-  while (drop_one(history, state_limit) || advance_start(history, state_limit)) {
-  }
+  SmallHistory smaller;
+  auto take_if_failing = [&](const SmallHistory& reduced) {
+    if (!fails(reduced, state_limit))
+      return false;
+    smaller = reduced;
+    return true;
+  };
+  while (any_reduction(history, take_if_failing))
+    history = std::move(smaller);
   std::stable_sort(history.operations.begin(), history.operations.end(),
                    [](const Operation& a, const Operation& b) { return a.invoked_at < b.invoked_at; });
   return history;
--- a/packages/history-checker/src/history_minimizer.hpp
+++ b/packages/history-checker/src/history_minimizer.hpp
@@ -1,5 +1,6 @@
 // The smallest part of a history that still isn't linearizable.
 #pragma once
+#include <functional>
 #include <vector>
 
 #include "emberdale/linearizability.hpp"
@@ -11,6 +12,13 @@
   RegisterState initial;
 };
 
+// Returns true to end the visit.
+using ReductionVisitor = std::function<bool(const SmallHistory& smaller)>;
+
+// Shows every history that one step makes of this one; true if the visitor ended it. Each step keeps a linearizable
+// history linearizable. Example: any_reduction(history, [&](const auto& smaller) { return fails(smaller); })
+bool any_reduction(const SmallHistory& history, const ReductionVisitor& visit);
+
 // Leaves out calls one after the other while the rest isn't linearizable. Each step is one that keeps a linearizable
 // history linearizable, so what remains shows a fault of the whole history and none of the cutting:
 //   - all that comes after a moment (calls that have not returned by then are open);
--- a/packages/history-checker/tests/history_properties_test.cpp
+++ b/packages/history-checker/tests/history_properties_test.cpp
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "emberdale/linearizability.hpp"
+#include "history_minimizer.hpp"
 
 using namespace emberdale;
 using namespace emberdale::history;
@@ -341,3 +342,31 @@
     }
   }));
 }
+
+TEST(HistoryProperties, NoStepOfTheMinimizerBreaksALinearizableHistory) {
+  std::size_t steps = 0;
+  for (std::uint64_t seed = 1; seed <= 1500; ++seed)
+    for (ObjectKind kind : all_kinds) {
+      HistoryGenerator generator(seed, kind);
+      SmallHistory history{generator.make(2 + static_cast<int>(seed % 11)), RegisterState{}};
+      // Step after step, at random: what has been reduced is reduced again.
+      for (std::uint64_t depth = 0; depth < 8; ++depth) {
+        std::vector<SmallHistory> smaller;
+        any_reduction(history, [&](const SmallHistory& reduced) {
+          smaller.push_back(reduced);
+          return false;
+        });
+        for (const auto& reduced : smaller)
+          ASSERT_EQ(search(reduced.operations, reduced.initial).verdict, Verdict::linearizable)
+              << "of\n"
+              << show(history.operations) << "remains\n"
+              << show(reduced.operations);
+        steps += smaller.size();
+        if (smaller.empty())
+          break;
+        history = smaller[(seed + depth * 7) % smaller.size()];
+      }
+    }
+  std::printf("%zu steps\n", steps);
+  EXPECT_GT(steps, 10000u);
+}
