--- a/packages/configuration-register/tests/configuration_register_test.cpp
+++ b/packages/configuration-register/tests/configuration_register_test.cpp
@@ -185,6 +185,8 @@
 TEST(ConfigurationRegister, AStalledDiskLeavesAsksUnansweredInPlaceOfAnEverLongerQueue) {
   RegisterAcceptor acceptor(StoreId{"s1"});
   FleetState state;
+  state.fleet = "north";
+  state.version = 1;
   state.acceptors.push_back({StoreId{"s1"}, Address{"here"}});
   acceptor.on_message(Address{"founder"}, Found{1, StoreId{"s1"}, {encode_state(state)}}, Moment{0});
   acceptor.synced(acceptor.take_writes().back().token);
