A change of the register travels as a delta to copies and readers that hold its base

Cause: each change sent the register's whole value to each copy, and each reader fetched it whole: with 1,400 routes three times 239,646 bytes for a change of one route.

A copy that holds another base, or gets another digest, answers needs_whole, writes nothing and gets the whole value. Copies answer readers that hold the value before in the same way. Ruled out: common prefix and suffix alone (the newest revision stands near the start of the table and its digest at the end, so nearly everything lies between), and a delta by resource (the table is one).

Left: copies still write the whole value to disk for each change.

--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -60,6 +60,10 @@
   void on_prepare(const Address& from, const Prepare& prepare);
   void on_accept(const Address& from, const Accept& accept);
   void on_read(const Address& from, const ReadAsk& read, Moment now);
+  // The value that an Accept carries or describes; nothing if its base is not held here.
+  std::optional<Bytes> whole_value(const Accept& accept) const;
+  // Puts the value into the answer: the delta alone if the asker holds the value before it.
+  void add_value(const Ballot& known, ReadAnswer& answer);
   void on_found(const Address& from, const Found& found);
   // `state`: the decoded value, where the record brings a new one; else the record names the value it stands on.
   void write(AcceptorRecord after, std::optional<FleetState> state, Sending answer);
@@ -68,6 +72,9 @@
   AcceptorRecord ahead_;   // with what is still being written
   AcceptorRecord synced_;  // what is on disk: reads answer from here
   FleetState state_;
+  Ballot previous_ballot_;  // the value before the synced one, which most askers hold
+  Bytes previous_value_;
+  std::optional<Bytes> delta_, digest_;  // from the previous value to the synced one, once asked for
   std::deque<Held> held_;
   std::int64_t last_token_ = 0;
   std::vector<WriteWish> writes_;
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -65,6 +65,7 @@
 
   struct Counts {
     std::int64_t rounds = 0, conflicts = 0, committed = 0, unknown = 0, mended = 0, reads = 0;
+    std::int64_t deltas = 0, whole_values = 0, value_bytes = 0;  // of Accepts
   };
   const Counts& counts() const { return counts_; }
   const RefusedMessages& refusals() const { return refusals_; }
@@ -86,10 +87,13 @@
     int tries = 0;
     std::set<StoreId> asked, granted;
     Ballot highest;
-    FleetState found;       // the value of the highest ballot
-    std::set<Ballot> seen;  // accepted ballots among the promises
+    FleetState found;  // the value of the highest ballot
+    Bytes found_bytes;
+    std::map<StoreId, Ballot> held;  // what each store that promised holds
+    std::set<Ballot> seen;           // accepted ballots among the promises
     // What the accept round carries, and how the job ends if it is chosen.
     FleetState proposed;
+    Bytes value;
     ChangeEnd end;
   };
   struct Read {
@@ -118,6 +122,11 @@
   bool takes_round_answer(const Address& from, const StoreId& store, bool granted, const Ballot& promised);
   // Reads the value of a promise that is newer than the ones before it; false if it is refused.
   bool take_promised_value(const Address& from, const Promise& promise);
+  // Sends each store the new value, as a delta where it holds the one before it.
+  void send_accepts(const std::vector<AcceptorEntry>& stores);
+  void send_whole(const Address& from, const Accepted& accepted);
+  // The value that an answer carries or describes; empty if it brings none that can be used.
+  Bytes value_in(const ReadAnswer& answer);
   std::optional<InvalidInput> check_read_answer(const Address& from, const ReadAnswer& answer) const;
   std::vector<AcceptorEntry> everyone() const;
   void send_each(const std::vector<AcceptorEntry>& stores, const std::function<Message(const StoreId&)>& make);
@@ -140,6 +149,7 @@
   std::optional<Read> read_;
   std::map<Ballot, FleetState> read_states_;  // what the answers of this read brought
   int split_reads_ = 0;
+  bool wants_whole_ = false;  // a delta did not fit: the next read asks for the whole value
   std::optional<std::map<Address, Span>> silences_;
   std::int64_t last_ask_;
   std::vector<Sending> out_;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -1,6 +1,8 @@
 #include "emberdale/register_acceptor.hpp"
 
 #include "emberdale/avro_codec.hpp"
+#include "emberdale/content_digest.hpp"
+#include "emberdale/value_delta.hpp"
 
 namespace emberdale {
 
@@ -99,10 +101,26 @@
       write(ahead_, std::nullopt, std::move(answer));
     return;
   }
-  auto checked = check_value(accept.value, accept.ballot, state_.fleet);
+  auto value = whole_value(accept);
+  if (!value) {
+    out_.push_back({from, Accepted{accept.ask, store_, false, accept.ballot, true}});
+    return;
+  }
+  auto checked = check_value(*value, accept.ballot, state_.fleet);
   if (checked.fault)
     return refusals_.add(from, *checked.fault, "Accept: " + checked.detail);
-  write({accept.ballot, true, accept.ballot, accept.value}, std::move(checked.state), std::move(answer));
+  write({accept.ballot, true, accept.ballot, std::move(*value)}, std::move(checked.state), std::move(answer));
+}
+
+std::optional<Bytes> RegisterAcceptor::whole_value(const Accept& accept) const {
+  if (accept.base == Ballot{})
+    return accept.value;
+  if (accept.base != ahead_.accepted)
+    return std::nullopt;
+  auto whole = apply_delta(ahead_.value.data, accept.value.data);
+  if (!whole || content_digest_bytes(*whole) != accept.digest.data)
+    return std::nullopt;
+  return Bytes{std::move(*whole)};
 }
 
 void RegisterAcceptor::on_read(const Address& from, const ReadAsk& read, Moment now) {
@@ -118,13 +136,28 @@
   answer.next_acceptors = state_.next_acceptors;
   answer.awake = (now - *awake_since_).value;
   if (read.role != "data" && !read.lean && read.known != synced_.accepted)
-    answer.value = synced_.value;
+    add_value(read.known, answer);
   if (read.wants_heard)
     for (const auto& [daemon, moment] : heard_)
       answer.heard.push_back({daemon, (now - moment).value});
   out_.push_back({from, std::move(answer)});
 }
 
+void RegisterAcceptor::add_value(const Ballot& known, ReadAnswer& answer) {
+  bool holds_previous = known != Ballot{} && known == previous_ballot_;
+  if (holds_previous && !delta_) {
+    delta_ = Bytes{make_delta(previous_value_.data, synced_.value.data)};
+    digest_ = Bytes{content_digest_bytes(synced_.value.data)};
+  }
+  if (!holds_previous || delta_->data.size() >= synced_.value.data.size() / 2) {
+    answer.value = synced_.value;
+    return;
+  }
+  answer.base = known;
+  answer.value = *delta_;
+  answer.digest = *digest_;
+}
+
 void RegisterAcceptor::on_found(const Address& from, const Found& found) {
   FoundAnswer answer{found.ask, store_, false, ""};
   const Ballot first{1, Address{"founding"}};
@@ -155,9 +188,13 @@
   while (!held_.empty() && held_.front().token <= token) {
     Held held = std::move(held_.front());
     held_.pop_front();
-    synced_ = std::move(held.after);
-    if (held.state)
+    if (held.state) {
+      previous_ballot_ = synced_.accepted;
+      previous_value_ = std::move(synced_.value);
+      delta_.reset();
       state_ = std::move(*held.state);
+    }
+    synced_ = std::move(held.after);
     out_.push_back(std::move(held.answer));
   }
 }
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "emberdale/avro_codec.hpp"
+#include "emberdale/content_digest.hpp"
+#include "emberdale/value_delta.hpp"
 
 namespace emberdale {
 namespace {
@@ -97,6 +99,8 @@
   round.seen.clear();
   round.highest = Ballot{};
   round.found = FleetState{};
+  round.found_bytes = Bytes{};
+  round.held.clear();
   bool is_large = state_bytes_.data.size() >= large_value;
   Ballot known = is_large ? state_ballot_ : Ballot{};
   ask_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
@@ -141,8 +145,8 @@
   }
   round.phase = Round::Phase::accepting;
   round.granted.clear();
-  const Bytes value{encode_state(round.proposed)};
-  round.phase_end = now + patience_for(value.data.size());
+  round.value.data = encode_state(round.proposed);
+  round.phase_end = now + patience_for(round.value.data.size());
   if (verdict.kind == Verdict::Kind::apply)
     round.job.was_accept_sent = true;
   std::vector<AcceptorEntry> stores = everyone();
@@ -150,7 +154,53 @@
     for (const auto& entry : set)
       if (std::none_of(stores.begin(), stores.end(), [&](const auto& known) { return known.store == entry.store; }))
         stores.push_back(entry);
-  ask_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, value}; });
+  send_accepts(stores);
+}
+
+void RegisterProposer::send_accepts(const std::vector<AcceptorEntry>& stores) {
+  Round& round = *current_;
+  const std::string& whole = round.value.data;
+  Bytes delta, digest;
+  if (whole.size() >= large_value) {
+    delta.data = make_delta(round.found_bytes.data, whole);
+    digest.data = content_digest_bytes(whole);
+  }
+  bool is_worth_it = !delta.data.empty() && delta.data.size() < whole.size() / 2;
+  const auto asked = everyone();
+  auto may_hold_base = [&](const StoreId& store) {
+    auto held = round.held.find(store);
+    if (held != round.held.end())
+      return held->second == round.highest;
+    // It has not answered yet, and holds what the others hold as a rule; if not, it says so.
+    return std::any_of(asked.begin(), asked.end(), [&](const auto& entry) { return entry.store == store; });
+  };
+  ask_each(stores, [&](const StoreId& store) {
+    bool is_delta = is_worth_it && may_hold_base(store);
+    ++(is_delta ? counts_.deltas : counts_.whole_values);
+    Accept accept{round.ask, store, round.ballot, is_delta ? delta : round.value};
+    if (is_delta) {
+      accept.base = round.highest;
+      accept.digest = digest;
+    }
+    counts_.value_bytes += static_cast<std::int64_t>(accept.value.data.size());
+    return accept;
+  });
+}
+
+// A store that does not hold the base of a delta gets the whole value, also once the others have decided.
+void RegisterProposer::send_whole(const Address& from, const Accepted& accepted) {
+  bool is_of_round = current_ && current_->phase == Round::Phase::accepting && accepted.ask == current_->ask &&
+                     accepted.promised == current_->ballot && current_->asked.count(accepted.store) != 0;
+  const auto members = everyone();
+  bool is_of_state =
+      has_state_ && accepted.promised == state_ballot_ &&
+      std::any_of(members.begin(), members.end(), [&](const auto& entry) { return entry.store == accepted.store; });
+  if (!is_of_round && !is_of_state)
+    return;
+  const Bytes& value = is_of_round ? current_->value : state_bytes_;
+  ++counts_.whole_values;
+  counts_.value_bytes += static_cast<std::int64_t>(value.data.size());
+  out_.push_back({from, Accept{accepted.ask, accepted.store, accepted.promised, value}});
 }
 
 void RegisterProposer::adopt(const Ballot& ballot, const FleetState& state, Moment proven_from) {
@@ -187,7 +237,7 @@
   read_->begun = now;
   read_->wants_heard = wants_heard;
   read_states_.clear();
-  ReadAsk ask{read_->ask, role, state_ballot_, wants_heard, false};
+  ReadAsk ask{read_->ask, role, std::exchange(wants_whole_, false) ? Ballot{} : state_ballot_, wants_heard, false};
   // A large value is asked of one copy: this machine's own, or where the last read saw a newer one.
   bool has_own =
       std::any_of(acceptors_.begin(), acceptors_.end(), [&](const auto& entry) { return entry.address == self_; });
@@ -333,8 +383,10 @@
       return false;
     }
     round.found = std::move(checked.state);
+    round.found_bytes = promise.value;
   } else {
     round.found = state_;  // left out because it is known here
+    round.found_bytes = state_bytes_;
   }
   round.highest = promise.accepted;
   return true;
@@ -363,6 +415,7 @@
   }
   round.granted.insert(promise.store);
   round.seen.insert(promise.accepted);
+  round.held[promise.store] = promise.accepted;
   if (!has_majority(acceptors_, next_acceptors_, round.granted))
     return;
   if (round.highest == Ballot{})
@@ -372,6 +425,8 @@
 }
 
 void RegisterProposer::on_accepted(const Address& from, const Accepted& accepted, Moment now) {
+  if (accepted.needs_whole)
+    return send_whole(from, accepted);
   if (!current_ || current_->phase != Round::Phase::accepting || accepted.ask != current_->ask)
     return;
   if (!takes_round_answer(from, accepted.store, accepted.granted, accepted.promised))
@@ -410,15 +465,27 @@
   return std::nullopt;
 }
 
+Bytes RegisterProposer::value_in(const ReadAnswer& answer) {
+  if (answer.base == Ballot{})
+    return answer.value;
+  if (answer.base == state_ballot_) {
+    auto whole = apply_delta(state_bytes_.data, answer.value.data);
+    if (whole && content_digest_bytes(*whole) == answer.digest.data)
+      return Bytes{std::move(*whole)};
+  }
+  wants_whole_ = true;
+  return Bytes{};
+}
+
 void RegisterProposer::on_read_answer(const Address& from, const ReadAnswer& answer, Moment now) {
   if (!read_ || answer.ask != read_->ask)
     return;
   if (auto fault = check_read_answer(from, answer))
     return refusals_.add(from, *fault, "ReadAnswer with ballot " + std::to_string(answer.accepted.number));
-  bool is_new_value =
-      !answer.value.data.empty() && answer.accepted != state_ballot_ && read_states_.count(answer.accepted) == 0;
-  if (is_new_value) {
-    auto checked = check_value(answer.value, answer.accepted, has_state_ ? state_.fleet : "");
+  bool is_known = answer.accepted == state_ballot_ || read_states_.count(answer.accepted) != 0;
+  Bytes value = is_known ? Bytes{} : value_in(answer);
+  if (!value.data.empty()) {
+    auto checked = check_value(value, answer.accepted, has_state_ ? state_.fleet : "");
     if (!checked.fault && !(same_set(answer.acceptors, checked.state.acceptors) &&
                             same_set(answer.next_acceptors, checked.state.next_acceptors)))
       checked.fault = InvalidInput::not_as_asked;
--- a/packages/configuration-register/tests/register_bench.hpp
+++ b/packages/configuration-register/tests/register_bench.hpp
@@ -19,10 +19,13 @@
 // Three copies on disks of their own and any number of proposers, over a network that the random generator order.
 class RegisterBench {
  public:
-  explicit RegisterBench(std::uint64_t seed, std::size_t segment = 2000) : random_(seed), segment_(segment) {
+  explicit RegisterBench(std::uint64_t seed, std::size_t segment = 2000, const std::string& body = "")
+      : random_(seed), segment_(segment) {
     FleetState state;
     state.fleet = "bench";
     state.version = 1;
+    if (!body.empty())
+      state.resources = {{"traffic", "current", 1, 1, body}};
     for (int i = 0; i < 3; ++i) {
       copies_[place(i)].files = std::make_shared<MemoryFileSystem>();
       start(place(i));
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -99,10 +99,12 @@
 #define EMBERDALE_PROMISE(F) \
   F(Integer, ask) F(StoreId, store) F(bool, granted) F(Ballot, promised) F(Ballot, accepted) F(Bytes, value)
 EMBERDALE_RECORD(Promise, EMBERDALE_PROMISE)
-#define EMBERDALE_ACCEPT(F) F(Integer, ask) F(StoreId, store) F(Ballot, ballot) F(Bytes, value)
-EMBERDALE_RECORD(Accept, EMBERDALE_ACCEPT)
-#define EMBERDALE_ACCEPTED(F) F(Integer, ask) F(StoreId, store) F(bool, granted) F(Ballot, promised)
-EMBERDALE_RECORD(Accepted, EMBERDALE_ACCEPTED)
+#define EMBERDALE_ACCEPT(F) \
+  F(Integer, ask) F(StoreId, store) F(Ballot, ballot) F(Bytes, value) F(Ballot, base) F(Bytes, digest)
+EMBERDALE_RECORD(Accept, EMBERDALE_ACCEPT)  // base: value is a delta against the value of that ballot, and digest the
+                                            // SHA-256 of the whole one
+#define EMBERDALE_ACCEPTED(F) F(Integer, ask) F(StoreId, store) F(bool, granted) F(Ballot, promised) F(bool, needs_whole)
+EMBERDALE_RECORD(Accepted, EMBERDALE_ACCEPTED)  // needs_whole: not granted, as the base of the delta is not held here
 #define EMBERDALE_READ_ASK(F) F(Integer, ask) F(Text, role) F(Ballot, known) F(bool, wants_heard) F(bool, lean)
 EMBERDALE_RECORD(ReadAsk, EMBERDALE_READ_ASK)  // lean: ballots alone, no value
 #define EMBERDALE_HEARD(F) F(Address, daemon) F(Integer, age)
@@ -111,8 +113,8 @@
   F(Integer, ask)                                                                                     \
   F(StoreId, store) F(bool, blank) F(Ballot, accepted) F(Bytes, value) F(MapVersion, minimum_version) \
       F(std::vector<AcceptorEntry>, acceptors) F(std::vector<AcceptorEntry>, next_acceptors)          \
-          F(std::vector<Heard>, heard) F(Integer, awake)
-EMBERDALE_RECORD(ReadAnswer, EMBERDALE_READ_ANSWER)
+          F(std::vector<Heard>, heard) F(Integer, awake) F(Ballot, base) F(Bytes, digest)
+EMBERDALE_RECORD(ReadAnswer, EMBERDALE_READ_ANSWER)  // base and digest: as of Accept
 #define EMBERDALE_FOUND(F) F(Integer, ask) F(StoreId, store) F(Bytes, value)
 EMBERDALE_RECORD(Found, EMBERDALE_FOUND)
 #define EMBERDALE_FOUND_ANSWER(F) F(Integer, ask) F(StoreId, store) F(bool, granted) F(Text, reason)
