--- a/packages/control-plane/tests/support/operators_day.hpp
+++ b/packages/control-plane/tests/support/operators_day.hpp
@@ -30,6 +30,8 @@
   OperatorsDay(std::uint64_t seed, OperatorsDayPlan plan) : plan_(plan), fleet_(seed), random_(seed * 131 + 7) {}
 
   void run() {
+    fleet_.edit_times.asker_patience = Span{800};
+    fleet_.edit_times.leader_wait = Span{800};
     names_ = bring_up(fleet_, plan_.machines);
     if (testing::Test::HasFailure())
       return;
