--- a/packages/model-checker/src/state_inspector.cpp
+++ b/packages/model-checker/src/state_inspector.cpp
@@ -1,7 +1,5 @@
 #include "state_inspector.hpp"
 
-#include "emberdale/avro_codec.hpp"
-
 namespace emberdale {
 namespace {
 constexpr std::int64_t far_off = 1000000;  // a deadline so far ahead is reached only when the order is given up
@@ -44,6 +42,8 @@
       own.add(ballot);
     for (const auto& store : round.granted)
       each[place(store)].add(1).add(life_of(store));
+    for (const auto& [store, ballot] : round.held)
+      each[place(store)].add(4).add(life_of(store)).add(ballot);
     for (const auto& store : round.asked)
       each[place(store)].add(3).add(life_of(store));
   }
@@ -59,6 +59,7 @@
     for (const auto& [store, ballot] : read.answers)
       each[place(store)].add(2).add(life_of(store)).add(ballot);
   }
+  own.add(proposer.wants_whole_ ? 1 : 0);
   for (const auto& [ballot, state] : proposer.read_states_)
     own.add(ballot).add(encode_state(state));
   ProposerPrint result;
@@ -72,6 +73,7 @@
   Fingerprint print;
   for (const auto* record : {&acceptor.ahead_, &acceptor.synced_})
     print.add(record->promised).add(record->accepted).add(record->value.data);
+  print.add(acceptor.previous_ballot_);
   for (const auto& held : acceptor.held_)
     print.add(held.after.promised).add(held.after.accepted).add(held.answer.to.text).add(held.answer.message.index());
   return print.value();
