--- a/packages/model-checker/src/state_inspector.cpp
+++ b/packages/model-checker/src/state_inspector.cpp
@@ -1,5 +1,7 @@
 #include "state_inspector.hpp"
 
+#include "emberdale/avro_codec.hpp"
+
 namespace emberdale {
 namespace {
 constexpr std::int64_t far_off = 1000000;  // a deadline so far ahead is reached only when the order is given up
