--- a/packages/configuration-register/include/emberdale/register_acceptor.hpp
+++ b/packages/configuration-register/include/emberdale/register_acceptor.hpp
@@ -47,16 +47,22 @@
   const StoreId& store() const { return store_; }
   const FleetState& state() const { return state_; }  // of the synced value
   const Ballot& accepted() const { return synced_.accepted; }
+  // Writes that wait for the disk, and asks that were left unanswered since too many did.
+  std::size_t unsynced() const { return held_.size(); }
+  std::int64_t dropped() const { return dropped_; }
   const RefusedMessages& refusals() const { return refusals_; }
   RefusedMessages& refusals() { return refusals_; }  // bad input from peers
 
  private:
+  friend class StateInspector;  // the model checker fingerprints the whole state
   struct Held {
     std::int64_t token;
     AcceptorRecord after;
     std::optional<FleetState> state;  // of the value, if it is a new one
     Sending answer;
+    std::size_t size = 0;  // of its record
   };
+  bool is_backlogged();
   void on_prepare(const Address& from, const Prepare& prepare);
   void on_accept(const Address& from, const Accept& accept);
   void on_read(const Address& from, const ReadAsk& read, Moment now);
@@ -76,7 +82,8 @@
   Bytes previous_value_;
   std::optional<Bytes> delta_, digest_;  // from the previous value to the synced one, once asked for
   std::deque<Held> held_;
-  std::int64_t last_token_ = 0;
+  std::int64_t last_token_ = 0, dropped_ = 0;
+  std::size_t unsynced_bytes_ = 0;
   std::vector<WriteWish> writes_;
   std::vector<Sending> out_;
   std::map<Address, Moment> heard_;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -5,6 +5,14 @@
 #include "emberdale/value_delta.hpp"
 
 namespace emberdale {
+namespace {
+
+// Whoever asked waits for less than a second: with so many writes before it, its answer would come too late. The
+// bound also keeps the memory of what waits for a stalled disk small.
+constexpr std::size_t most_unsynced = 64;
+constexpr std::size_t most_unsynced_bytes = 8 << 20;
+
+}  // namespace
 
 Outcome<bool> RegisterAcceptor::restore(const std::vector<std::string>& records) {
   // A record without a value names the ballot of the value it stands on: a write that the disk
@@ -45,8 +53,17 @@
   lean.has_value = state.has_value();
   if (!lean.has_value)
     lean.value = Bytes{};
-  held_.push_back({++last_token_, std::move(after), std::move(state), std::move(answer)});
-  writes_.push_back({last_token_, encode_acceptor_record(lean)});
+  std::string record = encode_acceptor_record(lean);
+  unsynced_bytes_ += record.size();
+  held_.push_back({++last_token_, std::move(after), std::move(state), std::move(answer), record.size()});
+  writes_.push_back({last_token_, std::move(record)});
+}
+
+bool RegisterAcceptor::is_backlogged() {
+  if (held_.size() < most_unsynced && unsynced_bytes_ < most_unsynced_bytes)
+    return false;
+  ++dropped_;
+  return true;
 }
 
 bool RegisterAcceptor::on_message(const Address& from, const Message& message, Moment now) {
@@ -66,7 +83,7 @@
 }
 
 void RegisterAcceptor::on_prepare(const Address& from, const Prepare& prepare) {
-  if (prepare.store != store_)
+  if (prepare.store != store_ || is_backlogged())
     return;  // meant for the store that was here before
   auto fault = check_ballot_step(prepare.ballot, ahead_.promised);
   if (!fault && prepare.ballot.proposer != from)
@@ -85,7 +102,7 @@
 }
 
 void RegisterAcceptor::on_accept(const Address& from, const Accept& accept) {
-  if (accept.store != store_)
+  if (accept.store != store_ || is_backlogged())
     return;
   if (auto fault = check_ballot_step(accept.ballot, ahead_.promised))
     return refusals_.add(from, *fault, "Accept with ballot " + std::to_string(accept.ballot.number));
@@ -159,6 +176,8 @@
 }
 
 void RegisterAcceptor::on_found(const Address& from, const Found& found) {
+  if (is_backlogged())
+    return;
   FoundAnswer answer{found.ask, store_, false, ""};
   const Ballot first{1, Address{"founding"}};
   if (found.store != store_)
@@ -188,6 +207,7 @@
   while (!held_.empty() && held_.front().token <= token) {
     Held held = std::move(held_.front());
     held_.pop_front();
+    unsynced_bytes_ -= held.size;
     if (held.state) {
       previous_ballot_ = synced_.accepted;
       previous_value_ = std::move(synced_.value);
@@ -202,6 +222,7 @@
 void RegisterAcceptor::refused(std::int64_t) {
   // What is still held was thought out on top of the refused write: none of it may be answered.
   held_.clear();
+  unsynced_bytes_ = 0;
   ahead_ = synced_;
 }
 
--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -13,6 +13,8 @@
 // A large value takes its time on a narrow link.
 Span patience_for(std::size_t bytes) { return Span{phase_patience.value + static_cast<std::int64_t>(bytes / 400)}; }
 constexpr Span hint_patience{2000};
+constexpr Span read_patience{200};           // a read that is not settled by then may be asked anew
+constexpr std::size_t most_read_values = 2;  // values of reads that are kept at a time
 constexpr std::size_t hint_bound = 24;
 
 bool holds_majority(const std::vector<AcceptorEntry>& set, const std::set<StoreId>& answered) {
@@ -80,7 +82,7 @@
 void RegisterProposer::start_next(Moment now) {
   if (current_ || waiting_.empty())
     return;
-  current_.emplace();
+  current_ = Round();
   current_->job = std::move(waiting_.front());
   waiting_.pop_front();
   begin_prepare(now);
@@ -96,11 +98,12 @@
   highest_seen_ = round.ballot;
   round.phase_end = now + patience_for(state_bytes_.data.size());
   round.granted.clear();
+  // The newest value that an earlier try was told of stays known: the copy that holds it may not be among those asked
+  // now, and what they hold may name the former set, which would name the later one again, for ever.
   round.seen.clear();
-  round.highest = Ballot{};
-  round.found = FleetState{};
-  round.found_bytes = Bytes{};
   round.held.clear();
+  if (round.highest != Ballot{})
+    round.seen.insert(round.highest);
   bool is_large = state_bytes_.data.size() >= large_value;
   Ballot known = is_large ? state_ballot_ : Ballot{};
   ask_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
@@ -126,7 +129,15 @@
   }
   Verdict verdict = round.job.change(*found);
   bool is_settled = round.seen.size() == 1;  // every promise shows one ballot: a majority holds it
-  if (verdict.kind == Verdict::Kind::apply) {
+  // A change of the set stands on a state that is known to be chosen: else the new set alone could decide while a
+  // majority of the old one has chosen something else.
+  bool is_chosen = is_settled || (has_state_ && round.highest == state_ballot_);
+  round.is_carrying = verdict.kind == Verdict::Kind::apply && !is_chosen &&
+                      !(same_set(verdict.state.acceptors, found->acceptors) &&
+                        same_set(verdict.state.next_acceptors, found->next_acceptors));
+  if (round.is_carrying) {
+    round.proposed = *found;
+  } else if (verdict.kind == Verdict::Kind::apply) {
     round.proposed = std::move(verdict.state);
     round.proposed.version = found->version + 1;
     round.end = {ChangeEnd::Kind::committed, round.proposed, ""};
@@ -147,7 +158,7 @@
   round.granted.clear();
   round.value.data = encode_state(round.proposed);
   round.phase_end = now + patience_for(round.value.data.size());
-  if (verdict.kind == Verdict::Kind::apply)
+  if (verdict.kind == Verdict::Kind::apply && !round.is_carrying)
     round.job.was_accept_sent = true;
   std::vector<AcceptorEntry> stores = everyone();
   for (const auto& set : {round.proposed.acceptors, round.proposed.next_acceptors})
@@ -230,13 +241,37 @@
     done(end);
 }
 
-void RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
+bool RegisterProposer::is_reading(Moment now) const {
+  return read_ && !read_->is_over && now - read_->begun < read_patience;
+}
+
+// A large value may take longer on its way than the next read waits: it counts whichever read it answers.
+bool RegisterProposer::keep_value(const Address& from, const ReadAnswer& answer) {
+  bool is_new = !answer.value.data.empty() && (!has_state_ || state_ballot_ < answer.accepted) &&
+                read_states_.count(answer.accepted) == 0;
+  Bytes value = is_new ? value_in(answer) : Bytes{};
+  if (value.data.empty())
+    return true;
+  auto checked = check_value(value, answer.accepted, has_state_ ? state_.fleet : "");
+  if (!checked.fault && !(same_set(answer.acceptors, checked.state.acceptors) &&
+                          same_set(answer.next_acceptors, checked.state.next_acceptors)))
+    checked.fault = InvalidInput::not_as_asked;
+  if (checked.fault) {
+    refusals_.add(from, *checked.fault, "ReadAnswer: " + checked.detail);
+    return false;
+  }
+  read_states_[answer.accepted] = std::move(checked.state);
+  while (read_states_.size() > most_read_values)
+    read_states_.erase(read_states_.begin());
+  return true;
+}
+
+std::int64_t RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
   ++counts_.reads;
-  read_.emplace();
+  read_ = Read();
   read_->ask = ++last_ask_;
   read_->begun = now;
   read_->wants_heard = wants_heard;
-  read_states_.clear();
   ReadAsk ask{read_->ask, role, std::exchange(wants_whole_, false) ? Ballot{} : state_ballot_, wants_heard, false};
   // A large value is asked of one copy: this machine's own, or where the last read saw a newer one.
   bool has_own =
@@ -250,7 +285,7 @@
       one.lean = entry.address != full && entry.address != self_;
       out_.push_back({entry.address, one});
     }
-    return;
+    return read_->ask;
   }
   std::set<Address> hints;
   if (!has_state_ || now - confirmed_at_ > hint_patience)
@@ -263,6 +298,7 @@
   read_->asked = hints;
   for (const auto& entry : everyone())
     read_->asked.insert(entry.address);
+  return read_->ask;
 }
 
 void RegisterProposer::settle_read(Moment now) {
@@ -286,6 +322,7 @@
     }
     return;
   }
+  reached_at_ = read.begun;
   if (read.wants_heard) {
     // The most recent sign of life that any copy of this majority has seen, once all have watched.
     std::map<Address, Span> silences;
@@ -300,6 +337,7 @@
       }
     silences[Address{}] = watched;
     silences_ = std::move(silences);
+    silences_at_ = read.begun;
   }
   if (!has_majority(read.acceptors, read.next, same)) {
     // A change is under way, or was left behind: mend it by carrying the newest through once more.
@@ -326,8 +364,12 @@
     for (const auto& [store, ballot] : read.answers)
       if (ballot == read.highest)
         value_at_ = read.places[store];  // the next read asks there
+    read.is_over = true;
     return;
   }
+  read.is_over = true;
+  confirmed_read_ = std::max(confirmed_read_, read.ask);
+  read_states_.erase(read_states_.begin(), read_states_.upper_bound(state_ballot_));
   for (const auto& [store, ballot] : read.answers) {  // a read mends the copies that it finds old
     if (!(ballot < read.highest))
       continue;
@@ -441,7 +483,12 @@
   if (has_majority(acceptors_, next_acceptors_, round.granted) &&
       has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
     adopt(round.ballot, round.proposed, confirmed_at_);
-    finish(round.end, now);
+    if (round.is_carrying) {
+      round.highest = round.ballot;
+      begin_prepare(now);
+    } else {
+      finish(round.end, now);
+    }
   }
 }
 
@@ -478,21 +525,16 @@
 }
 
 void RegisterProposer::on_read_answer(const Address& from, const ReadAnswer& answer, Moment now) {
-  if (!read_ || answer.ask != read_->ask)
+  if (!read_)
+    return;
+  bool is_current = answer.ask == read_->ask;
+  bool is_late_value = !is_current && !answer.value.data.empty() && read_->asked.count(from) != 0;
+  if (!is_current && !is_late_value)
     return;
   if (auto fault = check_read_answer(from, answer))
     return refusals_.add(from, *fault, "ReadAnswer with ballot " + std::to_string(answer.accepted.number));
-  bool is_known = answer.accepted == state_ballot_ || read_states_.count(answer.accepted) != 0;
-  Bytes value = is_known ? Bytes{} : value_in(answer);
-  if (!value.data.empty()) {
-    auto checked = check_value(value, answer.accepted, has_state_ ? state_.fleet : "");
-    if (!checked.fault && !(same_set(answer.acceptors, checked.state.acceptors) &&
-                            same_set(answer.next_acceptors, checked.state.next_acceptors)))
-      checked.fault = InvalidInput::not_as_asked;
-    if (checked.fault)
-      return refusals_.add(from, *checked.fault, "ReadAnswer: " + checked.detail);
-    read_states_[answer.accepted] = std::move(checked.state);
-  }
+  if (!keep_value(from, answer) || !is_current || answer.store.empty())
+    return;
   Read& read = *read_;
   read.answers[answer.store] = answer.accepted;
   read.places[answer.store] = from;
--- a/packages/control-plane/tests/master_edits_test.cpp
+++ b/packages/control-plane/tests/master_edits_test.cpp
@@ -17,6 +17,7 @@
 EditAsk order(const std::string& change, const std::string& zone, const std::string& state = "emptied") {
   EditAsk ask;
   ask.change = change;
+  ask.term = 1;  // the leader's
   ask.act = "put";
   ask.kind = orders_kind;
   ask.name = zone;
