--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -101,9 +101,9 @@
   // The newest value that an earlier try was told of stays known: the copy that holds it may not be among those asked
   // now, and what they hold may name the former set, which would name the later one again, for ever.
   round.seen.clear();
-  round.held.clear();
   if (round.highest != Ballot{})
     round.seen.insert(round.highest);
+  round.held.clear();
   bool is_large = state_bytes_.data.size() >= large_value;
   Ballot known = is_large ? state_ballot_ : Ballot{};
   ask_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
@@ -485,6 +485,7 @@
     adopt(round.ballot, round.proposed, confirmed_at_);
     if (round.is_carrying) {
       round.highest = round.ballot;
+      round.found_bytes = round.value;
       begin_prepare(now);
     } else {
       finish(round.end, now);
