--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -206,7 +206,7 @@
   CallIndex index = 0;
   std::int64_t sends = 0;
   for (int round = 0; round < 300; ++round) {
-    Moment now{round * 100};
+    Moment now{std::int64_t{round} * 100};
     dispatcher.arrive(call("c" + std::to_string(round)), now, ++index);
     for (int hop = 0; hop < 6; ++hop)
       for (auto& act : dispatcher.take_sends()) {  // every runner loses every call
@@ -216,7 +216,7 @@
     dispatcher.on_timer(now);
   }
   EXPECT_GT(dispatcher.counts().retries, 10);
-  EXPECT_LE(dispatcher.counts().retries * 5, (sends - dispatcher.counts().retries) + 5 * 12);
+  EXPECT_LE(dispatcher.counts().retries * 5, (sends - dispatcher.counts().retries) + 60);
 }
 
 TEST(CallDispatcher, WhatIsGivenUpIsAnsweredAtOnceAndNeverSentAfterwards) {
--- a/packages/configuration-checker/src/main.cpp
+++ b/packages/configuration-checker/src/main.cpp
@@ -192,7 +192,7 @@
   };
   if (arguments["check-calendar"].asBool()) {
     std::int64_t now = std::time(nullptr);
-    auto windows = read_calendar(file, *body, now, now + 90 * 86400, findings);
+    auto windows = read_calendar(file, *body, now, now + std::int64_t{90} * 86400, findings);
     std::set<std::string> zones;
     const Json runners = picture.fleet.value("runners", Json::array());
     for (const auto& runner : runners)
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -39,7 +39,7 @@
 
 class Program {
  public:
-  Program(ProgramSettings settings) : settings_(std::move(settings)), process_(process_settings(settings_)) {}
+  explicit Program(ProgramSettings settings) : settings_(std::move(settings)), process_(process_settings(settings_)) {}
 
   int run() {
     auto opened = process_.open();
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -11,7 +11,6 @@
 namespace emberdale {
 
 using Json = nlohmann::json;
-using concurrency::streams::producer_consumer_buffer;
 using web::http::http_request;
 using web::http::http_response;
 using web::http::methods;
@@ -20,7 +19,7 @@
 constexpr std::size_t max_being_read = 512;  // calls whose bodies are still coming in
 constexpr std::size_t max_in_hand = 2048;    // calls taken in and not yet answered
 constexpr std::size_t max_headers = 64, max_header_bytes = 16384;
-constexpr std::size_t stream_bound = 256 * 1024;  // what a caller may lag behind its stream
+constexpr std::size_t stream_bound = 256U << 10;  // what a caller may lag behind its stream
 constexpr std::size_t max_answer = 16 << 20;
 
 std::string header_of(const web::http::http_headers& headers, const char* name) {
--- a/packages/data-plane/tests/http_client_behaviour_test.cpp
+++ b/packages/data-plane/tests/http_client_behaviour_test.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 using web::http::client::http_client;
-using web::http::client::http_client_config;
 
 // Two threads for all of the library: fifty slow calls are far beyond them.
 [[maybe_unused]] const bool has_two_threads = (crossplat::threadpool::initialize_with_threads(2), true);
--- a/packages/fleet-simulator/src/hollow_daemons.cpp
+++ b/packages/fleet-simulator/src/hollow_daemons.cpp
@@ -218,7 +218,7 @@
     return 2;
   }
   boost::asio::io_context context;
-  auto places = free_places(static_cast<std::size_t>(edges + gateways));
+  auto places = free_places(static_cast<std::size_t>(edges) + static_cast<std::size_t>(gateways));
   std::vector<std::unique_ptr<HollowDaemon>> daemons;
   for (int i = 0; i < edges + gateways; ++i) {
     bool is_edge = i < edges;
--- a/packages/fleet-simulator/src/main.cpp
+++ b/packages/fleet-simulator/src/main.cpp
@@ -147,7 +147,7 @@
   });
   refused("an edit each second", [](FleetSimulation& fleet) {
     for (int i = 0; i < 9; ++i)
-      fleet.later(1000 * i,
+      fleet.later(std::int64_t{1000} * i,
                   [&fleet] { fleet.edit(fleet.master(), "patch", plans_kind, "check", R"({"horizon_ms":4000})"); });
   });
   auto cut_core = [](FleetSimulation& fleet, std::size_t number) {
@@ -177,7 +177,7 @@
         else
           cut_core(*fleet, what == "the whole core" ? 3 : 2);
         fleet->reset_tally();
-        fleet->run(Span{seconds * 1000});
+        fleet->run(Span{std::int64_t{1000} * seconds});
         return fleet->tally().refused_no_grant * 1000 / std::max<std::int64_t>(1, fleet->tally().asked);
       });
   std::cout << "-- from an edit, asked right after the fault, to its acknowledgement, ms\n";
--- a/packages/fleet-simulator/src/random_day.cpp
+++ b/packages/fleet-simulator/src/random_day.cpp
@@ -335,7 +335,7 @@
   void runner_flaps() {
     std::string runner = pick(runners_);
     for (int i = 0; i < 5; ++i)
-      fleet_.later(i * 400, [this, runner] { fleet_.start_runner(runner); });
+      fleet_.later(std::int64_t{400} * i, [this, runner] { fleet_.start_runner(runner); });
     bit();
   }
   void runners_replaced() {
@@ -398,7 +398,7 @@
   }
   void quick_edits() {
     for (int i = 0; i < 5; ++i)
-      fleet_.later(i * 60, [this] {
+      fleet_.later(std::int64_t{60} * i, [this] {
         edit("patch", plans_kind, "check", R"({"horizon_ms":)" + std::to_string(3000 + random_.below(2000)) + "}");
       });
     bit();
--- a/packages/fleet-simulator/src/rule_watch.cpp
+++ b/packages/fleet-simulator/src/rule_watch.cpp
@@ -229,9 +229,10 @@
 }
 
 void RuleWatch::settled(std::int64_t now, const FleetState& state) {
-  for (const auto& [resource, ack] : acked_) {
+  for (const auto& entry : acked_) {
+    const auto& [resource, ack] = entry;
     auto found = std::find_if(state.resources.begin(), state.resources.end(),
-                              [&](const auto& r) { return key_of(r.kind, r.name) == resource; });
+                              [&](const auto& r) { return key_of(r.kind, r.name) == entry.first; });
     if (ack.ask.act == "delete") {
       if (found != state.resources.end() && found->version <= ack.version)
         broken(now, "an acknowledged deletion is lost", resource);
--- a/packages/fleet-simulator/tests/fleet_simulator_test.cpp
+++ b/packages/fleet-simulator/tests/fleet_simulator_test.cpp
@@ -227,7 +227,7 @@
     else
       EXPECT_EQ(fleet->figures().cold_peak_over, 0);
     auto figures = fleet->figures();
-    EXPECT_LE(figures.retries * 5, figures.sends + 5 * 9 * 12);
+    EXPECT_LE(figures.retries * 5, figures.sends + std::int64_t{5} * 9 * 12);
     if (is_guard_out)
       EXPECT_NE(show(fleet->breaks()), "");
     else
--- a/packages/fleet-simulator/tests/rule_watch_test.cpp
+++ b/packages/fleet-simulator/tests/rule_watch_test.cpp
@@ -81,7 +81,7 @@
      [](RuleWatch& w, bool broken) {
        // The same retries: at once, or spread over a day. A share of the whole day would not see the burst.
        for (int i = 0; i < 1000; ++i)
-         w.sent(i * 20, {i, "d", "m1", "north", "", 1, false});
+         w.sent(std::int64_t{20} * i, {i, "d", "m1", "north", "", 1, false});
        for (int i = 0; i < 200; ++i)
          w.sent(20000 + i * (broken ? 1 : 100), {i, "d", "m1", "north", "", 1, true});
      }},
--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -21,8 +21,6 @@
 
 #include "emberdale/serving_plans.hpp"
 
-extern char** environ;
-
 namespace emberdale {
 
 using Json = nlohmann::json;
--- a/packages/maintenance-windows/src/maintenance_windows.cpp
+++ b/packages/maintenance-windows/src/maintenance_windows.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t max_windows = 400;
-constexpr std::int64_t longest = 14 * 86400;
+constexpr std::int64_t longest = std::int64_t{14} * 86400;
 
 // Gathered before anything else is asked of the component: any look-up moves its own place among its
 // properties, and a walk that looks something up on its way never ends.
--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -263,8 +263,9 @@
     }
     std::vector<emberdale::Finding> findings;
     std::int64_t now = std::time(nullptr);
-    auto windows = emberdale::read_calendar(text("FILE"), *content, now,
-                                            now + 86400 * std::max(1, std::atoi(text("--days").c_str())), findings);
+    auto windows =
+        emberdale::read_calendar(text("FILE"), *content, now,
+                                 now + std::int64_t{86400} * std::max(1, std::atoi(text("--days").c_str())), findings);
     if (emberdale::has_errors(findings))
       return show({422, Json{{"reason", "the calendar is wrong; nothing was changed"},
                              {"findings", Json::parse(emberdale::findings_json(findings))}}
--- a/packages/serving-plans/tests/serving_plans_test.cpp
+++ b/packages/serving-plans/tests/serving_plans_test.cpp
@@ -198,7 +198,7 @@
     EXPECT_EQ(findings->front().message.rfind("not JSON", 0), 0u) << findings->front().message;
     EXPECT_EQ(std::pair(findings->front().line, findings->front().column), std::pair(1, 1));
   }
-  for (auto merged : {merge_patch("{}", body), merge_patch(body, "{}")}) {
+  for (const auto& merged : {merge_patch("{}", body), merge_patch(body, "{}")}) {
     EXPECT_FALSE(merged);
     EXPECT_EQ(merged.reason.rfind("not JSON", 0), 0u) << merged.reason;
   }
--- a/packages/stand-ins/src/caller_stand_in.cpp
+++ b/packages/stand-ins/src/caller_stand_in.cpp
@@ -86,7 +86,9 @@
     Json out;
     for (auto& [key, count] : counts_)
       out["counts"][key] = count;
-    for (auto& [kind, times] : times_) {
+    for (auto& entry : times_) {
+      const std::string& kind = entry.first;
+      auto& times = entry.second;
       std::sort(times.begin(), times.end());
       auto at = [&](double share) {
         return times[static_cast<std::size_t>(share * static_cast<double>(times.size() - 1))];
--- a/packages/stand-ins/src/runner_stand_in.cpp
+++ b/packages/stand-ins/src/runner_stand_in.cpp
@@ -55,7 +55,7 @@
 
 class Runner {
  public:
-  Runner(std::map<std::string, docopt::value>& arguments)
+  explicit Runner(std::map<std::string, docopt::value>& arguments)
       : name_(arguments["--name"].asString()),
         key_(arguments["--seal-key"].asString()),
         capacity_(arguments["--capacity"].asLong()),
