--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -22,8 +22,6 @@
 #include "client_call_recorder.hpp"
 #include "emberdale/serving_plans.hpp"
 
-extern char** environ;
-
 namespace emberdale {
 
 using Json = nlohmann::json;
