--- a/packages/configuration-register/src/register_proposer.cpp
+++ b/packages/configuration-register/src/register_proposer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "emberdale/avro_codec.hpp"
+#include "emberdale/content_digest.hpp"
+#include "emberdale/value_delta.hpp"
 
 namespace emberdale {
 namespace {
@@ -11,6 +13,8 @@
 // A large value takes its time on a narrow link.
 Span patience_for(std::size_t bytes) { return Span{phase_patience.value + static_cast<std::int64_t>(bytes / 400)}; }
 constexpr Span hint_patience{2000};
+constexpr Span read_patience{200};           // a read that is not settled by then may be asked anew
+constexpr std::size_t most_read_values = 2;  // values of reads that are kept at a time
 constexpr std::size_t hint_bound = 24;
 
 bool holds_majority(const std::vector<AcceptorEntry>& set, const std::set<StoreId>& answered) {
@@ -61,6 +65,14 @@
     out_.push_back({entry.address, make(entry.store)});
 }
 
+void RegisterProposer::ask_each(const std::vector<AcceptorEntry>& stores,
+                                const std::function<Message(const StoreId&)>& make) {
+  current_->asked.clear();
+  for (const auto& entry : stores)
+    current_->asked.insert(entry.store);
+  send_each(stores, make);
+}
+
 void RegisterProposer::change(Change change, std::function<void(const ChangeEnd&)> done, Moment now, Span patience) {
   waiting_.push_back({std::move(change), std::move(done), now + patience});
   if (!current_)
@@ -91,9 +103,10 @@
   round.seen.clear();
   if (round.highest != Ballot{})
     round.seen.insert(round.highest);
+  round.held.clear();
   bool is_large = state_bytes_.data.size() >= large_value;
   Ballot known = is_large ? state_ballot_ : Ballot{};
-  send_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
+  ask_each(everyone(), [&](const StoreId& store) { return Prepare{round.ask, store, round.ballot, known}; });
 }
 
 void RegisterProposer::pause(Moment now) {
@@ -106,11 +119,7 @@
 
 void RegisterProposer::begin_accept(Moment now) {
   Round& round = *current_;
-  auto found = decode_state(round.value.data);
-  if (!found) {
-    finish({ChangeEnd::Kind::no_majority, {}, found.reason}, now);
-    return;
-  }
+  const FleetState* found = &round.found;
   // The set that voted must be the set the value names: else vote again among those.
   if (!same_set(found->acceptors, acceptors_) || !same_set(found->next_acceptors, next_acceptors_)) {
     acceptors_ = found->acceptors;
@@ -147,8 +156,8 @@
   }
   round.phase = Round::Phase::accepting;
   round.granted.clear();
-  Bytes proposal{encode_state(round.proposed)};
-  round.phase_end = now + patience_for(proposal.data.size());
+  round.value.data = encode_state(round.proposed);
+  round.phase_end = now + patience_for(round.value.data.size());
   if (verdict.kind == Verdict::Kind::apply && !round.is_carrying)
     round.job.was_accept_sent = true;
   std::vector<AcceptorEntry> stores = everyone();
@@ -156,7 +165,53 @@
     for (const auto& entry : set)
       if (std::none_of(stores.begin(), stores.end(), [&](const auto& known) { return known.store == entry.store; }))
         stores.push_back(entry);
-  send_each(stores, [&](const StoreId& store) { return Accept{round.ask, store, round.ballot, proposal}; });
+  send_accepts(stores);
+}
+
+void RegisterProposer::send_accepts(const std::vector<AcceptorEntry>& stores) {
+  Round& round = *current_;
+  const std::string& whole = round.value.data;
+  Bytes delta, digest;
+  if (whole.size() >= large_value) {
+    delta.data = make_delta(round.found_bytes.data, whole);
+    digest.data = content_digest_bytes(whole);
+  }
+  bool is_worth_it = !delta.data.empty() && delta.data.size() < whole.size() / 2;
+  const auto asked = everyone();
+  auto may_hold_base = [&](const StoreId& store) {
+    auto held = round.held.find(store);
+    if (held != round.held.end())
+      return held->second == round.highest;
+    // It has not answered yet, and holds what the others hold as a rule; if not, it says so.
+    return std::any_of(asked.begin(), asked.end(), [&](const auto& entry) { return entry.store == store; });
+  };
+  ask_each(stores, [&](const StoreId& store) {
+    bool is_delta = is_worth_it && may_hold_base(store);
+    ++(is_delta ? counts_.deltas : counts_.whole_values);
+    Accept accept{round.ask, store, round.ballot, is_delta ? delta : round.value};
+    if (is_delta) {
+      accept.base = round.highest;
+      accept.digest = digest;
+    }
+    counts_.value_bytes += static_cast<std::int64_t>(accept.value.data.size());
+    return accept;
+  });
+}
+
+// A store that does not hold the base of a delta gets the whole value, also once the others have decided.
+void RegisterProposer::send_whole(const Address& from, const Accepted& accepted) {
+  bool is_of_round = current_ && current_->phase == Round::Phase::accepting && accepted.ask == current_->ask &&
+                     accepted.promised == current_->ballot && current_->asked.count(accepted.store) != 0;
+  const auto members = everyone();
+  bool is_of_state =
+      has_state_ && accepted.promised == state_ballot_ &&
+      std::any_of(members.begin(), members.end(), [&](const auto& entry) { return entry.store == accepted.store; });
+  if (!is_of_round && !is_of_state)
+    return;
+  const Bytes& value = is_of_round ? current_->value : state_bytes_;
+  ++counts_.whole_values;
+  counts_.value_bytes += static_cast<std::int64_t>(value.data.size());
+  out_.push_back({from, Accept{accepted.ask, accepted.store, accepted.promised, value}});
 }
 
 void RegisterProposer::adopt(const Ballot& ballot, const FleetState& state, Moment proven_from) {
@@ -186,14 +241,38 @@
     done(end);
 }
 
-void RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
+bool RegisterProposer::is_reading(Moment now) const {
+  return read_ && !read_->is_over && now - read_->begun < read_patience;
+}
+
+// A large value may take longer on its way than the next read waits: it counts whichever read it answers.
+bool RegisterProposer::keep_value(const Address& from, const ReadAnswer& answer) {
+  bool is_new = !answer.value.data.empty() && (!has_state_ || state_ballot_ < answer.accepted) &&
+                read_states_.count(answer.accepted) == 0;
+  Bytes value = is_new ? value_in(answer) : Bytes{};
+  if (value.data.empty())
+    return true;
+  auto checked = check_value(value, answer.accepted, has_state_ ? state_.fleet : "");
+  if (!checked.fault && !(same_set(answer.acceptors, checked.state.acceptors) &&
+                          same_set(answer.next_acceptors, checked.state.next_acceptors)))
+    checked.fault = InvalidInput::not_as_asked;
+  if (checked.fault) {
+    refusals_.add(from, *checked.fault, "ReadAnswer: " + checked.detail);
+    return false;
+  }
+  read_states_[answer.accepted] = std::move(checked.state);
+  while (read_states_.size() > most_read_values)
+    read_states_.erase(read_states_.begin());
+  return true;
+}
+
+std::int64_t RegisterProposer::poll(Moment now, const std::string& role, bool wants_heard) {
   ++counts_.reads;
   read_ = Read();
   read_->ask = ++last_ask_;
   read_->begun = now;
   read_->wants_heard = wants_heard;
-  read_values_.clear();
-  ReadAsk ask{read_->ask, role, state_ballot_, wants_heard, false};
+  ReadAsk ask{read_->ask, role, std::exchange(wants_whole_, false) ? Ballot{} : state_ballot_, wants_heard, false};
   // A large value is asked of one copy: this machine's own, or where the last read saw a newer one.
   bool has_own =
       std::any_of(acceptors_.begin(), acceptors_.end(), [&](const auto& entry) { return entry.address == self_; });
@@ -201,11 +280,12 @@
     Address full = value_at_.empty() ? self_ : value_at_;
     value_at_ = Address{};
     for (const auto& entry : everyone()) {
+      read_->asked.insert(entry.address);
       ReadAsk one = ask;
       one.lean = entry.address != full && entry.address != self_;
       out_.push_back({entry.address, one});
     }
-    return;
+    return read_->ask;
   }
   std::set<Address> hints;
   if (!has_state_ || now - confirmed_at_ > hint_patience)
@@ -215,6 +295,10 @@
   send_each(everyone(), [&](const StoreId&) { return ask; });
   for (const auto& hint : hints)
     out_.push_back({hint, ask});
+  read_->asked = hints;
+  for (const auto& entry : everyone())
+    read_->asked.insert(entry.address);
+  return read_->ask;
 }
 
 void RegisterProposer::settle_read(Moment now) {
@@ -238,6 +322,7 @@
     }
     return;
   }
+  reached_at_ = read.begun;
   if (read.wants_heard) {
     // The most recent sign of life that any copy of this majority has seen, once all have watched.
     std::map<Address, Span> silences;
@@ -252,6 +337,7 @@
       }
     silences[Address{}] = watched;
     silences_ = std::move(silences);
+    silences_at_ = read.begun;
   }
   if (!has_majority(read.acceptors, read.next, same)) {
     // A change is under way, or was left behind: mend it by carrying the newest through once more.
@@ -269,23 +355,21 @@
     return;
   }
   split_reads_ = 0;
-  Bytes* value = nullptr;
-  auto entry = read_values_.find(read.highest);
-  if (entry != read_values_.end())
-    value = &entry->second;
+  auto value = read_states_.find(read.highest);
   if (read.highest == state_ballot_) {
     adopt(state_ballot_, state_, read.begun);
-  } else if (value != nullptr) {
-    auto state = decode_state(value->data);
-    if (!state)
-      return;
-    adopt(read.highest, *state, read.begun);
+  } else if (value != read_states_.end()) {
+    adopt(read.highest, value->second, read.begun);
   } else {
     for (const auto& [store, ballot] : read.answers)
       if (ballot == read.highest)
         value_at_ = read.places[store];  // the next read asks there
+    read.is_over = true;
     return;
   }
+  read.is_over = true;
+  confirmed_read_ = std::max(confirmed_read_, read.ask);
+  read_states_.erase(read_states_.begin(), read_states_.upper_bound(state_ballot_));
   for (const auto& [store, ballot] : read.answers) {  // a read mends the copies that it finds old
     if (!(ballot < read.highest))
       continue;
@@ -301,87 +385,171 @@
 }
 
 bool RegisterProposer::on_message(const Address& from, const Message& message, Moment now) {
-  if (const auto* promise = std::get_if<Promise>(&message)) {
-    if (highest_seen_ < promise->promised)
-      highest_seen_ = promise->promised;
-    if (!current_ || current_->phase != Round::Phase::preparing || promise->ask != current_->ask)
-      return true;
-    Round& round = *current_;
-    if (!promise->granted) {
-      ++counts_.conflicts;
-      pause(now);
-      return true;
-    }
-    round.granted.insert(promise->store);
-    round.seen.insert(promise->accepted);
-    if (round.highest < promise->accepted) {
-      round.highest = promise->accepted;
-      round.value = promise->value;
-      // Left out because it is known here; if it is not any more, the round begins anew.
-      if (round.value.data.empty() && promise->accepted == state_ballot_)
-        round.value = state_bytes_;
-      if (round.value.data.empty()) {
-        pause(now);
-        return true;
-      }
-    }
-    if (has_majority(acceptors_, next_acceptors_, round.granted)) {
-      if (round.highest == Ballot{})
-        finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
-      else
-        begin_accept(now);
+  if (const auto* promise = std::get_if<Promise>(&message))
+    on_promise(from, *promise, now);
+  else if (const auto* accepted = std::get_if<Accepted>(&message))
+    on_accepted(from, *accepted, now);
+  else if (const auto* answer = std::get_if<ReadAnswer>(&message))
+    on_read_answer(from, *answer, now);
+  else
+    return false;
+  return true;
+}
+
+bool RegisterProposer::takes_round_answer(const Address& from, const StoreId& store, bool granted,
+                                          const Ballot& promised) {
+  const Round& round = *current_;
+  auto refuse = [&](InvalidInput reason, const std::string& detail) {
+    refusals_.add(from, reason, "answer of a round: " + detail);
+    return false;
+  };
+  if (round.asked.count(store) == 0)
+    return refuse(InvalidInput::sender_unknown, "store " + store.text + " was not asked");
+  if (auto fault = check_ballot_step(promised, highest_seen_))
+    return refuse(*fault, "ballot " + std::to_string(promised.number));
+  // Granted is the ballot that was asked for; in its way stands a higher one, or itself (of a former life, or a copy).
+  if (granted ? promised != round.ballot : promised < round.ballot)
+    return refuse(InvalidInput::not_as_asked,
+                  "ballot " + std::to_string(promised.number) + " for " + std::to_string(round.ballot.number));
+  if (highest_seen_ < promised)
+    highest_seen_ = promised;
+  return true;
+}
+
+bool RegisterProposer::take_promised_value(const Address& from, const Promise& promise) {
+  Round& round = *current_;
+  if (!promise.value.data.empty()) {
+    auto checked = check_value(promise.value, promise.accepted, has_state_ ? state_.fleet : "");
+    if (checked.fault) {
+      refusals_.add(from, *checked.fault, "Promise: " + checked.detail);
+      return false;
     }
-    return true;
+    round.found = std::move(checked.state);
+    round.found_bytes = promise.value;
+  } else {
+    round.found = state_;  // left out because it is known here
+    round.found_bytes = state_bytes_;
   }
-  if (const auto* accepted = std::get_if<Accepted>(&message)) {
-    if (highest_seen_ < accepted->promised)
-      highest_seen_ = accepted->promised;
-    if (!current_ || current_->phase != Round::Phase::accepting || accepted->ask != current_->ask)
-      return true;
-    Round& round = *current_;
-    if (!accepted->granted) {
-      ++counts_.conflicts;
-      pause(now);
-      return true;
-    }
-    round.granted.insert(accepted->store);
-    // Both the set that voted and the set that the new value names must hold it.
-    if (has_majority(acceptors_, next_acceptors_, round.granted) &&
-        has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
-      adopt(round.ballot, round.proposed, confirmed_at_);
-      if (round.is_carrying) {
-        round.highest = round.ballot;
-        begin_prepare(now);
-      } else {
-        finish(round.end, now);
-      }
-    }
-    return true;
+  round.highest = promise.accepted;
+  return true;
+}
+
+void RegisterProposer::on_promise(const Address& from, const Promise& promise, Moment now) {
+  if (!current_ || current_->phase != Round::Phase::preparing || promise.ask != current_->ask)
+    return;
+  if (!takes_round_answer(from, promise.store, promise.granted, promise.promised))
+    return;
+  Round& round = *current_;
+  if (!promise.granted) {
+    ++counts_.conflicts;
+    return pause(now);
   }
-  if (const auto* answer = std::get_if<ReadAnswer>(&message)) {
-    if (!read_ || answer->ask != read_->ask)
-      return true;
-    Read& read = *read_;
-    read.answers[answer->store] = answer->accepted;
-    read.places[answer->store] = from;
-    if (!answer->value.data.empty())
-      read_values_[answer->accepted] = answer->value;
-    if (answer->accepted == state_ballot_)
-      read_values_[answer->accepted] = state_bytes_;
-    if (read.highest < answer->accepted) {
-      read.highest = answer->accepted;
-      read.acceptors = answer->acceptors;
-      read.next = answer->next_acceptors;
-    }
-    if (read.wants_heard) {
-      for (const auto& heard : answer->heard)
-        read.heard[answer->store][heard.daemon] = Span{heard.age};
-      read.awake[answer->store] = Span{answer->awake};
+  bool has_accepted = promise.accepted != Ballot{};
+  if (has_accepted && (check_ballot(promise.accepted) || !(promise.accepted < round.ballot)))
+    return refusals_.add(from, InvalidInput::not_as_asked,
+                         "Promise: holds ballot " + std::to_string(promise.accepted.number));
+  if (round.highest < promise.accepted) {
+    // What was known when the round began may have been overtaken: the round begins anew.
+    if (promise.value.data.empty() && promise.accepted != state_ballot_)
+      return pause(now);
+    if (!take_promised_value(from, promise))
+      return;
+  }
+  round.granted.insert(promise.store);
+  round.seen.insert(promise.accepted);
+  round.held[promise.store] = promise.accepted;
+  if (!has_majority(acceptors_, next_acceptors_, round.granted))
+    return;
+  if (round.highest == Ballot{})
+    finish({ChangeEnd::Kind::no_majority, {}, "no register has been founded here"}, now);
+  else
+    begin_accept(now);
+}
+
+void RegisterProposer::on_accepted(const Address& from, const Accepted& accepted, Moment now) {
+  if (accepted.needs_whole)
+    return send_whole(from, accepted);
+  if (!current_ || current_->phase != Round::Phase::accepting || accepted.ask != current_->ask)
+    return;
+  if (!takes_round_answer(from, accepted.store, accepted.granted, accepted.promised))
+    return;
+  Round& round = *current_;
+  if (!accepted.granted) {
+    ++counts_.conflicts;
+    return pause(now);
+  }
+  round.granted.insert(accepted.store);
+  // Both the set that voted and the set that the new value names must hold it.
+  if (has_majority(acceptors_, next_acceptors_, round.granted) &&
+      has_majority(round.proposed.acceptors, round.proposed.next_acceptors, round.granted)) {
+    adopt(round.ballot, round.proposed, confirmed_at_);
+    if (round.is_carrying) {
+      round.highest = round.ballot;
+      round.found_bytes = round.value;
+      begin_prepare(now);
+    } else {
+      finish(round.end, now);
     }
-    settle_read(now);
-    return true;
   }
-  return false;
+}
+
+std::optional<InvalidInput> RegisterProposer::check_read_answer(const Address& from, const ReadAnswer& answer) const {
+  if (read_->asked.count(from) == 0)
+    return InvalidInput::sender_unknown;
+  bool holds_nothing = answer.accepted == Ballot{};
+  bool has_ages = answer.awake >= 0 && std::all_of(answer.heard.begin(), answer.heard.end(),
+                                                   [](const Heard& heard) { return heard.age >= 0; });
+  if (!has_ages || answer.blank != holds_nothing || (holds_nothing && !answer.value.data.empty()))
+    return InvalidInput::not_as_asked;
+  if (holds_nothing)
+    return std::nullopt;
+  if (auto fault = check_ballot_step(answer.accepted, highest_seen_))
+    return fault;
+  // The copies that a known value names are known as well.
+  bool is_known = has_state_ && answer.accepted == state_ballot_;
+  if (is_known &&
+      !(same_set(answer.acceptors, state_.acceptors) && same_set(answer.next_acceptors, state_.next_acceptors)))
+    return InvalidInput::not_as_asked;
+  return std::nullopt;
+}
+
+Bytes RegisterProposer::value_in(const ReadAnswer& answer) {
+  if (answer.base == Ballot{})
+    return answer.value;
+  if (answer.base == state_ballot_) {
+    auto whole = apply_delta(state_bytes_.data, answer.value.data);
+    if (whole && content_digest_bytes(*whole) == answer.digest.data)
+      return Bytes{std::move(*whole)};
+  }
+  wants_whole_ = true;
+  return Bytes{};
+}
+
+void RegisterProposer::on_read_answer(const Address& from, const ReadAnswer& answer, Moment now) {
+  if (!read_)
+    return;
+  bool is_current = answer.ask == read_->ask;
+  bool is_late_value = !is_current && !answer.value.data.empty() && read_->asked.count(from) != 0;
+  if (!is_current && !is_late_value)
+    return;
+  if (auto fault = check_read_answer(from, answer))
+    return refusals_.add(from, *fault, "ReadAnswer with ballot " + std::to_string(answer.accepted.number));
+  if (!keep_value(from, answer) || !is_current || answer.store.empty())
+    return;
+  Read& read = *read_;
+  read.answers[answer.store] = answer.accepted;
+  read.places[answer.store] = from;
+  if (read.highest < answer.accepted) {
+    read.highest = answer.accepted;
+    read.acceptors = answer.acceptors;
+    read.next = answer.next_acceptors;
+  }
+  if (read.wants_heard) {
+    for (const auto& heard : answer.heard)
+      read.heard[answer.store][heard.daemon] = Span{heard.age};
+    read.awake[answer.store] = Span{answer.awake};
+  }
+  settle_read(now);
 }
 
 void RegisterProposer::on_timer(Moment now) {
--- a/packages/control-plane/include/emberdale/master_edits.hpp
+++ b/packages/control-plane/include/emberdale/master_edits.hpp
@@ -1,13 +1,15 @@
-// The edits that a master works out: one at a time on the state that the register shows, durable and barring
-// older maps in one write, acknowledged once a majority of the roster holds a map that covers it.
+// The edits that a master works out: what waits, in order of arrival, on the state that the register shows, durable and
+// barring older maps in one write, acknowledged once a majority of the roster holds a map that covers it.
 // Without I/O, clock or threads.
 #pragma once
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "emberdale/edit_batch.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
 #include "emberdale/leader_lease.hpp"
@@ -40,9 +42,13 @@
   void begin();
   // An edit asked here, or handed over; asked again, it is answered as before. Example: edits.take(edit, now)
   void take(Edit edit, Moment now);
+  // Whether a change is in hand, or was answered in this term. Example: if (!edits.knows(ask.change)) check_age(ask);
+  bool knows(const std::string& change) const;
   void run(const MapVersion& map_version, Moment now);
   // `holders`: how many of the roster hold a map that covers a version, this daemon among them.
   void settle(const MapVersion& map_version, const std::function<std::size_t(const MapVersion&)>& holders, Moment now);
+  // This daemon ends: what has not begun is refused, what may be durable is unknown. Example: edits.end_all()
+  void end_all();
   // What an unknown outcome left open is read back. Example: edits.on_timer(now)
   void on_timer(Moment now);
   // While an edit's two rounds or its unknown outcome are open, no map may take a number.
@@ -54,13 +60,23 @@
   // Those that ended, each with its answer. Example: for (auto& edit : edits.take_ended()) send(edit.answer)
   std::vector<Edit> take_ended() { return std::exchange(ended_, {}); }
   struct Counts {
-    std::int64_t edits = 0, unknown = 0;
+    std::int64_t edits = 0, writes = 0, unknown = 0, doubled_ids = 0;
   };
   const Counts& counts() const { return counts_; }
 
  private:
+  void end_those_of_earlier_terms();
+  // What was answered to an order, and which one it was.
+  struct Answered {
+    Bytes digest;
+    EditAnswer answer;
+  };
+  void count_doubled_id(const Edit& edit, Moment now);
+  void refuse_doubled_id(Edit edit, Moment now);
   void end(std::size_t at, EditAnswer answer);
-  void on_change_end(const EditAsk& ask, const EditResult& result, const ChangeEnd& end, Moment now);
+  EditBatch next_batch() const;
+  void on_change_end(const EditBatch& batch, const ChangeEnd& ended, Moment now);
+  void commit(Edit& edit, const EditResult& result, const FleetState& state, Moment now);
 
   RegisterProposer& proposer_;
   const MasterElection& election_;
@@ -69,9 +85,10 @@
   Address self_;
   std::vector<Edit> edits_, ended_;
   bool is_in_flight_ = false, is_outcome_open_ = false;
+  std::set<std::string> in_flight_;  // the changes that are being written
   MapVersion attempted_minimum_version_;
   // What was answered to edits handed over: asked again, this master says the same and does nothing.
-  std::map<std::string, EditAnswer> answered_;
+  std::map<std::string, Answered> answered_;
   std::deque<std::string> answered_order_;
   Counts counts_;
 };
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -6,7 +6,8 @@
 namespace emberdale {
 namespace {
 
-constexpr Span poll_pace{350}, gossip_pace{500};
+constexpr Span gossip_pace{500};
+constexpr Span hand_over_poll_pace{50};
 constexpr Span gateway_memory{600000};
 
 }  // namespace
@@ -20,7 +21,8 @@
       election_(settings_.self, RandomGenerator(settings_.random_seed + 2), settings_.election),
       lease_(proposer_, election_, settings_.self.address),
       edits_(proposer_, election_, lease_, journal_, settings_.self.address),
-      reconciler_(proposer_, settings_.self.address, RandomGenerator(settings_.random_seed + 5)),
+      forwarder_(settings_.edit_times),
+      reconciler_(proposer_, settings_.self, settings_.membership, RandomGenerator(settings_.random_seed + 5)),
       founder_(proposer_, journal_, settings_.self.address, settings_.seeds,
                RandomGenerator(settings_.random_seed + 6)),
       core_set_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr,
@@ -29,7 +31,7 @@
                      settings_.dead_member_span),
       runner_watch_(settings_.self, settings_.probe_pace) {
   lease_.is_wait_off = settings_.acknowledges_at_once;
-  if (settings_.reconciles_membership && acceptor_)
+  if (settings_.reconciles_membership)
     core_set_.set_reconciler(reconciler_);
 }
 
@@ -39,10 +41,11 @@
       known_[seed].entry.address = seed;
   if (acceptor_ && !acceptor_->is_blank())
     proposer_.learn_acceptors(acceptor_->state().acceptors);
-  poll_next_ = gossip_next_ = follow_next_ = started_at_ = now;
+  poll_next_ = gossip_next_ = follow_next_ = started_at_ = active_at_ = now;
+  pauses_.start(now);
   reconciler_.start(now);
   core_set_.start(now);
-  if (settings_.founds_itself && acceptor_ && acceptor_->is_blank())
+  if (settings_.founds_itself && (!acceptor_ || acceptor_->is_blank()))
     founder_.start(now);
   roster_keeper_.start(now);
   if (is_edge()) {
@@ -54,6 +57,39 @@
 }
 
 void ControlDaemon::stop(Moment now) {
+  if (is_stopping_)
+    return;
+  is_stopping_ = true;
+  note(now, "stopping", settings_.self.address.text);
+  if (settings_.reconciles_membership && acceptor_) {
+    reconciler_.begin_leaving(now);
+    reconcile_membership(now);
+    is_handing_over_ = is_replica() && reconciler_.is_handing_over(now);
+    hand_over_end_ = now + settings_.hand_over_patience;
+    core_set_.hurry();
+  }
+  if (is_handing_over_)
+    core_set_.on_timer(now);
+  else
+    take_leave(now);
+  collect(now);
+}
+
+// The place in the set is handed over first, and the term is laid down then: a master leads on meanwhile.
+void ControlDaemon::continue_stopping(Moment now) {
+  if (!is_handing_over_)
+    return;
+  if (hand_over_end_ > now && reconciler_.is_handing_over(now)) {
+    if (!is_replica() && poll_next_ > now + hand_over_poll_pace)
+      poll_next_ = now + hand_over_poll_pace;  // whether the successor holds the value
+    return;
+  }
+  note(now, is_replica() ? "not handed over" : "handed over", settings_.self.address.text);
+  is_handing_over_ = false;
+  take_leave(now);
+}
+
+void ControlDaemon::take_leave(Moment now) {
   if (election_.is_master() && !lease_.is_waiting(now)) {
     // Lays the term down in the register: the next master need not wait for this one's word to lapse.
     Address self = settings_.self.address;
@@ -67,10 +103,16 @@
         },
         nullptr, now, Span{1000});
   }
-  is_stopping_ = true;  // grants leases on nothing, and answers no ping any more: a leaving daemon must not be ranked
   if (is_edge())
     election_.leave();
-  note(now, "stopping", settings_.self.address.text);
+}
+
+void ControlDaemon::answer_all(Moment now) {
+  for (auto& [ended, answer] : forwarder_.end_all())
+    lift_hold(ended.hold, answer);
+  edits_.end_all();
+  end_edits();
+  end_waiting([](const Waiting&) { return true; }, now);
   collect(now);
 }
 
@@ -83,14 +125,13 @@
 }
 
 void ControlDaemon::on_timer(Moment now) {
+  pauses_.on_timer(now);
+  notice_pause(now);
   proposer_.on_timer(now);
   if (is_edge())
     election_.on_timer(now);
-  if (poll_next_ <= now) {
-    poll_next_ = now + poll_pace;
-    proposer_.poll(now, settings_.self.role,
-                   is_edge() && (election_.starved_rounds() > 0 || election_.is_master() || is_leaderless()));
-  }
+  if (poll_next_ <= now)
+    poll_register(now);
   gossip(now);
   if (acceptor_ && !acceptor_->is_blank() && proposer_.acceptors().empty())
     proposer_.learn_acceptors(acceptor_->state().acceptors);
@@ -98,9 +139,10 @@
   if (is_edge())
     keep_roster(now);
   founder_.on_timer(now);
-  if (settings_.reconciles_membership && acceptor_)
+  if (settings_.reconciles_membership)
     reconcile_membership(now);
   core_set_.on_timer(now);
+  continue_stopping(now);
   if (is_edge() && follow_next_ <= now)
     send_follow(now);
   hear_master(now);
@@ -176,8 +218,12 @@
 
 // Views and reads whose time is over end without an answer from others.
 void ControlDaemon::expire_waiting(Moment now) {
+  end_waiting([now](const Waiting& waiting) { return waiting.deadline <= now; }, now);
+}
+
+void ControlDaemon::end_waiting(const std::function<bool(const Waiting&)>& is_over, Moment now) {
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (entry->second.deadline > now) {
+    if (!is_over(entry->second)) {
       ++entry;
       continue;
     }
@@ -211,8 +257,15 @@
       out_.push_back(std::move(sending));
     }
   };
-  if (acceptor_)
+  auto tell = [&](RefusedMessages& refusals) {
+    for (const auto& refused : refusals.take_news())
+      note(now, "refused_message", refused.from.text + " " + reason_word(refused.reason) + " " + refused.detail);
+  };
+  tell(proposer_.refusals());
+  if (acceptor_) {
+    tell(acceptor_->refusals());
     take(acceptor_->take_out());
+  }
   take(proposer_.take_out());
   take(election_.take_out());
   take(slices_.take_out());
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -431,6 +431,9 @@
 void ControlInterface::metrics(http_request request) {
   const auto& c = daemon_.counts();
   const auto& p = daemon_.proposer().counts();
+  std::int64_t refused_messages = daemon_.proposer().refusals().total();
+  if (daemon_.acceptor() != nullptr)
+    refused_messages += daemon_.acceptor()->refusals().total();
   const auto& e = daemon_.election().counts();
   const auto& l = links_.counts();
   std::map<std::string, std::int64_t> counters{{"maps_published", c.maps_published},
@@ -438,6 +441,7 @@
                                                {"maps_fenced", c.maps_fenced},
                                                {"edits", daemon_.edit_counts().edits},
                                                {"edits_unknown", daemon_.edit_counts().unknown},
+                                               {"edits_doubled_ids", daemon_.edit_counts().doubled_ids},
                                                {"probes", daemon_.probes_made()},
                                                {"enrolled", daemon_.roster_counts().enrolled},
                                                {"ghosts_evicted", daemon_.roster_counts().dead_members_evicted},
@@ -449,6 +453,10 @@
                                                {"register_unknown", p.unknown},
                                                {"register_mended", p.mended},
                                                {"register_reads", p.reads},
+                                               {"register_deltas", p.deltas},
+                                               {"register_whole_values", p.whole_values},
+                                               {"register_value_bytes", p.value_bytes},
+                                               {"register_refused_messages", refused_messages},
                                                {"election_rounds", e.rounds},
                                                {"election_starved_rounds", e.starved},
                                                {"election_joins_failed", e.joins_failed},
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -6,13 +6,20 @@
 namespace emberdale {
 namespace {
 
-constexpr Span map_resend_pace{250};  // a map is sent again to one follower at most this often
+constexpr Span pause_span{1000};       // this long without a timer: the process was paused
+constexpr Span resume_patience{1000};  // how long it then waits for a majority of the register
+constexpr Span map_resend_pace{250};   // a map is sent again to one follower at most this often
 
 }  // namespace
 
 void ControlDaemon::on_message(const Address& from, const Message& message, Moment now) {
   ++counts_.messages_in;
+  notice_pause(now);
   hear_master(now);
+  if (answer_without_store(from, message)) {
+    collect(now);
+    return;
+  }
   if (acceptor_ && acceptor_->on_message(from, message, now)) {
     collect(now);
     return;
@@ -47,7 +54,8 @@
     known.heard = now;
     known.master = ping.master;
   }
-  if (!is_stopping_)
+  // A leaving daemon must not be ranked in an election; one that hands over still leads or follows.
+  if (!is_stopping_ || is_handing_over_)
     answer_ping(from, ping, now);
 }
 
@@ -62,6 +70,21 @@
   proposer_.learn_acceptors(answer.acceptors);
 }
 
+// A control daemon without a store says so, for a founder waits for the word of each seed. And a store outside the
+// set is not offered as a learner any more by a daemon that ends: it says nothing.
+bool ControlDaemon::answer_without_store(const Address& from, const Message& message) {
+  const auto* ask = std::get_if<ReadAsk>(&message);
+  if (ask == nullptr || !settings_.reconciles_membership)
+    return false;
+  if (acceptor_)
+    return is_stopping_ && !is_replica();
+  ReadAnswer answer;
+  answer.ask = ask->ask;
+  answer.blank = true;
+  out_.push_back({from, std::move(answer)});
+  return true;
+}
+
 void ControlDaemon::take_report(const InForce& report, Moment now) {
   Moment at{now.value - report.age};
   auto& entry = in_force_[report.daemon.address];
@@ -87,8 +110,8 @@
 }
 
 void ControlDaemon::handle(const Address&, const MapNews& news, Moment now) {
-  Integer term = proposer_.has_state() ? proposer_.state().term : 0;
-  if (news.map.version.term < term) {
+  // One that has just started asks the register first: until it has answered, any term might be over.
+  if (!proposer_.has_state() || news.map.version.term < proposer_.state().term) {
     ++counts_.maps_fenced;
   } else if (!election_.is_master() && map_.version < news.map.version) {
     // Without the table's rows, and they aren't here: the follow below says so, and the whole map comes.
@@ -106,7 +129,7 @@
 }
 
 void ControlDaemon::handle(const Address& from, const LeaseAsk& ask, Moment now) {
-  if (is_stopping_ || !lease_.may_grant_lease(now))
+  if ((is_stopping_ && !is_handing_over_) || !lease_.may_grant_lease(now))
     return;
   MapVersion minimum = std::max(edits_.attempted_minimum_version(), proposer_.state().minimum_version);
   out_.push_back({from, LeaseGrant{ask.ask, minimum}});
@@ -127,6 +150,13 @@
     out_.push_back({from, EditAnswer{ask.ask, 0, 0, "", ask.term}});
     return;
   }
+  if (is_bound_by_age(ask) && !edits_.knows(ask.change)) {
+    std::optional<Span> age = age_bound(ask, now);
+    if (!age || *age >= settings_.edit_times.asker_patience) {
+      out_.push_back({from, EditAnswer{ask.ask, 0, 0, "", ask.term, now.value}});
+      return;
+    }
+  }
   MasterEdits::Edit edit;
   edit.ask = ask;
   edit.from = from;
@@ -136,6 +166,7 @@
 void ControlDaemon::handle(const Address&, const EditAnswer& answer, Moment now) {
   if (auto ended = forwarder_.on_answer(answer, now))
     lift_hold(ended->hold, answer);
+  forward_edits(now);
 }
 
 void ControlDaemon::handle(const Address& from, const ViewAsk& ask, Moment now) {
@@ -178,11 +209,28 @@
   out_.push_back({from, std::move(answer)});
 }
 
+// A process that was paused knows nothing of what came meanwhile: it asks the register before it feeds subscribers or
+// publishes again. When no majority answers within a moment it goes on with what it has, and tells how old that is.
+void ControlDaemon::notice_pause(Moment now) {
+  if (now - active_at_ > pause_span) {
+    resumed_at_ = now;
+    poll_register(now);
+    resume_read_ = proposer_.last_read();
+    note(now, "resumed", "after " + std::to_string((now - active_at_).value) + " ms");
+  }
+  active_at_ = now;
+  slices_.set_held(is_resuming(now));
+}
+
+bool ControlDaemon::is_resuming(Moment now) const {
+  return proposer_.confirmed_read() < resume_read_ && now - resumed_at_ <= resume_patience;
+}
+
 void ControlDaemon::hear_master(Moment now) {
-  if (election_.is_master())
-    slices_.hear_master(now);
-  else if (election_.phase() == MasterElection::Phase::following)
-    slices_.hear_master(election_.master_heard());
+  if (!election_.is_master())
+    slices_.hear_master(election_.master_confirmed());
+  else if (map_.version.term == election_.term())
+    slices_.hear_master(election_.quorum_confirmed(now));
 }
 
 void ControlDaemon::synced(std::int64_t token, Moment now) {
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -6,12 +6,14 @@
 namespace emberdale {
 namespace {
 
-constexpr Span poll_pace{350};
+constexpr Span read_patience{2000}, poll_pace{350};
 
 }  // namespace
 
 void ControlDaemon::edit(EditAsk ask, std::function<void(const EditAnswer&)> done, Moment now) {
   ask.ask = ++last_ask_;
+  if (auto refusal = refusal_at_arrival(ask, now))
+    return done(EditAnswer{ask.ask, 503, 0, reason_body(*refusal, "refused"), 0});
   PassedHold hold = hold_of(ask, version_of(ask), now);
   if (election_.is_master()) {
     MasterEdits::Edit edit;
@@ -21,8 +23,6 @@
     edit.hold = std::move(hold);
     edits_.take(std::move(edit), now);
     run_edits(now);
-  } else if (!proposer_.has_state()) {
-    return done(EditAnswer{ask.ask, 503, 0, reason_body("no register is known here", "refused"), 0});
   } else {
     forwarder_.take(std::move(ask), std::move(done), std::move(hold), now);
     forward_edits(now);
@@ -30,13 +30,25 @@
   collect(now);
 }
 
+std::optional<std::string> ControlDaemon::refusal_at_arrival(const EditAsk& ask, Moment now) const {
+  if (is_stopping_)
+    return "this daemon stops";
+  if (!proposer_.has_state())
+    return "no register is known here";
+  if (is_out_of_contact(now))
+    return "no majority of the register answers here";
+  if (is_bound_by_age(ask) && pauses_.may_read_old_requests(now, proposer_.reached_at()))
+    return "this daemon did not run for a while: the request may be old";
+  return std::nullopt;
+}
+
 // Hands what was taken in here to the master; without one it waits a while for the next. The same change,
 // handed to a second master after the first was lost, counts once.
 void ControlDaemon::forward_edits(Moment now) {
   if (forwarder_.waiting().empty() || !proposer_.has_state())
     return;
   if (election_.is_master()) {
-    for (auto& waiting : forwarder_.take_back()) {
+    for (auto& waiting : forwarder_.take_back(now)) {
       MasterEdits::Edit edit;
       edit.ask = std::move(waiting.ask);
       edit.ask.term = election_.term();
@@ -47,13 +59,21 @@
     }
     return run_edits(now);
   }
-  Address master = election_.master().empty() ? proposer_.state().master : election_.master();
+  Address master = leader_to_send_to();
   if (master == settings_.self.address)
     return;
-  for (auto& sending : forwarder_.send(master, std::max(proposer_.state().term, election_.term()), now))
+  Integer term = std::max(proposer_.state().term, election_.term());
+  for (auto& sending : forwarder_.send(master, term, now, election_.master_stamp(term)))
     out_.push_back(std::move(sending));
 }
 
+// A copy that goes to a leader that is gone makes a refusal unknown: where operators are told early, a leader that is
+// only named in the register is not tried.
+Address ControlDaemon::leader_to_send_to() const {
+  bool is_leader_tried = !is_edge() || !settings_.edit_times.contact_limit;
+  return election_.master().empty() && is_leader_tried ? proposer_.state().master : election_.master();
+}
+
 // "We were told": while an edit that takes a runner or a zone out of work is not settled (no master leads, the
 // core does not answer), every data daemon hears of it all the same. That only ever takes work away, and
 // lapses by itself; a refusal lifts it; the map settles it.
@@ -133,16 +153,51 @@
 }
 
 void ControlDaemon::read(std::function<void(const FleetState*)> done, Moment now) {
+  if (is_stopping_ || is_out_of_contact(now))
+    return done(nullptr);
   Waiting waiting;
-  waiting.since = now;
-  waiting.deadline = now + Span{2000};
+  waiting.deadline = now + std::min(read_patience, settings_.edit_times.asker_patience);
   waiting.read = std::move(done);
   waiting_[++last_ask_] = std::move(waiting);
-  poll_next_ = now + poll_pace;
-  proposer_.poll(now, settings_.self.role, false);
+  poll_for_reads(now);
   collect(now);
 }
 
+// One question serves all reads that came before it. While it is in flight those that come later wait for the next:
+// a question of their own would take its place, and many reads a second would leave none answered.
+void ControlDaemon::poll_for_reads(Moment now) {
+  bool is_any_unasked = std::any_of(waiting_.begin(), waiting_.end(), [](const auto& entry) {
+    return entry.second.read && entry.second.begun_read == 0;
+  });
+  if (is_any_unasked && !proposer_.is_reading(now))
+    poll_register(now);
+}
+
+void ControlDaemon::poll_register(Moment now) {
+  poll_next_ = now + poll_pace;
+  bool wants_heard = is_edge() && (election_.starved_rounds() > 0 || election_.is_master() || is_leaderless());
+  std::int64_t number = proposer_.poll(now, settings_.self.role, wants_heard);
+  for (auto& [ask, waiting] : waiting_)
+    if (waiting.read && waiting.begun_read == 0)
+      waiting.begun_read = number;
+}
+
+// An answer that comes after the deadline is none: this process may have been paused, and its asker is gone.
+void ControlDaemon::answer_reads(Moment now) {
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    const Waiting& waiting = entry->second;
+    bool is_confirmed = waiting.begun_read != 0 && waiting.begun_read <= proposer_.confirmed_read();
+    if (!waiting.read || !is_confirmed || waiting.deadline <= now) {
+      ++entry;
+      continue;
+    }
+    auto done = std::move(entry->second.read);
+    entry = waiting_.erase(entry);
+    done(&proposer_.state());
+  }
+  poll_for_reads(now);
+}
+
 void ControlDaemon::view(std::function<void(const ViewAnswer&)> done, Moment now) {
   Address master = election_.master();
   if (master.empty() && proposer_.has_state())
@@ -183,7 +238,6 @@
     bool is_wanted = order.wants_window(wall_seconds_);
     if (is_wanted == order.is_window_open)
       continue;
-    window_next_ = now + Span{10000};
     EditAsk ask;
     ask.change = "window-" + order.zone.text + "-" + std::to_string(proposer_.state().version) + "-" +
                  std::to_string(wall_seconds_);
@@ -192,6 +246,9 @@
     ask.name = order.zone.text;
     ask.expected = -1;
     ask.body = is_wanted ? R"({"window_open":true})" : R"({"window_open":false})";
+    if (refusal_at_arrival(ask, now))
+      return;  // the next timer tries again
+    window_next_ = now + Span{10000};
     note(now, "window", order.zone.text + (is_wanted ? " opens" : " closes"));
     edit(
         ask, [](const EditAnswer&) {}, now);
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -45,8 +45,8 @@
 #define EMBERDALE_RESOURCE(F) F(Text, kind) F(Text, name) F(Integer, version) F(Integer, config_revision) F(Text, body)
 EMBERDALE_RECORD(Resource, EMBERDALE_RESOURCE)  // kind: "serving-plans", "zone-orders", "runners"
 
-#define EMBERDALE_DONE_CHANGE(F) F(Text, change) F(Integer, version) F(Integer, config_revision)
-EMBERDALE_RECORD(DoneChange, EMBERDALE_DONE_CHANGE)
+#define EMBERDALE_DONE_CHANGE(F) F(Text, change) F(Integer, version) F(Integer, config_revision) F(Bytes, digest)
+EMBERDALE_RECORD(DoneChange, EMBERDALE_DONE_CHANGE)  // digest: of what was asked; empty in those of earlier versions
 
 #define EMBERDALE_FLEET_STATE(F)           \
   F(Text, fleet)                           \
@@ -116,24 +116,28 @@
 #define EMBERDALE_PROMISE(F) \
   F(Integer, ask) F(StoreId, store) F(bool, granted) F(Ballot, promised) F(Ballot, accepted) F(Bytes, value)
 EMBERDALE_RECORD(Promise, EMBERDALE_PROMISE)
-#define EMBERDALE_ACCEPT(F) F(Integer, ask) F(StoreId, store) F(Ballot, ballot) F(Bytes, value)
-EMBERDALE_RECORD(Accept, EMBERDALE_ACCEPT)
-#define EMBERDALE_ACCEPTED(F) F(Integer, ask) F(StoreId, store) F(bool, granted) F(Ballot, promised)
-EMBERDALE_RECORD(Accepted, EMBERDALE_ACCEPTED)
+#define EMBERDALE_ACCEPT(F) \
+  F(Integer, ask) F(StoreId, store) F(Ballot, ballot) F(Bytes, value) F(Ballot, base) F(Bytes, digest)
+EMBERDALE_RECORD(Accept, EMBERDALE_ACCEPT)  // base: value is a delta against the value of that ballot, and digest the
+                                            // SHA-256 of the whole one
+#define EMBERDALE_ACCEPTED(F) \
+  F(Integer, ask) F(StoreId, store) F(bool, granted) F(Ballot, promised) F(bool, needs_whole)
+EMBERDALE_RECORD(Accepted, EMBERDALE_ACCEPTED)  // needs_whole: not granted, as the base of the delta is not held here
 #define EMBERDALE_READ_ASK(F) F(Integer, ask) F(Text, role) F(Ballot, known) F(bool, wants_heard) F(bool, lean)
 EMBERDALE_RECORD(ReadAsk, EMBERDALE_READ_ASK)  // lean: ballots alone, no value
 #define EMBERDALE_HEARD(F) F(Address, daemon) F(Integer, age)
 EMBERDALE_RECORD(Heard, EMBERDALE_HEARD)
-#define EMBERDALE_READ_ANSWER(F)           \
-  F(Integer, ask)                          \
-  F(StoreId, store)                        \
-  F(bool, blank)                           \
-  F(Ballot, accepted)                      \
-  F(Bytes, value)                          \
-  F(MapVersion, minimum_version)           \
-  F(std::vector<AcceptorEntry>, acceptors) \
-  F(std::vector<AcceptorEntry>, next_acceptors) F(std::vector<Heard>, heard) F(Integer, awake)
-EMBERDALE_RECORD(ReadAnswer, EMBERDALE_READ_ANSWER)
+#define EMBERDALE_READ_ANSWER(F)                \
+  F(Integer, ask)                               \
+  F(StoreId, store)                             \
+  F(bool, blank)                                \
+  F(Ballot, accepted)                           \
+  F(Bytes, value)                               \
+  F(MapVersion, minimum_version)                \
+  F(std::vector<AcceptorEntry>, acceptors)      \
+  F(std::vector<AcceptorEntry>, next_acceptors) \
+  F(std::vector<Heard>, heard) F(Integer, awake) F(Ballot, base) F(Bytes, digest)
+EMBERDALE_RECORD(ReadAnswer, EMBERDALE_READ_ANSWER)  // base and digest: as of Accept
 #define EMBERDALE_FOUND(F) F(Integer, ask) F(StoreId, store) F(Bytes, value)
 EMBERDALE_RECORD(Found, EMBERDALE_FOUND)
 #define EMBERDALE_FOUND_ANSWER(F) F(Integer, ask) F(StoreId, store) F(bool, granted) F(Text, reason)
@@ -169,13 +173,26 @@
   F(DaemonEntry, daemon)      \
   F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving) F(Integer, age)
 EMBERDALE_RECORD(InForce, EMBERDALE_IN_FORCE)
-#define EMBERDALE_FOLLOW(F)   \
-  F(DaemonEntry, sender)      \
-  F(Integer, term)            \
-  F(Integer, acknowledgement) \
-  F(MapVersion, version) F(Integer, traffic_of) F(std::vector<RunnerStatus>, statuses) F(std::vector<InForce>, in_force)
+#define EMBERDALE_FOLLOW(F)              \
+  F(DaemonEntry, sender)                 \
+  F(Integer, term)                       \
+  F(Integer, acknowledgement)            \
+  F(MapVersion, version)                 \
+  F(Integer, traffic_of)                 \
+  F(std::vector<RunnerStatus>, statuses) \
+  F(std::vector<InForce>, in_force)      \
+  F(Integer, stamp)                      \
+  F(Integer, sent)
+// stamp: the newest of its master's clock that the follower has seen in this term; sent: the follower's own clock
 EMBERDALE_RECORD(Follow, EMBERDALE_FOLLOW)
-#define EMBERDALE_FOLLOW_ANSWER(F) F(Integer, term) F(bool, master) F(MapVersion, version) F(Integer, stamp)
+#define EMBERDALE_FOLLOW_ANSWER(F) \
+  F(Integer, term)                 \
+  F(bool, master)                  \
+  F(MapVersion, version)           \
+  F(Integer, stamp)                \
+  F(Integer, follow_sent)          \
+  F(Integer, quorum_age)
+// follow_sent: of the Follow that this answers; quorum_age: since a quorum surely followed this master, ms
 EMBERDALE_RECORD(FollowAnswer, EMBERDALE_FOLLOW_ANSWER)
 
 #define EMBERDALE_TOPIC_KNOWN(F) F(Text, topic) F(MapVersion, version)
@@ -183,14 +200,25 @@
 #define EMBERDALE_SUBSCRIBE(F)       \
   F(DaemonEntry, sender)             \
   F(std::vector<TopicKnown>, topics) \
-  F(MapVersion, version) F(Integer, config_revision) F(bool, granted) F(bool, leaving)
-EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)
-#define EMBERDALE_SLICE_NEWS(F) \
-  F(Text, topic)                \
-  F(MapVersion, version)        \
-  F(Integer, config_revision)   \
-  F(bool, whole) F(MapVersion, base) F(Integer, age) F(std::vector<SliceRow>, rows) F(std::vector<Text>, gone)
-EMBERDALE_RECORD(SliceNews, EMBERDALE_SLICE_NEWS)  // age: since the home last heard its master, ms
+  F(MapVersion, version)             \
+  F(Integer, config_revision)        \
+  F(bool, granted)                   \
+  F(bool, leaving)                   \
+  F(Integer, stamp)
+EMBERDALE_RECORD(Subscribe, EMBERDALE_SUBSCRIBE)  // stamp: the subscriber's own clock
+#define EMBERDALE_SLICE_NEWS(F)  \
+  F(Text, topic)                 \
+  F(MapVersion, version)         \
+  F(Integer, config_revision)    \
+  F(bool, whole)                 \
+  F(MapVersion, base)            \
+  F(Integer, age)                \
+  F(std::vector<SliceRow>, rows) \
+  F(std::vector<Text>, gone)     \
+  F(Integer, stamp)
+// stamp: of the newest Subscribe that had come when this was composed; age: at that time, since a quorum surely
+// followed the master, ms
+EMBERDALE_RECORD(SliceNews, EMBERDALE_SLICE_NEWS)
 
 // --- the second source of grants ---------------------------------------------------------------
 #define EMBERDALE_LEASE_ASK(F) F(Integer, ask)
@@ -205,11 +233,17 @@
 // --- operators' acts on their way to the master ----------------------------------------------
 #define EMBERDALE_EDIT_ASK(F) \
   F(Integer, ask)             \
-  F(Text, change) F(Text, act) F(Text, kind) F(Text, name) F(Integer, expected) F(Text, body) F(Integer, term)
+  F(Text, change)             \
+  F(Text, act)                \
+  F(Text, kind) F(Text, name) F(Integer, expected) F(Text, body) F(Integer, term) F(Integer, age) F(Integer, stamp)
 EMBERDALE_RECORD(EditAsk, EMBERDALE_EDIT_ASK)  // expected: -1 any, 0 must not exist;
-                                               // term: for the master of this term alone
-#define EMBERDALE_EDIT_ANSWER(F) F(Integer, ask) F(Integer, code) F(Integer, version) F(Text, body) F(Integer, term)
-EMBERDALE_RECORD(EditAnswer, EMBERDALE_EDIT_ANSWER)
+                                               // term: for the master of this term alone;
+                                               // age: ms since the sender took the edit in; stamp: the newest that
+                                               // the sender has of that master's clock in that term, 0: none
+#define EMBERDALE_EDIT_ANSWER(F) \
+  F(Integer, ask) F(Integer, code) F(Integer, version) F(Text, body) F(Integer, term) F(Integer, stamp)
+EMBERDALE_RECORD(EditAnswer, EMBERDALE_EDIT_ANSWER)  // code 0: this copy does nothing; with the stamp of a master's
+                                                     // clock: send it again with that stamp if it is young enough
 #define EMBERDALE_VIEW_ASK(F) F(Integer, ask)
 EMBERDALE_RECORD(ViewAsk, EMBERDALE_VIEW_ASK)
 #define EMBERDALE_VIEW_ANSWER(F) \
--- a/packages/model-checker/src/state_inspector.cpp
+++ b/packages/model-checker/src/state_inspector.cpp
@@ -30,28 +30,38 @@
   if (proposer.current_) {
     const auto& round = *proposer.current_;
     std::int64_t left = (round.job.deadline - clock).value;
-    own.add(static_cast<std::uint64_t>(round.phase)).add(round.ballot).add(round.highest).add(round.value.data);
-    // What is proposed follows from the value found and the job.
+    own.add(static_cast<std::uint64_t>(round.phase))
+        .add(round.ballot)
+        .add(round.highest)
+        .add(encode_state(round.found));
+    if (round.phase == RegisterProposer::Round::Phase::accepting)
+      own.add(encode_state(round.proposed));
     own.add(round.is_carrying ? 1 : 0).add(round.job.was_accept_sent ? 1 : 0).add(round.job.done ? 1 : 0);
     own.add(static_cast<std::uint64_t>(std::min(left, far_off))).add(static_cast<std::uint64_t>(round.end.kind));
     for (const auto& ballot : round.seen)
       own.add(ballot);
     for (const auto& store : round.granted)
       each[place(store)].add(1).add(life_of(store));
+    for (const auto& [store, ballot] : round.held)
+      each[place(store)].add(4).add(life_of(store)).add(ballot);
+    for (const auto& store : round.asked)
+      each[place(store)].add(3).add(life_of(store));
   }
   own.add(proposer.read_ ? 1 : 0);
   if (proposer.read_) {
     const auto& read = *proposer.read_;
     own.add(read.highest).add(read.begun == proposer.confirmed_at_ ? 1 : 0);
+    own.add(read.ask == proposer.confirmed_read_ ? 1 : 0).add(read.is_over ? 1 : 0);
     if (!is_symmetric) {
       add_set(own, read.acceptors);
       add_set(own, read.next);
     }
     for (const auto& [store, ballot] : read.answers)
       each[place(store)].add(2).add(life_of(store)).add(ballot);
-    for (const auto& [ballot, value] : proposer.read_values_)
-      own.add(ballot).add(value.data);
   }
+  own.add(proposer.wants_whole_ ? 1 : 0);
+  for (const auto& [ballot, state] : proposer.read_states_)
+    own.add(ballot).add(encode_state(state));
   ProposerPrint result;
   result.own = own.value();
   for (const auto& print : each)
@@ -63,6 +73,7 @@
   Fingerprint print;
   for (const auto* record : {&acceptor.ahead_, &acceptor.synced_})
     print.add(record->promised).add(record->accepted).add(record->value.data);
+  print.add(acceptor.previous_ballot_);
   for (const auto& held : acceptor.held_)
     print.add(held.after.promised).add(held.after.accepted).add(held.answer.to.text).add(held.answer.message.index());
   return print.value();
