--- a/packages/data-plane/tests/support/fuzz_cases.cpp
+++ b/packages/data-plane/tests/support/fuzz_cases.cpp
@@ -19,9 +19,7 @@
                                             {1, range(RunnerAct::silence, RunnerAct::silence_then_answer)}});
 }
 
-}  // namespace
-
-rc::Gen<CallPlan> any_plan() {
+rc::Gen<CallPlan> plan_of_any_kind() {
   auto acts = rc::gen::mapcat(rc::gen::inRange<std::size_t>(1, 4), [](std::size_t count) {
     return rc::gen::container<std::vector<RunnerAct>>(count, any_act());
   });
@@ -35,6 +33,23 @@
       rc::gen::set(&CallPlan::acts, acts));
 }
 
+// A stream that breaks off after its first events and may go on elsewhere; chance alone makes these too seldom.
+rc::Gen<CallPlan> resumed_plan() {
+  return rc::gen::map(plan_of_any_kind(), [](CallPlan plan) {
+    plan.route = CallRoute::resume;
+    plan.events = 4 + plan.events;
+    plan.cut = 400 + plan.cut / 2;
+    plan.acts.insert(plan.acts.begin(), RunnerAct::close_within_body);
+    return plan;
+  });
+}
+
+}  // namespace
+
+rc::Gen<CallPlan> any_plan() {
+  return rc::gen::weightedOneOf<CallPlan>({{7, plan_of_any_kind()}, {1, resumed_plan()}});
+}
+
 bool set_up_rapidcheck(int default_cases) {
   const char* given = std::getenv("RC_PARAMS");
   const char* cases = std::getenv("EMBERDALE_FUZZ_CASES");
