--- a/packages/model-checker/src/fleet_walk.cpp
+++ b/packages/model-checker/src/fleet_walk.cpp
@@ -71,6 +71,7 @@
 }
 
 void FleetWalk::World::found() {
+  fleet.edit_times.asker_patience = fleet.edit_times.leader_wait = scenario.asker_patience;
   names = fleet.add_many(scenario.machines);
   for (const auto& name : names)
     start(name, true);
@@ -212,7 +213,8 @@
   };
   for (const auto& older : edits)
     for (const auto& newer : edits) {
-      bool is_pair = older.is_order && newer.is_order && older.asked < newer.asked;
+      bool is_given_up = newer.asked - older.asked >= scenario.gives_up_after.value;
+      bool is_pair = older.is_order && newer.is_order && older.asked < newer.asked && is_given_up;
       if (!is_pair || !older.first_seen || !newer.acknowledged || place(older) < place(newer))
         continue;
       if (*newer.acknowledged < *older.first_seen)
--- a/packages/model-checker/tests/fleet_walk_test.cpp
+++ b/packages/model-checker/tests/fleet_walk_test.cpp
@@ -58,3 +58,15 @@
   scenario.seed = result.seed;
   EXPECT_EQ(tell(scenario, result.violation->choices).back(), "VIOLATION: " + result.violation->reason);
 }
+
+// With daemons that keep an order for less long than its asker waits, none of the same walks finds it, nor do walks
+// with every kind of fault.
+TEST(FleetWalk, AnOrderDiesBeforeItsAskerGivesUp) {
+  FleetScenario scenario = orders_and_cuts();
+  scenario.gives_up_after = Span{1000};
+  EXPECT_TRUE(walk_fleets(scenario, 200).violation);
+  scenario.asker_patience = Span{800};
+  expect_sound(scenario, walk_fleets(scenario, 200));
+  scenario.left_out.clear();
+  expect_sound(scenario, walk_fleets(scenario, 100));
+}
