--- a/packages/data-plane/tests/support/faulty_runner.cpp
+++ b/packages/data-plane/tests/support/faulty_runner.cpp
@@ -64,7 +64,7 @@
     bool repeats_last = last_seen > 0 && plan.cut % 2 == 1;  // some runners begin with the event that was seen
     std::string events = events_text(request.call_id, repeats_last ? last_seen : last_seen + 1, plan.events);
     return in_chunks("Content-Type: text/event-stream\r\n" + headers, events,
-                     static_cast<std::size_t>(7 + plan.cut / 10));
+                     std::size_t{7} + static_cast<std::size_t>(plan.cut / 10));
   }
   std::string body = answer_body(request.call_id, run.number);
   if (run.act == RunnerAct::answer_chunked)
