--- a/packages/history-checker/src/history_minimizer.cpp
+++ b/packages/history-checker/src/history_minimizer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace emberdale::history {
 namespace {
@@ -149,7 +150,7 @@
     return true;
   };
   while (any_reduction(history, take_if_failing))
-    history = std::move(smaller);
+    history = std::exchange(smaller, SmallHistory{});
   std::stable_sort(history.operations.begin(), history.operations.end(),
                    [](const Operation& a, const Operation& b) { return a.invoked_at < b.invoked_at; });
   return history;
