Both operators' clients read their documents by one function

Cause: platform/client.cpp and operator-client each had the same reader of a file or of standard input. Change: read_file_text in program-settings; nothing else moves, and the programs of the deploy build don't use it. The configuration checker's own reader stays: there "-" is a file's name. The pause detector of edits and the one of reads were left apart: their bounds differ (200 ms, 1 s).

--- a/packages/operator-client/src/main.cpp
+++ b/packages/operator-client/src/main.cpp
@@ -4,12 +4,12 @@
 #include <pplx/threadpool.h>
 
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
 
+#include "emberdale/file_text.hpp"
 #include "emberdale/maintenance_windows.hpp"
 #include "emberdale/peer_connections.hpp"
 #include "emberdale/serving_plans.hpp"
@@ -164,19 +164,6 @@
   std::string used_;
 };
 
-std::optional<std::string> read_file(const std::string& name) {
-  std::stringstream text;
-  if (name == "-") {
-    text << std::cin.rdbuf();
-    return text.str();
-  }
-  std::ifstream stream(name);
-  if (!stream)
-    return std::nullopt;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 int show(const Answer& answer) {
   Json body = Json::parse(answer.body, nullptr, false);
   bool is_good = answer.code >= 200 && answer.code < 300;
@@ -228,7 +215,7 @@
   std::string method, body;
   if (flag("put") || flag("patch")) {
     method = flag("put") ? "PUT" : "PATCH";
-    auto content = read_file(text("FILE"));
+    auto content = emberdale::read_file_text(text("FILE"));
     if (!content) {
       std::cerr << text("FILE") << " can't be read\n";
       return 2;
@@ -256,7 +243,7 @@
     return client.watch(kind, name, true, done.value("version", 0), seconds);
   }
   if (flag("import-windows")) {
-    auto content = read_file(text("FILE"));
+    auto content = emberdale::read_file_text(text("FILE"));
     if (!content) {
       std::cerr << text("FILE") << " can't be read\n";
       return 2;
