--- /dev/null
+++ b/packages/invariants/tests/runner_list_freshness_test.cpp
@@ -0,0 +1,97 @@
+// Time moves in steps of 100 ms. Each sound history has a broken twin.
+#include "emberdale/runner_list_freshness.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace emberdale;
+
+namespace {
+
+class RunnerListFreshnessTest : public testing::Test {
+ protected:
+  std::int64_t violations() const { return counters.violations(Invariant::runner_list_fresh); }
+  std::int64_t checks() const { return counters.checks(Invariant::runner_list_fresh); }
+  void run_timers(Duration duration, bool may_read = true) {
+    for (Duration step{0}; step < duration; step.value += timer_interval.value) {
+      now = now + timer_interval;
+      freshness.on_timer(may_read, now);
+    }
+  }
+  void read() {
+    freshness.on_reading_begun(now);
+    freshness.on_reading_ended(true, now);
+  }
+
+  static constexpr Duration timer_interval{100};
+  InvariantCounters counters;
+  RunnerListFreshness freshness{counters};
+  TimePoint now{1000};
+};
+
+}  // namespace
+
+TEST_F(RunnerListFreshnessTest, ReadingsWithinTheBoundAreSound) {
+  read();
+  run_timers(Duration{900});
+  read();
+  run_timers(Duration{3000});
+  read();
+  EXPECT_EQ(violations(), 0);
+  EXPECT_EQ(checks(), 2);
+}
+
+TEST_F(RunnerListFreshnessTest, AMasterThatStopsReadingIsAViolationCountedOnce) {
+  read();
+  run_timers(Duration{9000});
+  EXPECT_EQ(violations(), 1);
+  read();
+  EXPECT_EQ(checks(), 1);
+  run_timers(Duration{3100});
+  EXPECT_EQ(violations(), 2);
+}
+
+TEST_F(RunnerListFreshnessTest, ADaemonThatMayNotReadIsExcused) {
+  read();
+  run_timers(Duration{200}, false);
+  run_timers(Duration{9000});
+  EXPECT_EQ(violations(), 0);
+  read();  // from here on it is bound again
+  run_timers(Duration{3100});
+  EXPECT_EQ(violations(), 1);
+}
+
+TEST_F(RunnerListFreshnessTest, AFailedReadingExcusesTheInterval) {
+  read();
+  run_timers(Duration{900});
+  freshness.on_reading_begun(now);
+  freshness.on_reading_ended(false, now);
+  run_timers(Duration{9000});
+  read();
+  EXPECT_EQ(violations(), 0);
+}
+
+TEST_F(RunnerListFreshnessTest, AnUnansweredReadingExcusesTheInterval) {
+  read();
+  run_timers(Duration{900});
+  freshness.on_reading_begun(now);
+  run_timers(Duration{9000});
+  EXPECT_EQ(violations(), 0);
+}
+
+TEST_F(RunnerListFreshnessTest, ASuspendedProcessIsExcused) {
+  read();
+  run_timers(Duration{900});
+  now = now + Duration{8000};
+  run_timers(Duration{200});
+  read();
+  EXPECT_EQ(violations(), 0);
+}
+
+TEST_F(RunnerListFreshnessTest, TheAgeCountsFromTheLastCompleteReading) {
+  EXPECT_FALSE(freshness.age(now));
+  read();
+  run_timers(Duration{400});
+  freshness.on_reading_begun(now);
+  freshness.on_reading_ended(false, now);
+  EXPECT_EQ(freshness.age(now), Duration{400});
+}
