The dispatchers check their invariants at each attempt; one is violated

try_send of RouteDispatcher and CallDispatcher reports each attempt: to a runner that the sender's view shows in service, within the route's number of attempts, before the deadline of the call. Nothing else changes: both digests are equal.

Found: CallDispatcher sends after the deadline. RouteDispatcher has the same way in (admit_awaiting_view, for deadlines below 150 ms); none of its tests reaches it.

Measured: route-dispatcher-test, route-dispatcher-digest-test and call-matching-test pass, the last with the checks counted for each attempt.

--- a/packages/call-matching/include/emberdale/call_dispatcher.hpp
+++ b/packages/call-matching/include/emberdale/call_dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/attempt_invariants.hpp"
 #include "emberdale/lease_manager.hpp"
 #include "emberdale/pool.hpp"
 #include "emberdale/retry_budget.hpp"
@@ -218,6 +219,8 @@
   std::vector<CallAttempt> attempts_;
   std::vector<FinalResponse> final_responses_;
   Counts counts_;
+  SendsToLeavingRunnerInvariant leaving_runner_invariant_;
+  AttemptBudgetInvariant attempt_budget_invariant_;
 };
 
 }  // namespace emberdale
--- a/packages/call-matching/src/call_dispatcher.cpp
+++ b/packages/call-matching/src/call_dispatcher.cpp
@@ -49,6 +49,8 @@
   auto runner = select_endpoint(call, *plan, now, is_spill);
   if (!runner)
     return false;
+  leaving_runner_invariant_.on_attempt_started(call.index, *runner, view_->runners, now);
+  attempt_budget_invariant_.on_attempt_started(call.index, call.deadline, now);
   const RunnerRow& row = view_->runners.at(*runner);
   ++endpoints_[*runner].in_flight;
   PlanLoad& load = plan_loads_[plan->name];
--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -136,6 +136,23 @@
   EXPECT_GT(finals[0].retry_after.value, 0);
 }
 
+// That none of them was violated, the test program itself checks after each test.
+TEST(CallDispatcher, ChecksItsInvariantsAtEachAttempt) {
+  auto checks = [](Invariant invariant) {
+    return process_invariants().checks(invariant);
+  };
+  std::int64_t checks_before = checks(Invariant::no_attempt_to_unavailable_runner);
+  std::int64_t deadline_checks_before = checks(Invariant::no_attempt_after_deadline);
+  CallDispatcher dispatcher(here());
+  dispatcher.set_grant(always);
+  dispatcher.update_view(view_with(2, ""), TimePoint{0});
+  for (CallIndex i = 1; i <= 3; ++i)
+    EXPECT_FALSE(dispatcher.admit(call("c" + std::to_string(i)), TimePoint{0}, i));
+  EXPECT_EQ(dispatcher.drain_attempts().size(), 3u);
+  EXPECT_EQ(checks(Invariant::no_attempt_to_unavailable_runner) - checks_before, 3);
+  EXPECT_EQ(checks(Invariant::no_attempt_after_deadline) - deadline_checks_before, 3);
+}
+
 TEST(CallDispatcher, TheSamePrefixGoesToTheSameRunnerUntilThatOneIsLoaded) {
   CallDispatcher dispatcher(here());
   dispatcher.set_grant(always);
--- a/packages/call-routing/include/emberdale/route_dispatcher.hpp
+++ b/packages/call-routing/include/emberdale/route_dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/attempt_invariants.hpp"
 #include "emberdale/call_dispatcher.hpp"
 #include "emberdale/endpoint_selector.hpp"
 #include "emberdale/endpoint_state.hpp"
@@ -174,6 +175,7 @@
   // Attempts and their ends: route_dispatcher.cpp
   std::optional<RunnerName> select_endpoint(const Call& call, TimePoint now);
   bool try_send(Call& call, TimePoint now);
+  void check_attempt(const Call& call, TimePoint now);
   void release_endpoint(Call& call);
   Call* find_attempt(CallIndex index, int attempt_number);
   void on_not_sent(Call& call, const RoutedAttemptResult& result, TimePoint now);
@@ -204,6 +206,8 @@
   std::vector<AttemptCancellation> cancellations_;
   std::vector<FinalResponse> final_responses_;
   Counts counts_;
+  SendsToLeavingRunnerInvariant leaving_runner_invariant_;
+  AttemptBudgetInvariant attempt_budget_invariant_;
 };
 
 }  // namespace emberdale
--- a/packages/call-routing/src/route_dispatcher.cpp
+++ b/packages/call-routing/src/route_dispatcher.cpp
@@ -11,6 +11,8 @@
 constexpr Duration unreachable_ejection_time{1500}, refused_connection_ejection_time{700}, reset_ejection_time{250},
     wrong_incarnation_ejection_time{4000}, full_ejection_time{60};
 
+std::int64_t max_attempts(const Route& route) { return std::max<std::int64_t>(1, route.max_sends); }
+
 }  // namespace
 
 RouteDispatcher::RouteDispatcher(RouteDispatcherSettings settings)
@@ -52,6 +54,7 @@
   call.is_sent = true;
   call.last_received_at = now;
   ++call.attempt_number;
+  check_attempt(call, now);
   counts_.read_tokens += call.uncached_tokens;
   counts_.kept_tokens += call.selection.tokens_in - std::min(call.selection.tokens_in, call.uncached_tokens);
   if (row.state == RunnerState::warming_up)
@@ -66,6 +69,13 @@
   return true;
 }
 
+// Counts what must hold of the attempt that starts; changes nothing else.
+void RouteDispatcher::check_attempt(const Call& call, TimePoint now) {
+  AttemptBudget budget{call.attempt_number - call.unsent_attempts, max_attempts(*call.route), call.deadline};
+  leaving_runner_invariant_.on_attempt_started(call.index, call.runner, view_->runners, now);
+  attempt_budget_invariant_.on_attempt_started(call.index, budget, now);
+}
+
 void RouteDispatcher::release_endpoint(Call& call) {
   if (!call.is_sent)
     return;
@@ -167,8 +177,7 @@
 
 // True if the route, the deadline and the retry budget allow one more attempt.
 bool RouteDispatcher::may_retry(const Call& call, TimePoint now) {
-  std::int64_t max_attempts = std::max<std::int64_t>(1, call.route->max_sends);
-  if (call.attempt_number - call.unsent_attempts >= max_attempts || now >= call.deadline)
+  if (call.attempt_number - call.unsent_attempts >= max_attempts(*call.route) || now >= call.deadline)
     return false;
   if (!retry_budget(call.selection.pool).allows_retry()) {
     ++counts_.resend_denied;
--- a/packages/call-routing/tests/route_dispatcher_test.cpp
+++ b/packages/call-routing/tests/route_dispatcher_test.cpp
@@ -187,6 +187,24 @@
 
 // --- match -------------------------------------------------------------------------------------------
 
+// That none of them was violated, the test program itself checks after each test.
+TEST(RouteDispatcher, ChecksItsInvariantsAtEachAttempt) {
+  constexpr Invariant checked[] = {Invariant::no_attempt_to_unavailable_runner, Invariant::attempts_within_limit,
+                                   Invariant::no_attempt_after_deadline};
+  std::map<Invariant, std::int64_t> before;
+  for (Invariant invariant : checked)
+    before[invariant] = process_invariants().checks(invariant);
+  Bench bench;
+  bench.update_view(two_north);
+  ASSERT_FALSE(bench.arrive("free", 1));
+  auto first = bench.sent();
+  ASSERT_TRUE(first);
+  bench.end(*first, RoutedAttemptOutcome::lost);
+  ASSERT_TRUE(bench.sent());  // the retry
+  for (Invariant invariant : checked)
+    EXPECT_EQ(process_invariants().checks(invariant) - before[invariant], 2) << to_string(invariant);
+}
+
 TEST(RouteDispatcher, HomesAreNeverLeft) {
   Bench bench;
   bench.update_view({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("s1", "south")});
