The master checks how fresh its list of runners is

RunnerListFreshness hooks into begin_list_read and on_runner_list: an interval above 3 s between complete readings is a violation at a daemon that leads and may read, unless a reading failed or took above 1 s, or the process was suspended. The age of the list is given out for metrics.

--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -34,6 +34,7 @@
 #include "emberdale/resume_barrier.hpp"
 #include "emberdale/runner_health_monitor.hpp"
 #include "emberdale/runner_list.hpp"
+#include "emberdale/runner_list_freshness.hpp"
 #include "emberdale/serving_plans.hpp"
 #include "emberdale/warmup_allocator.hpp"
 #include "emberdale/window_scheduler.hpp"
@@ -97,8 +98,14 @@
   // --- service discovery ------------------------------------------------------------------------
   // True when the list of runners is to be read now, at the master alone. The read counts as begun.
   bool begin_list_read(TimePoint now) {
-    return settings_.reads_runner_list && may_read_list(now) && runner_list_.is_read_due(now);
+    bool may_read = settings_.reads_runner_list && list_freshness_.on_timer(may_read_list(now), now);
+    bool is_due = may_read && runner_list_.is_read_due(now);
+    if (is_due)
+      list_freshness_.on_reading_begun(now);
+    return is_due;
   }
+  // Since the last complete reading of the list by this daemon; nothing if there was none.
+  std::optional<Duration> runner_list_age(TimePoint now) const { return list_freshness_.age(now); }
   // The list, whose reading began at `begun`; nothing: it could not be read.
   void on_runner_list(std::optional<std::vector<ListedRunner>> runners, TimePoint begun, TimePoint now);
   // Where clients near that place are sent to: see GatewayDirectory::addresses.
@@ -280,6 +287,7 @@
   AppliedRoutingTable routing_table_;
   RunnerHealthMonitor runner_health_monitor_;
   RunnerList runner_list_;
+  RunnerListFreshness list_freshness_;
   WarmupAllocator warmup_allocator_;
   PlacementMap map_;  // published here or received; its version only grows
   SlicePublisher slices_;
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -212,6 +212,7 @@
 }
 
 void ControlDaemon::on_runner_list(std::optional<std::vector<ListedRunner>> runners, TimePoint begun, TimePoint now) {
+  list_freshness_.on_reading_ended(runners.has_value(), now);
   if (!runners)
     return runner_list_.failed();
   if (!election_.is_master())
--- a/packages/control-plane/tests/stale_daemon_test.cpp
+++ b/packages/control-plane/tests/stale_daemon_test.cpp
@@ -259,6 +259,8 @@
       if (HasFailure())
         return;
     }
+  // That it was never violated, the test program itself checks.
+  EXPECT_GT(process_invariants().checks(Invariant::runner_list_fresh), 0);
 }
 
 // Simulated data daemons, which subscribe at machines of the fleet every 0.4 s.
