Metrics as text on the users' platform, the invariants among them

On the platform neither program showed its counters: an incident had the log alone. Our own programs show the invariants too.

--- a/packages/control-plane/src/control_documents.cpp
+++ b/packages/control-plane/src/control_documents.cpp
@@ -1,5 +1,6 @@
 #include "control_documents.hpp"
 
+#include "emberdale/invariants.hpp"
 #include "emberdale/json_text.hpp"
 
 namespace emberdale {
@@ -186,7 +187,8 @@
   return {{"kind", selector.kind}, {"master_known", view.from_master}, {"items", items}};
 }
 
-std::map<std::string, std::int64_t> control_counters(ControlDaemon& daemon, const PeerConnections& connections) {
+std::map<std::string, std::int64_t> control_counters(ControlDaemon& daemon, const PeerConnections& connections,
+                                                     TimePoint now) {
   const auto& maps = daemon.counts();
   const auto& reg = daemon.proposer().counts();
   const auto& election = daemon.election().counts();
@@ -229,6 +231,11 @@
                                                {"link_frames_refused", links.refused_frames}};
   for (const auto& [kind, count] : daemon.journal().counts())
     counters["event_" + kind] = count;
+  counters["map_term"] = daemon.map().version.term;
+  counters["map_number"] = daemon.map().version.number;
+  if (auto age = daemon.runner_list_age(now))
+    counters["runner_list_age_ms"] = age->value;
+  counters.merge(process_invariants().counters());
   return counters;
 }
 
--- a/packages/control-plane/src/control_documents.hpp
+++ b/packages/control-plane/src/control_documents.hpp
@@ -26,7 +26,8 @@
 nlohmann::json fleet_document(const ControlDaemon& daemon, const ViewResponse& view, TimePoint now);
 // One line of a watch: the selected resources, and where each of them is applied.
 nlohmann::json watch_document(const ResourceSelector& selector, const FleetState& state, const ViewResponse& view);
-// The counters of /metrics, without those of the process around the daemon.
-std::map<std::string, std::int64_t> control_counters(ControlDaemon& daemon, const PeerConnections& connections);
+// The counters of /metrics, without those of the process around the daemon but for its invariants.
+std::map<std::string, std::int64_t> control_counters(ControlDaemon& daemon, const PeerConnections& connections,
+                                                     TimePoint now);
 
 }  // namespace emberdale
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -170,7 +170,7 @@
 
 void ControlInterface::handle_metrics(const Call& call) {
   post(call.request, [this, request = call.request] {
-    auto counters = control_counters(daemon_, connections_);
+    auto counters = control_counters(daemon_, connections_, steady_now());
     if (more_counters)
       for (const auto& [name, count] : more_counters())
         counters[name] = count;
--- a/packages/data-plane/src/own_paths.cpp
+++ b/packages/data-plane/src/own_paths.cpp
@@ -1,7 +1,9 @@
 #include "own_paths.hpp"
 
+#include <map>
 #include <nlohmann/json.hpp>
 
+#include "emberdale/invariants.hpp"
 #include "emberdale/json_text.hpp"
 #include "emberdale/program_settings.hpp"
 #include "http_fields.hpp"
@@ -50,30 +52,31 @@
 void OwnPaths::reply_metrics(const http_request& request) const {
   auto calls = relay_.counts();
   const auto& relay = relay_.relay_counts();
-  std::string text = counters_text("emberdale_data", {{"calls_arrived", calls.arrived},
-                                                      {"sends", calls.sends},
-                                                      {"retries", calls.retries},
-                                                      {"retries_denied", calls.retry_denied},
-                                                      {"calls_answered", calls.answered},
-                                                      {"refused_gate", calls.refused_admission},
-                                                      {"refused_full", calls.refused_full},
-                                                      {"refused_no_grant", calls.refused_no_grant},
-                                                      {"refused_other", calls.refused_other},
-                                                      {"outcome_unknown", calls.unknown},
-                                                      {"spilled", calls.spilled},
-                                                      {"misdirected", calls.misdirected},
-                                                      {"pended", calls.pended},
-                                                      {"cold_sends", calls.warmup_sends},
-                                                      {"grant_awaited", calls.grant_awaited},
-                                                      {"bad_seals", relay.bad_seals},
-                                                      {"streams_broken", relay.streams_broken},
-                                                      {"links_broken", relay.connections_broken},
-                                                      {"callers_gone", relay.callers_gone},
-                                                      {"stream_pieces", relay.pieces},
-                                                      {"horizons_passed", relay.deadlines_passed},
-                                                      {"accept_refused", relay.accept_refused},
-                                                      {"in_hand", static_cast<std::int64_t>(relay_.open_calls())}});
-  reply(request, 200, text, metrics_type);
+  std::map<std::string, std::int64_t> counters{{"calls_arrived", calls.arrived},
+                                               {"sends", calls.sends},
+                                               {"retries", calls.retries},
+                                               {"retries_denied", calls.retry_denied},
+                                               {"calls_answered", calls.answered},
+                                               {"refused_gate", calls.refused_admission},
+                                               {"refused_full", calls.refused_full},
+                                               {"refused_no_grant", calls.refused_no_grant},
+                                               {"refused_other", calls.refused_other},
+                                               {"outcome_unknown", calls.unknown},
+                                               {"spilled", calls.spilled},
+                                               {"misdirected", calls.misdirected},
+                                               {"pended", calls.pended},
+                                               {"cold_sends", calls.warmup_sends},
+                                               {"grant_awaited", calls.grant_awaited},
+                                               {"bad_seals", relay.bad_seals},
+                                               {"streams_broken", relay.streams_broken},
+                                               {"links_broken", relay.connections_broken},
+                                               {"callers_gone", relay.callers_gone},
+                                               {"stream_pieces", relay.pieces},
+                                               {"horizons_passed", relay.deadlines_passed},
+                                               {"accept_refused", relay.accept_refused},
+                                               {"in_hand", static_cast<std::int64_t>(relay_.open_calls())}};
+  counters.merge(process_invariants().counters());
+  reply(request, 200, counters_text("emberdale_data", counters), metrics_type);
 }
 
 void OwnPaths::read_faults(http_request request) {
