--- a/packages/invariants/tests/runner_list_freshness_test.cpp
+++ b/packages/invariants/tests/runner_list_freshness_test.cpp
@@ -9,23 +9,23 @@
 
 class RunnerListFreshnessTest : public testing::Test {
  protected:
-  std::int64_t violations() const { return counters.violations(Invariant::runner_list_fresh); }
-  std::int64_t checks() const { return counters.checks(Invariant::runner_list_fresh); }
+  std::int64_t violations() const { return counters_.violations(Invariant::runner_list_fresh); }
+  std::int64_t checks() const { return counters_.checks(Invariant::runner_list_fresh); }
   void run_timers(Duration duration, bool may_read = true) {
     for (Duration step{0}; step < duration; step.value += timer_interval.value) {
-      now = now + timer_interval;
-      freshness.on_timer(may_read, now);
+      now_ = now_ + timer_interval;
+      freshness_.on_timer(may_read, now_);
     }
   }
   void read() {
-    freshness.on_reading_begun(now);
-    freshness.on_reading_ended(true, now);
+    freshness_.on_reading_begun(now_);
+    freshness_.on_reading_ended(true, now_);
   }
 
   static constexpr Duration timer_interval{100};
-  InvariantCounters counters;
-  RunnerListFreshness freshness{counters};
-  TimePoint now{1000};
+  InvariantCounters counters_;
+  RunnerListFreshness freshness_{counters_};
+  TimePoint now_{1000};
 };
 
 }  // namespace
@@ -63,8 +63,8 @@
 TEST_F(RunnerListFreshnessTest, AFailedReadingExcusesTheInterval) {
   read();
   run_timers(Duration{900});
-  freshness.on_reading_begun(now);
-  freshness.on_reading_ended(false, now);
+  freshness_.on_reading_begun(now_);
+  freshness_.on_reading_ended(false, now_);
   run_timers(Duration{9000});
   read();
   EXPECT_EQ(violations(), 0);
@@ -73,7 +73,7 @@
 TEST_F(RunnerListFreshnessTest, AnUnansweredReadingExcusesTheInterval) {
   read();
   run_timers(Duration{900});
-  freshness.on_reading_begun(now);
+  freshness_.on_reading_begun(now_);
   run_timers(Duration{9000});
   EXPECT_EQ(violations(), 0);
 }
@@ -81,17 +81,17 @@
 TEST_F(RunnerListFreshnessTest, ASuspendedProcessIsExcused) {
   read();
   run_timers(Duration{900});
-  now = now + Duration{8000};
+  now_ = now_ + Duration{8000};
   run_timers(Duration{200});
   read();
   EXPECT_EQ(violations(), 0);
 }
 
 TEST_F(RunnerListFreshnessTest, TheAgeCountsFromTheLastCompleteReading) {
-  EXPECT_FALSE(freshness.age(now));
+  EXPECT_FALSE(freshness_.age(now_));
   read();
   run_timers(Duration{400});
-  freshness.on_reading_begun(now);
-  freshness.on_reading_ended(false, now);
-  EXPECT_EQ(freshness.age(now), Duration{400});
+  freshness_.on_reading_begun(now_);
+  freshness_.on_reading_ended(false, now_);
+  EXPECT_EQ(freshness_.age(now_), Duration{400});
 }
