No call is sent whose deadline passed while it waited to be admitted

Found by no_attempt_after_deadline. A call that waits for the grant (own deployments, up to 600 ms) or for the first view (platform, up to 150 ms) was sent when that came, although its deadline had passed meanwhile. Both dispatchers now refuse it with 503, as a call that no runner came free for, and count it as refused_full.

--- a/packages/call-matching/src/call_admission.cpp
+++ b/packages/call-matching/src/call_admission.cpp
@@ -140,6 +140,10 @@
   if (arriving.deadline.value > 0 && arriving.deadline < time_left)
     time_left = arriving.deadline;
   call.deadline = arrived + time_left;
+  if (call.deadline <= now) {  // it has waited for the grant for too long
+    ++counts_.refused_full;
+    return refuse(503, "its deadline passed before it could be sent", retry_interval);
+  }
   call.queued_until = now + std::min(settings_.queue_timeout, Duration{time_left.value / 3});
   PoolIndex at = pool_.take(std::move(call));
   calls_[index] = at;
--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -153,6 +153,22 @@
   EXPECT_EQ(checks(Invariant::no_attempt_after_deadline) - deadline_checks_before, 3);
 }
 
+// It was sent when the grant came: a plan's deadline may be shorter than the time for which calls wait for the grant.
+TEST(CallDispatcher, ACallWhoseDeadlinePassesWhileItWaitsForTheGrantIsNeverSent) {
+  CallDispatcher dispatcher(here());
+  dispatcher.update_view(view_with(2, R"(,"horizon_ms":300)"), TimePoint{0});
+  EXPECT_FALSE(dispatcher.admit(call("a"), TimePoint{0}, 1));
+  dispatcher.set_grant({TimePoint{2100}, {1, 1}});
+  dispatcher.on_timer(TimePoint{300});
+  EXPECT_TRUE(dispatcher.drain_attempts().empty());
+  auto finals = dispatcher.drain_final_responses();
+  ASSERT_EQ(finals.size(), 1u);
+  EXPECT_EQ(finals.front().call, 1);
+  EXPECT_EQ(finals.front().code, 503);
+  EXPECT_FALSE(finals.front().may_have_run);
+  EXPECT_EQ(dispatcher.open_calls(), 0u);
+}
+
 TEST(CallDispatcher, TheSamePrefixGoesToTheSameRunnerUntilThatOneIsLoaded) {
   CallDispatcher dispatcher(here());
   dispatcher.set_grant(always);
--- a/packages/call-routing/src/route_admission.cpp
+++ b/packages/call-routing/src/route_admission.cpp
@@ -98,7 +98,12 @@
     ++counts_.refused_route;
     return FinalResponse{index, 404, "no route takes this host and path", false, Duration{0}, {}};
   }
-  auto entry = calls_.insert_or_assign(index, open_call(arriving, *route, arrived, index)).first;
+  Call opened = open_call(arriving, *route, arrived, index);
+  if (opened.deadline <= now) {  // it has waited for the first view for too long
+    ++counts_.refused_full;
+    return refusal(index, "its deadline passed before it could be sent", retry_when_full);
+  }
+  auto entry = calls_.insert_or_assign(index, std::move(opened)).first;
   if (try_send(entry->second, now))
     return std::nullopt;
   if (queue_.size() >= settings_.queue_bound) {
--- a/packages/call-routing/tests/route_dispatcher_test.cpp
+++ b/packages/call-routing/tests/route_dispatcher_test.cpp
@@ -188,6 +188,25 @@
 // --- match -------------------------------------------------------------------------------------------
 
 // That none of them was violated, the test program itself checks after each test.
+TEST(RouteDispatcher, ACallWhoseDeadlinePassesBeforeTheFirstMapIsNeverSent) {
+  Bench bench;
+  RoutedCall call;
+  call.id.text = "short";
+  call.host = "a.example";
+  call.path = "/free/x";
+  call.deadline = Duration{50};
+  ASSERT_FALSE(bench.dispatcher.admit(call, bench.now, 1));
+  bench.run_to(bench.now + Duration{50});
+  bench.update_view(two_north);
+  EXPECT_TRUE(bench.dispatcher.drain_attempts().empty());
+  auto finals = bench.dispatcher.drain_final_responses();
+  ASSERT_EQ(finals.size(), 1u);
+  EXPECT_EQ(finals.front().call, 1);
+  EXPECT_EQ(finals.front().code, 503);
+  EXPECT_FALSE(finals.front().may_have_run);
+  EXPECT_EQ(bench.dispatcher.open_calls(), 0u);
+}
+
 TEST(RouteDispatcher, ChecksItsInvariantsAtEachAttempt) {
   constexpr Invariant checked[] = {Invariant::no_attempt_to_unavailable_runner, Invariant::attempts_within_limit,
                                    Invariant::no_attempt_after_deadline};
