--- a/packages/call-matching/tests/call_matching_test.cpp
+++ b/packages/call-matching/tests/call_matching_test.cpp
@@ -136,6 +136,39 @@
   EXPECT_GT(finals[0].retry_after.value, 0);
 }
 
+// That none of them was violated, the test program itself checks after each test.
+TEST(CallDispatcher, ChecksItsInvariantsAtEachAttempt) {
+  auto checks = [](Invariant invariant) {
+    return process_invariants().checks(invariant);
+  };
+  std::int64_t checks_before = checks(Invariant::no_attempt_to_unavailable_runner);
+  std::int64_t deadline_checks_before = checks(Invariant::no_attempt_after_deadline);
+  CallDispatcher dispatcher(here());
+  dispatcher.set_grant(always);
+  dispatcher.update_view(view_with(2, ""), TimePoint{0});
+  for (CallIndex i = 1; i <= 3; ++i)
+    EXPECT_FALSE(dispatcher.admit(call("c" + std::to_string(i)), TimePoint{0}, i));
+  EXPECT_EQ(dispatcher.drain_attempts().size(), 3u);
+  EXPECT_EQ(checks(Invariant::no_attempt_to_unavailable_runner) - checks_before, 3);
+  EXPECT_EQ(checks(Invariant::no_attempt_after_deadline) - deadline_checks_before, 3);
+}
+
+// It was sent when the grant came: a plan's deadline may be shorter than the time for which calls wait for the grant.
+TEST(CallDispatcher, ACallWhoseDeadlinePassesWhileItWaitsForTheGrantIsNeverSent) {
+  CallDispatcher dispatcher(here());
+  dispatcher.update_view(view_with(2, R"(,"horizon_ms":300)"), TimePoint{0});
+  EXPECT_FALSE(dispatcher.admit(call("a"), TimePoint{0}, 1));
+  dispatcher.set_grant({TimePoint{2100}, {1, 1}});
+  dispatcher.on_timer(TimePoint{300});
+  EXPECT_TRUE(dispatcher.drain_attempts().empty());
+  auto finals = dispatcher.drain_final_responses();
+  ASSERT_EQ(finals.size(), 1u);
+  EXPECT_EQ(finals.front().call, 1);
+  EXPECT_EQ(finals.front().code, 503);
+  EXPECT_FALSE(finals.front().may_have_run);
+  EXPECT_EQ(dispatcher.open_calls(), 0u);
+}
+
 TEST(CallDispatcher, TheSamePrefixGoesToTheSameRunnerUntilThatOneIsLoaded) {
   CallDispatcher dispatcher(here());
   dispatcher.set_grant(always);
--- a/packages/call-routing/tests/route_dispatcher_test.cpp
+++ b/packages/call-routing/tests/route_dispatcher_test.cpp
@@ -187,6 +187,43 @@
 
 // --- match -------------------------------------------------------------------------------------------
 
+// That none of them was violated, the test program itself checks after each test.
+TEST(RouteDispatcher, ACallWhoseDeadlinePassesBeforeTheFirstMapIsNeverSent) {
+  Bench bench;
+  RoutedCall call;
+  call.id.text = "short";
+  call.host = "a.example";
+  call.path = "/free/x";
+  call.deadline = Duration{50};
+  ASSERT_FALSE(bench.dispatcher.admit(call, bench.now, 1));
+  bench.run_to(bench.now + Duration{50});
+  bench.update_view(two_north);
+  EXPECT_TRUE(bench.dispatcher.drain_attempts().empty());
+  auto finals = bench.dispatcher.drain_final_responses();
+  ASSERT_EQ(finals.size(), 1u);
+  EXPECT_EQ(finals.front().call, 1);
+  EXPECT_EQ(finals.front().code, 503);
+  EXPECT_FALSE(finals.front().may_have_run);
+  EXPECT_EQ(bench.dispatcher.open_calls(), 0u);
+}
+
+TEST(RouteDispatcher, ChecksItsInvariantsAtEachAttempt) {
+  constexpr Invariant checked[] = {Invariant::no_attempt_to_unavailable_runner, Invariant::attempts_within_limit,
+                                   Invariant::no_attempt_after_deadline};
+  std::map<Invariant, std::int64_t> before;
+  for (Invariant invariant : checked)
+    before[invariant] = process_invariants().checks(invariant);
+  Bench bench;
+  bench.update_view(two_north);
+  ASSERT_FALSE(bench.arrive("free", 1));
+  auto first = bench.sent();
+  ASSERT_TRUE(first);
+  bench.end(*first, RoutedAttemptOutcome::lost);
+  ASSERT_TRUE(bench.sent());  // the retry
+  for (Invariant invariant : checked)
+    EXPECT_EQ(process_invariants().checks(invariant) - before[invariant], 2) << to_string(invariant);
+}
+
 TEST(RouteDispatcher, HomesAreNeverLeft) {
   Bench bench;
   bench.update_view({runner_of("n1", "north"), runner_of("n2", "north"), runner_of("s1", "south")});
