Events: when service discovery lists a runner as draining, and when a data daemon knows

The control daemon that reads the list records listed_draining, each data daemon records draining with the first map that shows it.

--- a/packages/control-plane/include/emberdale/runner_list.hpp
+++ b/packages/control-plane/include/emberdale/runner_list.hpp
@@ -2,6 +2,7 @@
 // restored just now. Used by the master alone. Without I/O, clock or threads.
 #pragma once
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   bool is_known() const { return is_known_; }
   // The listed runners, as the map is worked out from them.
   std::vector<RunnerEntry> entries() const;
+  // The listed runners that are to end.
+  std::set<RunnerName> draining() const;
   // Adds what the list says to the results of probes: who is warming up, slots, and what a runner that is warming up
   // bears a second.
   void fill(std::map<RunnerName, RunnerStatus>& statuses, const std::map<PoolName, RoutePool>& pools,
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -1,5 +1,6 @@
 // Control daemon: placement maps. What is in them, when they are published, and how they reach followers.
 #include <algorithm>
+#include <set>
 
 #include "emberdale/control_daemon.hpp"
 
@@ -216,7 +217,11 @@
     return runner_list_.failed();
   if (!election_.is_master())
     return;
+  std::set<RunnerName> draining = runner_list_.draining();
   runner_list_.take(std::move(*runners), begun, now);
+  for (const auto& name : runner_list_.draining())
+    if (draining.count(name) == 0)
+      record(now, "listed_draining", "runner=" + name.text);
   publish(now, false);
   collect_outbound(now);
 }
--- a/packages/control-plane/src/runner_list.cpp
+++ b/packages/control-plane/src/runner_list.cpp
@@ -76,6 +76,14 @@
   return entries;
 }
 
+std::set<RunnerName> RunnerList::draining() const {
+  std::set<RunnerName> names;
+  for (const auto& [name, listed] : runners_)
+    if (listed.runner.is_leaving)
+      names.insert(name);
+  return names;
+}
+
 RunnerStatus RunnerList::status_of(const Listed& listed, const RunnerStatus* probed, double warmup_requests_per_s,
                                    TimePoint now) const {
   bool is_reported_warming_up = probed != nullptr && probed->is_warming_up;
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -110,6 +110,8 @@
   bool is_granted(TimePoint now) const;
   void renew_grant(TimePoint now);
   void journal_grant_change(TimePoint now);
+  // Records the runners that the view shows as draining and the one before did not.
+  void journal_draining_runners(const RoutingView& before, TimePoint now);
 
   DaemonEntry self_;
   std::vector<Address> seeds_;
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -23,6 +23,11 @@
   return "topic=" + topic + " owner=" + owner.text;
 }
 
+bool is_draining(const RoutingView& view, const RunnerName& runner) {
+  auto row = view.runners.find(runner);
+  return row != view.runners.end() && row->second.state == RunnerState::draining;
+}
+
 }  // namespace
 
 void DataDaemon::start(TimePoint now) {
@@ -97,7 +102,9 @@
   bool is_applied = is_subscribed && slice_cache_.apply(update);
   if (is_applied) {
     ++counts_.updates_applied;
+    auto before = view();
     rebuild_view(now);
+    journal_draining_runners(*before, now);
     lease_manager_.on_version(slice_cache_.version());
     if (named_version_ && !(slice_cache_.oldest_version() < named_version_->version))
       named_version_.reset();
@@ -317,6 +324,16 @@
   view_ = restricted;
 }
 
+// From here on this daemon sends them nothing new.
+void DataDaemon::journal_draining_runners(const RoutingView& before, TimePoint now) {
+  std::string names;
+  for (const auto& [name, row] : view()->runners)
+    if (row.state == RunnerState::draining && !is_draining(before, name))
+      names += " runner=" + name.text;
+  if (!names.empty())
+    journal_.append(now, "draining", "version=" + show(slice_cache_.version()) + names);
+}
+
 bool DataDaemon::is_granted(TimePoint now) const {
   return now < grant().until && grant().minimum_version <= slice_cache_.version();
 }
