Draining runners: every control daemon that hears of no master reads the list and blocks them

Cause: only the master reads the list of runners and only its map tells who drains. While no master leads (up to 10 s after a power loss), is cut off, or can't publish because a write of the register is open, nobody learned of a mark. Now a control daemon that has heard of no confirmed master for 1.5 s reads the list itself, every 1.5 s, and sends dispatch blocks for what its map does not show yet; so does the master. In calm times the master alone reads. Ruled out: slow slices (0.1 s to 72 daemons), hanging connections (a new life of a runner answers 421).

--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -12,6 +12,7 @@
 #include "emberdale/applied_routing_table.hpp"
 #include "emberdale/cluster_bootstrapper.hpp"
 #include "emberdale/daemon_status_table.hpp"
+#include "emberdale/draining_runner_watch.hpp"
 #include "emberdale/edit_age.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
@@ -61,7 +62,8 @@
 // and drain_probes() give.
 class ControlDaemon {
  public:
-  // The master reads the list of runners while a quorum has followed it within this time.
+  // The master reads the list of runners while a quorum has followed it within this time. A daemon that has not heard
+  // for so long of such a master reads it as well.
   static constexpr Duration list_quorum_age{1500};
 
   // `acceptor`: the replica of the register that this daemon keeps; nullptr: it keeps none.
@@ -95,10 +97,9 @@
   std::vector<ProbeRequest> drain_probes();
 
   // --- service discovery ------------------------------------------------------------------------
-  // True when the list of runners is to be read now, at the master alone. The read counts as begun.
-  bool begin_list_read(TimePoint now) {
-    return settings_.reads_runner_list && may_read_list(now) && runner_list_.is_read_due(now);
-  }
+  // True when the list of runners is to be read now: at the master, and at daemons that hear of none. The read counts
+  // as begun.
+  bool begin_list_read(TimePoint now);
   // The list, whose reading began at `begun`; nothing: it could not be read.
   void on_runner_list(std::optional<std::vector<ListedRunner>> runners, TimePoint begun, TimePoint now);
   // Where clients near that place are sent to: see GatewayDirectory::addresses.
@@ -212,11 +213,8 @@
   std::vector<GatewayRow> live_followers(TimePoint now) const;
   Configuration placed_configuration() const;
   std::vector<RunnerEntry> runners_of_map() const;
-  // Service discovery bears few requests a second from all daemons together: a master that may have been deposed sends
-  // none.
-  bool may_read_list(TimePoint now) const {
-    return election_.is_master() && now - election_.quorum_confirmed_at(now) <= list_quorum_age;
-  }
+  bool has_confirmed_master(TimePoint now) const;
+  void block_draining_runners(TimePoint now);
 
   // --- control_operators.cpp: changes, reads and views --------------------------------------------
   // Why a change that arrives now is refused at once; nothing: it is not.
@@ -280,6 +278,7 @@
   AppliedRoutingTable routing_table_;
   RunnerHealthMonitor runner_health_monitor_;
   RunnerList runner_list_;
+  DrainingRunnerWatch draining_runners_;
   WarmupAllocator warmup_allocator_;
   PlacementMap map_;  // published here or received; its version only grows
   SlicePublisher slices_;
--- a/packages/control-plane/include/emberdale/forwarded_block.hpp
+++ b/packages/control-plane/include/emberdale/forwarded_block.hpp
@@ -30,6 +30,11 @@
 // this daemon can't reach may be in reach of others.
 std::vector<OutboundMessage> broadcast_block(const DispatchBlock& block, const PlacementMap& map,
                                              const PeerTable& peers, const Address& self);
+// The block of a runner that service discovery lists as draining; the same at all daemons.
+DispatchBlock draining_block(const RunnerName& runner);
+// The messages that bring a block to the data daemons of the own zone and to those that subscribe here.
+std::vector<OutboundMessage> block_near(const DispatchBlock& block, const PlacementMap& map,
+                                        const std::vector<Address>& subscribers, const ZoneName& zone);
 // The messages that pass on a block which another control daemon asked to relay: to the data daemons of the own zone.
 std::vector<OutboundMessage> relay_block(const DispatchBlock& block, const PlacementMap& map, const ZoneName& zone);
 
--- a/packages/control-plane/include/emberdale/runner_list.hpp
+++ b/packages/control-plane/include/emberdale/runner_list.hpp
@@ -2,7 +2,6 @@
 // restored just now. Used by the master alone. Without I/O, clock or threads.
 #pragma once
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +24,24 @@
   Duration warmup_left{0};
 };
 
+// When the list is to be read: at an interval, and again when a read does not end.
+class ListReadSchedule {
+ public:
+  explicit ListReadSchedule(Duration interval) : interval_(interval) {}
+  // True when a read is due. It counts as begun.
+  bool is_due(TimePoint now);
+  // The read under way has ended, well or not.
+  void ended() { is_reading_ = false; }
+  // The next read is due at once; one under way does not count any more.
+  void restart(TimePoint now);
+
+ private:
+  Duration interval_;
+  TimePoint next_;
+  TimePoint until_;  // a read that has not ended by then is begun anew
+  bool is_reading_ = false;
+};
+
 class RunnerList {
  public:
   static constexpr Duration read_interval{900};
@@ -32,17 +49,15 @@
   static constexpr Duration longest_lag{1500};
 
   // True when the list is to be read now. The read counts as begun.
-  bool is_read_due(TimePoint now);
+  bool is_read_due(TimePoint now) { return reads_.is_due(now); }
   // A whole list, whose reading began at `begun`. An empty one is believed only the third time in a row.
   void take(std::vector<ListedRunner> runners, TimePoint begun, TimePoint now);
   // The read has failed: the last list stands.
-  void failed() { is_reading_ = false; }
+  void failed() { reads_.ended(); }
   // Whether a list was read in this term.
   bool is_known() const { return is_known_; }
   // The listed runners, as the map is worked out from them.
   std::vector<RunnerEntry> entries() const;
-  // The listed runners that are to end.
-  std::set<RunnerName> draining() const;
   // Adds what the list says to the results of probes: who is warming up, slots, and what a runner that is warming up
   // bears a second.
   void fill(std::map<RunnerName, RunnerStatus>& statuses, const std::map<PoolName, RoutePool>& pools,
@@ -64,9 +79,8 @@
 
   std::map<RunnerName, Listed> runners_;
   std::map<ZoneName, TimePoint> restored_zones_;
-  TimePoint read_next_;
-  TimePoint read_until_;  // a read that has not ended by then is begun anew
-  bool is_reading_ = false, is_known_ = false;
+  ListReadSchedule reads_{read_interval};
+  bool is_known_ = false;
   int empty_lists_ = 0;  // in a row
 };
 
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -149,6 +149,7 @@
                                            election_.is_master(), now);
   if (election_.is_master())
     run_master_duties(now);
+  block_draining_runners(now);
   settle_edits(now);
   send_due_blocks(now);
   forward_edits(now);
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -1,6 +1,5 @@
 // Control daemon: placement maps. What is in them, when they are published, and how they reach followers.
 #include <algorithm>
-#include <set>
 
 #include "emberdale/control_daemon.hpp"
 
@@ -213,19 +212,48 @@
 }
 
 void ControlDaemon::on_runner_list(std::optional<std::vector<ListedRunner>> runners, TimePoint begun, TimePoint now) {
-  if (!runners)
+  if (!runners) {
+    draining_runners_.failed();
     return runner_list_.failed();
-  if (!election_.is_master())
-    return;
-  std::set<RunnerName> draining = runner_list_.draining();
-  runner_list_.take(std::move(*runners), begun, now);
-  for (const auto& name : runner_list_.draining())
-    if (draining.count(name) == 0)
-      record(now, "listed_draining", "runner=" + name.text);
-  publish(now, false);
+  }
+  for (const auto& name : draining_runners_.take(*runners, now))
+    record(now, "listed_draining", "runner=" + name.text);
+  if (election_.is_master()) {
+    runner_list_.take(std::move(*runners), begun, now);
+    publish(now, false);
+  }
+  block_draining_runners(now);
   collect_outbound(now);
 }
 
+bool ControlDaemon::begin_list_read(TimePoint now) {
+  if (!settings_.reads_runner_list)
+    return false;
+  if (has_confirmed_master(now))
+    return election_.is_master() && runner_list_.is_read_due(now);
+  return !map_.runners.empty() && draining_runners_.is_read_due(now);
+}
+
+// The master that leads reads the list for all, and its map reaches this daemon.
+bool ControlDaemon::has_confirmed_master(TimePoint now) const {
+  TimePoint confirmed_at = election_.is_master() ? election_.quorum_confirmed_at(now) : election_.master_confirmed_at();
+  return now - confirmed_at <= list_quorum_age;
+}
+
+// The master blocks a runner at all data daemons, another daemon at those that it may feed.
+void ControlDaemon::block_draining_runners(TimePoint now) {
+  for (const auto& runner : draining_runners_.due_blocks(map_, now)) {
+    DispatchBlock block = draining_block(runner);
+    if (election_.is_master()) {
+      send_block(block);
+      continue;
+    }
+    ++counts_.blocks_forwarded;
+    for (auto& outbound : block_near(block, map_, slices_.subscribers(), settings_.self.zone))
+      out_.push_back(std::move(outbound));
+  }
+}
+
 void ControlDaemon::on_probe(const RunnerStatus& status, TimePoint now) {
   bool is_new = runner_health_monitor_.on_probe(status, now);
   if (is_new) {
--- a/packages/control-plane/src/forwarded_block.cpp
+++ b/packages/control-plane/src/forwarded_block.cpp
@@ -71,6 +71,25 @@
   return messages;
 }
 
+DispatchBlock draining_block(const RunnerName& runner) {
+  DispatchBlock block;
+  block.change_id = "listed-draining/" + runner.text;
+  block.runner = runner;
+  return block;
+}
+
+std::vector<OutboundMessage> block_near(const DispatchBlock& block, const PlacementMap& map,
+                                        const std::vector<Address>& subscribers, const ZoneName& zone) {
+  std::set<Address> receivers(subscribers.begin(), subscribers.end());
+  for (const auto& gateway : map.gateways)
+    if (gateway.zone == zone)
+      receivers.insert(gateway.daemon);
+  std::vector<OutboundMessage> messages;
+  for (const auto& receiver : receivers)
+    messages.push_back({receiver, block});
+  return messages;
+}
+
 std::vector<OutboundMessage> relay_block(const DispatchBlock& block, const PlacementMap& map, const ZoneName& zone) {
   std::vector<OutboundMessage> messages;
   if (!block.is_relayed)
--- a/packages/control-plane/src/runner_list.cpp
+++ b/packages/control-plane/src/runner_list.cpp
@@ -9,21 +9,26 @@
 constexpr std::int64_t default_slots = 8;
 }  // namespace
 
+bool ListReadSchedule::is_due(TimePoint now) {
+  if (now < next_ || (is_reading_ && now < until_))
+    return false;
+  is_reading_ = true;
+  next_ = now + interval_;
+  until_ = now + read_timeout;
+  return true;
+}
+
+void ListReadSchedule::restart(TimePoint now) {
+  is_reading_ = false;
+  next_ = now;
+}
+
 void RunnerList::begin(TimePoint now) {
   runners_.clear();
   restored_zones_.clear();
-  is_known_ = is_reading_ = false;
+  is_known_ = false;
   empty_lists_ = 0;
-  read_next_ = now;
-}
-
-bool RunnerList::is_read_due(TimePoint now) {
-  if (now < read_next_ || (is_reading_ && now < read_until_))
-    return false;
-  is_reading_ = true;
-  read_next_ = now + read_interval;
-  read_until_ = now + read_timeout;
-  return true;
+  reads_.restart(now);
 }
 
 RunnerList::Listed RunnerList::listed(ListedRunner runner, TimePoint begun, TimePoint now) const {
@@ -40,7 +45,7 @@
 }
 
 void RunnerList::take(std::vector<ListedRunner> runners, TimePoint begun, TimePoint now) {
-  is_reading_ = false;
+  reads_.ended();
   if (runners.empty() && !runners_.empty() && ++empty_lists_ < empty_lists_believed)
     return;
   empty_lists_ = 0;
@@ -76,14 +81,6 @@
   return entries;
 }
 
-std::set<RunnerName> RunnerList::draining() const {
-  std::set<RunnerName> names;
-  for (const auto& [name, listed] : runners_)
-    if (listed.runner.is_leaving)
-      names.insert(name);
-  return names;
-}
-
 RunnerStatus RunnerList::status_of(const Listed& listed, const RunnerStatus* probed, double warmup_requests_per_s,
                                    TimePoint now) const {
   bool is_reported_warming_up = probed != nullptr && probed->is_warming_up;
--- a/packages/placement-map/include/emberdale/placement_slices.hpp
+++ b/packages/placement-map/include/emberdale/placement_slices.hpp
@@ -46,6 +46,8 @@
   void on_subscribe(const Address& from, const Subscribe& subscribe, TimePoint now);
   // What each subscriber has reported as its applied configuration, with the age of that report.
   std::vector<DaemonStatus> subscriber_statuses(TimePoint now) const;
+  // Who has subscribed and was heard lately.
+  std::vector<Address> subscribers() const;
   // While paused nothing is sent to subscribers, and what they report is still noted.
   void set_paused(bool is_paused) { is_paused_ = is_paused; }
   // Removes the subscribers that have not been heard for longer than the timeout.
--- a/packages/placement-map/src/placement_slices.cpp
+++ b/packages/placement-map/src/placement_slices.cpp
@@ -125,6 +125,13 @@
   return statuses;
 }
 
+std::vector<Address> SlicePublisher::subscribers() const {
+  std::vector<Address> addresses;
+  for (const auto& [address, subscriber] : subscribers_)
+    addresses.push_back(address);
+  return addresses;
+}
+
 void SlicePublisher::remove_silent_subscribers(TimePoint now, Duration timeout) {
   for (auto entry = subscribers_.begin(); entry != subscribers_.end();) {
     if (now - entry->second.heard_at > timeout)
