Dispatch blocks reach data daemons that the map does not name yet

A data daemon that had just started got no block while the master could not publish: the master blocks at the data daemons of its map, and so did the daemons that relay. Now whoever sends or relays a block also sends it to its subscribers; orders of operators gain by it as well.

--- a/packages/control-plane/include/emberdale/forwarded_block.hpp
+++ b/packages/control-plane/include/emberdale/forwarded_block.hpp
@@ -26,16 +26,23 @@
 // The block of a change, if it drains a runner or evacuates a zone.
 ForwardedBlock block_of(const EditRequest& request, std::int64_t version, TimePoint now);
 
-// The messages that bring a block to all data daemons of the map, also by way of the other edge daemons: those that
-// this daemon can't reach may be in reach of others.
-std::vector<OutboundMessage> broadcast_block(const DispatchBlock& block, const PlacementMap& map,
-                                             const PeerTable& peers, const Address& self);
 // The block of a runner that service discovery lists as draining; the same at all daemons.
 DispatchBlock draining_block(const RunnerName& runner);
-// The messages that bring a block to the data daemons of the own zone and to those that subscribe here.
+
+// The messages that bring a block to all data daemons that this daemon knows, by the map or by their subscription, and
+// to all others by way of the other edge daemons: those that this daemon can't reach may be in reach of others.
+std::vector<OutboundMessage> broadcast_block(const DispatchBlock& block, const PlacementMap& map,
+                                             const std::vector<Address>& subscribers, const PeerTable& peers,
+                                             const Address& self);
+// The messages that bring a block to the data daemons of the own zone, by the map, and to those that subscribe here,
+// which the map may not name yet.
 std::vector<OutboundMessage> block_near(const DispatchBlock& block, const PlacementMap& map,
                                         const std::vector<Address>& subscribers, const ZoneName& zone);
-// The messages that pass on a block which another control daemon asked to relay: to the data daemons of the own zone.
-std::vector<OutboundMessage> relay_block(const DispatchBlock& block, const PlacementMap& map, const ZoneName& zone);
+// The messages that ask the other edge daemons to pass the block on to the data daemons near them.
+std::vector<OutboundMessage> block_relayed(const DispatchBlock& block, const PlacementMap& map, const PeerTable& peers,
+                                           const Address& self);
+// The messages that pass on a block which another control daemon asked to relay.
+std::vector<OutboundMessage> relay_block(const DispatchBlock& block, const PlacementMap& map,
+                                         const std::vector<Address>& subscribers, const ZoneName& zone);
 
 }  // namespace emberdale
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -240,17 +240,18 @@
   return now - confirmed_at <= list_quorum_age;
 }
 
-// The master blocks a runner at all data daemons, another daemon at those that it may feed.
+// Each daemon tells the data daemons near it, and the master asks the others to do the same: those hear of a confirmed
+// master and do not read the list.
 void ControlDaemon::block_draining_runners(TimePoint now) {
   for (const auto& runner : draining_runners_.due_blocks(map_, now)) {
     DispatchBlock block = draining_block(runner);
-    if (election_.is_master()) {
-      send_block(block);
-      continue;
-    }
     ++counts_.blocks_forwarded;
     for (auto& outbound : block_near(block, map_, slices_.subscribers(), settings_.self.zone))
       out_.push_back(std::move(outbound));
+    if (!election_.is_master())
+      continue;
+    for (auto& outbound : block_relayed(block, map_, peers_, settings_.self.address))
+      out_.push_back(std::move(outbound));
   }
 }
 
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -126,7 +126,7 @@
 }
 
 void ControlDaemon::handle(const Address&, const DispatchBlock& block, TimePoint) {
-  for (auto& outbound : relay_block(block, map_, settings_.self.zone))
+  for (auto& outbound : relay_block(block, map_, slices_.subscribers(), settings_.self.zone))
     out_.push_back(std::move(outbound));
 }
 
--- a/packages/control-plane/src/control_operators.cpp
+++ b/packages/control-plane/src/control_operators.cpp
@@ -120,7 +120,7 @@
 
 void ControlDaemon::send_block(const DispatchBlock& block) {
   ++counts_.blocks_forwarded;
-  for (auto& outbound : broadcast_block(block, map_, peers_, settings_.self.address))
+  for (auto& outbound : broadcast_block(block, map_, slices_.subscribers(), peers_, settings_.self.address))
     out_.push_back(std::move(outbound));
 }
 
--- a/packages/control-plane/src/forwarded_block.cpp
+++ b/packages/control-plane/src/forwarded_block.cpp
@@ -20,6 +20,13 @@
 bool evacuates_zone(const EditRequest& request, const Json& body) {
   return request.kind == orders_kind && body.value("state", Json()) == "emptied";
 }
+
+std::vector<OutboundMessage> send_to(const std::set<Address>& receivers, const DispatchBlock& block) {
+  std::vector<OutboundMessage> messages;
+  for (const auto& receiver : receivers)
+    messages.push_back({receiver, block});
+  return messages;
+}
 }  // namespace
 
 ForwardedBlock block_of(const EditRequest& request, std::int64_t version, TimePoint now) {
@@ -53,21 +60,14 @@
 }
 
 std::vector<OutboundMessage> broadcast_block(const DispatchBlock& block, const PlacementMap& map,
-                                             const PeerTable& peers, const Address& self) {
-  std::vector<OutboundMessage> messages;
+                                             const std::vector<Address>& subscribers, const PeerTable& peers,
+                                             const Address& self) {
+  std::set<Address> receivers(subscribers.begin(), subscribers.end());
   for (const auto& gateway : map.gateways)
-    messages.push_back({gateway.daemon, block});
-  DispatchBlock relayed = block;
-  relayed.is_relayed = true;
-  std::set<Address> relays;
-  for (const auto& edge : map.edges)
-    relays.insert(edge.daemon);
-  for (const auto& [address, peer] : peers.all())
-    if (peer.is_edge())
-      relays.insert(address);
-  relays.erase(self);
-  for (const auto& relay : relays)
-    messages.push_back({relay, relayed});
+    receivers.insert(gateway.daemon);
+  std::vector<OutboundMessage> messages = send_to(receivers, block);
+  for (auto& relayed : block_relayed(block, map, peers, self))
+    messages.push_back(std::move(relayed));
   return messages;
 }
 
@@ -84,22 +84,30 @@
   for (const auto& gateway : map.gateways)
     if (gateway.zone == zone)
       receivers.insert(gateway.daemon);
-  std::vector<OutboundMessage> messages;
-  for (const auto& receiver : receivers)
-    messages.push_back({receiver, block});
-  return messages;
+  return send_to(receivers, block);
 }
 
-std::vector<OutboundMessage> relay_block(const DispatchBlock& block, const PlacementMap& map, const ZoneName& zone) {
-  std::vector<OutboundMessage> messages;
+std::vector<OutboundMessage> block_relayed(const DispatchBlock& block, const PlacementMap& map, const PeerTable& peers,
+                                           const Address& self) {
+  DispatchBlock relayed = block;
+  relayed.is_relayed = true;
+  std::set<Address> relays;
+  for (const auto& edge : map.edges)
+    relays.insert(edge.daemon);
+  for (const auto& [address, peer] : peers.all())
+    if (peer.is_edge())
+      relays.insert(address);
+  relays.erase(self);
+  return send_to(relays, relayed);
+}
+
+std::vector<OutboundMessage> relay_block(const DispatchBlock& block, const PlacementMap& map,
+                                         const std::vector<Address>& subscribers, const ZoneName& zone) {
   if (!block.is_relayed)
-    return messages;
+    return {};
   DispatchBlock direct = block;
   direct.is_relayed = false;
-  for (const auto& gateway : map.gateways)
-    if (gateway.zone == zone)
-      messages.push_back({gateway.daemon, direct});
-  return messages;
+  return block_near(direct, map, subscribers, zone);
 }
 
 }  // namespace emberdale
--- a/packages/control-plane/tests/draining_runner_test.cpp
+++ b/packages/control-plane/tests/draining_runner_test.cpp
@@ -70,9 +70,10 @@
 // A data daemon that is fed by one control daemon: what it knows of the marked runner.
 class FedDataDaemon {
  public:
-  FedDataDaemon(MachineFleet& fleet, std::string fed_by) : fleet_(fleet), fed_by_(std::move(fed_by)) {
-    entry_ = DaemonEntry{Address{"data-" + fed_by_}, "http", DaemonRole::data, fleet.at(fed_by_).zone,
-                         RegionName{"north"},        1};
+  FedDataDaemon(MachineFleet& fleet, const std::string& name, std::string fed_by)
+      : fleet_(fleet), fed_by_(std::move(fed_by)) {
+    entry_ =
+        DaemonEntry{Address{"data-" + name}, "http", DaemonRole::data, fleet.at(fed_by_).zone, RegionName{"north"}, 1};
     subscribe();
   }
 
@@ -127,7 +128,7 @@
     names = bring_up(fleet, 3);
     discovery = std::make_unique<ServiceDiscovery>(fleet);
     for (const auto& name : names)
-      fed[name] = std::make_unique<FedDataDaemon>(fleet, name);
+      feed(name, name);
     fleet.on_send = [this](const std::string&, const Address& to, const Message& message) {
       for (auto& [name, daemon] : fed)
         daemon->receive(to, message);
@@ -135,6 +136,10 @@
     fleet.run(3000);
   }
 
+  // Starts a data daemon.
+  void feed(const std::string& name, const std::string& fed_by) {
+    fed[name] = std::make_unique<FedDataDaemon>(fleet, name, fed_by);
+  }
   std::string a_follower() const {
     return *std::find_if(names.begin(), names.end(), [&](const auto& name) { return name != fleet.master(); });
   }
@@ -217,5 +222,23 @@
   }
 }
 
+// No map names it yet, and a follower feeds it, which hears of a master that leads and so does not read the list.
+TEST(DrainingRunner, ADataDaemonThatHasJustStartedIsToldAsWellWhileAWriteKeepsTheMasterFromPublishing) {
+  for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    DrainingRunners scene(seed);
+    for (const auto& name : scene.names)
+      if (name != scene.fleet.master())
+        scene.fleet.at(name).extra_disk_ms = 7000;
+    scene.fleet.edit(scene.fleet.master());
+    scene.feed("newcomer", scene.a_follower());
+    scene.fleet.run(100);
+    scene.discovery->mark_draining(marked);
+    scene.expect_kept_off({"newcomer"}, longest_delay_ms);
+    if (testing::Test::HasFailure())
+      return;
+  }
+}
+
 }  // namespace
 }  // namespace emberdale
