--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -12,6 +12,7 @@
 #include "emberdale/applied_routing_table.hpp"
 #include "emberdale/cluster_bootstrapper.hpp"
 #include "emberdale/daemon_status_table.hpp"
+#include "emberdale/draining_runner_watch.hpp"
 #include "emberdale/edit_age.hpp"
 #include "emberdale/edit_forwarder.hpp"
 #include "emberdale/event_journal.hpp"
@@ -62,7 +63,8 @@
 // and drain_probes() give.
 class ControlDaemon {
  public:
-  // The master reads the list of runners while a quorum has followed it within this time.
+  // The master reads the list of runners while a quorum has followed it within this time. A daemon that has not heard
+  // for so long of such a master reads it as well.
   static constexpr Duration list_quorum_age{1500};
 
   // `acceptor`: the replica of the register that this daemon keeps; nullptr: it keeps none.
@@ -96,14 +98,9 @@
   std::vector<ProbeRequest> drain_probes();
 
   // --- service discovery ------------------------------------------------------------------------
-  // True when the list of runners is to be read now, at the master alone. The read counts as begun.
-  bool begin_list_read(TimePoint now) {
-    bool may_read = settings_.reads_runner_list && list_freshness_.on_timer(may_read_list(now), now);
-    bool is_due = may_read && runner_list_.is_read_due(now);
-    if (is_due)
-      list_freshness_.on_reading_begun(now);
-    return is_due;
-  }
+  // True when the list of runners is to be read now: at the master, and at daemons that hear of none. The read counts
+  // as begun.
+  bool begin_list_read(TimePoint now);
   // Since the last complete reading of the list by this daemon; nothing if there was none.
   std::optional<Duration> runner_list_age(TimePoint now) const { return list_freshness_.age(now); }
   // The list, whose reading began at `begun`; nothing: it could not be read.
@@ -219,11 +216,8 @@
   std::vector<GatewayRow> live_followers(TimePoint now) const;
   Configuration placed_configuration() const;
   std::vector<RunnerEntry> runners_of_map() const;
-  // Service discovery bears few requests a second from all daemons together: a master that may have been deposed sends
-  // none.
-  bool may_read_list(TimePoint now) const {
-    return election_.is_master() && now - election_.quorum_confirmed_at(now) <= list_quorum_age;
-  }
+  bool has_confirmed_master(TimePoint now) const;
+  void block_draining_runners(TimePoint now);
 
   // --- control_operators.cpp: changes, reads and views --------------------------------------------
   // Why a change that arrives now is refused at once; nothing: it is not.
@@ -288,6 +282,7 @@
   RunnerHealthMonitor runner_health_monitor_;
   RunnerList runner_list_;
   RunnerListFreshness list_freshness_;
+  DrainingRunnerWatch draining_runners_;
   WarmupAllocator warmup_allocator_;
   PlacementMap map_;  // published here or received; its version only grows
   SlicePublisher slices_;
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -213,15 +213,54 @@
 
 void ControlDaemon::on_runner_list(std::optional<std::vector<ListedRunner>> runners, TimePoint begun, TimePoint now) {
   list_freshness_.on_reading_ended(runners.has_value(), now);
-  if (!runners)
+  if (!runners) {
+    draining_runners_.failed();
     return runner_list_.failed();
-  if (!election_.is_master())
-    return;
-  runner_list_.take(std::move(*runners), begun, now);
-  publish(now, false);
+  }
+  for (const auto& name : draining_runners_.take(*runners, now))
+    record(now, "listed_draining", "runner=" + name.text);
+  if (election_.is_master()) {
+    runner_list_.take(std::move(*runners), begun, now);
+    publish(now, false);
+  }
+  block_draining_runners(now);
   collect_outbound(now);
 }
 
+bool ControlDaemon::begin_list_read(TimePoint now) {
+  if (!settings_.reads_runner_list)
+    return false;
+  bool has_master = has_confirmed_master(now);
+  bool leads = has_master && election_.is_master();
+  list_freshness_.on_timer(leads, now);
+  bool is_due = leads ? runner_list_.is_read_due(now)
+                      : !has_master && !map_.runners.empty() && draining_runners_.is_read_due(now);
+  if (is_due)
+    list_freshness_.on_reading_begun(now);
+  return is_due;
+}
+
+// The master that leads reads the list for all, and its map reaches this daemon.
+bool ControlDaemon::has_confirmed_master(TimePoint now) const {
+  TimePoint confirmed_at = election_.is_master() ? election_.quorum_confirmed_at(now) : election_.master_confirmed_at();
+  return now - confirmed_at <= list_quorum_age;
+}
+
+// Each daemon tells the data daemons near it, and the master asks the others to do the same: those hear of a confirmed
+// master and do not read the list.
+void ControlDaemon::block_draining_runners(TimePoint now) {
+  for (const auto& runner : draining_runners_.due_blocks(map_, now)) {
+    DispatchBlock block = draining_block(runner);
+    ++counts_.blocks_forwarded;
+    for (auto& outbound : block_near(block, map_, slices_.subscribers(), settings_.self.zone))
+      out_.push_back(std::move(outbound));
+    if (!election_.is_master())
+      continue;
+    for (auto& outbound : block_relayed(block, map_, peers_, settings_.self.address))
+      out_.push_back(std::move(outbound));
+  }
+}
+
 void ControlDaemon::on_probe(const RunnerStatus& status, TimePoint now) {
   bool is_new = runner_health_monitor_.on_probe(status, now);
   if (is_new) {
