Soak: real processes under overlapping troubles, with clients that leave

Daemons worked on for clients that had left, and no instrument of ours had clients that leave, troubles that overlap, or a runner that sees its connection closed (the stand-ins' listener has the same blind spot as the daemons').

emberdale-fleet-soak draws troubles from a seed and judges what runners, clients and operators wrote down; emberdale-soak-runner serves plain sockets. Ruled out: recording in emberdale-runner-stand-in, whose HTTP library doesn't read while a request is on.

--- /dev/null
+++ b/packages/fleet-soak/src/soak.cpp
@@ -0,0 +1,258 @@
+#include "soak.hpp"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "emberdale/program_settings.hpp"
+#include "pause_monitor.hpp"
+#include "plain_http.hpp"
+#include "soak_clients.hpp"
+
+namespace emberdale::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration page_patience{500};
+constexpr Duration recovery_limit{30000};
+constexpr Duration settling_time{2000};  // after the last client, so that the last runs end
+constexpr Duration invariants_interval{1000};
+constexpr std::int64_t fewest_departed_runs = 10;  // with fewer, the soak has shown nothing
+const std::string invariant_mark = "invariant_";
+const char* const soak_runner = "emberdale-soak-runner";
+
+std::string emptied(const std::string& folder) {
+  std::filesystem::remove_all(folder);
+  return folder;
+}
+
+void sleep_until(TimePoint time) {
+  auto left = std::max<std::int64_t>(0, (time - steady_now()).value);
+  std::this_thread::sleep_for(std::chrono::milliseconds(left));
+}
+
+// One step of the schedule: a trouble begins or ends.
+struct Step {
+  Duration at;
+  std::size_t trouble = 0;
+  bool is_begin = false;
+};
+
+std::vector<Step> steps_of(const std::vector<PlannedTrouble>& schedule) {
+  std::vector<Step> steps;
+  for (std::size_t i = 0; i < schedule.size(); ++i) {
+    steps.push_back({schedule[i].begins, i, true});
+    steps.push_back({schedule[i].ends, i, false});
+  }
+  std::stable_sort(steps.begin(), steps.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
+  return steps;
+}
+
+bool is_data(const std::string& role) { return role == "data"; }
+bool is_runner(const std::string& role) { return role == "model" || role == "record"; }
+
+}  // namespace
+
+Soak::Soak(SoakOptions options)
+    : options_(std::move(options)), fleet_(options_.deployment, emptied(options_.folder), options_.programs) {
+  for (const auto& name : fleet_.names({"model", "record"}))
+    fleet_.at(name).words[0] = options_.programs + "/" + soak_runner;
+  SoakTargets targets{fleet_.names({"core"}), fleet_.names({"edge"}), fleet_.names({"data"}), fleet_.names({"model"})};
+  schedule_ = draw_schedule(targets, options_.seed, options_.length);
+  std::ofstream(options_.folder + "/schedule.json") << schedule_document(schedule_).dump(2) << "\n";
+}
+
+SoakReport Soak::run() {
+  if (!bring_up())
+    return {{{"start", "the fleet did not come up"}}, {}};
+  {
+    PauseMonitor monitor([this](const Interval& pause) { records_.pauses.push_back(pause); });
+    SoakOperators operators(addresses({"core", "edge"}), fleet_.names({"model"}), options_.seed);
+    SoakClients clients(addresses({"data"}), options_.seed);
+    play();
+    if (!wait_until_whole())
+      violations_.push_back({"recovery", "not every data daemon serves after the last trouble"});
+    records_.calls = clients.stop();
+    operators_ = operators.stop();
+    records_.drains = operators_.drains;
+    sleep_until(steady_now() + settling_time);
+  }
+  read_records();
+  for (const auto& name : fleet_.names({"core", "edge", "data"}))
+    read_invariants(name);
+  SoakReport report = this->report();
+  for (const auto& name : fleet_.stop())
+    report.violations.push_back({"clean stop", name});
+  return report;
+}
+
+bool Soak::bring_up() {
+  for (auto step : {&FleetOfProcesses::start_all, &FleetOfProcesses::found, &FleetOfProcesses::declare}) {
+    auto done = (fleet_.*step)();
+    if (!done) {
+      std::cerr << done.reason << "\n";
+      return false;
+    }
+  }
+  return true;
+}
+
+void Soak::play() {
+  TimePoint start = steady_now(), next_reading = start;
+  records_.troubles.resize(schedule_.size());
+  for (const Step& step : steps_of(schedule_)) {
+    for (; next_reading < start + step.at; next_reading = next_reading + invariants_interval) {
+      sleep_until(next_reading);
+      for (const auto& name : fleet_.names({"core", "edge", "data"}))
+        if (steady_now() < start + step.at)
+          read_invariants(name);
+    }
+    sleep_until(start + step.at);
+    if (step.is_begin)
+      begin(schedule_[step.trouble], records_.troubles[step.trouble]);
+    else
+      end(schedule_[step.trouble], records_.troubles[step.trouble]);
+  }
+  sleep_until(start + options_.length);
+}
+
+void Soak::begin(const PlannedTrouble& trouble, TroubleRecord& record) {
+  record = {trouble.kind, trouble.target, {steady_now(), {}}};
+  switch (trouble.kind) {
+    case TroubleKind::kill_daemon:
+      read_invariants(trouble.target);
+      fleet_.end(trouble.target, SIGKILL);
+      record.time.from = steady_now();
+      break;
+    case TroubleKind::kill_runner:
+      fleet_.end(trouble.target, SIGKILL);
+      record.time.from = steady_now();
+      break;
+    case TroubleKind::stop_daemon:
+    case TroubleKind::stop_runner:
+      fleet_.signal(trouble.target, SIGSTOP);
+      break;
+    case TroubleKind::cut_daemon:
+      cut(trouble, true);
+      break;
+  }
+}
+
+void Soak::end(const PlannedTrouble& trouble, TroubleRecord& record) {
+  switch (trouble.kind) {
+    case TroubleKind::kill_daemon:
+    case TroubleKind::kill_runner:
+      fleet_.begin(trouble.target);
+      break;
+    case TroubleKind::stop_daemon:
+    case TroubleKind::stop_runner:
+      fleet_.signal(trouble.target, SIGCONT);
+      break;
+    case TroubleKind::cut_daemon:
+      cut(trouble, false);
+      break;
+  }
+  record.time.until = steady_now();
+}
+
+void Soak::cut(const PlannedTrouble& trouble, bool is_cut) {
+  Json fault{{"clear", true}};
+  if (is_cut) {
+    fault = {{"cut_in", trouble.cuts_in}, {"cut_out", trouble.cuts_out}, {"siblings", Json::array()}};
+    for (const auto& peer : trouble.peers)
+      fault["siblings"].push_back(fleet_.at(peer).link);
+  }
+  const FleetProcess& process = fleet_.at(trouble.target);
+  const char* path = is_data(process.role) ? "/emberdale/faults" : "/v1/faults";
+  exchange(process.http, request_text("POST", path, "", fault.dump()), page_patience);
+}
+
+void Soak::read_invariants(const std::string& daemon) {
+  const FleetProcess& process = fleet_.at(daemon);
+  const char* path = is_data(process.role) ? "/emberdale/metrics" : "/metrics";
+  auto page = exchange(process.http, request_text("GET", path, "", ""), page_patience);
+  if (!page)
+    return;
+  std::istringstream lines(page->body);
+  for (std::string name, value; lines >> name;) {
+    std::getline(lines, value);
+    if (name.find(invariant_mark) == std::string::npos)
+      continue;
+    std::int64_t& highest = invariants_[daemon + " " + name];
+    highest = std::max<std::int64_t>(highest, std::atoll(value.c_str()));
+  }
+}
+
+bool Soak::wait_until_whole() {
+  TimePoint deadline = steady_now() + recovery_limit;
+  auto gateways = addresses({"data"});
+  bool is_whole = false;
+  while (!is_whole && steady_now() < deadline) {
+    is_whole = std::all_of(gateways.begin(), gateways.end(), [](const ProcessAddress& gateway) {
+      auto health = exchange(gateway.http, request_text("GET", "/emberdale/health", "", ""), page_patience);
+      return health && health->status == 200;
+    });
+  }
+  return is_whole;
+}
+
+void Soak::read_records() {
+  for (const auto& [name, process] : fleet_.processes())
+    if (is_runner(process.role))
+      records_.runners[name] = read_runner_records(options_.folder + "/ledger-" + name, name);
+  records_.read_at = steady_now();
+}
+
+std::vector<ProcessAddress> Soak::addresses(const std::vector<std::string>& roles) const {
+  std::vector<ProcessAddress> list;
+  for (const auto& name : fleet_.names(roles)) {
+    const FleetProcess& process = fleet_.processes().at(name);
+    list.push_back({process.name, process.http, process.region});
+  }
+  return list;
+}
+
+SoakReport Soak::report() {
+  Verdict verdict = judge(records_);
+  SoakReport report;
+  report.violations = std::move(verdict.violations);
+  report.violations.insert(report.violations.end(), violations_.begin(), violations_.end());
+  for (const auto& finding : operators_.lost_changes)
+    report.violations.push_back({"acknowledged configuration", finding});
+  for (const auto& [name, count] : invariants_)
+    if (count > 0)
+      report.violations.push_back({"invariant of a daemon", name + " " + std::to_string(count)});
+  if (verdict.departed_runs < fewest_departed_runs)
+    report.violations.push_back(
+        {"too little judged", std::to_string(verdict.departed_runs) + " runs of clients that left"});
+  std::map<std::string, int> outcomes;
+  for (const auto& call : records_.calls)
+    ++outcomes[to_string(call.outcome)];
+  Duration paused = overlap(records_.pauses, TimePoint{}, records_.read_at);
+  report.figures = {{"seed", options_.seed},
+                    {"troubles", schedule_.size()},
+                    {"calls", outcomes},
+                    {"runs", verdict.runs},
+                    {"departed_runs", verdict.departed_runs},
+                    {"departed_left_out", verdict.departed_left_out},
+                    {"worst_departure_ms", verdict.worst_departure.value},
+                    {"drains", records_.drains.size()},
+                    {"drained_left_out", verdict.drained_left_out},
+                    {"edits_acknowledged", operators_.acknowledged},
+                    {"reads", operators_.reads},
+                    {"answers_unread", operators_.unread},
+                    {"invariant_counters", invariants_.size()},
+                    {"soak_paused_ms", paused.value}};
+  return report;
+}
+
+}  // namespace emberdale::soak
--- /dev/null
+++ b/packages/fleet-soak/src/soak_operators.cpp
@@ -0,0 +1,176 @@
+#include "soak_operators.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "emberdale/program_settings.hpp"
+#include "plain_http.hpp"
+
+namespace emberdale::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration operator_patience{4000}, mark_patience{3000};
+constexpr Duration edit_interval{400}, retry_interval{200}, unread_interval{1500}, unread_time{2500};
+constexpr Duration marked_time{8000}, unmarked_time{500}, poll_interval{20};
+constexpr int final_reads = 20, mark_attempts = 20;
+constexpr std::int64_t smallest_deadline_ms = 1000;
+const char* const edited_path = "/v1/serving-plans/soak-edits";
+const char* const unread_path = "/v1/serving-plans/soak-unread";
+
+Json soak_plan(const std::string& path, std::int64_t deadline_ms) {
+  return {{"service", "berths"}, {"match", {{"path", path}}}, {"pool", "models"}, {"horizon_ms", deadline_ms}};
+}
+
+// A resource as the fleet shows it; nothing for what is none.
+std::optional<EditedVersion> read_resource(const std::string& body) {
+  Json resource = Json::parse(body, nullptr, false);
+  if (!resource.is_object() || !resource.contains("version"))
+    return std::nullopt;
+  EditedVersion read{resource.value("version", std::int64_t{0}), 0};
+  if (resource.contains("spec"))
+    read.value = resource["spec"].value("horizon_ms", std::int64_t{0});
+  return read;
+}
+
+bool is_done(const std::optional<Response>& response) {
+  return response && (response->status == 200 || response->status == 201);
+}
+
+}  // namespace
+
+void EditHistory::on_acknowledged(const EditedVersion& edited) {
+  ++acknowledged_;
+  latest_ = edited;
+  unknown_values_.clear();  // each change names the version that it replaces: older ones can't be made any more
+}
+
+std::string EditHistory::on_read(const EditedVersion& read) {
+  std::string seen = "version " + std::to_string(read.version) + " value " + std::to_string(read.value);
+  std::string known = "version " + std::to_string(latest_.version) + " value " + std::to_string(latest_.value);
+  bool is_latest = read.version == latest_.version && read.value == latest_.value;
+  bool is_unknown = read.version > latest_.version &&
+                    std::find(unknown_values_.begin(), unknown_values_.end(), read.value) != unknown_values_.end();
+  if (!is_latest && !is_unknown)
+    return "read " + seen + " after " + known;
+  latest_ = read;
+  return "";
+}
+
+SoakOperators::SoakOperators(std::vector<ProcessAddress> controls, std::vector<std::string> runners, std::uint64_t seed)
+    : controls_(std::move(controls)), runners_(std::move(runners)) {
+  threads_.emplace_back([this, seed] { edit(seed); });
+  threads_.emplace_back([this, seed] { mark(seed); });
+  threads_.emplace_back([this, seed] { leave_unread(seed); });
+}
+
+OperatorRecords SoakOperators::stop() {
+  is_over_ = true;
+  for (auto& thread : threads_)
+    thread.join();
+  threads_.clear();
+  return records_;
+}
+
+void SoakOperators::wait(Duration time) const {
+  TimePoint end = steady_now() + time;
+  while (!is_over_ && steady_now() < end)
+    std::this_thread::sleep_for(std::chrono::milliseconds(poll_interval.value));
+}
+
+const ProcessAddress& SoakOperators::draw_control(RandomGenerator& random) const {
+  return controls_[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(controls_.size())))];
+}
+
+void SoakOperators::edit(std::uint64_t seed) {
+  RandomGenerator random(seed);
+  EditHistory history;
+  for (std::int64_t value = smallest_deadline_ms; !is_over_; ++value) {
+    edit_once(history, value, draw_control(random).http);
+    read_back(history, draw_control(random).http);
+    wait(edit_interval);
+  }
+  std::int64_t reads = records_.reads;
+  for (int attempt = 0; attempt < final_reads && records_.reads == reads; ++attempt)
+    read_back(history, draw_control(random).http);
+  if (records_.reads == reads)
+    records_.lost_changes.push_back("the configuration could not be read at the end");
+  records_.acknowledged = history.acknowledged();
+}
+
+void SoakOperators::edit_once(EditHistory& history, std::int64_t value, const std::string& control) {
+  std::int64_t version = history.latest().version;
+  std::string condition = version == 0 ? "If-None-Match: *\r\n" : "If-Match: \"" + std::to_string(version) + "\"\r\n";
+  std::string body = soak_plan("/v1/soak-edits", value).dump();
+  auto response = exchange(control, request_text("PUT", edited_path, condition, body), operator_patience);
+  if (!is_done(response)) {
+    bool is_certainly_not = response && (response->status == 503 || response->status == 412);
+    if (!is_certainly_not)
+      history.on_unknown(value);
+    return;
+  }
+  auto edited = read_resource(response->body);
+  history.on_acknowledged({edited ? edited->version : 0, value});
+}
+
+void SoakOperators::read_back(EditHistory& history, const std::string& control) {
+  auto response = exchange(control, request_text("GET", edited_path, "", ""), operator_patience);
+  bool is_absent = response && response->status == 404;
+  if (!is_absent && !is_done(response))
+    return;
+  ++records_.reads;
+  EditedVersion read = is_absent ? EditedVersion{} : read_resource(response->body).value_or(EditedVersion{});
+  std::string finding = history.on_read(read);
+  if (!finding.empty())
+    records_.lost_changes.push_back(finding);
+}
+
+// The mark as it was acknowledged; nothing where no daemon did so.
+std::optional<DrainRecord> SoakOperators::set_mark(const std::string& runner, bool is_leaving,
+                                                   RandomGenerator& random) const {
+  std::string request = request_text("PATCH", "/v1/runners/" + runner, "", Json{{"leaving", is_leaving}}.dump());
+  for (int attempt = 0; attempt < mark_attempts; ++attempt) {
+    const ProcessAddress& control = draw_control(random);
+    DrainRecord drain{runner, control.name, {steady_now(), {}}};
+    if (is_done(exchange(control.http, request, mark_patience)))
+      return drain;
+    std::this_thread::sleep_for(std::chrono::milliseconds(retry_interval.value));
+  }
+  return std::nullopt;
+}
+
+void SoakOperators::mark(std::uint64_t seed) {
+  RandomGenerator random(seed + 1);
+  while (!is_over_) {
+    const std::string& runner =
+        runners_[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(runners_.size())))];
+    auto drain = set_mark(runner, true, random);
+    if (!drain)
+      continue;
+    wait(marked_time);
+    drain->time.until = steady_now();
+    set_mark(runner, false, random);
+    records_.drains.push_back(*drain);
+    wait(unmarked_time);
+  }
+}
+
+void SoakOperators::leave_unread(std::uint64_t seed) {
+  RandomGenerator random(seed + 2);
+  for (std::int64_t value = smallest_deadline_ms; !is_over_; ++value) {
+    std::string request = request_text("PUT", unread_path, "", soak_plan("/v1/soak-unread", value).dump()) +
+                          request_text("GET", "/v1/fleet", "", "");
+    auto connection = Connection::open(draw_control(random).http, retry_interval);
+    if (connection) {
+      connection->shrink_receive_buffer();
+      connection->send(request, steady_now() + retry_interval);
+      ++records_.unread;
+      wait(unread_time);
+    }
+    wait(unread_interval);
+  }
+}
+
+}  // namespace emberdale::soak
--- /dev/null
+++ b/packages/fleet-soak/src/soak_operators.hpp
@@ -0,0 +1,71 @@
+// Operators of a fleet under soak: one changes the configuration and reads it back, one marks runners as draining, and
+// one never reads its answers.
+#pragma once
+#include <atomic>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "soak_records.hpp"
+
+namespace emberdale::soak {
+
+// One version of the resource that the editor changes.
+struct EditedVersion {
+  std::int64_t version = 0, value = 0;
+};
+
+// Judges what the one writer of a resource is told: what was acknowledged stays, until it changes it again.
+class EditHistory {
+ public:
+  void on_acknowledged(const EditedVersion& edited);
+  // A change that may still be made, or not.
+  void on_unknown(std::int64_t value) { unknown_values_.push_back(value); }
+  // Empty: what was read may be; else why not.
+  std::string on_read(const EditedVersion& read);
+  std::int64_t acknowledged() const { return acknowledged_; }
+  const EditedVersion& latest() const { return latest_; }
+
+ private:
+  EditedVersion latest_;                      // known to be in the register
+  std::vector<std::int64_t> unknown_values_;  // of changes since then
+  std::int64_t acknowledged_ = 0;
+};
+
+// What the operators have done and seen.
+struct OperatorRecords {
+  std::vector<DrainRecord> drains;
+  std::vector<std::string> lost_changes;  // reads that contradict what was acknowledged
+  std::int64_t acknowledged = 0, reads = 0, unread = 0;
+};
+
+// Example: SoakOperators operators(controls, {"model-1"}, 7); ... auto records = operators.stop();
+class SoakOperators {
+ public:
+  SoakOperators(std::vector<ProcessAddress> controls, std::vector<std::string> runners, std::uint64_t seed);
+  SoakOperators(const SoakOperators&) = delete;
+  SoakOperators& operator=(const SoakOperators&) = delete;
+  ~SoakOperators() { stop(); }
+
+  // Takes the last mark away, reads the configuration once more, and gives what was seen. The fleet must be whole.
+  OperatorRecords stop();
+
+ private:
+  void edit(std::uint64_t seed);
+  void edit_once(EditHistory& history, std::int64_t value, const std::string& control);
+  void read_back(EditHistory& history, const std::string& control);
+  void mark(std::uint64_t seed);
+  std::optional<DrainRecord> set_mark(const std::string& runner, bool is_leaving, RandomGenerator& random) const;
+  void leave_unread(std::uint64_t seed);
+  void wait(Duration time) const;
+  const ProcessAddress& draw_control(RandomGenerator& random) const;
+
+  const std::vector<ProcessAddress> controls_;
+  const std::vector<std::string> runners_;
+  std::atomic<bool> is_over_{false};
+  OperatorRecords records_;  // each operator writes fields of its own
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace emberdale::soak
