Soak: the users' platform as a second face, and the daemons' invariants

What differs between the two faces is behind SoakFace now; platform/soak starts the platform's two programs on one loopback address a machine and serves the list of runners.

Counters with invariant_ in their name fail a soak, those of checks (_checks) don't, and neither is needed: the logs are read as well.

--- /dev/null
+++ b/packages/fleet-soak/src/invariant_counts.cpp
@@ -0,0 +1,50 @@
+#include "invariant_counts.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace emberdale::soak {
+namespace {
+
+const std::string counter_mark = "invariant_", checks_end = "_checks", log_mark = "invariant_violated invariant=";
+
+bool ends_with(const std::string& text, const std::string& end) {
+  return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+}  // namespace
+
+void InvariantCounts::read_page(const std::string& daemon, const std::string& page) {
+  std::istringstream lines(page);
+  for (std::string line; std::getline(lines, line);) {
+    std::istringstream fields(line);
+    std::string name;
+    std::int64_t value = 0;
+    if (!(fields >> name >> value) || name.find(counter_mark) == std::string::npos)
+      continue;
+    bool is_of_checks = ends_with(name, checks_end);
+    if (!is_of_checks && value == 0)
+      continue;
+    std::int64_t& highest = (is_of_checks ? checks_ : violations_)[daemon + " " + name];
+    highest = std::max(highest, value);
+  }
+}
+
+void InvariantCounts::read_log(const std::string& daemon, const std::string& file) {
+  std::ifstream lines(file);
+  for (std::string line; std::getline(lines, line);) {
+    auto mark = line.find(log_mark);
+    if (mark != std::string::npos)
+      ++violations_[daemon + " log: " + line.substr(mark)];
+  }
+}
+
+std::int64_t InvariantCounts::checks() const {
+  std::int64_t sum = 0;
+  for (const auto& [name, value] : checks_)
+    sum += value;
+  return sum;
+}
+
+}  // namespace emberdale::soak
--- a/packages/fleet-soak/src/plain_http.cpp
+++ b/packages/fleet-soak/src/plain_http.cpp
@@ -116,6 +116,8 @@
   return -1;
 }
 
+void stop_listening(int listener) { ::shutdown(listener, SHUT_RDWR); }
+
 std::optional<Connection> accept_from(int listener) {
   int handle = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
   if (handle < 0)
@@ -125,6 +127,11 @@
   return Connection(handle);
 }
 
+std::string lower_case(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) { return std::tolower(letter); });
+  return text;
+}
+
 ReadResult Message::read_from(Connection& connection, TimePoint deadline) {
   ReadResult result = ReadResult::data;
   while (!is_complete() && result == ReadResult::data)
@@ -173,9 +180,7 @@
     auto value = line.find_first_not_of(' ', colon + 1);
     if (colon == std::string::npos || value == std::string::npos)
       continue;
-    std::string name = line.substr(0, colon);
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return std::tolower(letter); });
-    fields_[name] = line.substr(value, line.find_last_not_of('\r') + 1 - value);
+    fields_[lower_case(line.substr(0, colon))] = line.substr(value, line.find_last_not_of('\r') + 1 - value);
   }
 }
 
--- a/packages/fleet-soak/src/plain_http.hpp
+++ b/packages/fleet-soak/src/plain_http.hpp
@@ -40,6 +40,8 @@
 
 // A socket that listens at an address; -1 if it can't. Example: int listener = listen_at("127.0.0.1:8080");
 int listen_at(const std::string& address);
+// Ends accept_from() in another thread.
+void stop_listening(int listener);
 // The next connection of a listening socket; nothing after an error.
 std::optional<Connection> accept_from(int listener);
 
@@ -67,6 +69,9 @@
   std::map<std::string, std::string> fields_;
 };
 
+// Example: lower_case("X-Call-Id") == "x-call-id"
+std::string lower_case(std::string text);
+
 struct Response {
   int status = 0;
   std::string body;
--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -4,11 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
-#include <iostream>
-#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -23,17 +19,11 @@
 using Json = nlohmann::json;
 
 constexpr Duration page_patience{500};
+constexpr Duration poll_interval{50};
 constexpr Duration recovery_limit{30000};
 constexpr Duration settling_time{2000};  // after the last client, so that the last runs end
 constexpr Duration invariants_interval{1000};
 constexpr std::int64_t fewest_departed_runs = 10;  // with fewer, the soak has shown nothing
-const std::string invariant_mark = "invariant_";
-const char* const soak_runner = "emberdale-soak-runner";
-
-std::string emptied(const std::string& folder) {
-  std::filesystem::remove_all(folder);
-  return folder;
-}
 
 void sleep_until(TimePoint time) {
   auto left = std::max<std::int64_t>(0, (time - steady_now()).value);
@@ -57,27 +47,26 @@
   return steps;
 }
 
-bool is_data(const std::string& role) { return role == "data"; }
 bool is_runner(const std::string& role) { return role == "model" || role == "record"; }
 
 }  // namespace
 
-Soak::Soak(SoakOptions options)
-    : options_(std::move(options)), fleet_(options_.deployment, emptied(options_.folder), options_.programs) {
-  for (const auto& name : fleet_.names({"model", "record"}))
-    fleet_.at(name).words[0] = options_.programs + "/" + soak_runner;
-  SoakTargets targets{fleet_.names({"core"}), fleet_.names({"edge"}), fleet_.names({"data"}), fleet_.names({"model"})};
-  schedule_ = draw_schedule(targets, options_.seed, options_.length);
+Soak::Soak(SoakFace& face, SoakOptions options)
+    : face_(face),
+      options_(std::move(options)),
+      fleet_(face.fleet()),
+      schedule_(draw_schedule(face.targets(), options_.seed, options_.length)) {
   std::ofstream(options_.folder + "/schedule.json") << schedule_document(schedule_).dump(2) << "\n";
 }
 
 SoakReport Soak::run() {
-  if (!bring_up())
-    return {{{"start", "the fleet did not come up"}}, {}};
+  std::string reason = face_.bring_up();
+  if (!reason.empty())
+    return {{{"start", "the fleet did not come up: " + reason}}, {}};
   {
     PauseMonitor monitor([this](const Interval& pause) { records_.pauses.push_back(pause); });
-    SoakOperators operators(addresses({"core", "edge"}), fleet_.names({"model"}), options_.seed);
-    SoakClients clients(addresses({"data"}), options_.seed);
+    SoakOperators operators(face_, addresses({"core", "edge"}), face_.targets().runners, options_.seed);
+    SoakClients clients(face_, addresses({"data"}), options_.seed);
     play();
     if (!wait_until_whole())
       violations_.push_back({"recovery", "not every data daemon serves after the last trouble"});
@@ -89,23 +78,14 @@
   read_records();
   for (const auto& name : fleet_.names({"core", "edge", "data"}))
     read_invariants(name);
+  for (const auto& name : fleet_.names({"core", "edge", "data"}))
+    invariants_.read_log(name, options_.folder + "/" + name + ".log");
   SoakReport report = this->report();
   for (const auto& name : fleet_.stop())
     report.violations.push_back({"clean stop", name});
   return report;
 }
 
-bool Soak::bring_up() {
-  for (auto step : {&FleetOfProcesses::start_all, &FleetOfProcesses::found, &FleetOfProcesses::declare}) {
-    auto done = (fleet_.*step)();
-    if (!done) {
-      std::cerr << done.reason << "\n";
-      return false;
-    }
-  }
-  return true;
-}
-
 void Soak::play() {
   TimePoint start = steady_now(), next_reading = start;
   records_.troubles.resize(schedule_.size());
@@ -172,35 +152,25 @@
       fault["siblings"].push_back(fleet_.at(peer).link);
   }
   const FleetProcess& process = fleet_.at(trouble.target);
-  const char* path = is_data(process.role) ? "/emberdale/faults" : "/v1/faults";
-  exchange(process.http, request_text("POST", path, "", fault.dump()), page_patience);
+  exchange(process.http, request_text("POST", face_.faults_path(process), "", fault.dump()), page_patience);
 }
 
 void Soak::read_invariants(const std::string& daemon) {
   const FleetProcess& process = fleet_.at(daemon);
-  const char* path = is_data(process.role) ? "/emberdale/metrics" : "/metrics";
-  auto page = exchange(process.http, request_text("GET", path, "", ""), page_patience);
-  if (!page)
-    return;
-  std::istringstream lines(page->body);
-  for (std::string name, value; lines >> name;) {
-    std::getline(lines, value);
-    if (name.find(invariant_mark) == std::string::npos)
-      continue;
-    std::int64_t& highest = invariants_[daemon + " " + name];
-    highest = std::max<std::int64_t>(highest, std::atoll(value.c_str()));
-  }
+  std::string request = request_text("GET", face_.metrics_path(process), "", "");
+  auto page = exchange(face_.metrics_address(process), request, page_patience);
+  if (page)
+    invariants_.read_page(daemon, page->body);
 }
 
 bool Soak::wait_until_whole() {
   TimePoint deadline = steady_now() + recovery_limit;
-  auto gateways = addresses({"data"});
+  auto gateways = fleet_.names({"data"});
   bool is_whole = false;
   while (!is_whole && steady_now() < deadline) {
-    is_whole = std::all_of(gateways.begin(), gateways.end(), [](const ProcessAddress& gateway) {
-      auto health = exchange(gateway.http, request_text("GET", "/emberdale/health", "", ""), page_patience);
-      return health && health->status == 200;
-    });
+    is_whole = std::all_of(gateways.begin(), gateways.end(),
+                           [this](const std::string& name) { return face_.is_ready(fleet_.at(name)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(poll_interval.value));
   }
   return is_whole;
 }
@@ -228,9 +198,8 @@
   report.violations.insert(report.violations.end(), violations_.begin(), violations_.end());
   for (const auto& finding : operators_.lost_changes)
     report.violations.push_back({"acknowledged configuration", finding});
-  for (const auto& [name, count] : invariants_)
-    if (count > 0)
-      report.violations.push_back({"invariant of a daemon", name + " " + std::to_string(count)});
+  for (const auto& [name, count] : invariants_.violations())
+    report.violations.push_back({"invariant of a daemon", name + " " + std::to_string(count)});
   if (verdict.departed_runs < fewest_departed_runs)
     report.violations.push_back(
         {"too little judged", std::to_string(verdict.departed_runs) + " runs of clients that left"});
@@ -250,7 +219,7 @@
                     {"edits_acknowledged", operators_.acknowledged},
                     {"reads", operators_.reads},
                     {"answers_unread", operators_.unread},
-                    {"invariant_counters", invariants_.size()},
+                    {"invariant_checks", invariants_.checks()},
                     {"soak_paused_ms", paused.value}};
   return report;
 }
--- a/packages/fleet-soak/src/soak.hpp
+++ b/packages/fleet-soak/src/soak.hpp
@@ -1,11 +1,12 @@
 // One soak: a fleet of real processes serves clients and operators while the troubles of a seed come and go.
 #pragma once
-#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "emberdale/fleet_of_processes.hpp"
+#include "invariant_counts.hpp"
+#include "soak_face.hpp"
 #include "soak_judge.hpp"
 #include "soak_operators.hpp"
 #include "soak_schedule.hpp"
@@ -13,9 +14,7 @@
 namespace emberdale::soak {
 
 struct SoakOptions {
-  std::string deployment;  // caspian or kathmandu
-  std::string folder;      // removed at the start; schedule, records and logs
-  std::string programs;    // where the programs are
+  std::string folder;  // schedule, records and logs
   std::uint64_t seed = 1;
   Duration length;  // of the load
 };
@@ -25,18 +24,14 @@
   nlohmann::json figures;
 };
 
-// The counters of violated invariants that the daemons keep themselves, by daemon and name: the highest value seen.
-using InvariantCounts = std::map<std::string, std::int64_t>;
-
 class Soak {
  public:
-  explicit Soak(SoakOptions options);
+  Soak(SoakFace& face, SoakOptions options);
 
   // Plays the whole soak. What it finds is in the log folder as well.
   SoakReport run();
 
  private:
-  bool bring_up();
   void play();
   void begin(const PlannedTrouble& trouble, TroubleRecord& record);
   void end(const PlannedTrouble& trouble, TroubleRecord& record);
@@ -47,8 +42,9 @@
   std::vector<ProcessAddress> addresses(const std::vector<std::string>& roles) const;
   SoakReport report();
 
+  SoakFace& face_;
   const SoakOptions options_;
-  FleetOfProcesses fleet_;
+  FleetOfProcesses& fleet_;
   std::vector<PlannedTrouble> schedule_;
   SoakRecords records_;
   OperatorRecords operators_;
--- a/packages/fleet-soak/src/soak_clients.cpp
+++ b/packages/fleet-soak/src/soak_clients.cpp
@@ -76,7 +76,8 @@
   return body;
 }
 
-PlannedCall draw_call(const std::vector<ProcessAddress>& gateways, const std::string& id, RandomGenerator& random) {
+PlannedCall draw_call(const SoakFace& face, const std::vector<ProcessAddress>& gateways, const std::string& id,
+                      RandomGenerator& random) {
   PlannedCall call;
   const ProcessAddress& gateway =
       gateways[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(gateways.size())))];
@@ -86,13 +87,8 @@
   call.record.id = id;
   call.record.daemon = gateway.name;
   call.address = gateway.http;
-  std::string fields = "X-Call-Id: " + id + "\r\n";
-  if (is_stream)
-    fields += "X-Home-Region: " + gateway.region + "\r\n";
-  std::string path = is_stream                   ? "/v1/booking-chats"
-                     : call.record.is_repeatable ? "/v1/slot-confirmations"
-                                                 : "/v1/manifest-checks";
-  call.request = request_text("POST", path, fields, draw_body(is_stream, random).dump());
+  CallNature nature{id, gateway.region, is_stream, call.record.is_repeatable};
+  call.request = face.call_request(nature, draw_body(is_stream, random).dump());
   std::size_t head_size = call.request.find("\r\n\r\n") + 4;
   call.sent_bytes = call.request.size();
   if (call.behaviour == Behaviour::leaves_within_head)
@@ -106,10 +102,10 @@
   return call;
 }
 
-CallOutcome outcome_of(const Message& response) {
+CallOutcome outcome_of(const SoakFace& face, const Message& response) {
   if (!response.is_complete())
     return CallOutcome::other;
-  if (response.word(1) == "503")
+  if (face.says_not_run(response))
     return CallOutcome::refused;
   return response.word(1) == "200" ? CallOutcome::served : CallOutcome::other;
 }
@@ -134,7 +130,7 @@
 }
 
 // Reads the response, unless the client leaves first.
-void receive(PlannedCall& call, Connection& connection) {
+void receive(const SoakFace& face, PlannedCall& call, Connection& connection) {
   std::optional<TimePoint> leaves_at = leaving_time(call);
   if (call.behaviour == Behaviour::never_reads) {
     std::this_thread::sleep_for(std::chrono::milliseconds(unread_ms));
@@ -145,7 +141,7 @@
   for (;;) {
     ReadResult result = response.read_once(connection, leaves_at.value_or(patience_ends));
     if (response.is_complete() || (result == ReadResult::closed && response.has_head())) {
-      call.record.outcome = outcome_of(response);
+      call.record.outcome = outcome_of(face, response);
       return;
     }
     if (result == ReadResult::closed)
@@ -161,7 +157,7 @@
   }
 }
 
-void make_call(PlannedCall& call) {
+void make_call(const SoakFace& face, PlannedCall& call) {
   call.record.begun = steady_now();
   call.record.outcome = CallOutcome::unreachable;
   auto connection = Connection::open(call.address, connect_timeout);
@@ -170,12 +166,13 @@
   if (call.behaviour == Behaviour::never_reads)
     connection->shrink_receive_buffer();
   if (connection->send(call.request.substr(0, call.sent_bytes), steady_now() + patience))
-    receive(call, *connection);
+    receive(face, call, *connection);
 }
 
 }  // namespace
 
-SoakClients::SoakClients(std::vector<ProcessAddress> gateways, std::uint64_t seed) : gateways_(std::move(gateways)) {
+SoakClients::SoakClients(const SoakFace& face, std::vector<ProcessAddress> gateways, std::uint64_t seed)
+    : face_(face), gateways_(std::move(gateways)) {
   for (int number = 0; number < clients; ++number)
     threads_.emplace_back(
         [this, number, seed] { run_client(number, seed * clients + static_cast<std::uint64_t>(number)); });
@@ -192,8 +189,9 @@
 void SoakClients::run_client(int number, std::uint64_t seed) {
   RandomGenerator random(seed);
   for (int count = 0; !is_over_; ++count) {
-    PlannedCall call = draw_call(gateways_, "call-" + std::to_string(number) + "-" + std::to_string(count), random);
-    make_call(call);
+    PlannedCall call =
+        draw_call(face_, gateways_, "call-" + std::to_string(number) + "-" + std::to_string(count), random);
+    make_call(face_, call);
     {
       std::lock_guard<std::mutex> lock(mutex_);
       calls_.push_back(call.record);
--- a/packages/fleet-soak/src/soak_clients.hpp
+++ b/packages/fleet-soak/src/soak_clients.hpp
@@ -7,14 +7,15 @@
 #include <thread>
 #include <vector>
 
+#include "soak_face.hpp"
 #include "soak_records.hpp"
 
 namespace emberdale::soak {
 
-// Example: SoakClients clients(gateways, 7); ... auto calls = clients.stop();
+// Example: SoakClients clients(face, gateways, 7); ... auto calls = clients.stop();
 class SoakClients {
  public:
-  SoakClients(std::vector<ProcessAddress> gateways, std::uint64_t seed);
+  SoakClients(const SoakFace& face, std::vector<ProcessAddress> gateways, std::uint64_t seed);
   SoakClients(const SoakClients&) = delete;
   SoakClients& operator=(const SoakClients&) = delete;
   ~SoakClients() { stop(); }
@@ -25,6 +26,7 @@
  private:
   void run_client(int number, std::uint64_t seed);
 
+  const SoakFace& face_;
   const std::vector<ProcessAddress> gateways_;
   std::atomic<bool> is_over_{false};
   std::mutex mutex_;
--- a/packages/fleet-soak/src/soak_main.cpp
+++ b/packages/fleet-soak/src/soak_main.cpp
@@ -1,90 +1,10 @@
-// emberdale-fleet-soak: real processes under seeded troubles that overlap, with leaving clients. See docs/soak.md.
-#include <docopt/docopt.h>
-#include <pplx/threadpool.h>
-
-#include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iostream>
-#include <map>
-
-#include "emberdale/program_settings.hpp"
-#include "soak.hpp"
-
-namespace emberdale::soak {
-namespace {
-
-const char program[] = "emberdale-fleet-soak";
-const char usage[] = R"(emberdale-fleet-soak: a whole fleet under seeded troubles that overlap.
-
-Usage:
-  emberdale-fleet-soak [options]
-
-Ends with 1 where a rule was violated; the folder of that seed is kept: schedule, records, logs.
-
-Options:
-  --seed N            First seed [default: 1].
-  --count K           How many seeds, one after the other [default: 1].
-  --seconds S         Length of the load of each seed [default: 25].
-  --deployment NAME   caspian or kathmandu [default: caspian].
-  --folder FOLDER     Removed at the start [default: fleet-soak].
-  --programs FOLDER   Where the programs are; else beside this one.
-  --keep              Keep the folders of seeds without a violation, too.
-  -h --help           Show this.
-)";
-
-constexpr int http_threads = 4;
-constexpr std::size_t shown_violations = 20;
-constexpr std::int64_t ms_per_second = 1000;
-
-void print_report(const SoakReport& report, const std::string& folder) {
-  std::cout << report.figures.dump() << "\n";
-  std::map<std::string, int> count_of_rule;
-  for (const auto& violation : report.violations)
-    ++count_of_rule[violation.rule];
-  for (const auto& [rule, count] : count_of_rule)
-    std::cout << "  VIOLATED " << count << " times: " << rule << "\n";
-  for (std::size_t i = 0; i < std::min(shown_violations, report.violations.size()); ++i)
-    std::cout << "    " << report.violations[i].rule << ": " << report.violations[i].what << "\n";
-  if (!report.violations.empty())
-    std::cout << "  kept: " << folder << "\n";
-  std::cout << std::flush;
-}
-
-void write_violations(const SoakReport& report, const std::string& file) {
-  std::ofstream stream(file);
-  for (const auto& violation : report.violations)
-    stream << violation.rule << ": " << violation.what << "\n";
+// emberdale-fleet-soak: the soak of our own interface.
+#include "own_face.hpp"
+#include "soak_program.hpp"
+
+int main(int argc, char** argv) {
+  return emberdale::soak::run_soak_program("emberdale-fleet-soak", argc, argv,
+                                           [](const auto& folder, const auto& programs) {
+                                             return std::make_unique<emberdale::soak::OwnFace>(folder, programs);
+                                           });
 }
-
-int run(int argc, char** argv) {
-  auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, program);
-  std::string self = argv[0];
-  SoakOptions options;
-  options.deployment = arguments["--deployment"].asString();
-  options.programs =
-      arguments["--programs"].isString() ? arguments["--programs"].asString() : self.substr(0, self.rfind('/'));
-  options.length = Duration{arguments["--seconds"].asLong() * ms_per_second};
-  start_program(program);
-  crossplat::threadpool::initialize_with_threads(http_threads);
-  std::filesystem::create_directories(arguments["--folder"].asString());
-  auto first = arguments["--seed"].asLong(), count = arguments["--count"].asLong();
-  std::size_t violations = 0;
-  for (auto seed = first; seed < first + count; ++seed) {
-    options.seed = static_cast<std::uint64_t>(seed);
-    options.folder = arguments["--folder"].asString() + "/seed-" + std::to_string(seed);
-    SoakReport report = Soak(options).run();
-    print_report(report, options.folder);
-    write_violations(report, options.folder + "/violations");
-    violations += report.violations.size();
-    if (report.violations.empty() && !arguments["--keep"].asBool())
-      std::filesystem::remove_all(options.folder);
-  }
-  std::cout << count << " seeds, " << violations << " violations" << std::endl;
-  return violations == 0 ? 0 : 1;
-}
-
-}  // namespace
-}  // namespace emberdale::soak
-
-int main(int argc, char** argv) { return emberdale::soak::run(argc, argv); }
--- a/packages/fleet-soak/src/soak_operators.cpp
+++ b/packages/fleet-soak/src/soak_operators.cpp
@@ -1,7 +1,6 @@
 #include "soak_operators.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "emberdale/program_settings.hpp"
@@ -10,35 +9,11 @@
 namespace emberdale::soak {
 namespace {
 
-using Json = nlohmann::json;
-
-constexpr Duration operator_patience{4000}, mark_patience{3000};
+constexpr Duration operator_patience{4000};
 constexpr Duration edit_interval{400}, retry_interval{200}, unread_interval{1500}, unread_time{2500};
 constexpr Duration marked_time{8000}, unmarked_time{500}, poll_interval{20};
 constexpr int final_reads = 20, mark_attempts = 20;
 constexpr std::int64_t smallest_deadline_ms = 1000;
-const char* const edited_path = "/v1/serving-plans/soak-edits";
-const char* const unread_path = "/v1/serving-plans/soak-unread";
-
-Json soak_plan(const std::string& path, std::int64_t deadline_ms) {
-  return {{"service", "berths"}, {"match", {{"path", path}}}, {"pool", "models"}, {"horizon_ms", deadline_ms}};
-}
-
-// A resource as the fleet shows it; nothing for what is none.
-std::optional<EditedVersion> read_resource(const std::string& body) {
-  Json resource = Json::parse(body, nullptr, false);
-  if (!resource.is_object() || !resource.contains("version"))
-    return std::nullopt;
-  EditedVersion read{resource.value("version", std::int64_t{0}), 0};
-  if (resource.contains("spec"))
-    read.value = resource["spec"].value("horizon_ms", std::int64_t{0});
-  return read;
-}
-
-bool is_done(const std::optional<Response>& response) {
-  return response && (response->status == 200 || response->status == 201);
-}
-
 }  // namespace
 
 void EditHistory::on_acknowledged(const EditedVersion& edited) {
@@ -59,8 +34,9 @@
   return "";
 }
 
-SoakOperators::SoakOperators(std::vector<ProcessAddress> controls, std::vector<std::string> runners, std::uint64_t seed)
-    : controls_(std::move(controls)), runners_(std::move(runners)) {
+SoakOperators::SoakOperators(SoakFace& face, std::vector<ProcessAddress> controls, std::vector<std::string> runners,
+                             std::uint64_t seed)
+    : face_(face), controls_(std::move(controls)), runners_(std::move(runners)) {
   threads_.emplace_back([this, seed] { edit(seed); });
   threads_.emplace_back([this, seed] { mark(seed); });
   threads_.emplace_back([this, seed] { leave_unread(seed); });
@@ -101,41 +77,35 @@
 }
 
 void SoakOperators::edit_once(EditHistory& history, std::int64_t value, const std::string& control) {
-  std::int64_t version = history.latest().version;
-  std::string condition = version == 0 ? "If-None-Match: *\r\n" : "If-Match: \"" + std::to_string(version) + "\"\r\n";
-  std::string body = soak_plan("/v1/soak-edits", value).dump();
-  auto response = exchange(control, request_text("PUT", edited_path, condition, body), operator_patience);
-  if (!is_done(response)) {
-    bool is_certainly_not = response && (response->status == 503 || response->status == 412);
-    if (!is_certainly_not)
-      history.on_unknown(value);
-    return;
-  }
-  auto edited = read_resource(response->body);
-  history.on_acknowledged({edited ? edited->version : 0, value});
+  auto response = exchange(control, face_.edit_request(history.latest().version, value), operator_patience);
+  auto edited = response ? face_.acknowledged_edit(*response, value) : std::nullopt;
+  bool is_certainly_not = response && (response->status == 503 || response->status == 412);
+  if (edited)
+    history.on_acknowledged(*edited);
+  else if (!is_certainly_not)
+    history.on_unknown(value);
 }
 
 void SoakOperators::read_back(EditHistory& history, const std::string& control) {
-  auto response = exchange(control, request_text("GET", edited_path, "", ""), operator_patience);
-  bool is_absent = response && response->status == 404;
-  if (!is_absent && !is_done(response))
+  auto response = exchange(control, face_.read_request(), operator_patience);
+  auto read = response ? face_.read_resource(*response) : std::nullopt;
+  if (!read)
     return;
   ++records_.reads;
-  EditedVersion read = is_absent ? EditedVersion{} : read_resource(response->body).value_or(EditedVersion{});
-  std::string finding = history.on_read(read);
+  std::string finding = history.on_read(*read);
   if (!finding.empty())
     records_.lost_changes.push_back(finding);
 }
 
 // The mark as it was acknowledged; nothing where no daemon did so.
-std::optional<DrainRecord> SoakOperators::set_mark(const std::string& runner, bool is_leaving,
-                                                   RandomGenerator& random) const {
-  std::string request = request_text("PATCH", "/v1/runners/" + runner, "", Json{{"leaving", is_leaving}}.dump());
+std::optional<DrainRecord> SoakOperators::set_mark(const std::string& runner, bool is_draining,
+                                                   RandomGenerator& random) {
   for (int attempt = 0; attempt < mark_attempts; ++attempt) {
     const ProcessAddress& control = draw_control(random);
-    DrainRecord drain{runner, control.name, {steady_now(), {}}};
-    if (is_done(exchange(control.http, request, mark_patience)))
-      return drain;
+    TimePoint asked = steady_now();
+    auto acknowledged_by = face_.set_mark(runner, is_draining, control);
+    if (acknowledged_by)
+      return DrainRecord{runner, *acknowledged_by, {asked, {}}};
     std::this_thread::sleep_for(std::chrono::milliseconds(retry_interval.value));
   }
   return std::nullopt;
@@ -160,8 +130,7 @@
 void SoakOperators::leave_unread(std::uint64_t seed) {
   RandomGenerator random(seed + 2);
   for (std::int64_t value = smallest_deadline_ms; !is_over_; ++value) {
-    std::string request = request_text("PUT", unread_path, "", soak_plan("/v1/soak-unread", value).dump()) +
-                          request_text("GET", "/v1/fleet", "", "");
+    std::string request = face_.unread_request(value);
     auto connection = Connection::open(draw_control(random).http, retry_interval);
     if (connection) {
       connection->shrink_receive_buffer();
--- a/packages/fleet-soak/src/soak_operators.hpp
+++ b/packages/fleet-soak/src/soak_operators.hpp
@@ -7,15 +7,11 @@
 #include <thread>
 #include <vector>
 
+#include "soak_face.hpp"
 #include "soak_records.hpp"
 
 namespace emberdale::soak {
 
-// One version of the resource that the editor changes.
-struct EditedVersion {
-  std::int64_t version = 0, value = 0;
-};
-
 // Judges what the one writer of a resource is told: what was acknowledged stays, until it changes it again.
 class EditHistory {
  public:
@@ -40,10 +36,11 @@
   std::int64_t acknowledged = 0, reads = 0, unread = 0;
 };
 
-// Example: SoakOperators operators(controls, {"model-1"}, 7); ... auto records = operators.stop();
+// Example: SoakOperators operators(face, controls, {"model-1"}, 7); ... auto records = operators.stop();
 class SoakOperators {
  public:
-  SoakOperators(std::vector<ProcessAddress> controls, std::vector<std::string> runners, std::uint64_t seed);
+  SoakOperators(SoakFace& face, std::vector<ProcessAddress> controls, std::vector<std::string> runners,
+                std::uint64_t seed);
   SoakOperators(const SoakOperators&) = delete;
   SoakOperators& operator=(const SoakOperators&) = delete;
   ~SoakOperators() { stop(); }
@@ -56,11 +53,12 @@
   void edit_once(EditHistory& history, std::int64_t value, const std::string& control);
   void read_back(EditHistory& history, const std::string& control);
   void mark(std::uint64_t seed);
-  std::optional<DrainRecord> set_mark(const std::string& runner, bool is_leaving, RandomGenerator& random) const;
+  std::optional<DrainRecord> set_mark(const std::string& runner, bool is_draining, RandomGenerator& random);
   void leave_unread(std::uint64_t seed);
   void wait(Duration time) const;
   const ProcessAddress& draw_control(RandomGenerator& random) const;
 
+  SoakFace& face_;
   const std::vector<ProcessAddress> controls_;
   const std::vector<std::string> runners_;
   std::atomic<bool> is_over_{false};
--- a/packages/fleet-soak/src/soak_runner_main.cpp
+++ b/packages/fleet-soak/src/soak_runner_main.cpp
@@ -38,6 +38,11 @@
   --capacity N       Requests it runs at once [default: 3].
   --allowance N      Requests it runs at once while it warms up [default: 2].
   --warm-ms MS       How long it warms up after its start [default: 1000].
+  --call-header NAME     Names the request, in it and in its answer [default: X-Call-Id].
+  --runner-header NAME   Names the runner in an answer [default: X-Runner].
+  --refusal-header NAME  Says that the request was not run [default: X-Runner-Refused].
+  --seal-header NAME     Has the seal of an answer [default: X-Runner-Seal].
+  --seals-heads          A stream has a seal in its head, and none at its end.
   -h --help          Show this.
 )";
 
@@ -56,6 +61,11 @@
         capacity_(arguments["--capacity"].asLong()),
         allowance_(arguments["--allowance"].asLong()),
         warmup_(Duration{arguments["--warm-ms"].asLong()}),
+        call_header_(arguments["--call-header"].asString()),
+        runner_header_(arguments["--runner-header"].asString()),
+        refusal_header_(arguments["--refusal-header"].asString()),
+        seal_header_(arguments["--seal-header"].asString()),
+        seals_heads_(arguments["--seals-heads"].asBool()),
         started_(steady_now()),
         incarnation_(started_.value),
         records_(arguments["--ledger"].asString(), std::ios::app),
@@ -88,13 +98,14 @@
       Message request;
       if (request.read_from(connection, steady_now() + longest_idle) != ReadResult::data)
         return;
-      is_open = request.word(1) == "/status" ? reply_status(connection) : execute(connection, request);
+      is_open = request.word(0) == "GET" ? reply_status(connection) : execute(connection, request);
     }
   }
 
   bool reply(Connection& connection, const std::string& status, const std::string& fields, const std::string& body) {
     return connection.send(
-        "HTTP/1.1 " + status + "\r\nX-Runner: " + name_ + "\r\nX-Runner-Incarnation: " + std::to_string(incarnation_) +
+        "HTTP/1.1 " + status + "\r\n" + runner_header_ + ": " + name_ +
+            "\r\nX-Runner-Incarnation: " + std::to_string(incarnation_) +
             "\r\nX-Runner-Burden: " + std::to_string(running_) + "\r\nX-Runner-Capacity: " + std::to_string(capacity_) +
             "\r\nX-Runner-Cold: " + (is_warming_up() ? "true" : "false") + "\r\n" + fields + "\r\n" + body,
         steady_now() + io_timeout);
@@ -112,7 +123,7 @@
   }
 
   bool refuse(Connection& connection, const std::string& reason) {
-    return reply(connection, "503 Service Unavailable", "X-Runner-Refused: " + reason + "\r\n" + body_fields("{}"),
+    return reply(connection, "503 Service Unavailable", refusal_header_ + ": " + reason + "\r\n" + body_fields("{}"),
                  "{}");
   }
 
@@ -126,7 +137,7 @@
       return refuse(connection, "full");
     }
     RunRecord run;
-    run.call = request.field("x-call-id").empty() ? "-" : request.field("x-call-id");
+    run.call = request.field(lower_case(call_header_));
     run.incarnation = incarnation_;
     run.number = ++last_run_;
     run.begun = steady_now();
@@ -155,7 +166,8 @@
   bool answer(Connection& connection, const Message& request, const std::string& call) {
     std::string body = Json{{"call", call}, {"runner", name_}}.dump();
     std::string seal = seal_of(key_, request.field("x-emberdale-call"), name_, incarnation_, "200\n" + body);
-    return reply(connection, "200 OK", "X-Runner-Seal: " + seal + "\r\n" + body_fields(body), body);
+    return reply(connection, "200 OK",
+                 call_header_ + ": " + call + "\r\n" + seal_header_ + ": " + seal + "\r\n" + body_fields(body), body);
   }
 
   static std::string chunk(const std::string& text) {
@@ -167,7 +179,11 @@
   bool stream(Connection& connection, const Message& request, const Json& question) {
     std::int64_t pieces = question.value("pieces", 1);
     std::string sealed_text;
-    if (!reply(connection, "200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", ""))
+    std::string fields = call_header_ + ": " + request.field(lower_case(call_header_)) + "\r\n";
+    if (seals_heads_)
+      fields += seal_header_ + ": sealed\r\n";
+    fields += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    if (!reply(connection, "200 OK", fields, ""))
       return false;
     for (std::int64_t number = 1; number <= pieces; ++number) {
       if (connection.is_closed_before(steady_now() + event_interval))
@@ -180,13 +196,15 @@
         return false;
     }
     std::string seal = seal_of(key_, request.field("x-emberdale-call"), name_, incarnation_, sealed_text);
-    return connection.send(chunk(event_text({"sealed", std::to_string(pieces + 1), seal})) + last_chunk,
-                           steady_now() + io_timeout);
+    std::string end = seals_heads_ ? "" : chunk(event_text({"sealed", std::to_string(pieces + 1), seal}));
+    return connection.send(end + last_chunk, steady_now() + io_timeout);
   }
 
   const std::string address_, name_, key_;
   const std::int64_t capacity_, allowance_;
   const Duration warmup_;
+  const std::string call_header_, runner_header_, refusal_header_, seal_header_;
+  const bool seals_heads_;
   const TimePoint started_;
   const std::int64_t incarnation_;
   std::atomic<std::int64_t> running_{0}, last_run_{0};
--- a/packages/fleet-soak/src/soak_schedule.cpp
+++ b/packages/fleet-soak/src/soak_schedule.cpp
@@ -14,8 +14,8 @@
 constexpr std::int64_t most_cut_peers = 5;
 constexpr double core_share = 0.2, data_share = 0.5;  // of daemons that are troubled; the rest are edge daemons
 
-constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon, TroubleKind::stop_daemon, TroubleKind::cut_daemon,
-                                 TroubleKind::kill_runner, TroubleKind::stop_runner};
+constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon, TroubleKind::stop_daemon, TroubleKind::kill_runner,
+                                 TroubleKind::stop_runner, TroubleKind::cut_daemon};
 
 const std::string& draw_name(const std::vector<std::string>& names, RandomGenerator& random) {
   return names[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(names.size())))];
@@ -45,7 +45,7 @@
  private:
   PlannedTrouble draw_trouble(Duration free_at) {
     PlannedTrouble trouble;
-    trouble.kind = kinds[random_.below(std::size(kinds))];
+    trouble.kind = kinds[random_.below(static_cast<std::int64_t>(std::size(kinds)) - (targets_.can_be_cut ? 0 : 1))];
     trouble.target = is_at_runner(trouble.kind) ? draw_name(targets_.runners, random_) : draw_daemon();
     trouble.begins = Duration{free_at.value + random_.below(gap_spread_ms)};
     trouble.ends = Duration{trouble.begins.value + shortest_trouble_ms + random_.below(trouble_spread_ms)};
@@ -57,7 +57,8 @@
   std::string draw_daemon() {
     if (random_.chance(core_share))
       return draw_name(targets_.cores, random_);
-    return draw_name(random_.chance(data_share) ? targets_.data : targets_.edges, random_);
+    bool is_data = random_.chance(data_share) || targets_.edges.empty();
+    return draw_name(is_data ? targets_.data : targets_.edges, random_);
   }
 
   void draw_cut(PlannedTrouble& trouble) {
--- a/packages/fleet-soak/src/soak_schedule.hpp
+++ b/packages/fleet-soak/src/soak_schedule.hpp
@@ -11,6 +11,7 @@
 // What may be troubled.
 struct SoakTargets {
   std::vector<std::string> cores, edges, data, runners;
+  bool can_be_cut = true;  // whether daemons take cuts of their peer connections
 };
 
 // One trouble; times count from the begin of the load.
--- a/packages/fleet-soak/tests/soak_judge_test.cpp
+++ b/packages/fleet-soak/tests/soak_judge_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 
+#include "invariant_counts.hpp"
 #include "soak_operators.hpp"
 #include "soak_schedule.hpp"
 
@@ -142,6 +143,22 @@
   EXPECT_EQ(overlap(records.pauses, TimePoint{0}, TimePoint{120}), Duration{10});
 }
 
+TEST(InvariantCounts, CountersOfViolationsAndLinesOfLogsCountAndCountersOfChecksDoNot) {
+  InvariantCounts counts;
+  counts.read_page(daemon_name, "# HELP\nemberdale_data_invariant_x 0\nemberdale_data_invariant_x_checks 7\nother 3\n");
+  EXPECT_TRUE(counts.violations().empty());
+  EXPECT_EQ(counts.checks(), 7);
+  counts.read_page(daemon_name, "emberdale_data_invariant_x 2\nemberdale_data_invariant_x_checks 9\n");
+  counts.read_page(daemon_name, "emberdale_data_invariant_x 1\n");
+  EXPECT_EQ(counts.violations().at(daemon_name + " emberdale_data_invariant_x"), 2);
+  EXPECT_EQ(counts.checks(), 9);
+  const std::string file = testing::TempDir() + "soak-log-test";
+  std::ofstream(file) << "I0000 serving\nE0000 x.cpp:1] invariant_violated invariant=y call=7\n";
+  counts.read_log(control_name, file);
+  std::remove(file.c_str());
+  EXPECT_EQ(counts.violations().size(), 2u);
+}
+
 TEST(EditHistory, WhatWasAcknowledgedMayNotBeLostOrReplacedByAnOlderChange) {
   EditHistory history;
   EXPECT_EQ(history.on_read({0, 0}), "");
--- a/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
+++ b/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
@@ -36,6 +36,8 @@
 class FleetOfProcesses {
  public:
   FleetOfProcesses(std::string deployment, std::string folder, std::string programs);
+  // Other processes than those of a deployment; start_all(), found() and declare() are not for them.
+  FleetOfProcesses(std::string folder, std::string programs, const std::vector<FleetProcess>& processes);
   ~FleetOfProcesses();  // ends what it started, by id
 
   Outcome<bool> start_all();
