--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -150,8 +150,7 @@
     builder.add_zone(zone);
 }
 
-FleetOfProcesses::FleetOfProcesses(std::string folder, std::string programs,
-                                   const std::vector<FleetProcess>& processes)
+FleetOfProcesses::FleetOfProcesses(std::string folder, std::string programs, const std::vector<FleetProcess>& processes)
     : folder_(std::move(folder)), programs_(std::move(programs)) {
   ::mkdir(folder_.c_str(), 0755);
   recorder_ = std::make_unique<ClientCallRecorder>(history_file());
