--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -113,6 +113,10 @@
       fleet_.end(trouble.target, SIGKILL);
       record.time.from = steady_now();
       break;
+    case TroubleKind::terminate_daemon:
+      read_invariants(trouble.target);
+      fleet_.signal(trouble.target, SIGTERM);
+      break;
     case TroubleKind::kill_runner:
       fleet_.end(trouble.target, SIGKILL);
       record.time.from = steady_now();
@@ -129,6 +133,10 @@
 
 void Soak::end(const PlannedTrouble& trouble, TroubleRecord& record) {
   switch (trouble.kind) {
+    case TroubleKind::terminate_daemon:
+      fleet_.end(trouble.target, SIGKILL);  // where it is not done with what was in progress
+      fleet_.begin(trouble.target);
+      break;
     case TroubleKind::kill_daemon:
     case TroubleKind::kill_runner:
       fleet_.begin(trouble.target);
--- a/packages/fleet-soak/src/soak_records.hpp
+++ b/packages/fleet-soak/src/soak_records.hpp
@@ -68,7 +68,7 @@
   CallOutcome outcome = CallOutcome::other;
 };
 
-enum class TroubleKind { kill_daemon, stop_daemon, cut_daemon, kill_runner, stop_runner };
+enum class TroubleKind { kill_daemon, terminate_daemon, stop_daemon, cut_daemon, kill_runner, stop_runner };
 
 // A trouble as it was done: from before its begin (a kill: from the end of the process) until after its end.
 struct TroubleRecord {
--- a/packages/fleet-soak/src/soak_schedule.cpp
+++ b/packages/fleet-soak/src/soak_schedule.cpp
@@ -14,8 +14,8 @@
 constexpr std::int64_t most_cut_peers = 5;
 constexpr double core_share = 0.2, data_share = 0.5;  // of daemons that are troubled; the rest are edge daemons
 
-constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon, TroubleKind::stop_daemon, TroubleKind::kill_runner,
-                                 TroubleKind::stop_runner, TroubleKind::cut_daemon};
+constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon, TroubleKind::terminate_daemon, TroubleKind::stop_daemon,
+                                 TroubleKind::kill_runner, TroubleKind::stop_runner,      TroubleKind::cut_daemon};
 
 const std::string& draw_name(const std::vector<std::string>& names, RandomGenerator& random) {
   return names[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(names.size())))];
@@ -97,6 +97,8 @@
   switch (kind) {
     case TroubleKind::kill_daemon:
       return "kill daemon";
+    case TroubleKind::terminate_daemon:
+      return "terminate daemon";
     case TroubleKind::stop_daemon:
       return "stop daemon";
     case TroubleKind::cut_daemon:
