--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -20,6 +20,7 @@
 
 constexpr Duration page_patience{500};
 constexpr Duration poll_interval{50};
+constexpr int signal_status = 128;  // of a process that a signal ended, beside its number
 constexpr Duration recovery_limit{30000};
 constexpr Duration settling_time{2000};  // after the last client, so that the last runs end
 constexpr Duration invariants_interval{1000};
@@ -110,7 +111,7 @@
   switch (trouble.kind) {
     case TroubleKind::kill_daemon:
       read_invariants(trouble.target);
-      fleet_.end(trouble.target, SIGKILL);
+      kill(trouble.target, false);
       record.time.from = steady_now();
       break;
     case TroubleKind::terminate_daemon:
@@ -118,7 +119,7 @@
       fleet_.signal(trouble.target, SIGTERM);
       break;
     case TroubleKind::kill_runner:
-      fleet_.end(trouble.target, SIGKILL);
+      kill(trouble.target, false);
       record.time.from = steady_now();
       break;
     case TroubleKind::stop_daemon:
@@ -134,7 +135,7 @@
 void Soak::end(const PlannedTrouble& trouble, TroubleRecord& record) {
   switch (trouble.kind) {
     case TroubleKind::terminate_daemon:
-      fleet_.end(trouble.target, SIGKILL);  // where it is not done with what was in progress
+      kill(trouble.target, true);  // where it is not done with what was in progress
       fleet_.begin(trouble.target);
       break;
     case TroubleKind::kill_daemon:
@@ -152,6 +153,14 @@
   record.time.until = steady_now();
 }
 
+void Soak::kill(const std::string& name, bool may_have_ended) {
+  int status = fleet_.end(name, SIGKILL);
+  bool is_killed = status == signal_status + SIGKILL;
+  bool is_done = may_have_ended && status == 0;
+  if (!is_killed && !is_done)
+    violations_.push_back({"crash", name + " had ended with " + std::to_string(status)});
+}
+
 void Soak::cut(const PlannedTrouble& trouble, bool is_cut) {
   Json fault{{"clear", true}};
   if (is_cut) {
@@ -222,6 +231,7 @@
                     {"departed_runs", verdict.departed_runs},
                     {"departed_left_out", verdict.departed_left_out},
                     {"worst_departure_ms", verdict.worst_departure.value},
+                    {"worst_drain_ms", verdict.worst_drain.value},
                     {"drains", records_.drains.size()},
                     {"drained_left_out", verdict.drained_left_out},
                     {"edits_acknowledged", operators_.acknowledged},
--- a/packages/fleet-soak/src/soak.hpp
+++ b/packages/fleet-soak/src/soak.hpp
@@ -35,6 +35,8 @@
   void play();
   void begin(const PlannedTrouble& trouble, TroubleRecord& record);
   void end(const PlannedTrouble& trouble, TroubleRecord& record);
+  // Kills a process; one that had crashed before is a violation. `may_have_ended`: it was told to.
+  void kill(const std::string& name, bool may_have_ended);
   void cut(const PlannedTrouble& trouble, bool is_cut);
   void read_invariants(const std::string& daemon);
   bool wait_until_whole();
--- a/packages/fleet-soak/src/soak_judge.cpp
+++ b/packages/fleet-soak/src/soak_judge.cpp
@@ -70,10 +70,13 @@
       Duration late = run.begun - drain.time.from;
       Interval time{drain.time.from, run.begun};
       Duration unheard = stopped_within(drain.control, time);
+      // A daemon that is cut off or stopped is not in touch with those who know of the mark.
+      bool is_out_of_touch = is_disturbed(call.daemon, {TroubleKind::stop_daemon, TroubleKind::cut_daemon}, time);
+      if (!is_out_of_touch)
+        verdict_.worst_drain = std::max(verdict_.worst_drain, late);
       if (late <= Duration{widened(drain_limit, runner, time).value + unheard.value})
         continue;
-      // A daemon that is cut off or stopped is not in touch with those who know of the mark.
-      if (is_disturbed(call.daemon, {TroubleKind::stop_daemon, TroubleKind::cut_daemon}, time))
+      if (is_out_of_touch)
         ++verdict_.drained_left_out;
       else
         add("sent to a draining runner", run, "begun " + ms_text(late) + " after the mark, by " + call.daemon);
--- a/packages/fleet-soak/src/soak_judge.hpp
+++ b/packages/fleet-soak/src/soak_judge.hpp
@@ -24,6 +24,7 @@
   std::int64_t departed_runs = 0;  // whose client had left before their end: the departure limit was judged
   std::int64_t departed_left_out = 0;
   std::int64_t drained_left_out = 0;
+  Duration worst_drain;      // from a mark to the begin of a run at the marked runner, where it was judged
   Duration worst_departure;  // from a client's close to the end of its run, where it was judged
 };
 
--- a/packages/fleet-soak/src/soak_operators.cpp
+++ b/packages/fleet-soak/src/soak_operators.cpp
@@ -12,6 +12,7 @@
 constexpr Duration operator_patience{4000};
 constexpr Duration edit_interval{400}, retry_interval{200}, unread_interval{1500}, unread_time{2500};
 constexpr Duration marked_time{8000}, unmarked_time{500}, poll_interval{20};
+constexpr int markers = 2;
 constexpr int final_reads = 20, mark_attempts = 20;
 constexpr std::int64_t smallest_deadline_ms = 1000;
 }  // namespace
@@ -38,7 +39,8 @@
                              std::uint64_t seed)
     : face_(face), controls_(std::move(controls)), runners_(std::move(runners)) {
   threads_.emplace_back([this, seed] { edit(seed); });
-  threads_.emplace_back([this, seed] { mark(seed); });
+  for (int marker = 0; marker < markers; ++marker)
+    threads_.emplace_back([this, marker, seed] { mark(marker, seed); });
   threads_.emplace_back([this, seed] { leave_unread(seed); });
 }
 
@@ -111,18 +113,25 @@
   return std::nullopt;
 }
 
-void SoakOperators::mark(std::uint64_t seed) {
-  RandomGenerator random(seed + 1);
+// Each marker has runners of its own, so that none takes back the other's mark.
+void SoakOperators::mark(int marker, std::uint64_t seed) {
+  RandomGenerator random(stable_hash("marker " + std::to_string(marker), seed));
+  std::vector<std::string> own;
+  for (std::size_t i = static_cast<std::size_t>(marker); i < runners_.size(); i += markers)
+    own.push_back(runners_[i]);
+  wait(Duration{random.below(marked_time.value / 2)});
   while (!is_over_) {
-    const std::string& runner =
-        runners_[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(runners_.size())))];
+    const std::string& runner = own[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(own.size())))];
     auto drain = set_mark(runner, true, random);
     if (!drain)
       continue;
     wait(marked_time);
     drain->time.until = steady_now();
     set_mark(runner, false, random);
-    records_.drains.push_back(*drain);
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      records_.drains.push_back(*drain);
+    }
     wait(unmarked_time);
   }
 }
--- a/packages/fleet-soak/src/soak_operators.hpp
+++ b/packages/fleet-soak/src/soak_operators.hpp
@@ -1,7 +1,8 @@
-// Operators of a fleet under soak: one changes the configuration and reads it back, one marks runners as draining, and
+// Operators of a fleet under soak: one changes the configuration and reads it back, two mark runners as draining, and
 // one never reads its answers.
 #pragma once
 #include <atomic>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -52,7 +53,7 @@
   void edit(std::uint64_t seed);
   void edit_once(EditHistory& history, std::int64_t value, const std::string& control);
   void read_back(EditHistory& history, const std::string& control);
-  void mark(std::uint64_t seed);
+  void mark(int marker, std::uint64_t seed);
   std::optional<DrainRecord> set_mark(const std::string& runner, bool is_draining, RandomGenerator& random);
   void leave_unread(std::uint64_t seed);
   void wait(Duration time) const;
@@ -62,7 +63,8 @@
   const std::vector<ProcessAddress> controls_;
   const std::vector<std::string> runners_;
   std::atomic<bool> is_over_{false};
-  OperatorRecords records_;  // each operator writes fields of its own
+  std::mutex mutex_;  // of the drains; else each operator writes fields of its own
+  OperatorRecords records_;
   std::vector<std::thread> threads_;
 };
 
--- a/packages/fleet-soak/src/soak_schedule.cpp
+++ b/packages/fleet-soak/src/soak_schedule.cpp
@@ -10,9 +10,9 @@
 constexpr int courses = 3;  // troubles at the same time
 constexpr Duration calm_at_start{1500}, calm_at_end{2500};
 constexpr std::int64_t gap_spread_ms = 900;
-constexpr std::int64_t shortest_trouble_ms = 500, trouble_spread_ms = 3500;
+constexpr std::int64_t shortest_trouble_ms = 500, trouble_spread_ms = 6000;
 constexpr std::int64_t most_cut_peers = 5;
-constexpr double core_share = 0.2, data_share = 0.5;  // of daemons that are troubled; the rest are edge daemons
+constexpr double core_share = 0.3, data_share = 0.5;  // of daemons that are troubled; the rest are edge daemons
 
 constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon, TroubleKind::terminate_daemon, TroubleKind::stop_daemon,
                                  TroubleKind::kill_runner, TroubleKind::stop_runner,      TroubleKind::cut_daemon};
--- a/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
+++ b/packages/fleet-starter/include/emberdale/fleet_of_processes.hpp
@@ -52,7 +52,9 @@
   void clear_faults() const;
   std::vector<std::string> names(const std::vector<std::string>& roles) const;
   bool begin(const std::string& name);
-  void end(const std::string& name, int signal);
+  // Sends the signal and waits for the end. Gives how it ended: its exit status, 128 and the number of the signal that
+  // killed it, or -1 if it did not run.
+  int end(const std::string& name, int signal);
   void signal(const std::string& name, int signal);
   // Stops everything cleanly; tells who did not stop in time.
   std::vector<std::string> stop();
--- a/packages/fleet-starter/src/fleet_of_processes.cpp
+++ b/packages/fleet-starter/src/fleet_of_processes.cpp
@@ -271,13 +271,14 @@
     ::kill(process.id, signal);
 }
 
-void FleetOfProcesses::end(const std::string& name, int signal_number) {
+int FleetOfProcesses::end(const std::string& name, int signal_number) {
   auto& process = processes_.at(name);
   if (process.id <= 0)
-    return;
+    return -1;
   ::kill(process.id, signal_number);
-  wait_program(process.id);
+  int status = wait_program(process.id);
   process.id = 0;
+  return status;
 }
 
 namespace {
