The relays report their calls to the invariant of departed callers

Hooks as the invariant's author tried them; a cancellation counts from its handling on the dispatch thread, for a process that was suspended between the departure and then is no violation.

--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -111,15 +111,17 @@
     return;
   }
   handles_[index] = arrived.handle;
+  departed_callers_.on_call_opened(index);
   if (auto refusal = dispatcher_.admit(arrived.call, now, index)) {
     send_final_response(*refusal, arrived.handle);
-    handles_.erase(index);
+    close_call(index);
   }
 }
 
 void CallRelay::on_event(const AttemptFinished& finished, TimePoint now) {
   AttemptResult result = finished.result;
   active_attempts_.erase(result.call);
+  departed_callers_.on_attempt_ended(result.call, now);
   auto entry = handles_.find(result.call);
   bool is_over = result.outcome == AttemptOutcome::completed || result.outcome == AttemptOutcome::caller_disconnected;
   if (!is_over && entry != handles_.end() && entry->second->is_caller_disconnected) {
@@ -128,17 +130,20 @@
   }
   dispatcher_.on_attempt_finished(result, now);
   if (result.outcome == AttemptOutcome::completed || result.outcome == AttemptOutcome::caller_disconnected)
-    handles_.erase(result.call);
+    close_call(result.call);
 }
 
 void CallRelay::on_event(const CallerDisconnected& disconnected, TimePoint now) {
+  departed_callers_.on_caller_departed(disconnected.index, now);
   auto active = active_attempts_.find(disconnected.index);
-  if (active != active_attempts_.end())
-    return active->second.stop.cancel();  // its end comes as AttemptFinished
+  if (active != active_attempts_.end()) {
+    active->second.stop.cancel();  // its end comes as AttemptFinished
+    return departed_callers_.on_attempt_ended(disconnected.index, now);
+  }
   auto entry = handles_.find(disconnected.index);
   if (entry == handles_.end())
     return;
-  handles_.erase(entry);
+  close_call(disconnected.index);
   --open_calls_;
   dispatcher_.on_caller_disconnected(disconnected.index, now);
 }
@@ -147,10 +152,16 @@
 
 void CallRelay::on_timer(TimePoint now) {
   stop_overdue_attempts(now);
+  departed_callers_.check(now);
   dispatcher_.on_timer(now);
   publish_counts();
 }
 
+void CallRelay::close_call(CallIndex index) {
+  departed_callers_.on_call_closed(index);
+  handles_.erase(index);
+}
+
 void CallRelay::stop_overdue_attempts(TimePoint now) {
   for (auto& [index, active] : active_attempts_) {
     if (active.is_stopped || now < active.deadline)
@@ -169,7 +180,7 @@
     if (entry == handles_.end())
       continue;
     auto handle = entry->second;
-    handles_.erase(entry);
+    close_call(final_response.call);
     send_final_response(final_response, handle);
   }
 }
--- a/packages/data-plane/src/call_relay.hpp
+++ b/packages/data-plane/src/call_relay.hpp
@@ -16,6 +16,7 @@
 #include "control_snapshot.hpp"
 #include "emberdale/bounded_queue.hpp"
 #include "emberdale/call_dispatcher.hpp"
+#include "emberdale/departed_caller_invariant.hpp"
 #include "emberdale/http_listener.hpp"
 #include "emberdale/runner_seal.hpp"
 
@@ -108,6 +109,7 @@
   void on_event(const StreamOpened& opened, TimePoint now);
   void on_timer(TimePoint now);
   void stop_overdue_attempts(TimePoint now);
+  void close_call(CallIndex index);
   void publish_counts();
   void execute_actions(TimePoint now);
   void send_final_response(const FinalResponse& final_response, const std::shared_ptr<CallHandle>& handle);
@@ -145,6 +147,7 @@
   std::shared_ptr<const RoutingView> view_;
   std::map<CallIndex, std::shared_ptr<CallHandle>> handles_;
   std::map<CallIndex, ActiveAttempt> active_attempts_;
+  DepartedCallerInvariant departed_callers_;
   std::map<std::string, std::shared_ptr<web::http::client::http_client>> clients_;
   BoundedQueue<DispatchEvent> events_{4096};
   std::thread dispatch_thread_;
--- a/packages/data-plane/src/call_relay_attempts.cpp
+++ b/packages/data-plane/src/call_relay_attempts.cpp
@@ -67,6 +67,7 @@
   active.handle = handle;
   active.deadline = attempt.deadline;
   auto stop = active.stop;
+  departed_callers_.on_attempt_started(attempt.call, now);
   auto client = client_for(attempt);
   client->request(request, stop.get_token())
       .then([this, attempt, handle, stop, client](pplx::task<http_response> responding) {
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -117,6 +117,7 @@
     timer_at = next_timer();
   }
   execute_actions(now);
+  departed_callers_.check(now);
   return std::min(timer_at, next_timer());
 }
 
@@ -147,9 +148,10 @@
     return;
   }
   calls_[index].handle = arrived.handle;
+  departed_callers_.on_call_opened(index);
   if (auto refusal = dispatcher_.admit(arrived.call, now, index)) {
     send_final_response(*refusal, arrived.handle);
-    calls_.erase(index);
+    close_call(index);
   }
 }
 
@@ -166,12 +168,13 @@
   if (call == nullptr)
     return;
   call->active.reset();
+  departed_callers_.on_attempt_ended(result.call, now);
   call->may_have_run |= result.may_have_run || result.outcome == RoutedAttemptOutcome::lost ||
                         result.outcome == RoutedAttemptOutcome::broken;
   bool is_call_over =
       result.outcome == RoutedAttemptOutcome::completed || result.outcome == RoutedAttemptOutcome::caller_disconnected;
   if (is_call_over)
-    calls_.erase(result.call);
+    close_call(result.call);
   dispatcher_.on_attempt_finished(result, now);
 }
 
@@ -188,9 +191,10 @@
   if (entry == calls_.end())
     return;
   ++relay_counts_.callers_gone;
+  departed_callers_.on_caller_departed(disconnected.index, now);
   cancel_attempt(entry->second);
   close_departed(*entry->second.handle);
-  calls_.erase(entry);
+  close_call(disconnected.index);
   dispatcher_.on_caller_disconnected(disconnected.index, now);
 }
 
@@ -202,6 +206,11 @@
     handle.pieces->close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("the caller left")));
 }
 
+void RoutedRelay::close_call(CallIndex index) {
+  departed_callers_.on_call_closed(index);
+  calls_.erase(index);
+}
+
 // Closes the connection of the current attempt. Nothing more of it is forwarded.
 void RoutedRelay::cancel_attempt(OpenCall& call) {
   if (!call.active)
@@ -212,6 +221,7 @@
   }
   call.active->stop.cancel();
   call.active.reset();
+  departed_callers_.on_attempt_ended(call.handle->index, steady_now());
 }
 
 void RoutedRelay::execute_actions(TimePoint now) {
@@ -230,8 +240,8 @@
     if (entry == calls_.end())
       continue;
     OpenCall call = entry->second;
-    calls_.erase(entry);
     cancel_attempt(call);
+    close_call(final_response.call);
     send_final_response(final_response, call.handle);
   }
 }
@@ -239,9 +249,9 @@
 void RoutedRelay::abort_open_calls(const std::string& reason) {
   while (!calls_.empty()) {
     OpenCall call = calls_.begin()->second;
-    calls_.erase(calls_.begin());
     bool may_have_run = call.may_have_run || call.active != nullptr;
     cancel_attempt(call);
+    close_call(call.handle->index);
     FinalResponse final_response{call.handle->index, 503, reason, may_have_run, stopped_retry_after, {}};
     if (may_have_run) {  // 503 would promise that it did not run
       final_response.code = 502;
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -21,6 +21,7 @@
 #include "call_fields.hpp"
 #include "call_relay.hpp"
 #include "emberdale/bounded_queue.hpp"
+#include "emberdale/departed_caller_invariant.hpp"
 #include "emberdale/http_listener.hpp"
 #include "emberdale/route_dispatcher.hpp"
 #include "event_stream.hpp"
@@ -140,6 +141,7 @@
   void on_event(const CallerDisconnected& disconnected, TimePoint now);
   void on_event(const SnapshotChanged&, TimePoint) {}
   OpenCall* find_attempt(CallIndex index, int attempt_number);
+  void close_call(CallIndex index);
   void cancel_attempt(OpenCall& call);
   void close_departed(Handle& handle);
   void refuse_queued_arrivals();
@@ -190,6 +192,7 @@
   // Of the dispatch thread alone, up to view_.
   RouteDispatcher dispatcher_;
   std::map<CallIndex, OpenCall> calls_;
+  DepartedCallerInvariant departed_callers_;
   std::map<std::pair<std::string, RunnerName>, std::shared_ptr<RunnerConnection>> connections_;
   std::shared_ptr<const RoutingView> view_;
   BoundedQueue<DispatchEvent> events_{4096};
--- a/packages/data-plane/src/routed_relay_attempts.cpp
+++ b/packages/data-plane/src/routed_relay_attempts.cpp
@@ -107,6 +107,7 @@
     return finish_attempt(started, RoutedAttemptOutcome::not_sent, fault.what());
   }
   started->sent_at = now;
+  departed_callers_.on_attempt_started(attempt.call, now);
   send_request(started, *request);
 }
 
