A request whose connection hangs is taken from a runner that goes out of service

Once a view shows the runner out of service, an attempt whose request has not left after 250 ms is cancelled and the call goes elsewhere as not sent.

--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -130,6 +130,7 @@
   max_header_bytes_ = view->limits.max_header_bytes;
   max_body_bytes_ = view->limits.max_body_bytes;
   drop_connections(*view);
+  abandon_unsent_attempts(*view, now);
   dispatcher_.update_view(view, now);
 }
 
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -73,7 +73,8 @@
   RouteDispatcher::Counts counts() const;
   struct RelayCounts {
     std::atomic<std::int64_t> unsealed{0}, foreign_responses{0}, streams_broken{0}, connections_broken{0},
-        callers_gone{0}, pieces{0}, pieces_dropped{0}, stops{0}, accept_refused{0}, own_responses_kept{0};
+        callers_gone{0}, pieces{0}, pieces_dropped{0}, stops{0}, accept_refused{0}, own_responses_kept{0},
+        attempts_abandoned{0};
   };
   const RelayCounts& relay_counts() const { return relay_counts_; }
   std::size_t open_calls() const;
@@ -154,6 +155,8 @@
   void send_request(const std::shared_ptr<ActiveAttempt>& active, const web::http::http_request& request);
   std::shared_ptr<RunnerConnection> connection_to(const RoutedAttempt& attempt);
   void drop_connections(const RoutingView& view);
+  static bool has_left(const ActiveAttempt& active);
+  void abandon_unsent_attempts(const RoutingView& view, TimePoint now);
   RoutedAttemptResult result_of(const ActiveAttempt& active, RoutedAttemptOutcome outcome,
                                 const std::string& reason) const;
   void finish_attempt(const std::shared_ptr<ActiveAttempt>& active, RoutedAttemptOutcome outcome,
--- a/packages/data-plane/src/routed_relay_attempts.cpp
+++ b/packages/data-plane/src/routed_relay_attempts.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int silent_connection_ms = 3000;
+constexpr Duration connect_time{250};                 // a runner that is up accepts sooner than that
 constexpr Duration refused_connection_bound{1000};    // a machine that is up refuses sooner than that
 constexpr std::chrono::seconds library_timeout{600};  // the deadline is kept by the dispatcher
 
@@ -58,6 +59,11 @@
 
 }  // namespace
 
+// True unless the whole request surely has not been handed to the connection. Without a body nothing tells.
+bool RoutedRelay::has_left(const ActiveAttempt& active) {
+  return active.handle->body->empty() || *active.times_written > 0;
+}
+
 void RoutedRelay::drop_connections(const RoutingView& view) {
   for (auto entry = connections_.begin(); entry != connections_.end();) {
     auto row = view.runners.find(entry->first.second);
@@ -66,6 +72,23 @@
   }
 }
 
+// A request whose connection hangs would reach its runner later, when that has left: it goes to another one. What has
+// happened to it shows once the library has ended the attempt.
+void RoutedRelay::abandon_unsent_attempts(const RoutingView& view, TimePoint now) {
+  for (auto& [index, call] : calls_) {
+    if (!call.active || call.active->is_abandoned || now - call.active->sent_at < connect_time)
+      continue;
+    auto row = view.runners.find(call.active->attempt.runner);
+    bool is_in_service = row != view.runners.end() &&
+                         (row->second.state == RunnerState::warm || row->second.state == RunnerState::warming_up);
+    if (is_in_service || has_left(*call.active))
+      continue;
+    ++relay_counts_.attempts_abandoned;
+    call.active->is_abandoned = true;
+    call.active->stop.cancel();
+  }
+}
+
 std::shared_ptr<RoutedRelay::RunnerConnection> RoutedRelay::connection_to(const RoutedAttempt& attempt) {
   // A call that must not run twice never goes over a connection that was used before: the library would
   // send it again by itself when such a connection turns out closed (HttpClientBehaviour shows it).
@@ -156,12 +179,12 @@
 }
 
 void RoutedRelay::on_attempt_failed(const std::shared_ptr<ActiveAttempt>& active, const std::exception& fault) {
-  bool is_unsent = never_sent(fault.what());
+  bool is_unsent = never_sent(fault.what()) || (active->is_abandoned && !has_left(*active));
   RoutedAttemptResult result =
       result_of(*active, is_unsent ? RoutedAttemptOutcome::not_sent : RoutedAttemptOutcome::lost,
                 is_unsent ? "no link" : "the link broke");
   if (const auto* http_fault = dynamic_cast<const web::http::http_exception*>(&fault);
-      http_fault != nullptr && is_unsent) {
+      http_fault != nullptr && is_unsent && !active->is_abandoned) {
     // The library reports a refused connection as an unreachable host; a real one takes its time.
     auto code = http_fault->error_code();
     bool was_quick = steady_now() - active->sent_at < refused_connection_bound;
--- a/packages/data-plane/src/routed_relay_state.hpp
+++ b/packages/data-plane/src/routed_relay_state.hpp
@@ -52,6 +52,7 @@
   std::shared_ptr<RunnerConnection> connection;
   pplx::cancellation_token_source stop;
   TimePoint sent_at;
+  std::atomic<bool> is_abandoned{false};  // its runner takes no more work, and the request had not left
   std::shared_ptr<std::atomic<int>> times_written = std::make_shared<std::atomic<int>>(0);
   web::http::http_response response{0};
   EventSplitter splitter;
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -2,9 +2,11 @@
 #define _TURN_OFF_PLATFORM_STRING
 #include <gtest/gtest.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pplx/threadpool.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
 #include <boost/asio.hpp>
 #include <condition_variable>
 #include <future>
@@ -160,6 +162,54 @@
   std::atomic<bool> is_over_{false};
 };
 
+// A listener whose queue of connections is full: further ones hang until it is emptied.
+class FullListener {
+ public:
+  FullListener() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    address_.sin_family = AF_INET;
+    address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&address_), sizeof address_);
+    ::listen(listener_, 0);
+    socklen_t size = sizeof address_;
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address_), &size);
+    for (int& filler : fillers_) {
+      filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      ::connect(filler, reinterpret_cast<sockaddr*>(&address_), sizeof address_);
+    }
+  }
+  ~FullListener() {
+    for (int filler : fillers_)
+      ::close(filler);
+    ::close(listener_);
+  }
+  std::string place() const { return "127.0.0.1:" + std::to_string(ntohs(address_.sin_port)); }
+  // Accepts for as long as the time says; gives all that was sent on the connections.
+  std::string accept_for(std::chrono::milliseconds time) {
+    std::string received;
+    std::vector<int> accepted;
+    auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+      pollfd waiting{listener_, POLLIN, 0};
+      if (::poll(&waiting, 1, 20) > 0)
+        accepted.push_back(::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+      for (int connection : accepted) {
+        char bytes[4096];
+        auto size = ::recv(connection, bytes, sizeof bytes, 0);
+        if (size > 0)
+          received.append(bytes, static_cast<std::size_t>(size));
+      }
+    }
+    for (int connection : accepted)
+      ::close(connection);
+    return received;
+  }
+
+ private:
+  int listener_;
+  sockaddr_in address_{};
+  std::array<int, 4> fillers_{};
+};
+
 std::string free_place() {
   boost::asio::io_context context;
   tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
@@ -290,6 +340,13 @@
   }
   Told ask(const std::string& path, const std::string& id = "call-1") { return tell(call(path, id)); }
   RoutedRelay& relay() { return *relay_; }
+  // Shows a runner in another state, as the next map would. Example: bench.show_state("r1", RunnerState::draining)
+  void show_state(const std::string& runner, RunnerState state) {
+    auto changed = std::make_shared<RoutingView>(*snapshot_.get().view);
+    changed->runners.at(RunnerName{runner}).state = state;
+    snapshot_.put(changed, Grant{});
+    relay_->notify_snapshot_changed();
+  }
 
  private:
   boost::asio::io_context context_;
@@ -812,6 +869,44 @@
   EXPECT_TRUE(closed.get_future().get());
 }
 
+// The request would reach the runner when the connection comes up, long after the runner has left.
+TEST(RoutedRelay, ACallWhoseConnectionHangsLeavesARunnerThatDrains) {
+  FullListener full;
+  ScriptedRunner other([](RawConnection& connection, const RawMessage& received) {
+    connection.write(answer(received, "{}"));
+    return true;
+  });
+  for (const char* route : {"/once/x", "/again/x"}) {
+    Bench bench({full.place(), other.place()});
+    bench.show_state("r2", RunnerState::draining);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    auto connection = bench.connect();
+    connection->write(Bench::call(route));
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    bench.show_state("r2", RunnerState::warm);
+    bench.show_state("r1", RunnerState::draining);
+    auto shown_at = std::chrono::steady_clock::now();
+    EXPECT_EQ(read_response(*connection).code, 200) << route;
+    EXPECT_LT(std::chrono::steady_clock::now() - shown_at, std::chrono::milliseconds(700)) << route;
+    EXPECT_EQ(bench.relay().relay_counts().attempts_abandoned, 1) << route;
+  }
+  EXPECT_EQ(full.accept_for(std::chrono::milliseconds(1500)), "");
+}
+
+TEST(RoutedRelay, ACallerThatLeavesWhileTheConnectionHangsIsNeverSent) {
+  FullListener full;
+  Bench bench({full.place()});
+  for (const char* route : {"/once/x", "/again/x", "/stream/x"}) {
+    auto connection = bench.connect();
+    connection->write(Bench::call(route));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    connection->close();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(full.accept_for(std::chrono::milliseconds(1500)), "");
+  EXPECT_EQ(bench.relay().open_calls(), 0u);
+}
+
 TEST(RoutedRelay, ACallerLinkServesManyCalls) {
   ScriptedRunner runner([&](RawConnection& connection, const RawMessage& received) {
     if (received.start.find("/stream/") != std::string::npos)
