--- a/packages/control-plane/src/draining_runner_watch.cpp
+++ b/packages/control-plane/src/draining_runner_watch.cpp
@@ -8,6 +8,8 @@
 
 std::vector<RunnerName> DrainingRunnerWatch::take(const std::vector<ListedRunner>& runners, TimePoint now) {
   reads_.ended();
+  if (runners.empty())
+    return {};  // more likely a fault than the end of all runners: what the last one said stands for its lifetime
   read_at_ = now;
   std::set<RunnerName> draining;
   std::vector<RunnerName> added;
--- a/packages/control-plane/tests/runner_list_test.cpp
+++ b/packages/control-plane/tests/runner_list_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "emberdale/draining_runner_watch.hpp"
+
 namespace emberdale {
 namespace {
 
@@ -187,5 +189,31 @@
   EXPECT_EQ(list.entries().size(), 1u);
 }
 
+PlacementMap map_with_runner(const std::string& name) {
+  PlacementMap map;
+  RunnerRow row;
+  row.name.text = name;
+  row.state = RunnerState::warm;
+  map.runners.push_back(row);
+  return map;
+}
+
+// An empty list is more likely a fault of service discovery than the end of all runners: marks stand meanwhile.
+TEST(DrainingRunnerWatch, AnEmptyListLeavesTheMarksOfTheLastOne) {
+  ListedRunner leaving;
+  leaving.name.text = "r1";
+  leaving.is_leaving = true;
+  DrainingRunnerWatch watch;
+  PlacementMap map = map_with_runner("r1");
+  TimePoint read_at{1000};
+  EXPECT_EQ(watch.take({leaving}, read_at).size(), 1u);
+  EXPECT_EQ(watch.due_blocks(map, read_at).size(), 1u);
+  TimePoint empty_at = read_at + DrainingRunnerWatch::read_interval;
+  watch.take({}, empty_at);
+  EXPECT_EQ(watch.due_blocks(map, empty_at).size(), 1u);
+  TimePoint lapsed_at = read_at + DrainingRunnerWatch::reading_lifetime + Duration{1};
+  EXPECT_TRUE(watch.due_blocks(map, lapsed_at).empty());
+}
+
 }  // namespace
 }  // namespace emberdale
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -124,9 +124,11 @@
   departed_callers_.on_attempt_ended(result.call, now);
   auto entry = handles_.find(result.call);
   bool is_over = result.outcome == AttemptOutcome::completed || result.outcome == AttemptOutcome::caller_disconnected;
-  if (!is_over && entry != handles_.end() && entry->second->is_caller_disconnected) {
+  bool is_counted_down = entry == handles_.end();  // CallerDisconnected came first
+  if (!is_over && (is_counted_down || entry->second->is_caller_disconnected)) {
     result.outcome = AttemptOutcome::caller_disconnected;  // there is no one to try again for
-    --open_calls_;
+    if (!is_counted_down)
+      --open_calls_;
   }
   dispatcher_.on_attempt_finished(result, now);
   if (result.outcome == AttemptOutcome::completed || result.outcome == AttemptOutcome::caller_disconnected)
--- a/packages/data-plane/src/call_relay_attempts.cpp
+++ b/packages/data-plane/src/call_relay_attempts.cpp
@@ -57,8 +57,10 @@
   if (entry == handles_.end())
     return;
   auto handle = entry->second;
-  if (handle->is_caller_disconnected)
+  if (handle->is_caller_disconnected) {
+    close_call(attempt.call);  // so that CallerDisconnected, which may come first, doesn't count the call down as well
     return finish_attempt(attempt.call, AttemptOutcome::caller_disconnected, caller_left_reason, nullptr);
+  }
   // Checked once more, at the moment of sending: the grant may have run out since admission.
   if (!dispatcher_.is_granted(steady_now()))
     return finish_attempt(attempt.call, AttemptOutcome::not_sent, "the grant ran out", nullptr);
--- a/packages/data-plane/tests/departed_caller_test.cpp
+++ b/packages/data-plane/tests/departed_caller_test.cpp
@@ -291,3 +291,25 @@
   EXPECT_FALSE(runner.wait_for_close("call-1", departure_bound));
   EXPECT_EQ(face.departures(), 0);
 }
+
+// Callers that leave in the very moment in which runners become free: each call is counted down once.
+TYPED_TEST(DepartedCaller, WhileItsAttemptBeginsIsCountedOnce) {
+  constexpr int rounds = 300, callers = 8;
+  HoldingRunner runner(HeldAt::before_head);
+  TypeParam face(runner.address(), 3, RunnerState::warming_up);
+  for (int round = 0; round < rounds; ++round) {
+    std::vector<RawSocket> clients;
+    for (int number = 0; number < callers; ++number) {
+      clients.push_back(RawSocket::connect(face.port()));
+      clients.back().write(request_of<TypeParam>("again", std::to_string(round) + "-" + std::to_string(number)));
+    }
+    ASSERT_TRUE(wait_until([&] { return face.open_calls() == callers; })) << round << ": " << face.open_calls();
+    std::thread opening([&] { face.put_view(RunnerState::warm); });
+    for (auto& client : clients)
+      client.close();
+    opening.join();
+    ASSERT_TRUE(wait_until([&] { return face.open_calls() == 0; })) << round << ": " << face.open_calls();
+    face.put_view(RunnerState::warming_up);
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
--- a/packages/http-server/src/server_connection.cpp
+++ b/packages/http-server/src/server_connection.cpp
@@ -64,6 +64,8 @@
 
 void ServerConnection::start() {
   boost::asio::dispatch(socket_.get_executor(), [self = shared_from_this()] {
+    error_code ignored;
+    self->socket_.non_blocking(true, ignored);  // the interim response must not wait for the client
     self->expect_request();
     self->read_more();
   });
@@ -99,8 +101,14 @@
 }
 
 void ServerConnection::read_more() {
-  if (is_reading_ || is_closed_ || is_peer_closed_ || unparsed_.size() >= max_unparsed_bytes)
+  if (is_reading_ || is_closed_ || is_peer_closed_)
     return;
+  if (phase_ != Phase::head && unparsed_.size() >= max_unparsed_bytes) {
+    bool is_body_unparsable = phase_ == Phase::body && !response_;
+    if (is_body_unparsable)  // a line of its chunks has no end
+      return disconnect();
+    stop_parsing();  // reading goes on, for the end of the connection must still show
+  }
   is_reading_ = true;
   socket_.async_read_some(
       boost::asio::buffer(incoming_),
@@ -132,7 +140,7 @@
     return unparsed_.consume(unparsed_.size());
   if (phase_ == Phase::head)
     parse_head();
-  if (phase_ == Phase::body)
+  if (phase_ == Phase::body && !is_closed_)
     parse_body();
 }
 
@@ -145,8 +153,12 @@
     return;
   if (fault)
     return reject(fault == beast_http::error::header_limit ? head_too_large : bad_request);
-  if (parser_->is_header_done())
-    begin_request();
+  if (!parser_->is_header_done())
+    return;
+  bool has_unknown_encoding = parser_->get().count(beast_http::field::transfer_encoding) > 0 && !parser_->chunked();
+  if (has_unknown_encoding)  // where the request ends is not known
+    return reject(bad_request);
+  begin_request();
 }
 
 void ServerConnection::copy_head(http_request& request) const {
@@ -169,16 +181,14 @@
   }
   exchange_->method = request.method();
   exchange_->request = request._get_impl();
-  exchange_->request->_prepare_to_receive_data();
+  request._get_impl()->_prepare_to_receive_data();
   request._set_cancellation_token(exchange_->departure.get_token());
   phase_ = Phase::body;
   bool awaits_continue = !parser_->is_done() && beast_http::token_list(parser_->get()["Expect"]).exists("100-continue");
   if (parser_->is_done())
     finish_body();
-  error_code ignored;
-  if (awaits_continue)  // nothing else is being written, and so few bytes always fit
-    socket_.write_some(boost::asio::buffer(continue_response, std::char_traits<char>::length(continue_response)),
-                       ignored);
+  if (awaits_continue && !write_continue())
+    return disconnect();
   try {
     handle_(std::move(request));
   } catch (const std::exception& fault) {  // the request is dropped, which closes the connection
@@ -186,6 +196,13 @@
   }
 }
 
+// Nothing else is being written. False: the client has not read what came before, and does not wait for this.
+bool ServerConnection::write_continue() {
+  const std::size_t size = std::char_traits<char>::length(continue_response);
+  error_code fault;
+  return socket_.write_some(boost::asio::buffer(continue_response, size), fault) == size;
+}
+
 void ServerConnection::parse_body() {
   std::array<std::uint8_t, body_piece_size> piece;
   while (phase_ == Phase::body && unparsed_.size() > 0) {
@@ -211,10 +228,11 @@
 // The stream takes a copy at once. Nothing is waited for: this is one of the few threads that serve all connections,
 // and a task that is waited for here may need another of them.
 void ServerConnection::deliver_body(const std::uint8_t* bytes, std::size_t size) {
-  if (!exchange_->request)
+  auto request = exchange_->request.lock();
+  if (!request)
     return;  // the handler wants no more of it
   exchange_->body_size += size;
-  auto stream = exchange_->request->outstream().streambuf();
+  auto stream = request->outstream().streambuf();
   if (!stream.can_write())
     return exchange_->request.reset();
   try {
@@ -227,7 +245,7 @@
 
 void ServerConnection::finish_body() {
   phase_ = Phase::complete;
-  if (auto request = std::exchange(exchange_->request, nullptr))
+  if (auto request = std::exchange(exchange_->request, {}).lock())
     request->_complete(exchange_->body_size);
 }
 
@@ -252,7 +270,7 @@
   response_.emplace();
   response_->message = message;
   response_->on_end = std::move(on_end);
-  bool must_close = phase_ != Phase::complete || !parser_->keep_alive();
+  bool must_close = is_unparsable_ || phase_ != Phase::complete || !parser_->keep_alive();
   response_->head = make_response_head(response_->message, exchange_->method, must_close);
   response_->unsent_length = response_->head.content_length;
   out_ = response_->head.bytes;
@@ -314,9 +332,11 @@
 }
 
 void ServerConnection::finish_response() {
-  bool is_last = response_->head.is_last_on_connection || is_peer_closed_;
+  bool is_last = response_->head.is_last_on_connection || is_peer_closed_ || is_unparsable_;
   ReplyEnd on_end = std::move(response_->on_end);
   response_.reset();
+  if (auto request = exchange_->request.lock())
+    request->_complete(0, broken_body());  // whoever still reads the body ends
   exchange_.reset();
   on_end(true);
   if (is_last)
@@ -354,8 +374,8 @@
   socket_.close(ignored);
   if (exchange) {
     exchange->departure.cancel();
-    if (exchange->request)
-      exchange->request->_complete(0, broken_body());
+    if (auto request = exchange->request.lock())
+      request->_complete(0, broken_body());
   }
   if (response) {
     if (response->body)
--- a/packages/http-server/src/server_connection.hpp
+++ b/packages/http-server/src/server_connection.hpp
@@ -63,9 +63,9 @@
   struct Exchange {
     std::uint64_t number = 0;
     std::string method;
-    std::shared_ptr<web::http::details::_http_request> request;  // while its body is being read
-    std::uint64_t body_size = 0;                                 // read so far
-    pplx::cancellation_token_source departure;                   // of the client
+    std::weak_ptr<web::http::details::_http_request> request;  // while its body is being read
+    std::uint64_t body_size = 0;                               // read so far
+    pplx::cancellation_token_source departure;                 // of the client
   };
   struct Response {
     web::http::http_response message;
@@ -84,6 +84,7 @@
   void parse_head();
   void parse_body();
   void begin_request();
+  bool write_continue();
   void copy_head(web::http::http_request& request) const;
   void deliver_body(const std::uint8_t* bytes, std::size_t size);
   void finish_body();
--- a/packages/http-server/tests/http_listener_test.cpp
+++ b/packages/http-server/tests/http_listener_test.cpp
@@ -381,6 +381,121 @@
   EXPECT_TRUE(events_.wait_for("not sent"));
 }
 
+// More than the listener keeps of later requests: the request in progress is answered all the same.
+TEST_F(HttpListenerTest, ManyPipelinedBytesLeaveTheRequestInProgressAlone) {
+  listen([this](const http_request& request) { hold(request); });
+  auto client = connect();
+  client.write(get("/"));
+  ASSERT_TRUE(events_.wait_for("arrived"));
+  client.write(post(std::string(200000, 'a')));
+  EXPECT_FALSE(client.is_closed_within(200));
+  EXPECT_EQ(events_.count("departed"), 0);
+  reply_to(take_held(), text_response("one"), report_end());
+  EXPECT_EQ(read_response(client, limit_ms).body, "one");
+}
+
+TEST_F(HttpListenerTest, ADepartureBehindManyPipelinedBytesIsReported) {
+  listen([this](const http_request& request) { hold(request); });
+  auto client = connect();
+  client.write(get("/"));
+  ASSERT_TRUE(events_.wait_for("arrived"));
+  client.write(post(std::string(200000, 'a')));
+  client.close();
+  EXPECT_TRUE(events_.wait_for("departed", 1, departure_bound));
+}
+
+// Clients that send on without reading: no thread may wait for one of them.
+TEST_F(HttpListenerTest, ClientsThatReadNoContinueHoldNoThread) {
+  constexpr int silent_clients = 16, requests_at_once = 10;
+  listen([](const http_request& request) { reply_to(request, text_response(std::string(3000, 'a')), [](bool) {}); });
+  std::string requests;
+  for (int number = 0; number < requests_at_once; ++number)
+    requests += "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na";
+  std::vector<RawSocket> silent;
+  for (int number = 0; number < silent_clients; ++number)
+    silent.push_back(connect());
+  std::vector<std::thread> senders;
+  for (auto& socket : silent)
+    senders.emplace_back([&socket, &requests] {
+      while (socket.write(requests))
+        std::this_thread::sleep_for(milliseconds(1));
+    });
+  std::this_thread::sleep_for(std::chrono::seconds(6));
+  auto client = connect();
+  client.write(post("ab"));
+  EXPECT_TRUE(read_response(client, limit_ms).is_whole);
+  for (auto& socket : silent)
+    socket.shut_down();
+  for (auto& sender : senders)
+    sender.join();
+}
+
+// What a body of an unknown encoding holds is not taken for a request.
+TEST_F(HttpListenerTest, AnUnknownTransferEncodingIsRefusedAndNothingAfterItIsRead) {
+  listen([this](const http_request& request) {
+    events_.add("arrived");
+    reply_to(request, text_response("served"), [](bool) {});
+  });
+  for (const char* encoding : {"gzip", "identity", "chunked, gzip", "xchunked"}) {
+    auto client = connect();
+    client.write(get("/", std::string("Transfer-Encoding: ") + encoding + "\r\n") + get("/hidden"));
+    EXPECT_EQ(read_response(client, limit_ms).status, 400) << encoding;
+    EXPECT_TRUE(client.is_closed_within(limit_ms)) << encoding;
+  }
+  EXPECT_EQ(events_.count("arrived"), 0);
+}
+
+TEST_F(HttpListenerTest, ARequestThatIsDroppedWithinItsBodyClosesItsConnection) {
+  listen([this](const http_request&) { events_.add("arrived"); });
+  auto client = connect();
+  client.write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\na");
+  ASSERT_TRUE(events_.wait_for("arrived"));
+  EXPECT_TRUE(client.is_closed_within(limit_ms));
+}
+
+// Nothing within a body may be kept for ever, and what waits for the body ends.
+TEST_F(HttpListenerTest, AnEndlessChunkLineEndsTheBodyWithAFault) {
+  listen([this](const http_request& request) {
+    auto reading = request;
+    watch(request);
+    reading.extract_vector().then([this, request](pplx::task<std::vector<unsigned char>> read) {
+      try {
+        read.get();
+      } catch (const std::exception&) {
+        events_.add("broken");
+      }
+    });
+  });
+  for (const char* start : {"1;", "0\r\nA: "}) {
+    auto client = connect();
+    client.write(std::string("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n") + start);
+    client.write(std::string(200000, 'a'));
+    EXPECT_TRUE(client.is_closed_within(limit_ms));
+  }
+  EXPECT_TRUE(events_.wait_for("departed", 2));
+  EXPECT_TRUE(events_.wait_for("broken", 2));
+}
+
+// A reply before the whole body ends the body for whoever still reads it.
+TEST_F(HttpListenerTest, AReplyWithinTheBodyEndsItsReading) {
+  listen([this](const http_request& request) {
+    auto reading = request;
+    reading.extract_vector().then([this](pplx::task<std::vector<unsigned char>> read) {
+      try {
+        read.get();
+      } catch (const std::exception&) {
+      }
+      events_.add("read");
+    });
+    reply_to(request, text_response("early"), report_end());
+  });
+  auto client = connect();
+  client.write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\na");
+  EXPECT_EQ(read_response(client, limit_ms).body, "early");
+  EXPECT_TRUE(client.is_closed_within(limit_ms));
+  EXPECT_TRUE(events_.wait_for("read"));
+}
+
 TEST_F(HttpListenerTest, AnAddressThatCannotBeUsedIsReported) {
   auto taken = RawSocket::listen();
   std::string address = "127.0.0.1:" + std::to_string(taken.port());
