--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -168,13 +168,13 @@
   FullListener() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     address_.sin_family = AF_INET;
     address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(listener_, reinterpret_cast<sockaddr*>(&address_), sizeof address_);
+    static_cast<void>(::bind(listener_, reinterpret_cast<sockaddr*>(&address_), sizeof address_));
     ::listen(listener_, 0);
     socklen_t size = sizeof address_;
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address_), &size);
     for (int& filler : fillers_) {
       filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      ::connect(filler, reinterpret_cast<sockaddr*>(&address_), sizeof address_);
+      static_cast<void>(::connect(filler, reinterpret_cast<sockaddr*>(&address_), sizeof address_));
     }
   }
   ~FullListener() {
