One piece for what the change wrote again: addresses, metrics type, body rule, test routes

Tests share route_of, relay_header_names, read_body and keep_a_write_open; their assertions are as they were. Left: the soak's plain sockets beside raw-http; a runner's being in service is asked by the relay and, on purpose apart, by the invariant.

--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -174,7 +174,7 @@
     if (more_counters)
       for (const auto& [name, count] : more_counters())
         counters[name] = count;
-    reply(request, {status_codes::OK, counters_text("emberdale_control", counters), 0, "text/plain; version=0.0.4"});
+    reply(request, {status_codes::OK, counters_text("emberdale_control", counters), 0, metrics_content_type});
   });
 }
 
--- a/packages/control-plane/tests/draining_runner_test.cpp
+++ b/packages/control-plane/tests/draining_runner_test.cpp
@@ -140,6 +140,13 @@
   void feed(const std::string& name, const std::string& fed_by) {
     fed[name] = std::make_unique<FedDataDaemon>(fleet, name, fed_by);
   }
+  // The disks of the others are slow, and the master has begun a change: it publishes no map meanwhile.
+  void keep_a_write_open() {
+    for (const auto& name : names)
+      if (name != fleet.master())
+        fleet.at(name).extra_disk_ms = 7000;
+    fleet.edit(fleet.master());
+  }
   std::string a_follower() const {
     return *std::find_if(names.begin(), names.end(), [&](const auto& name) { return name != fleet.master(); });
   }
@@ -210,10 +217,7 @@
   for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     DrainingRunners scene(seed);
-    for (const auto& name : scene.names)
-      if (name != scene.fleet.master())
-        scene.fleet.at(name).extra_disk_ms = 7000;
-    scene.fleet.edit(scene.fleet.master());
+    scene.keep_a_write_open();
     scene.fleet.run(200);
     scene.discovery->mark_draining(marked);
     scene.expect_kept_off(scene.names, longest_delay_ms);
@@ -227,10 +231,7 @@
   for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     DrainingRunners scene(seed);
-    for (const auto& name : scene.names)
-      if (name != scene.fleet.master())
-        scene.fleet.at(name).extra_disk_ms = 7000;
-    scene.fleet.edit(scene.fleet.master());
+    scene.keep_a_write_open();
     scene.feed("newcomer", scene.a_follower());
     scene.fleet.run(100);
     scene.discovery->mark_draining(marked);
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -127,11 +127,12 @@
   bool is_counted_down = entry == handles_.end();  // CallerDisconnected came first
   if (!is_over && (is_counted_down || entry->second->is_caller_disconnected)) {
     result.outcome = AttemptOutcome::caller_disconnected;  // there is no one to try again for
+    is_over = true;
     if (!is_counted_down)
       --open_calls_;
   }
   dispatcher_.on_attempt_finished(result, now);
-  if (result.outcome == AttemptOutcome::completed || result.outcome == AttemptOutcome::caller_disconnected)
+  if (is_over)
     close_call(result.call);
 }
 
@@ -202,7 +203,7 @@
   if (!handle->caller_id.empty())
     response.headers().add("X-Call-Id", handle->caller_id);
   response.set_body(json_text(body), "application/json");
-  reply_to(handle->request, response, [](bool) {});
+  reply_to(handle->request, response);
 }
 
 }  // namespace emberdale
--- a/packages/data-plane/src/call_relay_admission.cpp
+++ b/packages/data-plane/src/call_relay_admission.cpp
@@ -48,7 +48,7 @@
   if (retry_after_s > 0)
     response.headers().add("Retry-After", std::to_string(retry_after_s));
   response.set_body(json_text(Json{{"reason", reason}, {"outcome", "refused"}}), "application/json");
-  reply_to(request, response, [](bool) {});
+  reply_to(request, response);
 }
 
 bool is_printable_ascii(const std::string& text) {
--- a/packages/data-plane/src/call_relay_attempts.cpp
+++ b/packages/data-plane/src/call_relay_attempts.cpp
@@ -180,7 +180,7 @@
   forwarded.headers().add("X-Emberdale-Call", attempt.id.text);
   if (!handle->caller_id.empty())
     forwarded.headers().add("X-Call-Id", handle->caller_id);
-  reply_to(handle->request, forwarded, [](bool) {});
+  reply_to(handle->request, forwarded);
   finish_attempt(attempt.call, AttemptOutcome::completed, "", &response);
 }
 
--- a/packages/data-plane/src/own_paths.cpp
+++ b/packages/data-plane/src/own_paths.cpp
@@ -17,12 +17,11 @@
 namespace {
 
 constexpr const char* json_type = "application/json";
-constexpr const char* metrics_type = "text/plain; version=0.0.4";
 
 void reply(const http_request& request, int code, const std::string& body, const char* type = json_type) {
   http_response response(static_cast<web::http::status_code>(code));
   response.set_body(body, type);
-  reply_to(request, response, [](bool) {});
+  reply_to(request, response);
 }
 
 }  // namespace
@@ -76,7 +75,7 @@
                                                {"accept_refused", relay.accept_refused},
                                                {"in_hand", static_cast<std::int64_t>(relay_.open_calls())}};
   counters.merge(process_invariants().counters());
-  reply(request, 200, counters_text("emberdale_data", counters), metrics_type);
+  reply(request, 200, counters_text("emberdale_data", counters), metrics_content_type);
 }
 
 void OwnPaths::read_faults(http_request request) {
--- a/packages/data-plane/src/routed_relay_responses.cpp
+++ b/packages/data-plane/src/routed_relay_responses.cpp
@@ -18,8 +18,6 @@
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
-bool has_no_body(const std::string& method, int status) { return method == "HEAD" || status == 204 || status == 304; }
-
 bool has_message_length(const web::http::http_headers& headers) {
   return headers.has("Content-Length") || headers.has("Transfer-Encoding");
 }
--- a/packages/data-plane/tests/departed_caller_test.cpp
+++ b/packages/data-plane/tests/departed_caller_test.cpp
@@ -16,6 +16,7 @@
 #include "holding_runner.hpp"
 #include "http_bytes.hpp"
 #include "raw_socket.hpp"
+#include "relay_under_test.hpp"
 #include "routed_relay.hpp"
 
 using namespace emberdale;
@@ -73,7 +74,7 @@
     settings.region.text = "here";
     settings.zone.text = "z";
     settings.resend_start = settings.resend_bound = 100;
-    relay_ = std::make_unique<RoutedRelay>(settings, header_names(), snapshot_, at(port_));
+    relay_ = std::make_unique<RoutedRelay>(settings, relay_header_names(), snapshot_, at(port_));
     EXPECT_TRUE(relay_->open().ok());
   }
   ~RoutedFace() { relay_->stop(Duration{3000}); }
@@ -93,29 +94,10 @@
 
  private:
   static void add_route(RoutingView& view, const std::string& name, bool is_repeatable, bool is_streaming) {
-    Route route;
-    route.name = name;
-    route.host = "front.example";
-    route.path_prefix = "/" + name + "/";
-    route.is_repeatable = is_repeatable;
-    route.is_streaming = is_streaming;
-    route.is_resumable = is_streaming && is_repeatable;
-    route.deadline_ms = deadline_ms;
-    route.target_ms = deadline_ms;
-    route.gap_ms = deadline_ms;
-    route.max_sends = 3;
-    route.pools.push_back({PoolName{"p"}, 1});
+    Route route = route_of(name, is_repeatable, is_streaming);
+    route.deadline_ms = route.target_ms = route.gap_ms = deadline_ms;  // nothing is given up before the test ends
     view.routes.push_back(route);
   }
-  static RelayHeaderNames header_names() {
-    RelayHeaderNames names;
-    names.call_id = "T-Call";
-    names.expected_incarnation = "T-Life-Expected";
-    names.incarnation = "T-Life";
-    names.seal = "T-Seal";
-    names.not_run = "T-Not-Run";
-    return names;
-  }
 
   std::string runner_;
   int runner_count_;
--- a/packages/data-plane/tests/support/relay_under_test.cpp
+++ b/packages/data-plane/tests/support/relay_under_test.cpp
@@ -12,35 +12,6 @@
 constexpr int runner_count = 64;       // so many that those in trouble don't leave a call without a runner
 constexpr double resend_credit = 1e9;  // the budget never decides here
 
-RelayHeaderNames fuzz_words() {
-  RelayHeaderNames words;
-  words.call_id = "T-Call";
-  words.deadline = "T-Horizon";
-  words.prompt = "T-Prompt";
-  words.tokens = "T-Tokens";
-  words.expected_incarnation = "T-Life-Expected";
-  words.incarnation = "T-Life";
-  words.seal = "T-Seal";
-  words.not_run = "T-Not-Run";
-  return words;
-}
-
-Route route_of(const std::string& name, bool is_repeatable, bool is_streaming) {
-  Route route;
-  route.name = name;
-  route.host = "front.example";
-  route.path_prefix = "/" + name + "/";
-  route.is_repeatable = is_repeatable;
-  route.is_streaming = is_streaming;
-  route.is_resumable = is_streaming && is_repeatable;
-  route.deadline_ms = 6000;
-  route.target_ms = is_repeatable ? 400 : 4000;
-  route.gap_ms = 400;
-  route.max_sends = 3;
-  route.pools.push_back({PoolName{"p"}, 1});
-  return route;
-}
-
 std::shared_ptr<RoutingView> view_of(std::uint16_t runner_port) {
   auto view = std::make_shared<RoutingView>();
   view->has_routing_table = true;
@@ -78,10 +49,39 @@
 
 }  // namespace
 
+RelayHeaderNames relay_header_names() {
+  RelayHeaderNames names;
+  names.call_id = "T-Call";
+  names.deadline = "T-Horizon";
+  names.prompt = "T-Prompt";
+  names.tokens = "T-Tokens";
+  names.expected_incarnation = "T-Life-Expected";
+  names.incarnation = "T-Life";
+  names.seal = "T-Seal";
+  names.not_run = "T-Not-Run";
+  return names;
+}
+
+Route route_of(const std::string& name, bool is_repeatable, bool is_streaming) {
+  Route route;
+  route.name = name;
+  route.host = "front.example";
+  route.path_prefix = "/" + name + "/";
+  route.is_repeatable = is_repeatable;
+  route.is_streaming = is_streaming;
+  route.is_resumable = is_streaming && is_repeatable;
+  route.deadline_ms = 6000;
+  route.target_ms = is_repeatable ? 400 : 4000;
+  route.gap_ms = 400;
+  route.max_sends = 3;
+  route.pools.push_back({PoolName{"p"}, 1});
+  return route;
+}
+
 RelayUnderTest::RelayUnderTest(std::uint16_t runner_port) : port_(free_port()) {
   snapshot_.put(view_of(runner_port), Grant{});
-  relay_ =
-      std::make_unique<RoutedRelay>(fuzz_settings(), fuzz_words(), snapshot_, "127.0.0.1:" + std::to_string(port_));
+  relay_ = std::make_unique<RoutedRelay>(fuzz_settings(), relay_header_names(), snapshot_,
+                                         "127.0.0.1:" + std::to_string(port_));
   if (auto opened = relay_->open(); !opened.ok())
     throw std::runtime_error(std::string(opened.message()));
 }
--- a/packages/http-server/include/emberdale/http_listener.hpp
+++ b/packages/http-server/include/emberdale/http_listener.hpp
@@ -44,6 +44,10 @@
 
 // Replies to a request of an HttpListener; `on_end` is called once, possibly before this returns. A second reply to one
 // request is not sent, and ends with false.
-void reply_to(const web::http::http_request& request, const web::http::http_response& response, ReplyEnd on_end);
+void reply_to(
+    const web::http::http_request& request, const web::http::http_response& response, ReplyEnd on_end = [](bool) {});
+
+// True for a response without a body, whatever its headers say: to HEAD, and of status 204 or 304.
+bool has_no_body(const std::string& method, int status);
 
 }  // namespace emberdale
--- a/packages/http-server/src/http_listener.cpp
+++ b/packages/http-server/src/http_listener.cpp
@@ -13,8 +13,8 @@
 #include <map>
 #include <mutex>
 #include <shared_mutex>
-#include <vector>
 
+#include "emberdale/socket_address.hpp"
 #include "server_connection.hpp"
 
 namespace emberdale {
@@ -62,14 +62,11 @@
 };
 
 absl::Status HttpListener::Server::listen() {
-  auto colon = address.rfind(':');
-  if (colon == std::string::npos)
-    return absl::InvalidArgumentError("not IP:PORT: " + address);
+  auto parsed = parse_socket_address(address);
+  if (!parsed.ok())
+    return parsed.status();
+  tcp::endpoint endpoint(boost::asio::ip::make_address(parsed->ip), static_cast<std::uint16_t>(parsed->port));
   error_code fault;
-  auto host = boost::asio::ip::make_address(address.substr(0, colon), fault);
-  if (fault)
-    return absl::InvalidArgumentError("not an IP address: " + address);
-  tcp::endpoint endpoint(host, static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10)));
   acceptor.open(endpoint.protocol(), fault);
   if (!fault)
     acceptor.set_option(tcp::acceptor::reuse_address(true), fault);
--- a/packages/http-server/src/response_head.cpp
+++ b/packages/http-server/src/response_head.cpp
@@ -6,13 +6,13 @@
 #include <cstdio>
 #include <limits>
 
+#include "emberdale/http_listener.hpp"
+
 namespace emberdale {
 namespace {
 
 constexpr const char* line_end = "\r\n";
 
-bool has_no_body(const std::string& method, int status) { return method == "HEAD" || status == 204 || status == 304; }
-
 std::string reason_phrase_of(const web::http::http_response& response) {
   if (!response.reason_phrase().empty())
     return response.reason_phrase();
@@ -40,6 +40,8 @@
 
 }  // namespace
 
+bool has_no_body(const std::string& method, int status) { return method == "HEAD" || status == 204 || status == 304; }
+
 ResponseHead make_response_head(web::http::http_response& response, const std::string& method, bool must_close) {
   ResponseHead head;
   if (!has_no_body(method, response.status_code()))
--- a/packages/http-server/src/response_head.hpp
+++ b/packages/http-server/src/response_head.hpp
@@ -18,7 +18,7 @@
 };
 
 // Adds the headers that tell the body's length to the response. With `must_close` the head says that the connection
-// ends. A response to HEAD, and one of status 204 or 304, has no body.
+// ends.
 ResponseHead make_response_head(web::http::http_response& response, const std::string& method, bool must_close);
 
 // Example: chunk_of("ab") == "2\r\nab\r\n"
--- a/packages/http-server/tests/http_listener_test.cpp
+++ b/packages/http-server/tests/http_listener_test.cpp
@@ -85,6 +85,17 @@
     held_.erase(held_.begin());
     return request;
   }
+  // Reads the request's body and reports whether it came whole.
+  void read_body(const http_request& request) {
+    request.extract_vector().then([this, request](pplx::task<std::vector<unsigned char>> read) {
+      try {
+        read.get();
+        events_.add("whole");
+      } catch (const std::exception&) {
+        events_.add("broken");
+      }
+    });
+  }
   // Replies with the request's body.
   static void echo(const http_request& request) {
     request.extract_vector().then([request](pplx::task<std::vector<unsigned char>> read) {
@@ -240,14 +251,7 @@
 TEST_F(HttpListenerTest, ADepartureWithinTheBodyEndsTheBodyWithAFault) {
   listen([this](const http_request& request) {
     watch(request);
-    request.extract_vector().then([this, request](pplx::task<std::vector<unsigned char>> read) {
-      try {
-        read.get();
-        events_.add("whole");
-      } catch (const std::exception&) {
-        events_.add("broken");
-      }
-    });
+    read_body(request);
   });
   auto client = connect();
   client.write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nab");
@@ -455,13 +459,7 @@
 TEST_F(HttpListenerTest, AnEndlessChunkLineEndsTheBodyWithAFault) {
   listen([this](const http_request& request) {
     watch(request);
-    request.extract_vector().then([this, request](pplx::task<std::vector<unsigned char>> read) {
-      try {
-        read.get();
-      } catch (const std::exception&) {
-        events_.add("broken");
-      }
-    });
+    read_body(request);
   });
   for (const char* start : {"1;", "0\r\nA: "}) {
     auto client = connect();
--- a/packages/invariants/include/emberdale/runner_list_freshness.hpp
+++ b/packages/invariants/include/emberdale/runner_list_freshness.hpp
@@ -18,8 +18,8 @@
 
   explicit RunnerListFreshness(InvariantCounters& counters = process_invariants()) : counters_(&counters) {}
 
-  // Called on every timer; `may_read` is true while this daemon leads and may read the list. Gives it back.
-  bool on_timer(bool may_read, TimePoint now);
+  // Called on every timer; `may_read` is true while this daemon leads and may read the list.
+  void on_timer(bool may_read, TimePoint now);
   void on_reading_begun(TimePoint now) { reading_since_ = now; }
   // Complete, or failed on the way.
   void on_reading_ended(bool is_complete, TimePoint now);
--- a/packages/invariants/src/runner_list_freshness.cpp
+++ b/packages/invariants/src/runner_list_freshness.cpp
@@ -2,7 +2,7 @@
 
 namespace emberdale {
 
-bool RunnerListFreshness::on_timer(bool may_read, TimePoint now) {
+void RunnerListFreshness::on_timer(bool may_read, TimePoint now) {
   bool was_suspended = last_timer_at_ && now - *last_timer_at_ > longest_timer_interval;
   bool is_unanswered = reading_since_ && now - *reading_since_ > longest_answer;
   last_timer_at_ = now;
@@ -12,7 +12,6 @@
     check(now);
     is_recorded_ = true;
   }
-  return may_read;
 }
 
 void RunnerListFreshness::on_reading_ended(bool is_complete, TimePoint now) {
--- a/packages/program-settings/include/emberdale/program_runtime.hpp
+++ b/packages/program-settings/include/emberdale/program_runtime.hpp
@@ -22,6 +22,8 @@
 // `on_hang_up`, if given, and waiting goes on.
 int wait_for_stop(const std::function<void()>& on_hang_up = nullptr);
 
+// The Content-Type of counters_text().
+constexpr const char* metrics_content_type = "text/plain; version=0.0.4";
 // Counters in the text format of Prometheus. Example: counters_text("emberdale", {{"calls", 3}})
 std::string counters_text(const std::string& prefix, const std::map<std::string, std::int64_t>& counters);
 
