--- a/packages/control-plane/tests/draining_runner_test.cpp
+++ b/packages/control-plane/tests/draining_runner_test.cpp
@@ -5,68 +5,17 @@
 #include "emberdale/avro_codec.hpp"
 #include "emberdale/placement_slices.hpp"
 #include "support/machine_fleet.hpp"
+#include "support/service_discovery.hpp"
 
 namespace emberdale {
 namespace {
 
 constexpr std::int64_t tick_ms = 25;
 constexpr std::int64_t subscribe_interval_ms = 400;
-constexpr std::int64_t list_response_ms = 120;
 // From the moment at which the list shows it. The platform allows 5 s, and a request may still be under way then.
 constexpr std::int64_t longest_delay_ms = 3500;
 const RunnerName marked{"r1"};
 
-// The list of runners that the platform keeps, read by each control daemon that finds it due.
-class ServiceDiscovery {
- public:
-  explicit ServiceDiscovery(MachineFleet& fleet) : fleet_(fleet) {
-    for (const char* name : {"r1", "r2", "r3"}) {
-      ListedRunner runner;
-      runner.name.text = name;
-      runner.http = std::string(name) + ":80";
-      runner.pool.text = "models";
-      runner.zone.text = "a";
-      runner.region.text = "north";
-      runner.slots = 8;
-      runners_.push_back(runner);
-    }
-    tick();
-  }
-
-  void mark_draining(const RunnerName& name) {
-    for (auto& runner : runners_)
-      runner.is_leaving |= runner.name == name;
-  }
-  int reads_by(const std::string& machine) const {
-    auto entry = reads_.find(machine);
-    return entry == reads_.end() ? 0 : entry->second;
-  }
-
- private:
-  void tick() {
-    for (const auto& name : fleet_.running())
-      read(name);
-    fleet_.later(tick_ms, [this] { tick(); });
-  }
-
-  void read(const std::string& name) {
-    Machine& machine = fleet_.at(name);
-    TimePoint begun = fleet_.clock(machine);
-    if (!machine.control->begin_list_read(begun))
-      return;
-    ++reads_[name];
-    fleet_.later(list_response_ms, [this, name, begun, incarnation = machine.incarnation, runners = runners_] {
-      if (fleet_.at(name).is_up && !fleet_.at(name).is_frozen && fleet_.at(name).incarnation == incarnation)
-        fleet_.call_daemon(name,
-                           [&](ControlDaemon& daemon, TimePoint now) { daemon.on_runner_list(runners, begun, now); });
-    });
-  }
-
-  MachineFleet& fleet_;
-  std::vector<ListedRunner> runners_;
-  std::map<std::string, int> reads_;
-};
-
 // A data daemon that is fed by one control daemon: what it knows of the marked runner.
 class FedDataDaemon {
  public:
@@ -127,6 +76,8 @@
     };
     names = bring_up(fleet, 3);
     discovery = std::make_unique<ServiceDiscovery>(fleet);
+    for (const char* name : {"r1", "r2", "r3"})
+      discovery->add(name, "a");
     for (const auto& name : names)
       feed(name, name);
     fleet.on_send = [this](const std::string&, const Address& to, const Message& message) {
--- a/packages/data-plane/tests/data_daemon_test.cpp
+++ b/packages/data-plane/tests/data_daemon_test.cpp
@@ -164,6 +164,21 @@
   EXPECT_GT(daemon.grant().until, now);
 }
 
+// All control daemons are down at once, and each subscription is refused as soon as it is sent.
+TEST(DataDaemon, RefusedSubscriptionsAreRepeatedAtAnInterval) {
+  DataDaemon daemon = with_two_homes();
+  std::size_t subscriptions = 0;
+  for (TimePoint now{with_map_at}; now < TimePoint{2000}; now = now + Duration{1}) {
+    daemon.on_timer(now);
+    for (const auto& message : daemon.drain_outbound())
+      if (std::holds_alternative<Subscribe>(message.message)) {
+        ++subscriptions;
+        daemon.on_refused(message.to, now);
+      }
+    ASSERT_LE(subscriptions, 200u) << "within " << now.value << " ms";
+  }
+}
+
 TEST(DataDaemon, HomesThatKeepFeedingAnOutdatedMapAreLeft) {
   DataDaemon daemon = with_two_homes();
   auto feed_old = [](const Address&) {
