Sight: the age of the list's reading behind each send, drain delays, evidence of gateways

Control daemons report what they know of the list to followers and data daemons (AvailabilityReport, answers Heartbeat and Subscribe; ages count back from the receiver's own clock). Nothing is decided by it yet. Histograms on /metrics: list_age_at_send_ms, drain_delay_ms, gateway_evidence_age_ms; a new maximum is logged.

--- a/packages/call-routing/include/emberdale/endpoint_state.hpp
+++ b/packages/call-routing/include/emberdale/endpoint_state.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "emberdale/messages.hpp"
@@ -50,6 +51,10 @@
   TimePoint last_received_at() const { return last_received_at_; }
   // Attempts that were started within the last second; the quota of a warming runner is counted by it.
   std::int64_t attempts_within_last_second(TimePoint now) const;
+  // When the last attempt was started; nothing if there was none.
+  std::optional<TimePoint> last_attempt_at() const {
+    return recent_attempts_.empty() ? std::nullopt : std::optional<TimePoint>(recent_attempts_.back());
+  }
   // True if the last attempt was started within the last second.
   bool has_recent_attempt(TimePoint now) const;
 
--- a/packages/call-routing/include/emberdale/route_dispatcher.hpp
+++ b/packages/call-routing/include/emberdale/route_dispatcher.hpp
@@ -13,10 +13,12 @@
 
 #include "emberdale/attempt_invariants.hpp"
 #include "emberdale/call_dispatcher.hpp"
+#include "emberdale/duration_histogram.hpp"
 #include "emberdale/endpoint_selector.hpp"
 #include "emberdale/endpoint_state.hpp"
 #include "emberdale/retry_budget.hpp"
 #include "emberdale/routing_view.hpp"
+#include "emberdale/sending_knowledge.hpp"
 
 namespace emberdale {
 
@@ -95,6 +97,8 @@
 
   // Takes the newest snapshot of the routing state; queued calls may be sent by it.
   void update_view(std::shared_ptr<const RoutingView> view, TimePoint now);
+  // By which reading of the list of runners calls may be sent.
+  void update_sending_knowledge(SendingKnowledge sending, TimePoint now);
   // The slow-start quotas of warming runners may be used until then.
   void set_warming_up_until(TimePoint until) { warming_up_until_ = until; }
 
@@ -123,6 +127,11 @@
     std::int64_t arrived = 0, sends = 0, resends = 0, resumed = 0, answered = 0, refused_route = 0, refused_full = 0,
                  refused_no_view = 0, unknown = 0, pended = 0, warmup_sends = 0, resend_denied = 0, stopped = 0,
                  far_sends = 0, kept_tokens = 0, read_tokens = 0;
+    // The age of the reading of the list behind each attempt.
+    DurationHistogram list_age_at_send;
+    // From a runner's mark in the list, or earlier, to the last attempt sent to it; one for each marked runner that was
+    // sent calls, and one more for each attempt that goes to it even so.
+    DurationHistogram drain_delay;
   };
   const Counts& counts() const { return counts_; }
 
@@ -176,6 +185,7 @@
   std::optional<RunnerName> select_endpoint(const Call& call, TimePoint now);
   bool try_send(Call& call, TimePoint now);
   void check_attempt(const Call& call, TimePoint now);
+  void record_delays(const RunnerName& runner, TimePoint now);
   void release_endpoint(Call& call);
   Call* find_attempt(CallIndex index, int attempt_number);
   void on_not_sent(Call& call, const RoutedAttemptResult& result, TimePoint now);
@@ -197,6 +207,7 @@
   std::deque<CallAwaitingView> awaiting_view_;
   std::shared_ptr<const RoutingView> view_ = std::make_shared<RoutingView>();
   TimePoint warming_up_until_{-1};
+  SendingKnowledge sending_;
   absl::flat_hash_map<CallIndex, Call> calls_;
   EndpointTable endpoints_;
   EndpointSelector selector_;
--- a/packages/call-routing/src/route_dispatcher.cpp
+++ b/packages/call-routing/src/route_dispatcher.cpp
@@ -35,6 +35,26 @@
   dispatch_queued(now);
 }
 
+void RouteDispatcher::update_sending_knowledge(SendingKnowledge sending, TimePoint) {
+  auto before = std::exchange(sending_, std::move(sending)).unavailable;
+  if (before == sending_.unavailable)
+    return;
+  for (const auto& [name, marked_at] : *sending_.unavailable) {
+    auto endpoint = endpoints_.find(name);
+    if (before->count(name) != 0 || endpoint == endpoints_.end() || !endpoint->second.last_attempt_at())
+      continue;
+    counts_.drain_delay.record(*endpoint->second.last_attempt_at() - marked_at);
+  }
+}
+
+void RouteDispatcher::record_delays(const RunnerName& runner, TimePoint now) {
+  if (sending_.list_age.read_at)
+    counts_.list_age_at_send.record(now - *sending_.list_age.read_at);
+  auto marked = sending_.unavailable->find(runner);
+  if (marked != sending_.unavailable->end())
+    counts_.drain_delay.record(now - marked->second);
+}
+
 std::optional<RunnerName> RouteDispatcher::select_endpoint(const Call& call, TimePoint now) {
   bool may_use_warming_runners = now < warming_up_until_ && started_at_ && now - *started_at_ >= slow_start_wait;
   return selector_.select(call.selection, call.route->homes, {*view_, endpoints_, may_use_warming_runners, now});
@@ -55,6 +75,7 @@
   call.last_received_at = now;
   ++call.attempt_number;
   check_attempt(call, now);
+  record_delays(*runner, now);
   counts_.read_tokens += call.uncached_tokens;
   counts_.kept_tokens += call.selection.tokens_in - std::min(call.selection.tokens_in, call.uncached_tokens);
   if (row.state == RunnerState::warming_up)
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -33,6 +33,7 @@
 #include "emberdale/register_proposer.hpp"
 #include "emberdale/replica_set_manager.hpp"
 #include "emberdale/resume_barrier.hpp"
+#include "emberdale/runner_availability.hpp"
 #include "emberdale/runner_health_monitor.hpp"
 #include "emberdale/runner_list.hpp"
 #include "emberdale/runner_list_freshness.hpp"
@@ -108,6 +109,11 @@
   // Where clients near that place are sent to: see GatewayDirectory::addresses.
   std::vector<std::string> gateway_addresses(const RegionName& region, const ZoneName& zone, std::size_t limit,
                                              TimePoint now);
+  // How long nothing was heard of each data daemon that an answer named, when it was named: it may have been off for
+  // so long.
+  const DurationHistogram& gateway_evidence_ages() const { return gateway_directory_.evidence_ages(); }
+  // Since the reading of the list that this daemon knows of, its own or another's, was begun; nothing if there is none.
+  std::optional<Duration> known_reading_age(TimePoint now) const { return availability_.current().age(now); }
   // That pool of the routing table in force here; nullptr if there is none.
   const RoutePool* route_pool(const PoolName& pool) const { return routing_table_.pool(pool); }
 
@@ -165,6 +171,8 @@
   void handle(const Address& from, const DispatchBlock& block, TimePoint now);
   void handle(const Address& from, const EditRequest& request, TimePoint now);
   void handle(const Address& from, const EditResponse& response, TimePoint now);
+  void handle(const Address& from, const AvailabilityRequest& request, TimePoint now);
+  void handle(const Address& from, const AvailabilityReport& report, TimePoint now);
   void handle(const Address& from, const ViewRequest& request, TimePoint now);
   void handle(const Address& from, const ViewResponse& response, TimePoint now);
   bool respond_without_store(const Address& from, const Message& message);
@@ -218,6 +226,7 @@
   std::vector<RunnerEntry> runners_of_map() const;
   bool has_confirmed_master(TimePoint now) const;
   void block_draining_runners(TimePoint now);
+  void report_availability(const Address& to, std::int64_t request_sent_at, bool lacks_runners, TimePoint now);
 
   // --- control_operators.cpp: changes, reads and views --------------------------------------------
   // Why a change that arrives now is refused at once; nothing: it is not.
@@ -283,10 +292,13 @@
   RunnerList runner_list_;
   RunnerListFreshness list_freshness_;
   DrainingRunnerWatch draining_runners_;
+  AvailabilityTracker availability_;
+  AvailabilityReporter availability_reporter_;
   WarmupAllocator warmup_allocator_;
   PlacementMap map_;  // published here or received; its version only grows
   SlicePublisher slices_;
   GatewayDirectory gateway_directory_;
+  Duration recorded_evidence_age_;
   TimePoint heartbeat_next_;
 
   // Of the master's term, and empty elsewhere.
--- a/packages/control-plane/include/emberdale/gateway_directory.hpp
+++ b/packages/control-plane/include/emberdale/gateway_directory.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "emberdale/duration_histogram.hpp"
 #include "emberdale/messages.hpp"
 #include "emberdale/peer_table.hpp"
 #include "emberdale/small_types.hpp"
@@ -28,16 +29,25 @@
   // those of the region as well, and else all. The map counts for data daemons that do not subscribe here, while it is
   // fresh enough; when it isn't and nobody subscribes here, none are named.
   std::vector<std::string> addresses(const GatewayKnowledge& knowledge, const RegionName& region, const ZoneName& zone,
-                                     std::size_t limit, RandomGenerator& random, TimePoint now) const;
+                                     std::size_t limit, RandomGenerator& random, TimePoint now);
+  // How old the evidence was that a named data daemon runs, for each that was named.
+  const DurationHistogram& evidence_ages() const { return evidence_ages_; }
 
  private:
-  std::vector<GatewayRow> ready_gateways(const GatewayKnowledge& knowledge, TimePoint now) const;
-  std::map<Address, GatewayRow> gateways_of_map(const GatewayKnowledge& knowledge, TimePoint now) const;
+  // A data daemon that is taken to be ready, and since when nothing was heard of it at most.
+  struct ReadyGateway {
+    GatewayRow row;
+    Duration evidence_age;
+  };
+
+  std::vector<ReadyGateway> ready_gateways(const GatewayKnowledge& knowledge, TimePoint now) const;
+  std::map<Address, ReadyGateway> gateways_of_map(const GatewayKnowledge& knowledge, TimePoint now) const;
   // Zones whose own control daemons are silent: their data daemons subscribe elsewhere. If some do so here, all that
   // are alive do, and what the map says of the others is old.
   std::set<ZoneName> zones_subscribed_here(const GatewayKnowledge& knowledge, TimePoint now) const;
 
   ZoneName zone_;  // of this control daemon
+  DurationHistogram evidence_ages_;
 };
 
 }  // namespace emberdale
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -12,6 +12,17 @@
 // map before named.
 constexpr Duration inherited_gateways_timeout{2500};
 constexpr Duration gateway_timeout{3000};
+// Of the evidence that a data daemon named by the directory runs: a new maximum is recorded as an event.
+constexpr Duration shortest_recorded_evidence_age{1000}, evidence_age_step{200};
+
+ListReading list_reading(const std::vector<ListedRunner>& runners, TimePoint begun) {
+  ListReading reading;
+  reading.begun_at = begun;
+  for (const auto& runner : runners)
+    if (!runner.name.empty())
+      (runner.is_leaving ? reading.draining : reading.in_service).insert(runner.name);
+  return reading;
+}
 
 GatewayRow gateway_row(const DaemonEntry& entry) {
   return {entry.address, entry.http_address, entry.zone, entry.region};
@@ -217,6 +228,7 @@
     draining_runners_.failed();
     return runner_list_.failed();
   }
+  availability_.take(list_reading(*runners, begun));
   for (const auto& name : draining_runners_.take(*runners, now))
     record(now, "listed_draining", "runner=" + name.text);
   if (election_.is_master()) {
@@ -227,6 +239,14 @@
   collect_outbound(now);
 }
 
+// What this daemon knows of the list, ahead of the map.
+void ControlDaemon::report_availability(const Address& to, std::int64_t request_sent_at, bool lacks_runners,
+                                        TimePoint now) {
+  if (!settings_.reads_runner_list)
+    return;
+  out_.push_back({to, availability_reporter_.report_for(to, request_sent_at, lacks_runners, availability_, now)});
+}
+
 bool ControlDaemon::begin_list_read(TimePoint now) {
   if (!settings_.reads_runner_list)
     return false;
@@ -278,7 +298,13 @@
                                                           std::size_t limit, TimePoint now) {
   detect_pause(now);
   GatewayKnowledge knowledge{map_, peers_, slices_.subscriber_statuses(now), slices_.master_heard_at()};
-  return gateway_directory_.addresses(knowledge, region, zone, limit, random_, now);
+  auto addresses = gateway_directory_.addresses(knowledge, region, zone, limit, random_, now);
+  Duration worst = gateway_directory_.evidence_ages().maximum();
+  if (worst >= shortest_recorded_evidence_age && worst >= recorded_evidence_age_ + evidence_age_step) {
+    recorded_evidence_age_ = worst;
+    record(now, "worst_gateway_evidence_age", "ms=" + std::to_string(worst.value));
+  }
+  return addresses;
 }
 
 }  // namespace emberdale
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -92,6 +92,7 @@
     followers_.on_sent(from, now);
     send_map(from, now);
   }
+  report_availability(from, heartbeat.sent_at, false, now);
   settle_edits(now);
 }
 
@@ -116,6 +117,17 @@
 
 void ControlDaemon::handle(const Address& from, const Subscribe& subscribe, TimePoint now) {
   slices_.on_subscribe(from, subscribe, now);
+  report_availability(from, subscribe.sent_at, false, now);
+}
+
+void ControlDaemon::handle(const Address& from, const AvailabilityRequest& request, TimePoint now) {
+  report_availability(from, request.sent_at, request.lacks_runners, now);
+}
+
+void ControlDaemon::handle(const Address& from, const AvailabilityReport& report, TimePoint now) {
+  availability_.take(report, now);
+  if (availability_.lacks_runners())
+    out_.push_back({from, AvailabilityRequest{now.value, true}});
 }
 
 void ControlDaemon::handle(const Address& from, const LeaseRequest& request, TimePoint now) {
--- a/packages/control-plane/src/gateway_directory.cpp
+++ b/packages/control-plane/src/gateway_directory.cpp
@@ -22,22 +22,23 @@
   return report.age_ms <= map_lifetime.value ? Readiness::not_ready : Readiness::unknown;
 }
 
-void shuffle(std::vector<std::string>& addresses, RandomGenerator& random) {
-  for (std::size_t i = addresses.size(); i > 1; --i)
-    std::swap(addresses[i - 1], addresses[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(i)))]);
+template <class Item>
+void shuffle(std::vector<Item>& items, RandomGenerator& random) {
+  for (std::size_t i = items.size(); i > 1; --i)
+    std::swap(items[i - 1], items[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(i)))]);
 }
 
 }  // namespace
 
-std::map<Address, GatewayRow> GatewayDirectory::gateways_of_map(const GatewayKnowledge& knowledge,
-                                                                TimePoint now) const {
-  std::map<Address, GatewayRow> rows;
+std::map<Address, GatewayDirectory::ReadyGateway> GatewayDirectory::gateways_of_map(const GatewayKnowledge& knowledge,
+                                                                                    TimePoint now) const {
+  std::map<Address, ReadyGateway> rows;
   if (now - knowledge.master_heard > map_lifetime)
     return rows;
   std::set<ZoneName> subscribed_zones = zones_subscribed_here(knowledge, now);
   for (const auto& row : knowledge.map.gateways)
     if (subscribed_zones.count(row.zone) == 0)
-      rows[row.daemon] = row;
+      rows[row.daemon] = {row, now - knowledge.master_heard};
   return rows;
 }
 
@@ -53,30 +54,34 @@
   return zones;
 }
 
-std::vector<GatewayRow> GatewayDirectory::ready_gateways(const GatewayKnowledge& knowledge, TimePoint now) const {
-  std::map<Address, GatewayRow> rows = gateways_of_map(knowledge, now);
+std::vector<GatewayDirectory::ReadyGateway> GatewayDirectory::ready_gateways(const GatewayKnowledge& knowledge,
+                                                                             TimePoint now) const {
+  std::map<Address, ReadyGateway> rows = gateways_of_map(knowledge, now);
   for (const auto& report : knowledge.subscribers) {
     const DaemonEntry& daemon = report.daemon;
     Readiness readiness = readiness_of(report);
     if (readiness == Readiness::ready)
-      rows[daemon.address] = {daemon.address, daemon.http_address, daemon.zone, daemon.region};
+      rows[daemon.address] = {{daemon.address, daemon.http_address, daemon.zone, daemon.region},
+                              Duration{report.age_ms}};
     else if (readiness == Readiness::not_ready)
       rows.erase(daemon.address);
   }
-  std::vector<GatewayRow> ready;
-  for (auto& [address, row] : rows)
-    if (!row.http_address.empty())
-      ready.push_back(std::move(row));
+  std::vector<ReadyGateway> ready;
+  for (auto& [address, gateway] : rows)
+    if (!gateway.row.http_address.empty())
+      ready.push_back(std::move(gateway));
   return ready;
 }
 
 std::vector<std::string> GatewayDirectory::addresses(const GatewayKnowledge& knowledge, const RegionName& region,
                                                      const ZoneName& zone, std::size_t limit, RandomGenerator& random,
-                                                     TimePoint now) const {
-  std::vector<std::string> in_zone, in_region, elsewhere;
-  for (const auto& row : ready_gateways(knowledge, now))
-    (row.zone == zone ? in_zone : row.region == region ? in_region : elsewhere).push_back(row.http_address);
-  std::vector<std::string> named = std::move(in_zone);
+                                                     TimePoint now) {
+  std::vector<ReadyGateway> in_zone, in_region, elsewhere;
+  for (auto& gateway : ready_gateways(knowledge, now)) {
+    const GatewayRow& row = gateway.row;
+    (row.zone == zone ? in_zone : row.region == region ? in_region : elsewhere).push_back(std::move(gateway));
+  }
+  std::vector<ReadyGateway> named = std::move(in_zone);
   if (named.size() < fewest_gateways)
     named.insert(named.end(), in_region.begin(), in_region.end());
   if (named.size() < fewest_gateways)
@@ -84,7 +89,12 @@
   shuffle(named, random);
   if (named.size() > limit)
     named.resize(limit);
-  return named;
+  std::vector<std::string> addresses;
+  for (const auto& gateway : named) {
+    evidence_ages_.record(gateway.evidence_age);
+    addresses.push_back(gateway.row.http_address);
+  }
+  return addresses;
 }
 
 }  // namespace emberdale
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -9,7 +9,10 @@
 
 #include "emberdale/event_journal.hpp"
 #include "emberdale/lease_manager.hpp"
+#include "emberdale/list_age_gate.hpp"
 #include "emberdale/routing_view.hpp"
+#include "emberdale/runner_availability.hpp"
+#include "emberdale/sending_knowledge.hpp"
 
 namespace emberdale {
 
@@ -45,6 +48,10 @@
   const LeaseManager& lease_manager() const { return lease_manager_; }
   // The map as it is followed, less what a dispatch block has taken away ahead of it.
   const std::shared_ptr<const RoutingView>& view() const { return view_; }
+  // By which reading of the list of runners calls may be sent, and who is out of service by it.
+  SendingKnowledge sending_knowledge() const {
+    return {list_age_gate_.bound(availability_.current().read_at), unavailable_};
+  }
   EventJournal& journal() { return journal_; }
   const DaemonEntry& self() const { return self_; }
   struct Counts {
@@ -83,6 +90,7 @@
   void handle(const Address& from, const LeaseGrant& lease_grant, TimePoint now);
   void handle(const Address& from, const DispatchBlock& block, TimePoint now);
   void handle(const Address& from, const SliceUpdate& update, TimePoint now);
+  void handle(const Address& from, const AvailabilityReport& report, TimePoint now);
   template <class Other>
   void handle(const Address&, const Other&, TimePoint) {}
 
@@ -121,6 +129,10 @@
   std::map<Address, TimePoint> ejected_owners_;     // shard owners that failed, until then
   SliceCache slice_cache_;
   std::map<std::string, ActiveBlock> active_blocks_;  // by change id
+  AvailabilityTracker availability_;
+  // The unavailable runners of `availability_`, shared with the dispatch thread.
+  std::shared_ptr<const UnavailableRunners> unavailable_ = std::make_shared<UnavailableRunners>();
+  ListAgeGate list_age_gate_;
   std::shared_ptr<const RoutingView> view_ = slice_cache_.view();
   LeaseManager lease_manager_;
   EventJournal journal_{256};
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -89,7 +89,7 @@
 }
 
 void CallRelay::apply_snapshot(TimePoint now) {
-  auto [view, grant] = snapshot_.get();
+  auto [view, grant, sending] = snapshot_.get();
   dispatcher_.set_grant(grant);
   if (view == view_)
     return;
--- a/packages/data-plane/src/control_snapshot.hpp
+++ b/packages/data-plane/src/control_snapshot.hpp
@@ -7,6 +7,7 @@
 
 #include "emberdale/lease_manager.hpp"
 #include "emberdale/routing_view.hpp"
+#include "emberdale/sending_knowledge.hpp"
 
 namespace emberdale {
 
@@ -16,10 +17,11 @@
   struct Value {
     std::shared_ptr<const RoutingView> view = std::make_shared<RoutingView>();
     Grant grant;
+    SendingKnowledge sending;
   };
-  void put(std::shared_ptr<const RoutingView> view, const Grant& grant) {
+  void put(std::shared_ptr<const RoutingView> view, const Grant& grant, SendingKnowledge sending = {}) {
     std::lock_guard<std::mutex> guard(mutex_);
-    value_ = {std::move(view), grant};
+    value_ = {std::move(view), grant, std::move(sending)};
   }
   Value get() const {
     std::lock_guard<std::mutex> guard(mutex_);
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -121,6 +121,15 @@
     subscribe(now);
 }
 
+void DataDaemon::handle(const Address& from, const AvailabilityReport& report, TimePoint now) {
+  bool is_changed = availability_.take(report, now);
+  if (availability_.lacks_runners())
+    outbound_.push_back({from, AvailabilityRequest{now.value, true}});
+  if (!is_changed)
+    return;
+  unavailable_ = std::make_shared<const UnavailableRunners>(availability_.current().unavailable);
+}
+
 // --- Discovery of control daemons -------------------------------------------------------------------
 
 void DataDaemon::record_contact(const Address& from, const DaemonEntry& sender, const MapVersion& version,
--- a/packages/data-plane/src/data_process.cpp
+++ b/packages/data-plane/src/data_process.cpp
@@ -48,7 +48,7 @@
 }
 
 void DataProcess::flush() {
-  snapshot_.put(daemon_.view(), daemon_.grant());
+  snapshot_.put(daemon_.view(), daemon_.grant(), daemon_.sending_knowledge());
   bool is_new = published_view_ != daemon_.view();
   published_view_ = daemon_.view();
   if (is_new && on_change)
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -14,6 +14,8 @@
 constexpr Duration last_responses_timeout{300};        // for the responses to aborted calls to be written
 constexpr Duration closed_connections_timeout{10000};  // for open calls on connections that are closed now
 constexpr int max_events_per_round = 64;               // before the dispatcher's timer is checked again
+constexpr Duration shortest_logged_delay{1000};        // of the worst ones
+constexpr Duration delay_log_step{200};
 }  // namespace
 
 RoutedRelay::RoutedRelay(RouteDispatcherSettings settings, RelayHeaderNames header_names,
@@ -90,6 +92,7 @@
     is_snapshot_changed_ = false;  // before the snapshot is read: a later change is notified again
     apply_snapshot(now);
     timer_at = process_events(std::move(event), now, timer_at);
+    log_worst_delays();
     std::lock_guard<std::mutex> guard(counts_mutex_);
     counts_ = dispatcher_.counts();
   }
@@ -98,6 +101,19 @@
   abort_open_calls("this daemon stops");
 }
 
+// A new maximum is an event: the margin that the bounds of the platform leave is read off it.
+void RoutedRelay::log_worst_delays() {
+  auto log_worst = [](const char* event, const DurationHistogram& histogram, Duration& logged) {
+    Duration worst = histogram.maximum();
+    if (worst < shortest_logged_delay || worst < logged + delay_log_step)
+      return;
+    logged = worst;
+    LOG(INFO) << event << " ms=" << worst.value;
+  };
+  log_worst("worst_list_age_at_send", dispatcher_.counts().list_age_at_send, logged_list_age_);
+  log_worst("worst_drain_delay", dispatcher_.counts().drain_delay, logged_drain_delay_);
+}
+
 // Handles this event and those behind it, then what they cause. Gives when the dispatcher's timer is due next.
 TimePoint RoutedRelay::process_events(std::optional<DispatchEvent> event, TimePoint now, TimePoint timer_at) {
   auto dispatch = [&](const DispatchEvent& received) {
@@ -122,8 +138,9 @@
 }
 
 void RoutedRelay::apply_snapshot(TimePoint now) {
-  auto [view, grant] = snapshot_.get();
+  auto [view, grant, sending] = snapshot_.get();
   dispatcher_.set_warming_up_until(grant.warming_up_until);
+  dispatcher_.update_sending_knowledge(std::move(sending), now);
   if (view == view_)
     return;
   view_ = view;
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -133,6 +133,7 @@
   bool wait_until_idle(Duration timeout);
   void close_listener();
   void apply_snapshot(TimePoint now);
+  void log_worst_delays();
   TimePoint process_events(std::optional<DispatchEvent> event, TimePoint now, TimePoint timer_at);
   void execute_actions(TimePoint now);
   void on_event(const CallArrived& arrived, TimePoint now);
@@ -198,6 +199,7 @@
   DepartedCallerInvariant departed_callers_;
   std::map<std::pair<std::string, RunnerName>, std::shared_ptr<RunnerConnection>> connections_;
   std::shared_ptr<const RoutingView> view_;
+  Duration logged_list_age_, logged_drain_delay_;
   BoundedQueue<DispatchEvent> events_{4096};
   std::thread dispatch_thread_;
   std::shared_ptr<OpenCallTotals> open_calls_ = std::make_shared<OpenCallTotals>();
--- a/packages/invariants/src/invariants.cpp
+++ b/packages/invariants/src/invariants.cpp
@@ -29,6 +29,10 @@
       return "attempts_within_limit";
     case Invariant::no_attempt_after_deadline:
       return "no_attempt_after_deadline";
+    case Invariant::list_age_bounded:
+      return "list_age_bounded";
+    case Invariant::gateway_evidence_bounded:
+      return "gateway_evidence_bounded";
   }
   return "unknown";
 }
--- a/packages/message-tables/include/emberdale/control_messages.hpp
+++ b/packages/message-tables/include/emberdale/control_messages.hpp
@@ -354,6 +354,70 @@
   }
 };
 
+// A runner that takes no new requests: the list of service discovery shows it as draining, or shows it no more.
+struct UnavailableRunner {
+  static constexpr const char* wire_name = "UnavailableRunner";
+
+  RunnerName name{};
+  // Since the last reading of the list that still showed it in service, or since the first one if there was none such.
+  std::int64_t marked_age_ms = 0;
+
+  template <class Self, class Visitor>
+  static void visit_fields(Self& self, Visitor&& visit) {
+    visit("name", self.name);
+    visit("marked_age", self.marked_age_ms);
+  }
+};
+
+// Asks a control daemon what it knows of the list of runners.
+struct AvailabilityRequest {
+  static constexpr const char* wire_name = "AvailabilityRequest";
+
+  // The sender's clock.
+  std::int64_t sent_at = 0;
+  // The sender lacks the runners of the reading that it was told of last.
+  bool lacks_runners = false;
+
+  template <class Self, class Visitor>
+  static void visit_fields(Self& self, Visitor&& visit) {
+    visit("sent", self.sent_at);
+    visit("lacks_runners", self.lacks_runners);
+  }
+};
+
+// Who is out of service now, ahead of the map. Answers Subscribe, Heartbeat and AvailabilityRequest.
+struct AvailabilityReport {
+  static constexpr const char* wire_name = "AvailabilityReport";
+
+  // `sent_at` of the message that this answers: all ages count back from then.
+  std::int64_t request_sent_at = 0;
+  // A reading of the list is known; without it the four fields that follow say nothing.
+  bool has_reading = false;
+  // Since that reading was begun.
+  std::int64_t reading_age_ms = 0;
+  // Of the names of its unavailable runners.
+  std::int64_t digest = 0;
+  // The receiver was sent the runners of that digest before.
+  bool omits_runners = false;
+  std::vector<UnavailableRunner> runners{};
+  // The sender leads, and has led for long enough to know all data daemons.
+  bool knows_gateways = false;
+  // Data daemons that the sender's map may name and that are off, or about to be.
+  std::vector<Address> departed_gateways{};
+
+  template <class Self, class Visitor>
+  static void visit_fields(Self& self, Visitor&& visit) {
+    visit("request_sent", self.request_sent_at);
+    visit("has_reading", self.has_reading);
+    visit("reading_age", self.reading_age_ms);
+    visit("digest", self.digest);
+    visit("omits_runners", self.omits_runners);
+    visit("runners", self.runners);
+    visit("knows_gateways", self.knows_gateways);
+    visit("departed_gateways", self.departed_gateways);
+  }
+};
+
 // An operator's change on its way to the master.
 struct EditRequest {
   static constexpr const char* wire_name = "EditAsk";
--- a/packages/message-tables/include/emberdale/messages.hpp
+++ b/packages/message-tables/include/emberdale/messages.hpp
@@ -11,10 +11,11 @@
 namespace emberdale {
 
 // The position of an alternative is the message's number on the wire: new ones are added at the end.
-using Message = std::variant<Prepare, Promise, Accept, Accepted, ReadRequest, ReadResponse, BootstrapRequest,
-                             BootstrapResponse, PingRequest, PingResponse, JoinRequest, JoinResponse, LeaveNotice,
-                             PlacementUpdate, Heartbeat, HeartbeatResponse, Subscribe, SliceUpdate, EditRequest,
-                             EditResponse, LeaseRequest, LeaseGrant, DispatchBlock, ViewRequest, ViewResponse>;
+using Message =
+    std::variant<Prepare, Promise, Accept, Accepted, ReadRequest, ReadResponse, BootstrapRequest, BootstrapResponse,
+                 PingRequest, PingResponse, JoinRequest, JoinResponse, LeaveNotice, PlacementUpdate, Heartbeat,
+                 HeartbeatResponse, Subscribe, SliceUpdate, EditRequest, EditResponse, LeaseRequest, LeaseGrant,
+                 DispatchBlock, ViewRequest, ViewResponse, AvailabilityRequest, AvailabilityReport>;
 
 // A message that a state machine wants delivered.
 struct OutboundMessage {
--- a/packages/program-settings/include/emberdale/program_runtime.hpp
+++ b/packages/program-settings/include/emberdale/program_runtime.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "emberdale/duration_histogram.hpp"
 #include "emberdale/small_types.hpp"
 
 namespace emberdale {
@@ -26,5 +27,8 @@
 constexpr const char* metrics_content_type = "text/plain; version=0.0.4";
 // Counters in the text format of Prometheus. Example: counters_text("emberdale", {{"calls", 3}})
 std::string counters_text(const std::string& prefix, const std::map<std::string, std::int64_t>& counters);
+// A histogram of milliseconds in the same format, with its maximum as a gauge beside it.
+// Example: histogram_text("emberdale_data_list_age_at_send_ms", histogram)
+std::string histogram_text(const std::string& name, const DurationHistogram& histogram);
 
 }  // namespace emberdale
--- a/packages/program-settings/src/program_runtime.cpp
+++ b/packages/program-settings/src/program_runtime.cpp
@@ -76,4 +76,17 @@
   return text;
 }
 
+std::string histogram_text(const std::string& name, const DurationHistogram& histogram) {
+  std::string text = "# TYPE " + name + " histogram\n";
+  for (std::size_t i = 0; i < DurationHistogram::bounds_ms.size(); ++i)
+    text += name + "_bucket{le=\"" + std::to_string(DurationHistogram::bounds_ms[i]) + "\"} " +
+            std::to_string(histogram.cumulative_count(i)) + "\n";
+  text += name + "_bucket{le=\"+Inf\"} " + std::to_string(histogram.count()) + "\n";
+  text += name + "_sum " + std::to_string(histogram.sum_ms()) + "\n";
+  text += name + "_count " + std::to_string(histogram.count()) + "\n";
+  text += "# TYPE " + name + "_max gauge\n";
+  text += name + "_max " + std::to_string(histogram.maximum().value) + "\n";
+  return text;
+}
+
 }  // namespace emberdale
--- a/packages/small-types/include/emberdale/small_types.hpp
+++ b/packages/small-types/include/emberdale/small_types.hpp
@@ -34,6 +34,7 @@
 
 // Example: TimePoint{100} + Duration{50} == TimePoint{150}
 inline TimePoint operator+(TimePoint moment, Duration span) { return {moment.value + span.value}; }
+inline Duration operator+(Duration one, Duration other) { return {one.value + other.value}; }
 // Example: TimePoint{150} - TimePoint{100} == Duration{50}
 inline Duration operator-(TimePoint later, TimePoint earlier) { return {later.value - earlier.value}; }
 
