Sends and directory answers are bounded by the age of what is known

Cause: knowledge of draining runners had no age; each hop from the list to a data daemon had its own interval, timeout and condition, and these added up. The mend is one bound: reports carry the age of the reading on the receiver's own clock; a control daemon reads the list when what it knows is 1.7 s old, whoever failed it; a data daemon asks all that it knows at 2.3 s and does not send by a reading older than 3.2 s, unless asking has just shown that nobody can say more. The unavailable runners of the newest reading go before the map. The directory: a new master inherited the gateways of the map before, and each publication renewed the inheritance, so one that was off at a change of masters was named for as long as maps came. Inherited for 2.5 s of the term now; followers use the map only with the master's report on its gateways, 2 s old at most. A master publishes while a write is open, with numbers below the one reserved for the write. Refused subscriptions are repeated at an interval. Two counted invariants: list_age_bounded, gateway_evidence_bounded. Tests replaced: StaleDaemon.ACutOffDirectory... asked that the map counts for 5 s and more without a master, which is the fault (2.5 s at most now); MasterEdits takes 1.1000000 as a map that covers all, for writes reserve numbers 1000 apart.

--- a/packages/call-routing/include/emberdale/route_dispatcher.hpp
+++ b/packages/call-routing/include/emberdale/route_dispatcher.hpp
@@ -98,7 +98,7 @@
   // Takes the newest snapshot of the routing state; queued calls may be sent by it.
   void update_view(std::shared_ptr<const RoutingView> view, TimePoint now);
   // By which reading of the list of runners calls may be sent.
-  void update_sending_knowledge(SendingKnowledge sending, TimePoint now);
+  void update_sending_knowledge(SendingKnowledge sending);
   // The slow-start quotas of warming runners may be used until then.
   void set_warming_up_until(TimePoint until) { warming_up_until_ = until; }
 
@@ -126,7 +126,7 @@
   struct Counts {
     std::int64_t arrived = 0, sends = 0, resends = 0, resumed = 0, answered = 0, refused_route = 0, refused_full = 0,
                  refused_no_view = 0, unknown = 0, pended = 0, warmup_sends = 0, resend_denied = 0, stopped = 0,
-                 far_sends = 0, kept_tokens = 0, read_tokens = 0;
+                 far_sends = 0, kept_tokens = 0, read_tokens = 0, excused_sends = 0;
     // The age of the reading of the list behind each attempt.
     DurationHistogram list_age_at_send;
     // From a runner's mark in the list, or earlier, to the last attempt sent to it; one for each marked runner that was
@@ -219,6 +219,7 @@
   Counts counts_;
   SendsToLeavingRunnerInvariant leaving_runner_invariant_;
   AttemptBudgetInvariant attempt_budget_invariant_;
+  ListAgeInvariant list_age_invariant_;
 };
 
 }  // namespace emberdale
--- a/packages/call-routing/src/route_dispatcher.cpp
+++ b/packages/call-routing/src/route_dispatcher.cpp
@@ -35,7 +35,7 @@
   dispatch_queued(now);
 }
 
-void RouteDispatcher::update_sending_knowledge(SendingKnowledge sending, TimePoint) {
+void RouteDispatcher::update_sending_knowledge(SendingKnowledge sending) {
   auto before = std::exchange(sending_, std::move(sending)).unavailable;
   if (before == sending_.unavailable)
     return;
@@ -50,12 +50,15 @@
 void RouteDispatcher::record_delays(const RunnerName& runner, TimePoint now) {
   if (sending_.list_age.read_at)
     counts_.list_age_at_send.record(now - *sending_.list_age.read_at);
+  counts_.excused_sends += sending_.list_age.is_fresh(now) ? 0 : 1;
   auto marked = sending_.unavailable->find(runner);
   if (marked != sending_.unavailable->end())
     counts_.drain_delay.record(now - marked->second);
 }
 
 std::optional<RunnerName> RouteDispatcher::select_endpoint(const Call& call, TimePoint now) {
+  if (!sending_.list_age.may_send(now))
+    return std::nullopt;  // the call waits for a newer reading of the list
   bool may_use_warming_runners = now < warming_up_until_ && started_at_ && now - *started_at_ >= slow_start_wait;
   return selector_.select(call.selection, call.route->homes, {*view_, endpoints_, may_use_warming_runners, now});
 }
@@ -95,6 +98,7 @@
   AttemptBudget budget{call.attempt_number - call.unsent_attempts, max_attempts(*call.route), call.deadline};
   leaving_runner_invariant_.on_attempt_started(call.index, call.runner, view_->runners, now);
   attempt_budget_invariant_.on_attempt_started(call.index, budget, now);
+  list_age_invariant_.on_attempt_started(call.index, call.runner, sending_.list_age, now);
 }
 
 void RouteDispatcher::release_endpoint(Call& call) {
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -210,6 +210,7 @@
 
   // --- control_maps.cpp: placement maps -----------------------------------------------------------
   bool may_publish(TimePoint now) const;
+  bool has_number_beside_open_write() const;
   MapVersion next_map_version() const;
   PlacementMap next_map(const MapVersion& version, std::map<RunnerName, RunnerStatus> statuses, TimePoint now);
   bool add_listed_runners(std::map<RunnerName, RunnerStatus>& statuses, bool must_cover, TimePoint now);
@@ -220,12 +221,16 @@
   void send_map(const Address& to, TimePoint now);
   void send_heartbeat(TimePoint now);
   std::vector<std::string> live_edges(const ZoneName& zone, TimePoint now) const;
+  bool inherits_gateways(TimePoint now) const;
   std::vector<GatewayRow> live_gateways(TimePoint now) const;
   std::vector<GatewayRow> live_followers(TimePoint now) const;
   Configuration placed_configuration() const;
   std::vector<RunnerEntry> runners_of_map() const;
   bool has_confirmed_master(TimePoint now) const;
   void block_draining_runners(TimePoint now);
+  bool needs_own_reading(bool has_master, TimePoint now);
+  bool has_confirmed_gateways(TimePoint now) const;
+  std::vector<Address> departed_gateways(TimePoint now) const;
   void report_availability(const Address& to, std::int64_t request_sent_at, bool lacks_runners, TimePoint now);
 
   // --- control_operators.cpp: changes, reads and views --------------------------------------------
@@ -293,12 +298,14 @@
   RunnerListFreshness list_freshness_;
   DrainingRunnerWatch draining_runners_;
   AvailabilityTracker availability_;
+  std::optional<TimePoint> reading_wanted_since_;
   AvailabilityReporter availability_reporter_;
   WarmupAllocator warmup_allocator_;
   PlacementMap map_;  // published here or received; its version only grows
   SlicePublisher slices_;
   GatewayDirectory gateway_directory_;
   Duration recorded_evidence_age_;
+  GatewayReport gateway_report_;  // the master's newest
   TimePoint heartbeat_next_;
 
   // Of the master's term, and empty elsewhere.
--- a/packages/control-plane/src/control_maps.cpp
+++ b/packages/control-plane/src/control_maps.cpp
@@ -8,10 +8,10 @@
 
 constexpr Duration load_interval{500};      // between two maps that differ in loads alone
 constexpr Duration placement_interval{40};  // between two maps that differ in placement
-// For so long after its first map a new master, which may not have heard of all data daemons yet, names those that the
-// map before named.
+// For so long a new master, which may not have heard of all data daemons yet, names those that the map before named.
 constexpr Duration inherited_gateways_timeout{2500};
-constexpr Duration gateway_timeout{3000};
+// A daemon reads the list by itself when what it knows of it is older. In calm times the master's readings come sooner.
+constexpr Duration stale_reading_age{1700};
 // Of the evidence that a data daemon named by the directory runs: a new maximum is recorded as an event.
 constexpr Duration shortest_recorded_evidence_age{1000}, evidence_age_step{200};
 
@@ -48,9 +48,13 @@
   return names;
 }
 
+bool ControlDaemon::inherits_gateways(TimePoint now) const {
+  return now - lease_.leading_since() < inherited_gateways_timeout || map_.version.term != election_.term();
+}
+
 std::vector<GatewayRow> ControlDaemon::live_gateways(TimePoint now) const {
   std::map<Address, GatewayRow> rows;
-  if (now - published_at_ < inherited_gateways_timeout || map_.version.term != election_.term())
+  if (inherits_gateways(now))
     for (const auto& row : map_.gateways)
       rows[row.daemon] = row;
   for (const auto& [address, received] : daemon_statuses_.all()) {
@@ -81,21 +85,33 @@
 }
 
 bool ControlDaemon::may_publish(TimePoint now) const {
-  if (!election_.is_master() || edits_.is_open() || !proposer_.has_state() || is_resuming(now))
+  if (!election_.is_master() || !proposer_.has_state() || is_resuming(now))
     return false;
   const FleetState& state = proposer_.state();
-  return state.term == election_.term() && state.master == settings_.self.address;
+  bool leads_by_state = state.term == election_.term() && state.master == settings_.self.address;
+  return leads_by_state && (!edits_.is_open() || has_number_beside_open_write());
+}
+
+// While a write is open, what it may change is not known. Maps go on to be published from the state before it, with
+// numbers below the one that was reserved for the map that covers it: they never pass for that map.
+bool ControlDaemon::has_number_beside_open_write() const {
+  const FleetState& state = proposer_.state();
+  const MapVersion& reserved = edits_.attempted_minimum_version();
+  bool covers_state = map_.version.term == state.term && state.minimum_version <= map_.version;
+  bool is_reserved = reserved.term == state.term && state.minimum_version < reserved;
+  return covers_state && is_reserved && map_.version.number + 1 < reserved.number;
 }
 
 // A map below the minimum version takes just that version: it is the one that covers the last change. Any other takes
-// the next number; a number that a change has tried for stands for that change alone, in force or not.
+// the next number; a number that a change has tried for stands for that change alone, in force or not, and the numbers
+// below it are for maps that are published while that is open.
 MapVersion ControlDaemon::next_map_version() const {
   const FleetState& state = proposer_.state();
   if (map_.version < state.minimum_version)
     return MapVersion{state.term, state.minimum_version.number};
   std::int64_t last = map_.version.term == state.term ? map_.version.number : 0;
   const MapVersion& attempted = edits_.attempted_minimum_version();
-  if (attempted.term == state.term)
+  if (attempted.term == state.term && !edits_.is_open())
     last = std::max(last, attempted.number);
   return MapVersion{state.term, last + 1};
 }
@@ -244,7 +260,49 @@
                                         TimePoint now) {
   if (!settings_.reads_runner_list)
     return;
-  out_.push_back({to, availability_reporter_.report_for(to, request_sent_at, lacks_runners, availability_, now)});
+  AvailabilityReport report = availability_reporter_.report_for(to, request_sent_at, lacks_runners, availability_, now);
+  report.knows_gateways = has_confirmed_gateways(now);
+  if (report.knows_gateways) {
+    report.departed_gateways = departed_gateways(now);
+    report.gateways_digest = gateways_digest(map_, report.departed_gateways);
+  }
+  out_.push_back({to, std::move(report)});
+}
+
+// A master that has led for long enough knows of each data daemon whether it runs.
+bool ControlDaemon::has_confirmed_gateways(TimePoint now) const {
+  return election_.is_master() && has_confirmed_master(now) && !inherits_gateways(now);
+}
+
+// Those that the map names, or named not long ago, and that are not alive.
+std::vector<Address> ControlDaemon::departed_gateways(TimePoint now) const {
+  std::set<Address> live;
+  for (const auto& row : live_gateways(now))
+    live.insert(row.daemon);
+  std::set<Address> departed;
+  for (const auto& row : map_.gateways)
+    if (live.count(row.daemon) == 0)
+      departed.insert(row.daemon);
+  for (const auto& [address, received] : daemon_statuses_.all())
+    if (live.count(address) == 0)
+      departed.insert(address);
+  return {departed.begin(), departed.end()};
+}
+
+// A daemon that does not lead reads the list when what it knows of it is old, whoever it is that failed to tell it
+// more.
+bool ControlDaemon::needs_own_reading(bool has_master, TimePoint now) {
+  bool is_wanted = !map_.runners.empty() || !slices_.subscribers().empty();
+  if (!is_wanted) {
+    reading_wanted_since_.reset();
+    return false;
+  }
+  if (!reading_wanted_since_)
+    reading_wanted_since_ = now;
+  auto age = availability_.current().age(now);
+  if (age)
+    return *age >= stale_reading_age;
+  return !has_master || now - *reading_wanted_since_ >= stale_reading_age;
 }
 
 bool ControlDaemon::begin_list_read(TimePoint now) {
@@ -253,14 +311,14 @@
   bool has_master = has_confirmed_master(now);
   bool leads = has_master && election_.is_master();
   list_freshness_.on_timer(leads, now);
-  bool is_due = leads ? runner_list_.is_read_due(now)
-                      : !has_master && !map_.runners.empty() && draining_runners_.is_read_due(now);
+  bool is_due =
+      leads ? runner_list_.is_read_due(now) : needs_own_reading(has_master, now) && draining_runners_.is_read_due(now);
   if (is_due)
     list_freshness_.on_reading_begun(now);
   return is_due;
 }
 
-// The master that leads reads the list for all, and its map reaches this daemon.
+// The master that leads reads the list for all.
 bool ControlDaemon::has_confirmed_master(TimePoint now) const {
   TimePoint confirmed_at = election_.is_master() ? election_.quorum_confirmed_at(now) : election_.master_confirmed_at();
   return now - confirmed_at <= list_quorum_age;
@@ -297,7 +355,9 @@
 std::vector<std::string> ControlDaemon::gateway_addresses(const RegionName& region, const ZoneName& zone,
                                                           std::size_t limit, TimePoint now) {
   detect_pause(now);
-  GatewayKnowledge knowledge{map_, peers_, slices_.subscriber_statuses(now), slices_.master_heard_at()};
+  if (has_confirmed_gateways(now))
+    gateway_report_ = GatewayReport{now, departed_gateways(now)};
+  GatewayKnowledge knowledge{map_, peers_, slices_.subscriber_statuses(now), gateway_report_};
   auto addresses = gateway_directory_.addresses(knowledge, region, zone, limit, random_, now);
   Duration worst = gateway_directory_.evidence_ages().maximum();
   if (worst >= shortest_recorded_evidence_age && worst >= recorded_evidence_age_ + evidence_age_step) {
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -128,6 +128,12 @@
   availability_.take(report, now);
   if (availability_.lacks_runners())
     out_.push_back({from, AvailabilityRequest{now.value, true}});
+  TimePoint known_at{report.request_sent_at};
+  bool is_newer = gateway_report_.known_at < known_at && known_at <= now;
+  bool has_same_map =
+      report.knows_gateways && report.gateways_digest == gateways_digest(map_, report.departed_gateways);
+  if (has_same_map && from == election_.master() && is_newer)
+    gateway_report_ = GatewayReport{known_at, report.departed_gateways};
 }
 
 void ControlDaemon::handle(const Address& from, const LeaseRequest& request, TimePoint now) {
--- a/packages/control-plane/src/gateway_directory.cpp
+++ b/packages/control-plane/src/gateway_directory.cpp
@@ -5,9 +5,10 @@
 
 // A subscriber that has been silent for longer is not named.
 constexpr Duration subscriber_timeout{1300};
-// The map counts for daemons that do not subscribe here for so long after a quorum last followed its master: longer
-// than an election takes.
-constexpr Duration map_lifetime{10000};
+// A report of a subscriber that is older than this says nothing any more.
+constexpr Duration subscriber_report_lifetime{10000};
+// The map counts for daemons that do not subscribe here while the master's report on them is not older.
+constexpr Duration report_lifetime{2000};
 // A single data daemon would have no one to fail over to.
 constexpr std::size_t fewest_gateways = 2;
 
@@ -19,7 +20,7 @@
     return Readiness::not_ready;
   if (report.age_ms <= subscriber_timeout.value)
     return report.version != MapVersion{} ? Readiness::ready : Readiness::not_ready;
-  return report.age_ms <= map_lifetime.value ? Readiness::not_ready : Readiness::unknown;
+  return report.age_ms <= subscriber_report_lifetime.value ? Readiness::not_ready : Readiness::unknown;
 }
 
 template <class Item>
@@ -30,15 +31,30 @@
 
 }  // namespace
 
+std::int64_t gateways_digest(const PlacementMap& map, const std::vector<Address>& departed) {
+  std::set<Address> named;
+  for (const auto& row : map.gateways)
+    named.insert(row.daemon);
+  for (const auto& address : departed)
+    named.erase(address);
+  std::string text;
+  for (const auto& address : named)
+    text += address.text + "\n";
+  return static_cast<std::int64_t>(stable_hash(text));
+}
+
 std::map<Address, GatewayDirectory::ReadyGateway> GatewayDirectory::gateways_of_map(const GatewayKnowledge& knowledge,
                                                                                     TimePoint now) const {
   std::map<Address, ReadyGateway> rows;
-  if (now - knowledge.master_heard > map_lifetime)
+  Duration report_age = now - knowledge.report.known_at;
+  if (report_age > report_lifetime)
     return rows;
   std::set<ZoneName> subscribed_zones = zones_subscribed_here(knowledge, now);
   for (const auto& row : knowledge.map.gateways)
     if (subscribed_zones.count(row.zone) == 0)
-      rows[row.daemon] = {row, now - knowledge.master_heard};
+      rows[row.daemon] = {row, report_age + gateway_timeout};
+  for (const auto& departed : knowledge.report.departed)
+    rows.erase(departed);
   return rows;
 }
 
@@ -92,6 +108,8 @@
   std::vector<std::string> addresses;
   for (const auto& gateway : named) {
     evidence_ages_.record(gateway.evidence_age);
+    counters_->record(Invariant::gateway_evidence_bounded, gateway.evidence_age <= longest_evidence_age,
+                      {0, gateway.row.daemon.text, now, gateway.evidence_age.value, longest_evidence_age.value});
     addresses.push_back(gateway.row.http_address);
   }
   return addresses;
--- a/packages/control-plane/src/master_edits.cpp
+++ b/packages/control-plane/src/master_edits.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t responses_kept = 512;
 // One write carries at most so many changes, and so many of them of the routing table, which cost most to apply.
 constexpr std::size_t batch_bound = 16, batch_table_bound = 4;
+// Numbers that a write leaves free before its own, for the maps that are published while it is open.
+constexpr std::int64_t maps_beside_write = 1000;
 
 // The verdict on a change that was worked out on the register's state and is not applied.
 EditResponse refusal_of(const EditResult& result) {
@@ -155,12 +157,14 @@
   write(std::move(batch), reserve_map_number(map_version), now);
 }
 
-// The number of the map that covers the next write. It stands for that write alone, whether it is chosen or not.
+// The number of the map that covers the next write. It stands for that write alone, whether it is chosen or not. The
+// numbers just below it are for maps of the state before the write.
 std::int64_t MasterEdits::reserve_map_number(const MapVersion& map_version) {
   std::int64_t term = election_.term();
   std::int64_t published = map_version.term == term ? map_version.number : 0;
   std::int64_t number =
-      std::max({published, attempted_minimum_version_.number, proposer_.state().minimum_version.number}) + 1;
+      std::max({published, attempted_minimum_version_.number, proposer_.state().minimum_version.number}) + 1 +
+      maps_beside_write;
   attempted_minimum_version_ = MapVersion{term, number};
   return number;
 }
--- a/packages/control-plane/tests/master_edits_test.cpp
+++ b/packages/control-plane/tests/master_edits_test.cpp
@@ -25,6 +25,9 @@
   return request;
 }
 
+// A map that covers whatever was written in the first term.
+const MapVersion covering_map{1, 1000000};
+
 // A leader in its first term, with a register of one replica.
 class Leader {
  public:
@@ -59,7 +62,7 @@
       for (auto& message : acceptor_.drain_outbound())
         proposer_.on_message(self, message.message, now);
       edits_.settle(
-          MapVersion{1, 1000}, [](const MapVersion&) { return std::size_t{1}; }, now);
+          covering_map, [](const MapVersion&) { return std::size_t{1}; }, now);
     }
     std::vector<std::int64_t> codes;
     for (auto& ended : edits_.take_ended())
--- a/packages/control-plane/tests/runner_knowledge_test.cpp
+++ b/packages/control-plane/tests/runner_knowledge_test.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t check_interval_ms = 25;
 // From the moment at which the list shows a mark. The platform's shortest bound is 4 s.
 constexpr std::int64_t longest_delay_ms = 3500;
+// From the end of a data daemon to the last answer that names it.
+constexpr std::int64_t longest_off_ms = 4000;
 constexpr std::int64_t day_ms = 60000;
 // The daemons have found one another, and the first runners are in service.
 constexpr std::int64_t settling_ms = 4000;
@@ -75,6 +77,19 @@
     return worst_ms_;
   }
   const std::string& worst() const { return worst_; }
+  // The longest time for which a data daemon had been off when a control daemon's answer named it.
+  std::int64_t longest_off_ms() const { return longest_off_ms_; }
+  const std::string& longest_off() const { return longest_off_; }
+  // Data daemons end for good, one after the other; the last two of them stay.
+  void end_data_daemons() {
+    auto running = std::count_if(data.begin(), data.end(), [](const auto& daemon) { return daemon->is_running; });
+    if (running <= 2)
+      return;
+    auto& ending = *std::find_if(data.begin(), data.end(), [](const auto& daemon) { return daemon->is_running; });
+    ending->is_running = false;
+    ended_at_[ending->daemon().self().http_address] = fleet.now();
+    fleet.later(5000 + random_.below(5000), [this] { end_data_daemons(); });
+  }
   int changes() const { return changes_; }
 
   MachineFleet fleet;
@@ -92,6 +107,22 @@
         worst_ms_ = delay_ms;
         worst_ = daemon->daemon().self().address.text + " " + runner.text + " at " + std::to_string(fleet.now());
       }
+    ask_directories();
+  }
+
+  void ask_directories() {
+    for (const auto& name : fleet.running()) {
+      std::vector<std::string> named;
+      Machine& machine = fleet.at(name);
+      named = machine.control->gateway_addresses(RegionName{"north"}, ZoneName{"a"}, 64, fleet.clock(machine));
+      for (const auto& address : named) {
+        auto ended = ended_at_.find(address);
+        if (ended == ended_at_.end() || fleet.now() - ended->second <= longest_off_ms_)
+          continue;
+        longest_off_ms_ = fleet.now() - ended->second;
+        longest_off_ = address + " by " + name + " at " + std::to_string(fleet.now());
+      }
+    }
   }
 
   void add_runner() {
@@ -196,8 +227,9 @@
   RandomGenerator random_;
   std::map<std::string, bool> in_trouble_;
   int runners_ = 0, changes_ = 0;
-  std::int64_t worst_ms_ = 0;
-  std::string worst_;
+  std::int64_t worst_ms_ = 0, longest_off_ms_ = 0;
+  std::string worst_, longest_off_;
+  std::map<std::string, std::int64_t> ended_at_;  // data daemons, by HTTP address
 };
 
 TEST(RunnerKnowledge, AMarkIsObeyedInTimeOnLongDaysWithHundredsOfChanges) {
@@ -225,5 +257,15 @@
   }
 }
 
+TEST(GatewayKnowledge, NoAnswerNamesADataDaemonThatHasLongBeenOff) {
+  for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+    LongDay day(seed);
+    day.begin();
+    day.end_data_daemons();
+    day.run(day_ms);
+    EXPECT_LE(day.longest_off_ms(), longest_off_ms) << "seed " << seed << ": " << day.longest_off();
+  }
+}
+
 }  // namespace
 }  // namespace emberdale
--- a/packages/control-plane/tests/stale_daemon_test.cpp
+++ b/packages/control-plane/tests/stale_daemon_test.cpp
@@ -307,6 +307,9 @@
 
 TEST(StaleDaemon, ACutOffDirectoryNamesInTheEndOnlyItsOwnSubscribers) {
   MachineFleet fleet(12);
+  fleet.adjust_settings = [](ControlDaemonSettings& settings) {
+    settings.reads_runner_list = true;  // as on the platform, which has a directory
+  };
   auto names = bring_up(fleet, 3);
   std::string cut_off = fleet.master() == "a0" ? "b0" : "a0";
   std::string zone = cut_off.substr(0, 1), other = fleet.master();
@@ -333,8 +336,9 @@
       last_named_far = fleet.now() - cut;
   }
   EXPECT_LE(last_named_dead, 1800);
-  EXPECT_GE(last_named_far, 5000);  // the map still counts through an election
-  EXPECT_LE(last_named_far, 10000);
+  // The map counts while the master's report on it is fresh, and no longer: nothing is known of the others.
+  EXPECT_GE(last_named_far, 1000);
+  EXPECT_LE(last_named_far, 2500);
   fleet.heal();
   EXPECT_TRUE(fleet.run_until(
       [&] {
--- a/packages/data-plane/include/emberdale/data_daemon.hpp
+++ b/packages/data-plane/include/emberdale/data_daemon.hpp
@@ -105,8 +105,12 @@
   void ping_control_daemons_in_zone();
   void ping_due(TimePoint now);
 
+  // The list of runners.
+  void ask_for_availability(TimePoint now);
+
   // Shard owners.
   void subscribe(TimePoint now);
+  void subscribe_soon(TimePoint now);
   ShardOwner assign_owner(const std::string& topic, std::vector<std::string>& live, TimePoint now);
   void leave_outdated_owners(TimePoint now);
   void eject_outdated_owner(const std::string& topic, const ShardOwner& owner, TimePoint now);
@@ -137,6 +141,7 @@
   LeaseManager lease_manager_;
   EventJournal journal_{256};
   TimePoint ping_next_, request_next_, urgent_request_next_, subscribe_next_;
+  TimePoint subscribed_at_{long_ago};
   TimePoint started_at_;
   std::optional<NamedVersion> named_version_;
   bool was_granted_ = false, is_leaving_ = false;
--- a/packages/data-plane/src/data_daemon.cpp
+++ b/packages/data-plane/src/data_daemon.cpp
@@ -18,11 +18,21 @@
 // A control daemon's word may be ahead of a shard owner's update by the way that the update has to go.
 constexpr Duration named_version_timeout{1000};
 constexpr int random_pings = 2;
+// Between two subscriptions, however many are refused.
+constexpr Duration resubscribe_interval{100};
+// Control daemons that are asked at once for a newer reading of the list; others are asked the next time.
+constexpr std::size_t most_asked = 8;
 
 std::string owner_fields(const std::string& topic, const Address& owner) {
   return "topic=" + topic + " owner=" + owner.text;
 }
 
+bool is_in_service(const RoutingView& view, const RunnerName& runner) {
+  auto row = view.runners.find(runner);
+  return row != view.runners.end() &&
+         (row->second.state == RunnerState::warm || row->second.state == RunnerState::warming_up);
+}
+
 bool is_draining(const RoutingView& view, const RunnerName& runner) {
   auto row = view.runners.find(runner);
   return row != view.runners.end() && row->second.state == RunnerState::draining;
@@ -128,6 +138,23 @@
   if (!is_changed)
     return;
   unavailable_ = std::make_shared<const UnavailableRunners>(availability_.current().unavailable);
+  auto before = view();
+  rebuild_view(now);
+  journal_draining_runners(*before, now);
+}
+
+// Whoever is known is asked, and not the shard owners alone: they may be behind, or cut off with their master.
+void DataDaemon::ask_for_availability(TimePoint now) {
+  std::vector<Address> control_daemons;
+  for (const auto& [address, known] : known_daemons_)
+    if (known.entry.role != DaemonRole::core && known.entry.role != DaemonRole::data)
+      control_daemons.push_back(address);
+  std::size_t count = std::min(control_daemons.size(), most_asked);
+  for (std::size_t i = 0; i < count; ++i) {
+    auto left = static_cast<std::int64_t>(control_daemons.size() - i);
+    std::swap(control_daemons[i], control_daemons[i + static_cast<std::size_t>(random_.below(left))]);
+    outbound_.push_back({control_daemons[i], AvailabilityRequest{now.value, false}});
+  }
 }
 
 // --- Discovery of control daemons -------------------------------------------------------------------
@@ -227,7 +254,7 @@
   ejected_owners_[peer] = now + refused_owner_ejection_time;  // until it is back, or the map leaves it out
   ++counts_.owners_ejected;
   journal_.append(now, "home_gone", "owner=" + peer.text);
-  subscribe(now);
+  subscribe_soon(now);
 }
 
 // --- Shard owners -----------------------------------------------------------------------------------
@@ -250,7 +277,16 @@
   return owner;
 }
 
+// At once, unless the last subscription was just now: where every owner refuses, each refusal would cause others.
+void DataDaemon::subscribe_soon(TimePoint now) {
+  if (now - subscribed_at_ >= resubscribe_interval)
+    subscribe(now);
+  else
+    subscribe_next_ = std::min(subscribe_next_, subscribed_at_ + resubscribe_interval);
+}
+
 void DataDaemon::subscribe(TimePoint now) {
+  subscribed_at_ = now;
   std::map<Address, std::vector<TopicVersion>> topics_by_owner;
   std::map<std::string, ShardOwner> owners;
   auto live = live_control_daemons(now);
@@ -320,9 +356,14 @@
   for (auto entry = active_blocks_.begin(); entry != active_blocks_.end();)
     entry = entry->second.until <= now ? active_blocks_.erase(entry) : std::next(entry);
   view_ = slice_cache_.view();
-  if (active_blocks_.empty())
+  bool is_ahead_of_map = std::any_of(unavailable_->begin(), unavailable_->end(),
+                                     [&](const auto& entry) { return is_in_service(*view_, entry.first); });
+  if (active_blocks_.empty() && !is_ahead_of_map)
     return;
   auto restricted = std::make_shared<RoutingView>(*view_);
+  for (const auto& [name, marked_at] : *unavailable_)
+    if (is_in_service(*restricted, name))
+      restricted->runners.at(name).state = RunnerState::draining;
   for (auto& [name, row] : restricted->runners)
     for (const auto& [change, active] : active_blocks_) {
       bool is_runner_blocked = active.block.runner == name;
@@ -371,6 +412,8 @@
     leave_outdated_owners(now);
     subscribe(now);
   }
+  if (list_age_gate_.is_request_due(availability_.current().read_at, now))
+    ask_for_availability(now);
   bool is_block_over = std::any_of(active_blocks_.begin(), active_blocks_.end(),
                                    [&](const auto& entry) { return entry.second.until <= now; });
   if (is_block_over)
--- a/packages/data-plane/src/own_paths.cpp
+++ b/packages/data-plane/src/own_paths.cpp
@@ -38,7 +38,7 @@
 }
 
 void OwnPaths::reply_health(const http_request& request) const {
-  auto [view, grant] = process_.snapshot().get();
+  auto [view, grant, sending] = process_.snapshot().get();
   bool is_granted = steady_now() < grant.until && grant.minimum_version <= view->version;
   Json health{{"status", is_granted ? "serving" : "not_serving"},
               {"map_version", show(view->version)},
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -140,7 +140,7 @@
 void RoutedRelay::apply_snapshot(TimePoint now) {
   auto [view, grant, sending] = snapshot_.get();
   dispatcher_.set_warming_up_until(grant.warming_up_until);
-  dispatcher_.update_sending_knowledge(std::move(sending), now);
+  dispatcher_.update_sending_knowledge(std::move(sending));
   if (view == view_)
     return;
   view_ = view;
--- a/packages/message-tables/include/emberdale/control_messages.hpp
+++ b/packages/message-tables/include/emberdale/control_messages.hpp
@@ -391,19 +391,23 @@
 
   // `sent_at` of the message that this answers: all ages count back from then.
   std::int64_t request_sent_at = 0;
-  // A reading of the list is known; without it the four fields that follow say nothing.
+  // A reading of the list is known; without it the five fields that follow say nothing.
   bool has_reading = false;
   // Since that reading was begun.
   std::int64_t reading_age_ms = 0;
-  // Of the names of its unavailable runners.
+  // Of the names of its unavailable and restored runners.
   std::int64_t digest = 0;
   // The receiver was sent the runners of that digest before.
   bool omits_runners = false;
   std::vector<UnavailableRunner> runners{};
+  // Runners that were unavailable a while ago, and that the reading shows in service again.
+  std::vector<RunnerName> restored{};
   // The sender leads, and has led for long enough to know all data daemons.
   bool knows_gateways = false;
   // Data daemons that the sender's map may name and that are off, or about to be.
   std::vector<Address> departed_gateways{};
+  // Of the data daemons that its map names, less those: a receiver with another map can't rely on its own.
+  std::int64_t gateways_digest = 0;
 
   template <class Self, class Visitor>
   static void visit_fields(Self& self, Visitor&& visit) {
@@ -413,8 +417,10 @@
     visit("digest", self.digest);
     visit("omits_runners", self.omits_runners);
     visit("runners", self.runners);
+    visit("restored", self.restored);
     visit("knows_gateways", self.knows_gateways);
     visit("departed_gateways", self.departed_gateways);
+    visit("gateways_digest", self.gateways_digest);
   }
 };
 
--- a/packages/runner-availability/include/emberdale/runner_availability.hpp
+++ b/packages/runner-availability/include/emberdale/runner_availability.hpp
@@ -20,6 +20,8 @@
   std::optional<TimePoint> read_at;
   // The runners that take no new requests, and when the list began to say so at the earliest.
   std::map<RunnerName, TimePoint> unavailable;
+  // Runners that were unavailable, and since which reading the list shows them in service again.
+  std::map<RunnerName, TimePoint> restored;
 
   // Example: if (auto age = availability.age(now)) histogram.record(*age);
   std::optional<Duration> age(TimePoint now) const {
@@ -39,6 +41,9 @@
  public:
   // A runner that the list shows no more counts as unavailable for so long: a map that is behind may name it still.
   static constexpr Duration vanished_retention{15000};
+  // What a reader has said once outlives a reader that has just started and does not know it: a runner that neither is
+  // reported unavailable any more nor restored stays unavailable for so long.
+  static constexpr Duration held_over_retention{30000};
 
   // A reading of this daemon's own; false if a newer one is known. An empty one is more likely a fault than the end of
   // all runners, and is ignored.
@@ -48,16 +53,20 @@
   // The last report named a reading whose runners are not known here: the sender has to be asked for them.
   bool lacks_runners() const { return lacks_runners_; }
   const RunnerAvailability& current() const { return current_; }
-  // Of the names of the unavailable runners.
+  // Of the names of the unavailable and restored runners.
   std::int64_t digest() const { return digest_; }
 
  private:
   TimePoint marked_at(const RunnerName& name, TimePoint begun_at) const;
   std::set<RunnerName> vanished_in(const ListReading& reading);
-  void replace(TimePoint read_at, std::map<RunnerName, TimePoint> unavailable);
+  std::map<RunnerName, TimePoint> restored_in(const ListReading& reading) const;
+  void hold_over(const AvailabilityReport& report, RunnerAvailability& next);
+  void replace(RunnerAvailability next);
 
   RunnerAvailability current_;
   std::int64_t digest_ = 0;
+  std::int64_t reported_digest_ = 0;  // of the report that was taken last; 0: an own reading was taken since
+  std::map<RunnerName, TimePoint> held_over_since_;
   bool lacks_runners_ = false;
   // Of the last reading of this daemon's own.
   std::map<RunnerName, TimePoint> last_in_service_;
--- a/packages/runner-availability/src/runner_availability.cpp
+++ b/packages/runner-availability/src/runner_availability.cpp
@@ -7,9 +7,12 @@
 namespace emberdale {
 namespace {
 
-std::int64_t digest_of(const std::map<RunnerName, TimePoint>& runners) {
+std::int64_t digest_of(const RunnerAvailability& availability) {
   std::string names;
-  for (const auto& [name, marked_at] : runners)
+  for (const auto& [name, marked_at] : availability.unavailable)
+    names += name.text + "\n";
+  names += "\n";
+  for (const auto& [name, since] : availability.restored)
     names += name.text + "\n";
   return static_cast<std::int64_t>(stable_hash(names));
 }
@@ -21,18 +24,33 @@
   bool is_outdated = current_.read_at && reading.begun_at <= *current_.read_at;
   if (is_empty || is_outdated)
     return false;
-  std::map<RunnerName, TimePoint> unavailable;
+  RunnerAvailability next;
+  next.read_at = reading.begun_at;
   for (const auto& name : reading.draining)
-    unavailable[name] = marked_at(name, reading.begun_at);
+    next.unavailable[name] = marked_at(name, reading.begun_at);
   for (const auto& name : vanished_in(reading))
-    unavailable[name] = marked_at(name, reading.begun_at);
+    next.unavailable[name] = marked_at(name, reading.begun_at);
+  next.restored = restored_in(reading);
   last_in_service_.clear();
   for (const auto& name : reading.in_service)
     last_in_service_[name] = reading.begun_at;
-  replace(reading.begun_at, std::move(unavailable));
+  held_over_since_.clear();
+  reported_digest_ = 0;
+  replace(std::move(next));
   return true;
 }
 
+std::map<RunnerName, TimePoint> AvailabilityTracker::restored_in(const ListReading& reading) const {
+  std::map<RunnerName, TimePoint> restored;
+  for (const auto& [name, since] : current_.restored)
+    if (reading.in_service.count(name) != 0 && reading.begun_at - since <= held_over_retention)
+      restored[name] = since;
+  for (const auto& [name, marked] : current_.unavailable)
+    if (reading.in_service.count(name) != 0)
+      restored[name] = reading.begun_at;
+  return restored;
+}
+
 // When the list began to show that the runner is out of service, at the earliest.
 TimePoint AvailabilityTracker::marked_at(const RunnerName& name, TimePoint begun_at) const {
   auto known = current_.unavailable.find(name);
@@ -68,26 +86,46 @@
   TimePoint read_at{report.request_sent_at - report.reading_age_ms};
   if (current_.read_at && read_at <= *current_.read_at)
     return false;
-  bool is_same_set = report.digest == digest_ && current_.read_at.has_value();
+  bool is_same_set = report.digest == reported_digest_ && current_.read_at.has_value();
+  lacks_runners_ = !is_same_set && report.omits_runners;
+  if (lacks_runners_)
+    return false;
   if (is_same_set) {
-    lacks_runners_ = false;
     current_.read_at = read_at;
     return false;
   }
-  lacks_runners_ = report.omits_runners;
-  if (lacks_runners_)
-    return false;
-  std::map<RunnerName, TimePoint> unavailable;
+  RunnerAvailability next;
+  next.read_at = read_at;
   for (const auto& runner : report.runners)
-    unavailable[runner.name] = TimePoint{sent_at.value - runner.marked_age_ms};
-  replace(read_at, std::move(unavailable));
+    next.unavailable[runner.name] = TimePoint{sent_at.value - runner.marked_age_ms};
+  for (const auto& name : report.restored)
+    next.restored[name] = sent_at;
+  hold_over(report, next);
+  reported_digest_ = report.digest;
+  replace(std::move(next));
   return true;
 }
 
-void AvailabilityTracker::replace(TimePoint read_at, std::map<RunnerName, TimePoint> unavailable) {
-  current_.read_at = read_at;
-  current_.unavailable = std::move(unavailable);
-  digest_ = digest_of(current_.unavailable);
+// Keeps what was known before and what the report says nothing of.
+void AvailabilityTracker::hold_over(const AvailabilityReport& report, RunnerAvailability& next) {
+  TimePoint now{report.request_sent_at};
+  std::map<RunnerName, TimePoint> held_over;
+  for (const auto& [name, marked_at] : current_.unavailable) {
+    if (next.unavailable.count(name) != 0 || next.restored.count(name) != 0)
+      continue;
+    auto held = held_over_since_.find(name);
+    TimePoint since = held != held_over_since_.end() ? held->second : now;
+    if (now - since > held_over_retention)
+      continue;
+    held_over[name] = since;
+    next.unavailable[name] = marked_at;
+  }
+  held_over_since_ = std::move(held_over);
+}
+
+void AvailabilityTracker::replace(RunnerAvailability next) {
+  current_ = std::move(next);
+  digest_ = digest_of(current_);
   lacks_runners_ = false;
 }
 
@@ -108,6 +146,8 @@
     return report;
   for (const auto& [name, marked_at] : current.unavailable)
     report.runners.push_back({name, (now - marked_at).value});
+  for (const auto& [name, since] : current.restored)
+    report.restored.push_back(name);
   sent_digests_[receiver] = report.digest;
   return report;
 }
--- a/packages/runner-availability/tests/runner_availability_test.cpp
+++ b/packages/runner-availability/tests/runner_availability_test.cpp
@@ -50,6 +50,28 @@
   EXPECT_TRUE(tracker.current().unavailable.empty());
 }
 
+// A reader that has just started knows nothing of runners that the list showed as draining before.
+TEST(AvailabilityTracker, WhatAReaderHasSaidOutlivesAReaderThatDoesNotKnowIt) {
+  AvailabilityTracker reader, started_later, tracker;
+  reader.take(reading(1000, {two}, {one}));
+  started_later.take(reading(2000, {two}, {}));
+  AvailabilityReporter reporter, later_reporter;
+  tracker.take(reporter.report_for(receiver, 1100, false, reader, TimePoint{1100}), TimePoint{1100});
+  tracker.take(later_reporter.report_for(receiver, 2100, false, started_later, TimePoint{2100}), TimePoint{2100});
+  EXPECT_EQ(*tracker.current().read_at, TimePoint{2000});
+  EXPECT_EQ(tracker.current().unavailable.count(one), 1u);
+}
+
+TEST(AvailabilityTracker, ARunnerThatIsReportedAsRestoredIsAvailable) {
+  AvailabilityTracker reader, tracker;
+  AvailabilityReporter reporter;
+  reader.take(reading(1000, {two}, {one}));
+  tracker.take(reporter.report_for(receiver, 1100, false, reader, TimePoint{1100}), TimePoint{1100});
+  reader.take(reading(2000, {one, two}, {}));
+  tracker.take(reporter.report_for(receiver, 2100, false, reader, TimePoint{2100}), TimePoint{2100});
+  EXPECT_TRUE(tracker.current().unavailable.empty());
+}
+
 // The reporter's clock has nothing to do with the receiver's; the way back may take any time.
 TEST(AvailabilityReporter, AgesCountBackFromTheReceiversRequest) {
   AvailabilityTracker reader, tracker;
