--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -33,12 +33,7 @@
       listener_(http_address, [this](http_request request) { handle(std::move(request)); }),
       dispatcher_(settings) {}
 
-CallRelay::~CallRelay() {
-  listener_.close();
-  events_.close();
-  if (dispatch_thread_.joinable())
-    dispatch_thread_.join();
-}
+CallRelay::~CallRelay() { stop(Duration{0}); }
 
 absl::Status CallRelay::open() {
   if (auto listening = listener_.open(); !listening.ok())
@@ -52,10 +47,12 @@
   TimePoint end = steady_now() + timeout;
   while ((open_calls_ > 0 || bodies_being_read_ > 0) && steady_now() < end)
     std::this_thread::sleep_for(stop_poll_interval);
+  is_aborting_ = true;
   listener_.close();
-  events_.close();
+  // The queue stays open until the last attempt has ended: the dispatch thread waits for each result.
   if (dispatch_thread_.joinable())
     dispatch_thread_.join();
+  events_.close();
 }
 
 CallDispatcher::Counts CallRelay::counts() const {
@@ -167,10 +164,11 @@
 
 void CallRelay::stop_overdue_attempts(TimePoint now) {
   for (auto& [index, active] : active_attempts_) {
-    if (active.is_stopped || now < active.deadline)
+    bool is_overdue = now >= active.deadline;
+    if (active.is_stopped || (!is_overdue && !is_aborting_))
       continue;
     active.is_stopped = true;
-    ++relay_counts_.deadlines_passed;
+    relay_counts_.deadlines_passed += is_overdue ? 1 : 0;
     active.stop.cancel();
   }
 }
--- a/packages/data-plane/src/call_relay.hpp
+++ b/packages/data-plane/src/call_relay.hpp
@@ -154,6 +154,7 @@
   std::atomic<CallIndex> last_index_{0};
   std::atomic<std::size_t> open_calls_{0}, bodies_being_read_{0};
   std::atomic<bool> is_stopping_{false};
+  std::atomic<bool> is_aborting_{false};  // the time for open calls is over: their attempts are cancelled
   std::atomic<std::int64_t> widest_prefix_{0}, largest_body_{1 << 20};
   RelayCounts relay_counts_;
   mutable std::mutex counts_mutex_;
--- a/packages/data-plane/tests/call_relay_test.cpp
+++ b/packages/data-plane/tests/call_relay_test.cpp
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 #include <pplx/threadpool.h>
 
+#include <chrono>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <thread>
 
 #include "call_relay.hpp"
 #include "counting_server.hpp"
@@ -257,6 +260,21 @@
   }
 }
 
+// The result of the last attempt comes when the relay is stopping already.
+TEST(CallRelay, StoppingEndsThoughARunnerNeverResponds) {
+  CountingServer hung([](const ReceivedRequest&) { return std::make_pair(std::string(), false); });
+  Bench bench({hung.place()});
+  auto call = bench.ask_later("/once");
+  while (hung.executions("/once") == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  auto stopping = std::async(std::launch::async, [&] { bench.relay().stop(Duration{50}); });
+  EXPECT_EQ(stopping.wait_for(std::chrono::seconds(10)), std::future_status::ready);
+  try {
+    call.get();
+  } catch (const std::exception&) {  // the connection was closed with the relay
+  }
+}
+
 TEST(CallRelay, AHungRunnerEndsAtTheDeadlineAndAFullOneAtOnceWithRetryAfter) {
   CountingServer hung([](const ReceivedRequest&) { return std::make_pair(std::string(), false); });
   {
