Soak: kept connections, series of restarts, hang-ups, quick changes, and lost answers judged

Half of the clients use a connection until the daemon closes it, whatever it asks for. A daemon that stops in order may begin a series over all data daemons; SIGHUPs and a change every 100 ms overlap with it.

--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -122,6 +122,9 @@
       kill(trouble.target, false);
       record.time.from = steady_now();
       break;
+    case TroubleKind::hang_up_daemon:
+      fleet_.signal(trouble.target, SIGHUP);
+      break;
     case TroubleKind::stop_daemon:
     case TroubleKind::stop_runner:
       fleet_.signal(trouble.target, SIGSTOP);
@@ -142,6 +145,9 @@
     case TroubleKind::kill_runner:
       fleet_.begin(trouble.target);
       break;
+    case TroubleKind::hang_up_daemon:
+      fleet_.signal(trouble.target, SIGHUP);
+      break;
     case TroubleKind::stop_daemon:
     case TroubleKind::stop_runner:
       fleet_.signal(trouble.target, SIGCONT);
--- a/packages/fleet-soak/src/soak_clients.cpp
+++ b/packages/fleet-soak/src/soak_clients.cpp
@@ -1,6 +1,7 @@
 #include "soak_clients.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -76,11 +77,13 @@
   return body;
 }
 
-PlannedCall draw_call(const SoakFace& face, const std::vector<ProcessAddress>& gateways, const std::string& id,
+const ProcessAddress& draw_gateway(const std::vector<ProcessAddress>& gateways, RandomGenerator& random) {
+  return gateways[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(gateways.size())))];
+}
+
+PlannedCall draw_call(const SoakFace& face, const ProcessAddress& gateway, const std::string& id,
                       RandomGenerator& random) {
   PlannedCall call;
-  const ProcessAddress& gateway =
-      gateways[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(gateways.size())))];
   call.behaviour = draw_behaviour(random);
   bool is_stream = call.behaviour == Behaviour::leaves_within_stream || random.chance(0.2);
   call.record.is_repeatable = !is_stream && random.chance(0.25);
@@ -157,16 +160,26 @@
   }
 }
 
-void make_call(const SoakFace& face, PlannedCall& call) {
+std::unique_ptr<Connection> open_connection(const std::string& address) {
+  auto opened = Connection::open(address, connect_timeout);
+  return opened ? std::make_unique<Connection>(std::move(*opened)) : nullptr;
+}
+
+// Makes the call on the kept connection if there is one, else on a new one. Gives the connection where it may serve
+// another call: it is used until the daemon closes it, whatever the daemon asks for.
+std::unique_ptr<Connection> make_call(const SoakFace& face, PlannedCall& call, std::unique_ptr<Connection> kept) {
   call.record.begun = steady_now();
   call.record.outcome = CallOutcome::unreachable;
-  auto connection = Connection::open(call.address, connect_timeout);
+  call.record.is_on_kept_connection = kept != nullptr;
+  std::unique_ptr<Connection> connection = kept ? std::move(kept) : open_connection(call.address);
   if (!connection)
-    return;
+    return nullptr;
   if (call.behaviour == Behaviour::never_reads)
     connection->shrink_receive_buffer();
   if (connection->send(call.request.substr(0, call.sent_bytes), steady_now() + patience))
     receive(face, call, *connection);
+  bool has_whole_response = call.record.outcome == CallOutcome::served || call.record.outcome == CallOutcome::refused;
+  return has_whole_response ? std::move(connection) : nullptr;
 }
 
 }  // namespace
@@ -188,10 +201,18 @@
 
 void SoakClients::run_client(int number, std::uint64_t seed) {
   RandomGenerator random(seed);
+  bool keeps_connections = number % 2 == 0;
+  std::unique_ptr<Connection> kept;
+  ProcessAddress gateway;
   for (int count = 0; !is_over_; ++count) {
+    if (!kept)
+      gateway = draw_gateway(gateways_, random);
     PlannedCall call =
-        draw_call(face_, gateways_, "call-" + std::to_string(number) + "-" + std::to_string(count), random);
-    make_call(face_, call);
+        draw_call(face_, gateway, "call-" + std::to_string(number) + "-" + std::to_string(count), random);
+    kept = make_call(face_, call, std::move(kept));
+    if (!keeps_connections)
+      kept.reset();
+    call.record.ended = steady_now();
     {
       std::lock_guard<std::mutex> lock(mutex_);
       calls_.push_back(call.record);
--- a/packages/fleet-soak/src/soak_judge.cpp
+++ b/packages/fleet-soak/src/soak_judge.cpp
@@ -7,6 +7,11 @@
 namespace emberdale::soak {
 namespace {
 
+// Between the end of a run and the end of its response at the client.
+constexpr Duration answer_slack{200};
+// Between the kill of a daemon that has not ended and the record of it.
+constexpr Duration kill_slack{500};
+
 std::string ms_text(Duration time) { return std::to_string(time.value) + " ms"; }
 
 class Judge {
@@ -35,10 +40,34 @@
       add("run although refused", run, "its client was told that it never ran");
     if (!call.is_whole)
       add("run although cut short", run, "its client left before the end of the request");
+    judge_answer(call, run);
     judge_departure(call, run, runner);
     judge_drain(call, run, runner);
   }
 
+  // A call that a runner has run to its end gets its response, also on a connection that has served others before, and
+  // while the daemon stops in order.
+  void judge_answer(const CallRecord& call, const RunRecord& run) {
+    bool is_run_whole = run.how == RunEnd::finished && run.ended && *run.ended + answer_slack <= call.ended;
+    if (call.outcome != CallOutcome::unreachable || !is_run_whole)
+      return;
+    Interval time{call.begun, call.ended};
+    bool is_daemon_disturbed = is_disturbed(call.daemon, {TroubleKind::kill_daemon, TroubleKind::stop_daemon}, time);
+    bool is_runner_disturbed = is_disturbed(run.runner, {TroubleKind::kill_runner, TroubleKind::stop_runner}, time);
+    if (is_daemon_disturbed || is_runner_disturbed || was_ended_by_force(call.daemon, time))
+      return;
+    std::string connection = call.is_on_kept_connection ? "a kept connection" : "the connection";
+    add("answer lost", run, call.daemon + " closed " + connection + " without a response");
+  }
+
+  // Whether a daemon that was to stop in order was killed within that time, because it had not ended.
+  bool was_ended_by_force(const std::string& daemon, const Interval& time) const {
+    return std::any_of(records_.troubles.begin(), records_.troubles.end(), [&](const TroubleRecord& trouble) {
+      bool is_end_within = time.from <= trouble.time.until && trouble.time.until <= time.until + kill_slack;
+      return trouble.target == daemon && trouble.kind == TroubleKind::terminate_daemon && is_end_within;
+    });
+  }
+
   void judge_departure(const CallRecord& call, const RunRecord& run, const RunnerRecords& runner) {
     if (!call.left_at)
       return;
--- a/packages/fleet-soak/src/soak_main.cpp
+++ b/packages/fleet-soak/src/soak_main.cpp
@@ -4,7 +4,7 @@
 
 int main(int argc, char** argv) {
   return emberdale::soak::run_soak_program("emberdale-fleet-soak", argc, argv,
-                                           [](const auto& folder, const auto& programs) {
+                                           [](const auto& folder, const auto& programs, int) {
                                              return std::make_unique<emberdale::soak::OwnFace>(folder, programs);
                                            });
 }
--- a/packages/fleet-soak/src/soak_operators.cpp
+++ b/packages/fleet-soak/src/soak_operators.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Duration operator_patience{4000};
-constexpr Duration edit_interval{400}, retry_interval{200}, unread_interval{1500}, unread_time{2500};
+constexpr Duration edit_interval{100}, retry_interval{200}, unread_interval{1500}, unread_time{2500};
 constexpr Duration marked_time{8000}, unmarked_time{500}, poll_interval{20};
 constexpr int markers = 2;
 constexpr int final_reads = 20, mark_attempts = 20;
--- a/packages/fleet-soak/src/soak_program.cpp
+++ b/packages/fleet-soak/src/soak_program.cpp
@@ -26,6 +26,7 @@
   --seed N            First seed [default: 1].
   --count K           How many seeds, one after the other [default: 1].
   --seconds S         Length of the load of each seed [default: 25].
+  --data-daemons N    Data daemons in each zone, on the platform [default: 2].
   --folder FOLDER     Removed at the start [default: fleet-soak].
   --programs FOLDER   Where the programs are; else beside this one.
   --keep              Keep the folders of seeds without a violation, too.
@@ -69,6 +70,7 @@
   crossplat::threadpool::initialize_with_threads(http_threads);
   std::filesystem::create_directories(arguments["--folder"].asString());
   auto first = arguments["--seed"].asLong(), count = arguments["--count"].asLong();
+  int data_daemons = static_cast<int>(arguments["--data-daemons"].asLong());
   std::size_t violations = 0;
   for (auto seed = first; seed < first + count; ++seed) {
     options.seed = static_cast<std::uint64_t>(seed);
@@ -76,7 +78,7 @@
     std::filesystem::remove_all(options.folder);  // an earlier run's records would count as this one's
     SoakReport report;
     {
-      auto face = make_face(options.folder, programs);
+      auto face = make_face(options.folder, programs, data_daemons);
       report = Soak(*face, options).run();
     }
     print_report(report, options.folder);
--- a/packages/fleet-soak/src/soak_program.hpp
+++ b/packages/fleet-soak/src/soak_program.hpp
@@ -8,8 +8,10 @@
 
 namespace emberdale::soak {
 
-// Makes the face for one seed, with a fresh folder. Example: make_face("fleet-soak/seed-1", "build/bin")
-using FaceMaker = std::function<std::unique_ptr<SoakFace>(const std::string& folder, const std::string& programs)>;
+// Makes the face for one seed, with a fresh folder and so many data daemons in each zone, if the face lets them be
+// chosen. Example: make_face("fleet-soak/seed-1", "build/bin", 2)
+using FaceMaker =
+    std::function<std::unique_ptr<SoakFace>(const std::string& folder, const std::string& programs, int data_daemons)>;
 
 // Reads the arguments, plays the seeds and prints what was found; gives the exit status.
 int run_soak_program(const std::string& program, int argc, char** argv, const FaceMaker& make_face);
--- a/packages/fleet-soak/src/soak_records.hpp
+++ b/packages/fleet-soak/src/soak_records.hpp
@@ -66,9 +66,19 @@
   TimePoint begun;
   std::optional<TimePoint> left_at;
   CallOutcome outcome = CallOutcome::other;
+  TimePoint ended{};                   // when the outcome was known
+  bool is_on_kept_connection = false;  // one that had served a call before
 };
 
-enum class TroubleKind { kill_daemon, terminate_daemon, stop_daemon, cut_daemon, kill_runner, stop_runner };
+enum class TroubleKind {
+  kill_daemon,
+  terminate_daemon,
+  stop_daemon,
+  hang_up_daemon,
+  cut_daemon,
+  kill_runner,
+  stop_runner
+};
 
 // A trouble as it was done: from before its begin (a kill: from the end of the process) until after its end.
 struct TroubleRecord {
--- a/packages/fleet-soak/src/soak_schedule.cpp
+++ b/packages/fleet-soak/src/soak_schedule.cpp
@@ -12,10 +12,14 @@
 constexpr std::int64_t gap_spread_ms = 900;
 constexpr std::int64_t shortest_trouble_ms = 500, trouble_spread_ms = 6000;
 constexpr std::int64_t most_cut_peers = 5;
+// How often a daemon that stops in order begins a series: the data daemons stop one after the other.
+constexpr double series_share = 0.4;
+constexpr std::int64_t shortest_series_gap_ms = 300, series_gap_spread_ms = 1200;
 constexpr double core_share = 0.3, data_share = 0.5;  // of daemons that are troubled; the rest are edge daemons
 
-constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon, TroubleKind::terminate_daemon, TroubleKind::stop_daemon,
-                                 TroubleKind::kill_runner, TroubleKind::stop_runner,      TroubleKind::cut_daemon};
+constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon,    TroubleKind::terminate_daemon, TroubleKind::stop_daemon,
+                                 TroubleKind::hang_up_daemon, TroubleKind::kill_runner,      TroubleKind::stop_runner,
+                                 TroubleKind::cut_daemon};
 
 const std::string& draw_name(const std::vector<std::string>& names, RandomGenerator& random) {
   return names[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(names.size())))];
@@ -38,7 +42,9 @@
         return std::move(troubles_);
       *course = trouble.ends;
       if (is_free(trouble))
-        troubles_.push_back(std::move(trouble));
+        troubles_.push_back(trouble);
+      if (trouble.kind == TroubleKind::terminate_daemon && random_.chance(series_share))
+        add_series(trouble);
     }
   }
 
@@ -54,6 +60,19 @@
     return trouble;
   }
 
+  // Troubles of the other courses go on meanwhile.
+  void add_series(const PlannedTrouble& first) {
+    PlannedTrouble next = first;
+    for (const auto& name : targets_.data) {
+      Duration gap{shortest_series_gap_ms + random_.below(series_gap_spread_ms)};
+      next.target = name;
+      next.begins = next.begins + gap;
+      next.ends = next.ends + gap;
+      if (next.ends <= end_ && is_free(next))
+        troubles_.push_back(next);
+    }
+  }
+
   std::string draw_daemon() {
     if (random_.chance(core_share))
       return draw_name(targets_.cores, random_);
@@ -101,6 +120,8 @@
       return "terminate daemon";
     case TroubleKind::stop_daemon:
       return "stop daemon";
+    case TroubleKind::hang_up_daemon:
+      return "hang up daemon";
     case TroubleKind::cut_daemon:
       return "cut daemon";
     case TroubleKind::kill_runner:
--- a/packages/fleet-soak/tests/soak_judge_test.cpp
+++ b/packages/fleet-soak/tests/soak_judge_test.cpp
@@ -45,6 +45,34 @@
   return rules;
 }
 
+// A call whose run ended at 1500, and whose connection was closed at 2000 without a response.
+SoakRecords lost_answer() {
+  SoakRecords records;
+  CallRecord call{call_id,         daemon_name, false, true, TimePoint{1000}, std::nullopt, CallOutcome::unreachable,
+                  TimePoint{2000}, true};
+  RunRecord run{call_id, runner_name, 1, 1, TimePoint{1100}, TimePoint{1500}, RunEnd::finished};
+  records.calls = {call};
+  records.runners[runner_name].runs = {run};
+  records.read_at = TimePoint{60000};
+  return records;
+}
+
+TEST(SoakJudge, AConnectionThatIsClosedWithoutTheResponseOfAFinishedRunIsAViolation) {
+  EXPECT_EQ(rules_of(lost_answer()), "answer lost;");
+}
+
+TEST(SoakJudge, AnAnswerThatIsLostWithItsDaemonIsNoViolation) {
+  SoakRecords killed = lost_answer();
+  killed.troubles = {{TroubleKind::kill_daemon, daemon_name, {TimePoint{1900}, TimePoint{5000}}}};
+  EXPECT_EQ(rules_of(killed), "");
+  SoakRecords ended_by_force = lost_answer();
+  ended_by_force.troubles = {{TroubleKind::terminate_daemon, daemon_name, {TimePoint{500}, TimePoint{2010}}}};
+  EXPECT_EQ(rules_of(ended_by_force), "");
+  SoakRecords stopping = lost_answer();
+  stopping.troubles = {{TroubleKind::terminate_daemon, daemon_name, {TimePoint{500}, TimePoint{6000}}}};
+  EXPECT_EQ(rules_of(stopping), "answer lost;");
+}
+
 TEST(SoakJudge, ARunThatEndsInTimeAfterItsClientLeftIsNoViolation) {
   EXPECT_EQ(rules_of(departed_call(2500)), "");
   EXPECT_EQ(judge(departed_call(2500)).departed_runs, 1);
