--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -22,6 +22,7 @@
 constexpr Duration poll_interval{50};
 constexpr int signal_status = 128;  // of a process that a signal ended, beside its number
 constexpr Duration recovery_limit{30000};
+constexpr Duration setup_time{300};      // from the start of a process until it handles signals, on a busy machine
 constexpr Duration settling_time{2000};  // after the last client, so that the last runs end
 constexpr Duration invariants_interval{1000};
 constexpr std::int64_t fewest_departed_runs = 10;  // with fewer, the soak has shown nothing
@@ -116,7 +117,7 @@
       break;
     case TroubleKind::terminate_daemon:
       read_invariants(trouble.target);
-      fleet_.signal(trouble.target, SIGTERM);
+      terminate(trouble.target);
       break;
     case TroubleKind::kill_runner:
       kill(trouble.target, false);
@@ -139,11 +140,11 @@
   switch (trouble.kind) {
     case TroubleKind::terminate_daemon:
       kill(trouble.target, true);  // where it is not done with what was in progress
-      fleet_.begin(trouble.target);
+      start(trouble.target);
       break;
     case TroubleKind::kill_daemon:
     case TroubleKind::kill_runner:
-      fleet_.begin(trouble.target);
+      start(trouble.target);
       break;
     case TroubleKind::hang_up_daemon:
       fleet_.signal(trouble.target, SIGHUP);
@@ -163,10 +164,26 @@
   int status = fleet_.end(name, SIGKILL);
   bool is_killed = status == signal_status + SIGKILL;
   bool is_done = may_have_ended && status == 0;
-  if (!is_killed && !is_done)
+  bool is_ended_at_start = may_have_ended && status == signal_status + SIGTERM && terminated_at_start_.count(name) != 0;
+  if (!is_killed && !is_done && !is_ended_at_start)
     violations_.push_back({"crash", name + " had ended with " + std::to_string(status)});
 }
 
+void Soak::start(const std::string& name) {
+  fleet_.begin(name);
+  started_at_[name] = steady_now();
+  terminated_at_start_.erase(name);
+}
+
+// A process that is told to stop before it has set up its signals is ended by the system, which is in order.
+void Soak::terminate(const std::string& name) {
+  auto started = started_at_.find(name);
+  bool is_starting = started != started_at_.end() && steady_now() - started->second < setup_time;
+  if (is_starting)
+    terminated_at_start_.insert(name);
+  fleet_.signal(name, SIGTERM);
+}
+
 void Soak::cut(const PlannedTrouble& trouble, bool is_cut) {
   Json fault{{"clear", true}};
   if (is_cut) {
--- a/packages/fleet-soak/src/soak.hpp
+++ b/packages/fleet-soak/src/soak.hpp
@@ -1,6 +1,8 @@
 // One soak: a fleet of real processes serves clients and operators while the troubles of a seed come and go.
 #pragma once
+#include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
   void end(const PlannedTrouble& trouble, TroubleRecord& record);
   // Kills a process; one that had crashed before is a violation. `may_have_ended`: it was told to.
   void kill(const std::string& name, bool may_have_ended);
+  void start(const std::string& name);
+  void terminate(const std::string& name);
   void cut(const PlannedTrouble& trouble, bool is_cut);
   void read_invariants(const std::string& daemon);
   bool wait_until_whole();
@@ -51,7 +55,9 @@
   SoakRecords records_;
   OperatorRecords operators_;
   InvariantCounts invariants_;
-  std::vector<Violation> violations_;  // beside those of the judge
+  std::map<std::string, TimePoint> started_at_;  // processes that were started again
+  std::set<std::string> terminated_at_start_;    // of these, told to stop before they can have set up their signals
+  std::vector<Violation> violations_;            // beside those of the judge
 };
 
 }  // namespace emberdale::soak
--- a/packages/fleet-soak/src/soak_judge.cpp
+++ b/packages/fleet-soak/src/soak_judge.cpp
@@ -9,7 +9,7 @@
 
 // Between the end of a run and the end of its response at the client.
 constexpr Duration answer_slack{200};
-// Between the kill of a daemon that has not ended and the record of it.
+// Between the kill of a process and the record of it.
 constexpr Duration kill_slack{500};
 
 std::string ms_text(Duration time) { return std::to_string(time.value) + " ms"; }
@@ -51,7 +51,8 @@
     bool is_run_whole = run.how == RunEnd::finished && run.ended && *run.ended + answer_slack <= call.ended;
     if (call.outcome != CallOutcome::unreachable || !is_run_whole)
       return;
-    Interval time{call.begun, call.ended};
+    // A kill is recorded once the process has ended: its clients may see that before.
+    Interval time{call.begun, call.ended + kill_slack};
     bool is_daemon_disturbed = is_disturbed(call.daemon, {TroubleKind::kill_daemon, TroubleKind::stop_daemon}, time);
     bool is_runner_disturbed = is_disturbed(run.runner, {TroubleKind::kill_runner, TroubleKind::stop_runner}, time);
     if (is_daemon_disturbed || is_runner_disturbed || was_ended_by_force(call.daemon, time))
@@ -63,7 +64,7 @@
   // Whether a daemon that was to stop in order was killed within that time, because it had not ended.
   bool was_ended_by_force(const std::string& daemon, const Interval& time) const {
     return std::any_of(records_.troubles.begin(), records_.troubles.end(), [&](const TroubleRecord& trouble) {
-      bool is_end_within = time.from <= trouble.time.until && trouble.time.until <= time.until + kill_slack;
+      bool is_end_within = time.from <= trouble.time.until && trouble.time.until <= time.until;
       return trouble.target == daemon && trouble.kind == TroubleKind::terminate_daemon && is_end_within;
     });
   }
--- a/packages/fleet-soak/tests/soak_judge_test.cpp
+++ b/packages/fleet-soak/tests/soak_judge_test.cpp
@@ -65,6 +65,10 @@
   SoakRecords killed = lost_answer();
   killed.troubles = {{TroubleKind::kill_daemon, daemon_name, {TimePoint{1900}, TimePoint{5000}}}};
   EXPECT_EQ(rules_of(killed), "");
+  killed.troubles.front().time.from = TimePoint{2010};  // recorded after the client saw it
+  EXPECT_EQ(rules_of(killed), "");
+  killed.troubles.front().time.from = TimePoint{2600};
+  EXPECT_EQ(rules_of(killed), "answer lost;");
   SoakRecords ended_by_force = lost_answer();
   ended_by_force.troubles = {{TroubleKind::terminate_daemon, daemon_name, {TimePoint{500}, TimePoint{2010}}}};
   EXPECT_EQ(rules_of(ended_by_force), "");
