A control process ends after its probes and the requests that it reads

By the code, a probe's continuation posts to the process from a thread of the HTTP library and may outlive it, and so may the reader of a request's body; that one of them was the fault is suspected, not shown: it has not come again, and a core was not kept.

--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -1,6 +1,9 @@
 #include "control_interface.hpp"
 
+#include <glog/logging.h>
+
 #include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -17,6 +20,7 @@
 using web::http::methods;
 using web::http::status_codes;
 
+constexpr std::chrono::milliseconds last_request_timeout{500};  // at the end of the process
 constexpr std::size_t max_body = 1 << 20;
 constexpr std::size_t max_version_digits = 18;  // so that a version fits into 64 bits
 constexpr std::int64_t any_version = -1;
@@ -111,12 +115,14 @@
   } catch (const std::exception&) {
     // The process ends: its sockets are closed with it.
   }
+  if (!pending_.wait_until_done(last_request_timeout))
+    LOG(ERROR) << "requests_pending";
 }
 
 void ControlInterface::receive(http_request request) {
   if (request.headers().content_length() > max_body)
     return reply_refusal(request, status_codes::RequestEntityTooLarge, "the body is larger than 1 MiB");
-  request.extract_string(true).then([this, request](pplx::task<utility::string_t> reading) {
+  request.extract_string(true).then([this, request, token = pending_.begin()](pplx::task<utility::string_t> reading) {
     std::string body;
     try {
       body = reading.get();
--- a/packages/control-plane/src/control_interface.hpp
+++ b/packages/control-plane/src/control_interface.hpp
@@ -12,6 +12,7 @@
 #include "control_documents.hpp"
 #include "emberdale/control_daemon.hpp"
 #include "emberdale/peer_connections.hpp"
+#include "emberdale/pending_tasks.hpp"
 
 namespace emberdale {
 
@@ -72,6 +73,7 @@
   bool may_fault_connections_;
   std::function<void()> flush_;
   std::atomic<bool> is_closed_{false};
+  PendingTasks pending_;  // requests whose bodies are being read
 };
 
 }  // namespace emberdale
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -9,6 +9,7 @@
 
 #include "control_interface.hpp"
 #include "control_process.hpp"
+#include "emberdale/pending_tasks.hpp"
 #include "emberdale/program_settings.hpp"
 
 namespace emberdale {
@@ -18,6 +19,7 @@
 
 constexpr Duration stop_grace{300};
 constexpr std::chrono::milliseconds probe_timeout{900};
+constexpr std::chrono::milliseconds last_probe_timeout{1500};  // at the end of the process
 constexpr int http_threads = 3;
 constexpr int exit_failure = 1;
 constexpr int exit_bad_settings = 2;
@@ -82,6 +84,9 @@
     int signal = wait_for_stop();
     LOG(INFO) << "stopping on signal " << signal;
     process_.stop(stop_grace, [this] { interface_->close(); });
+    // A probe that is under way uses this object; it ends within its own time.
+    if (!pending_.wait_until_done(last_probe_timeout))
+      LOG(ERROR) << "probes_pending";
     return 0;
   }
 
@@ -132,7 +137,7 @@
     client_of(probe.http)
         .request(web::http::methods::GET, "/status")
         .then([](web::http::http_response response) { return response.extract_string(true); })
-        .then([this, name = probe.runner](pplx::task<utility::string_t> reading) {
+        .then([this, name = probe.runner, token = pending_.begin()](pplx::task<utility::string_t> reading) {
           RunnerStatus status;
           status.name = name;
           try {
@@ -148,6 +153,7 @@
   ControlProcess process_;
   std::unique_ptr<ControlInterface> interface_;
   std::map<std::string, std::unique_ptr<web::http::client::http_client>> clients_;
+  PendingTasks pending_;  // probes
 };
 
 int run_program(int argc, char** argv) {
