The HTTP library does not send a repeatable call again long after its attempt began

The runner's record shows the call three times, each 3 or 4 ms after the run before had ended without a response: over a connection that had served a call before, the library takes a close for a stale connection and sends the request again, to the same runner, past selection, retry budget and marks. The upload's progress handler fails the second writing now when the attempt is older than 0.3 s, and the dispatcher decides. Ruled out: late knowledge; data-c1 knew of the mark 0.6 s after it. Requests without a body have no such handler: for them the fault stays.

--- a/packages/data-plane/src/routed_relay_attempts.cpp
+++ b/packages/data-plane/src/routed_relay_attempts.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int silent_connection_ms = 3000;
+// After the begin of an attempt; a connection that had been closed before shows it sooner.
+constexpr Duration resend_limit{300};
 constexpr Duration connect_time{250};                 // a runner that is up accepts sooner than that
 constexpr Duration refused_connection_bound{1000};    // a machine that is up refuses sooner than that
 constexpr std::chrono::seconds library_timeout{600};  // the deadline is kept by the dispatcher
@@ -153,10 +155,16 @@
     headers[header_names_.resume] = resume_after;
   set_body(request, *handle.body);
   // Keeps the body as long as the request lives. Over a connection that turns out closed the library sends the request
-  // again by itself, which shows here alone.
-  request.set_progress_handler([body = handle.body, times_written = active.times_written](
+  // again by itself, which shows here alone. It may do so at once; later the runner may have worked on it and may take
+  // no more requests, so that the attempt fails and the dispatcher decides.
+  request.set_progress_handler([body = handle.body, times_written = active.times_written, begun = now](
                                    web::http::message_direction::direction direction, utility::size64_t bytes) {
-    if (direction == web::http::message_direction::upload && bytes == body->size())
+    if (direction != web::http::message_direction::upload)
+      return;
+    bool is_sent_again = bytes == 0 && *times_written > 0;
+    if (is_sent_again && steady_now() - begun > resend_limit)
+      throw std::runtime_error("the connection closed without a response");
+    if (bytes == body->size())
       ++*times_written;
   });
   return request;
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -893,6 +893,35 @@
   EXPECT_EQ(full.accept_for(std::chrono::milliseconds(1500)), "");
 }
 
+// On a connection that has served a call before, the library would send it again by itself, to the same runner.
+TEST(RoutedRelay, ACallWhoseRunnerClosesLateIsNotSentToItAgainOnceItDrains) {
+  std::atomic<int> runs{0};
+  ScriptedRunner closing([&](RawConnection& connection, const RawMessage& received) {
+    if (received.start.find("/again/first") != std::string::npos) {
+      connection.write(answer(received, "{}"));
+      return true;
+    }
+    runs += received.body == "{}" ? 1 : 0;  // a request that breaks off is none
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    return false;
+  });
+  ScriptedRunner other([](RawConnection& connection, const RawMessage& received) {
+    connection.write(answer(received, "{}"));
+    return true;
+  });
+  Bench bench({closing.place(), other.place()});
+  bench.show_state("r2", RunnerState::draining);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(bench.ask("/again/first", "call-1").code, 200);
+  auto connection = bench.connect();
+  connection->write(Bench::call("/again/second", "call-2"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  bench.show_state("r2", RunnerState::warm);
+  bench.show_state("r1", RunnerState::draining);
+  EXPECT_EQ(read_response(*connection).code, 200);
+  EXPECT_EQ(runs, 1);
+}
+
 TEST(RoutedRelay, ACallerThatLeavesWhileTheConnectionHangsIsNeverSent) {
   FullListener full;
   Bench bench({full.place()});
