--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -587,13 +587,17 @@
 struct LateAnswer {
   Told told;  // to call-2
   std::int64_t foreign_responses = 0;
+  bool is_same_link = false;
 };
 
-LateAnswer ask_after_late_answer(const std::function<std::string(const RawMessage&)>& late_answer) {
+LateAnswer ask_once_after_late_answer(const std::function<std::string(const RawMessage&)>& late_answer) {
   std::promise<void> go, written;
   std::atomic<int> runs{0};
+  std::atomic<RawConnection*> first_link{nullptr}, second_link{nullptr};
   ScriptedRunner runner([&](RawConnection& connection, const RawMessage& received) {
     int run = ++runs;
+    if (run <= 2)
+      (run == 1 ? first_link : second_link) = &connection;
     connection.write(answer(received, "for " + received.header("T-Call")));
     if (run == 1) {
       go.get_future().wait();
@@ -608,7 +612,19 @@
   written.get_future().wait();
   Told told = bench.ask("/again/x", "call-2");
   EXPECT_TRUE(told.code == 502 || told.body == "for call-2") << told.code << " " << told.body;
-  return {told, bench.relay().relay_counts().foreign_responses};
+  return {told, bench.relay().relay_counts().foreign_responses, first_link.load() == second_link.load()};
+}
+
+// On a busy machine the library may have the link of call-1 back too late for call-2, which then goes over another.
+LateAnswer ask_after_late_answer(const std::function<std::string(const RawMessage&)>& late_answer) {
+  constexpr int most_tries = 10;
+  for (int tries = 1;; ++tries) {
+    LateAnswer late = ask_once_after_late_answer(late_answer);
+    bool was_link_used = late.is_same_link || late.foreign_responses > 0;
+    if (was_link_used || tries == most_tries)
+      return late;
+    EXPECT_EQ(late.told.body, "for call-2");
+  }
 }
 
 // One too many that names no call at all was once taken for the answer to the next call on its link.
