One piece for the election times that two tests wrote

near_regions() stood in operator-wait-test and again, under another name, in runner-knowledge-test. platform/control_main.cpp keeps its own: the program must not take its settings from a test.

--- a/packages/control-plane/tests/operator_wait_test.cpp
+++ b/packages/control-plane/tests/operator_wait_test.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "support/machine_fleet.hpp"
+#include "support/near_regions.hpp"
 
 namespace emberdale {
 namespace {
@@ -17,19 +18,6 @@
   return times;
 }
 
-// Regions that are 55 ms apart.
-ElectionTimes near_regions() {
-  ElectionTimes times;
-  times.round_timeout = Duration{1000};
-  times.ping_interval = Duration{350};
-  times.join_timeout = Duration{800};
-  times.heartbeat_interval = Duration{300};
-  times.master_timeout = Duration{1300};
-  times.quorum_timeout = Duration{2000};
-  times.retry_delay = Duration{150};
-  return times;
-}
-
 // As it was: what can't be done now is kept.
 EditTimes kept_long() { return EditTimes{}; }
 
--- a/packages/control-plane/tests/runner_knowledge_test.cpp
+++ b/packages/control-plane/tests/runner_knowledge_test.cpp
@@ -7,6 +7,7 @@
 
 #include "emberdale/routing_table_edits.hpp"
 #include "support/machine_fleet.hpp"
+#include "support/near_regions.hpp"
 #include "support/service_discovery.hpp"
 #include "support/simulated_data_daemon.hpp"
 
@@ -22,19 +23,6 @@
 // The daemons have found one another, and the first runners are in service.
 constexpr std::int64_t settling_ms = 4000;
 
-// What the platform runs with.
-ElectionTimes platform_election_times() {
-  ElectionTimes times;
-  times.round_timeout = Duration{1000};
-  times.ping_interval = Duration{350};
-  times.join_timeout = Duration{800};
-  times.heartbeat_interval = Duration{300};
-  times.master_timeout = Duration{1300};
-  times.quorum_timeout = Duration{2000};
-  times.retry_delay = Duration{150};
-  return times;
-}
-
 class LongDay {
  public:
   explicit LongDay(std::uint64_t seed) : fleet(seed), random_(seed * 7919) {
@@ -42,7 +30,7 @@
       settings.reads_runner_list = true;
       settings.dead_member_timeout = Duration{6000};
     };
-    fleet.election = platform_election_times();
+    fleet.election = near_regions();
     fleet.delay = 20;
     names = bring_up(fleet, 3);
     discovery = std::make_unique<ServiceDiscovery>(fleet);
