--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -112,8 +112,6 @@
   // How long nothing was heard of each data daemon that an answer named, when it was named: it may have been off for
   // so long.
   const DurationHistogram& gateway_evidence_ages() const { return gateway_directory_.evidence_ages(); }
-  // Since the reading of the list that this daemon knows of, its own or another's, was begun; nothing if there is none.
-  std::optional<Duration> known_reading_age(TimePoint now) const { return availability_.current().age(now); }
   // That pool of the routing table in force here; nullptr if there is none.
   const RoutePool* route_pool(const PoolName& pool) const { return routing_table_.pool(pool); }
 
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -130,9 +130,10 @@
     out_.push_back({from, AvailabilityRequest{now.value, true}});
   TimePoint known_at{report.request_sent_at};
   bool is_newer = gateway_report_.known_at < known_at && known_at <= now;
-  bool has_same_map =
-      report.knows_gateways && report.gateways_digest == gateways_digest(map_, report.departed_gateways);
-  if (has_same_map && from == election_.master() && is_newer)
+  if (!report.knows_gateways || from != election_.master() || !is_newer)
+    return;
+  bool has_same_map = report.gateways_digest == gateways_digest(map_, report.departed_gateways);
+  if (has_same_map)
     gateway_report_ = GatewayReport{known_at, report.departed_gateways};
 }
 
--- a/packages/placement-map/include/emberdale/placement_slices.hpp
+++ b/packages/placement-map/include/emberdale/placement_slices.hpp
@@ -39,8 +39,6 @@
   // Notes a moment at which a quorum surely followed the master whose map this is. Each update says how long ago that
   // was, which bounds the lease that a subscriber serves by. Older moments are ignored.
   void note_master_heard(TimePoint at) { master_heard_at_ = std::max(master_heard_at_, at); }
-  // The newest such moment; long ago if there is none.
-  TimePoint master_heard_at() const { return master_heard_at_; }
   // Adds or refreshes a subscription and sends what the subscriber lacks of its topics. The topics of an earlier
   // subscription that are not named any more end.
   void on_subscribe(const Address& from, const Subscribe& subscribe, TimePoint now);
--- a/packages/runner-availability/include/emberdale/runner_availability.hpp
+++ b/packages/runner-availability/include/emberdale/runner_availability.hpp
@@ -80,8 +80,6 @@
   // `lacks_runners`: the receiver says that it has to be sent the runners.
   AvailabilityReport report_for(const Address& receiver, std::int64_t request_sent_at, bool lacks_runners,
                                 const AvailabilityTracker& tracker, TimePoint now);
-  // Forgets receivers that are gone.
-  void forget(const Address& receiver) { sent_digests_.erase(receiver); }
 
  private:
   std::map<Address, std::int64_t> sent_digests_;
