--- a/review/lib/trouble.py
+++ b/review/lib/trouble.py
@@ -3,12 +3,14 @@
 import signal
 import time
 
-LINK_MB_PER_S = 80  # of a runner in trouble; `LinkMbps` 1000 would allow 125
+LINK_MB_PER_S = 100  # of a runner in trouble; `LinkMbps` 1000 would allow 125
 
 
-async def send_without_end(runner, writer, seconds):
+async def send_without_end(runner, writer, seconds, in_chunks=False):
     """Bytes that are no answer, until the connection is closed or the trouble is over."""
     piece = b"\xa7" * 65536
+    if in_chunks:
+        piece = b"%x\r\n" % len(piece) + piece + b"\r\n"
     begun, sent = time.monotonic(), 0
     try:
         while time.monotonic() - begun < seconds and not writer.transport.is_closing():
