--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(HERE, "record.txt")  # what was sent, answered and run
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 from clients import request  # noqa: E402
 from fleet import TROUBLE, Runner, main, plain, route, service  # noqa: E402
@@ -80,4 +81,4 @@
     return len(core) * 2 < len(fleet.core())
 
 
-main(HERE, case)
+main(RECORD, case)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -29,9 +29,11 @@
 
 
 class Record:
-    def __init__(self, folder):
+    """What was sent, answered and run, with times: the record.txt of a case."""
+
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def note(self, text):
         self.file.write("%9.3f s  %s\n" % (time.monotonic() - self.started, text))
@@ -281,8 +283,8 @@
 
 
 class Fleet:
-    def __init__(self, folder, machines_of_zone=(2, 2, 2)):
-        self.record = Record(folder)
+    def __init__(self, record_path, machines_of_zone=(2, 2, 2)):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="emberdale-review-")
         network = "127.%d" % random.randrange(20, 200)
         self.machines = []
@@ -433,12 +435,15 @@
     return entry
 
 
-def main(folder, case, limit=110.0, **shape):
-    """Runs `case(fleet)`, which gives True if the rule held; ends with the exit status of the case."""
+def main(record_path, case, limit=110.0, **shape):
+    """Runs `case(fleet)`, which gives True if the rule held; ends with the exit status of the case.
+
+    What is sent, answered and run is written to the file at `record_path`.
+    """
     fleet = None
     status = 2
     try:
-        fleet = Fleet(folder, **shape)
+        fleet = Fleet(record_path, **shape)
         held = asyncio.run(asyncio.wait_for(case(fleet), limit))
         status = 0 if held else 1
         fleet.record.note("result    the rule %s" % ("held" if held else "was broken"))
