--- a/packages/program-settings/include/emberdale/program_runtime.hpp
+++ b/packages/program-settings/include/emberdale/program_runtime.hpp
@@ -1,5 +1,6 @@
 // What the programs of the fleet share at run time: the clock, random ids, signals, logging and the text of counters.
 #pragma once
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -15,6 +16,9 @@
 // 16 random bytes as 32 hexadecimal digits. Safe for use by several threads.
 std::string random_id();
 
+// The memory of this process that is resident, in bytes; 0 where the system does not tell.
+std::int64_t resident_bytes();
+
 // Begins logging to standard error, ignores SIGPIPE and blocks the signals that wait_for_stop() waits for. To be called
 // by the main thread before others are started. Example: start_program("emberdale-data-plane")
 void start_program(const char* name);
--- a/packages/program-settings/src/program_runtime.cpp
+++ b/packages/program-settings/src/program_runtime.cpp
@@ -3,7 +3,9 @@
 #include <glog/logging.h>
 #include <signal.h>
 #include <time.h>
+#include <unistd.h>
 
+#include <fstream>
 #include <random>
 
 namespace emberdale {
@@ -34,6 +36,14 @@
   return TimePoint{static_cast<std::int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1000000};
 }
 
+std::int64_t resident_bytes() {
+  std::ifstream statistics("/proc/self/statm");
+  std::int64_t all_pages = 0, resident_pages = 0;
+  if (!(statistics >> all_pages >> resident_pages))
+    return 0;
+  return resident_pages * sysconf(_SC_PAGESIZE);
+}
+
 std::string random_id() {
   static thread_local std::mt19937_64 engine = seeded_engine();
   static constexpr char digits[] = "0123456789abcdef";
--- a/packages/small-types/include/emberdale/pending_tasks.hpp
+++ b/packages/small-types/include/emberdale/pending_tasks.hpp
@@ -24,6 +24,10 @@
       state->changed.notify_all();
     });
   }
+  std::size_t count() const {
+    std::lock_guard<std::mutex> guard(state_->mutex);
+    return state_->count;
+  }
   // False if tasks are still pending when the time is up.
   template <class WaitTime>
   bool wait_until_done(WaitTime timeout) {
