Requests of operators and clients have bounds of bytes and time, in one listener

Change: HttpListener takes ListenerLimits: head, body, the time from the first byte of a request to its last, idle time, and the time for a client to read a piece of a response. One timer of the listener looks at all its connections each 0.5 s. Over a bound the connection is closed (with 431 or 413 where the head shows it) and over_limit_READER_FAULT is counted. A response of a known length that has begun is finished when the listener closes.

--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -21,12 +21,20 @@
 using web::http::status_codes;
 
 constexpr std::chrono::milliseconds last_request_timeout{500};  // at the end of the process
-constexpr std::size_t max_body = 1 << 20;
-constexpr std::size_t max_version_digits = 18;  // so that a version fits into 64 bits
+constexpr std::size_t max_head = 64 << 10, max_body = 1 << 20;
+constexpr std::chrono::seconds request_time{10};  // for a whole request to come
+constexpr std::size_t max_version_digits = 18;    // so that a version fits into 64 bits
 constexpr std::int64_t any_version = -1;
 constexpr std::int64_t must_not_exist = 0;
 constexpr int default_disk_delay_ms = 250;
 
+ListenerLimits interface_limits() {
+  ListenerLimits limits;
+  limits.reader = "operators";
+  limits.request = {max_head, max_body, request_time};
+  return limits;
+}
+
 std::vector<std::string> path_parts(const http_request& request) {
   return web::uri::split_path(web::uri::decode(request.relative_uri().path()));
 }
@@ -93,35 +101,29 @@
     : context_(context),
       daemon_(daemon),
       connections_(connections),
-      listener_("http://" + http + "/"),
+      listener_(http, interface_limits(), [this](http_request request) { receive(std::move(request)); }),
       may_fault_connections_(may_fault_connections),
-      flush_(std::move(flush)) {
-  listener_.support([this](http_request request) { receive(std::move(request)); });
-}
+      flush_(std::move(flush)) {}
 
 Outcome<bool> ControlInterface::open() {
-  try {
-    listener_.open().wait();
-    return true;
-  } catch (const std::exception& fault) {
-    return failure(std::string("can't listen for HTTP: ") + fault.what());
-  }
+  auto listening = listener_.open();
+  if (!listening.ok())
+    return failure("can't listen for HTTP: " + std::string(listening.message()));
+  return true;
 }
 
 void ControlInterface::close() {
   is_closed_ = true;
-  try {
-    listener_.close().wait();
-  } catch (const std::exception&) {
-    // The process ends: its sockets are closed with it.
-  }
+  listener_.close();
   if (!pending_.wait_until_done(last_request_timeout))
     LOG(ERROR) << "requests_pending";
 }
 
 void ControlInterface::receive(http_request request) {
-  if (request.headers().content_length() > max_body)
-    return reply_refusal(request, status_codes::RequestEntityTooLarge, "the body is larger than 1 MiB");
+  if (request.headers().content_length() > max_body) {
+    reply_refusal(request, status_codes::RequestEntityTooLarge, "the body is larger than 1 MiB");
+    return abandon_body(request);
+  }
   request.extract_string(true).then([this, request, token = pending_.begin()](pplx::task<utility::string_t> reading) {
     std::string body;
     try {
@@ -177,6 +179,7 @@
 void ControlInterface::handle_metrics(const Call& call) {
   post(call.request, [this, request = call.request] {
     auto counters = control_counters(daemon_, connections_, steady_now());
+    counters.merge(process_limit_counters().counters());
     if (more_counters)
       for (const auto& [name, count] : more_counters())
         counters[name] = count;
--- a/packages/control-plane/src/control_interface.hpp
+++ b/packages/control-plane/src/control_interface.hpp
@@ -1,6 +1,6 @@
 // The operators' HTTP interface of one control daemon (docs/interface.md).
 #pragma once
-#include <cpprest/http_listener.h>
+#include <cpprest/http_msg.h>
 
 #include <atomic>
 #include <boost/asio.hpp>
@@ -11,6 +11,7 @@
 
 #include "control_documents.hpp"
 #include "emberdale/control_daemon.hpp"
+#include "emberdale/http_listener.hpp"
 #include "emberdale/peer_connections.hpp"
 #include "emberdale/pending_tasks.hpp"
 
@@ -69,7 +70,7 @@
   boost::asio::io_context& context_;
   ControlDaemon& daemon_;
   PeerConnections& connections_;
-  web::http::experimental::listener::http_listener listener_;
+  HttpListener listener_;
   bool may_fault_connections_;
   std::function<void()> flush_;
   std::atomic<bool> is_closed_{false};
--- a/packages/control-plane/src/http_reply.cpp
+++ b/packages/control-plane/src/http_reply.cpp
@@ -1,6 +1,7 @@
 #include "http_reply.hpp"
 
 #include "emberdale/edit_forwarder.hpp"
+#include "emberdale/http_listener.hpp"
 
 namespace emberdale {
 namespace {
@@ -14,13 +15,7 @@
   if (content.status == web::http::status_codes::ServiceUnavailable)
     response.headers().add("Retry-After", std::to_string(retry_after_s));
   response.set_body(content.body, content.content_type);
-  request.reply(response).then([](pplx::task<void> ended) {
-    try {
-      ended.get();
-    } catch (const std::exception&) {
-      // The client has closed its connection: there is nobody to reply to.
-    }
-  });
+  reply_to(request, response);
 }
 
 void reply_json(const web::http::http_request& request, const std::string& body) {
--- a/packages/control-plane/src/resource_watch.cpp
+++ b/packages/control-plane/src/resource_watch.cpp
@@ -1,5 +1,6 @@
 #include "resource_watch.hpp"
 
+#include "emberdale/http_listener.hpp"
 #include "emberdale/json_text.hpp"
 #include "emberdale/program_settings.hpp"
 
@@ -15,14 +16,7 @@
   request_ = request;
   web::http::http_response response(web::http::status_codes::OK);
   response.set_body(buffer_.create_istream(), "application/x-ndjson");
-  request.reply(response).then([has_client_left = has_client_left_](pplx::task<void> ended) {
-    try {
-      ended.get();
-    } catch (const std::exception&) {
-      // The client has closed its connection, as each watch ends.
-    }
-    *has_client_left = true;
-  });
+  reply_to(request, response, [has_client_left = has_client_left_](bool) { *has_client_left = true; });
   step();
 }
 
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -9,6 +9,7 @@
 #include "emberdale/json_text.hpp"
 #include "emberdale/program_settings.hpp"
 #include "http_fields.hpp"
+#include "relay_limits.hpp"
 
 namespace emberdale {
 
@@ -30,7 +31,7 @@
 CallRelay::CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http_address)
     : settings_(settings),
       snapshot_(snapshot),
-      listener_(http_address, [this](http_request request) { handle(std::move(request)); }),
+      listener_(http_address, front_limits(), [this](http_request request) { handle(std::move(request)); }),
       dispatcher_(settings) {}
 
 CallRelay::~CallRelay() { stop(Duration{0}); }
--- a/packages/data-plane/src/own_paths.cpp
+++ b/packages/data-plane/src/own_paths.cpp
@@ -5,6 +5,7 @@
 
 #include "emberdale/invariants.hpp"
 #include "emberdale/json_text.hpp"
+#include "emberdale/message_limits.hpp"
 #include "emberdale/program_settings.hpp"
 #include "http_fields.hpp"
 
@@ -75,6 +76,7 @@
                                                {"accept_refused", relay.accept_refused},
                                                {"in_hand", static_cast<std::int64_t>(relay_.open_calls())}};
   counters.merge(process_invariants().counters());
+  counters.merge(process_limit_counters().counters());
   reply(request, 200, counters_text("emberdale_data", counters), metrics_content_type);
 }
 
--- /dev/null
+++ b/packages/data-plane/src/relay_limits.hpp
@@ -0,0 +1,22 @@
+// The bounds of what clients and runners may send to a data daemon. Both relays use them.
+#pragma once
+#include <chrono>
+#include <cstddef>
+
+#include "emberdale/http_listener.hpp"
+
+namespace emberdale {
+
+constexpr std::size_t max_open_body_bytes = 16 << 20;  // of the bodies of all open calls of clients
+
+// The configuration's own limits, which the relays keep with responses of their own, are lower.
+inline ListenerLimits front_limits() {
+  constexpr std::size_t max_head_bytes = 64 << 10;
+  constexpr std::chrono::seconds request_time{30};
+  ListenerLimits limits;
+  limits.reader = "front";
+  limits.request = {max_head_bytes, max_open_body_bytes, request_time};
+  return limits;
+}
+
+}  // namespace emberdale
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "emberdale/program_settings.hpp"
+#include "relay_limits.hpp"
 #include "routed_relay_state.hpp"
 
 namespace emberdale {
@@ -23,7 +24,7 @@
     : settings_(settings),
       header_names_(std::move(header_names)),
       snapshot_(snapshot),
-      listener_(http_address, [this](web::http::http_request request) { handle(std::move(request)); }),
+      listener_(http_address, front_limits(), [this](web::http::http_request request) { handle(std::move(request)); }),
       dispatcher_(std::move(settings)) {}
 
 RoutedRelay::~RoutedRelay() {
--- a/packages/data-plane/src/routed_relay_admission.cpp
+++ b/packages/data-plane/src/routed_relay_admission.cpp
@@ -1,4 +1,5 @@
 // Accepting calls: what is refused unread, how much is open at once, and reading the bodies.
+#include "relay_limits.hpp"
 #include "routed_relay_state.hpp"
 
 namespace emberdale {
--- a/packages/data-plane/src/routed_relay_final_responses.cpp
+++ b/packages/data-plane/src/routed_relay_final_responses.cpp
@@ -11,18 +11,6 @@
 using web::http::http_request;
 using web::http::http_response;
 
-namespace {
-
-// The library reads a body whole, without bound, and sends no response before: both end here. Closing alone is
-// not enough: without a fault it goes on writing nothing to the closed buffer, for ever.
-void abandon_body(const http_request& request) {
-  auto fault = std::make_exception_ptr(std::runtime_error("the body is not wanted"));
-  request.body().streambuf().close(std::ios_base::in | std::ios_base::out, fault);
-  request._get_impl()->_complete(0);
-}
-
-}  // namespace
-
 void RoutedRelay::reply(const http_request& request, http_response response, std::function<void(bool)> on_end) {
   if (is_stopping_)
     response.headers()["Connection"] = "close";
--- a/packages/data-plane/src/routed_relay_state.hpp
+++ b/packages/data-plane/src/routed_relay_state.hpp
@@ -7,7 +7,6 @@
 namespace emberdale {
 
 constexpr std::size_t max_response_body = 16 << 20;
-constexpr std::size_t max_open_body_bytes = 16 << 20;  // of bodies of calls
 constexpr Duration overload_retry_after{250}, stopped_retry_after{250};
 
 struct RoutedRelay::Handle {
--- a/packages/http-server/include/emberdale/http_listener.hpp
+++ b/packages/http-server/include/emberdale/http_listener.hpp
@@ -4,12 +4,24 @@
 #include <absl/status/status.h>
 #include <cpprest/http_msg.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "emberdale/message_limits.hpp"
+
 namespace emberdale {
 
+// What a client may send, and how long it may take. A connection over a bound is closed, and counted where it was
+// within a request (message_limits.hpp).
+struct ListenerLimits {
+  std::string reader = "clients";                 // in the counters
+  MessageLimits request;                          // the time runs from the first byte of a request to its last
+  std::chrono::milliseconds idle_time{60000};     // between two requests, and before the first
+  std::chrono::milliseconds writing_time{60000};  // for one piece of a response, which the client must read
+};
+
 // Called once for each reply: true if all of it was written, false if the client left before or the body broke off.
 using ReplyEnd = std::function<void(bool was_sent)>;
 
@@ -20,13 +32,14 @@
 // before the response is written; a callback registered there must not block. Each request is answered by `reply_to`.
 // One that is dropped without a reply closes its connection. Bytes that come after the request wait for the next one.
 //
-// Use: HttpListener listener("127.0.0.1:8080", [](web::http::http_request request) { ... }); listener.open(); ...
+// Use: HttpListener listener("127.0.0.1:8080", limits, [](web::http::http_request request) { ... }); listener.open();
+// ...
 //      listener.close();
 class HttpListener {
  public:
   using Handler = std::function<void(web::http::http_request)>;
   // `address` is IP:PORT.
-  HttpListener(std::string address, Handler handler);
+  HttpListener(std::string address, ListenerLimits limits, Handler handler);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -34,7 +47,7 @@
   // Listens; Unavailable if the address can't be used, InvalidArgument if it is none.
   absl::Status open();
   // Accepts no more, waits for handlers that are running, closes all connections, and waits until that is done, up to
-  // 10 s. Not to be called by a handler.
+  // 10 s. Responses of a known length that have begun are finished first, within 0.5 s. Not to be called by a handler.
   void close();
 
  private:
@@ -47,6 +60,9 @@
 void reply_to(
     const web::http::http_request& request, const web::http::http_response& response, ReplyEnd on_end = [](bool) {});
 
+// Whatever is still coming of the request's body is not read. Its connection ends with the response.
+void abandon_body(const web::http::http_request& request);
+
 // True for a response without a body, whatever its headers say: to HEAD, and of status 204 or 304.
 bool has_no_body(const std::string& method, int status);
 
--- a/packages/http-server/src/http_listener.cpp
+++ b/packages/http-server/src/http_listener.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <mutex>
 #include <shared_mutex>
+#include <stdexcept>
 
 #include "emberdale/socket_address.hpp"
 #include "server_connection.hpp"
@@ -26,6 +27,7 @@
 
 constexpr std::chrono::milliseconds accept_retry_interval{10};  // while there is no free descriptor
 constexpr std::chrono::seconds close_limit{10};
+constexpr std::chrono::milliseconds sweep_interval{500};  // how late a bound of time may be noticed
 
 boost::asio::io_context& library_context() { return crossplat::threadpool::shared_instance().service(); }
 
@@ -33,27 +35,34 @@
 
 // Shared by the connections, which may outlive the listener.
 struct HttpListener::Server : std::enable_shared_from_this<HttpListener::Server> {
-  Server(std::string listen_address, Handler request_handler)
+  Server(std::string listen_address, ListenerLimits listener_limits, Handler request_handler)
       : address(std::move(listen_address)),
+        limits(std::move(listener_limits)),
         handler(std::move(request_handler)),
         strand(boost::asio::make_strand(library_context())),
         acceptor(strand),
-        retry_timer(strand) {}
+        retry_timer(strand),
+        sweep_timer(strand) {
+    process_limit_counters().declare(limits.reader);
+  }
 
   absl::Status listen();
   void accept();
   void on_accepted(const error_code& fault, ConnectionSocket socket);
   void add_connection(ConnectionSocket socket);
   void handle(web::http::http_request request);
+  void sweep_later();
+  std::map<std::uint64_t, std::weak_ptr<ServerConnection>> open_connections();
   void close_acceptor();
   void close_connections();
 
   const std::string address;
+  const ListenerLimits limits;
   std::shared_mutex handler_mutex;  // held shared while a handler runs
   Handler handler;                  // null once closed
   ConnectionStrand strand;          // of the acceptor and its timer
   boost::asio::basic_socket_acceptor<tcp, ConnectionStrand> acceptor;
-  boost::asio::steady_timer retry_timer;
+  boost::asio::steady_timer retry_timer, sweep_timer;
   std::mutex connections_mutex;  // of all below
   std::condition_variable connection_closed;
   std::map<std::uint64_t, std::weak_ptr<ServerConnection>> connections;
@@ -113,7 +122,7 @@
       return;
     std::uint64_t number = ++last_connection;
     connection = std::make_shared<ServerConnection>(
-        std::move(socket),
+        std::move(socket), limits,
         [self = shared_from_this()](web::http::http_request request) { self->handle(std::move(request)); },
         [self = shared_from_this(), number] {
           std::lock_guard<std::mutex> closing(self->connections_mutex);
@@ -131,12 +140,34 @@
     handler(std::move(request));
 }
 
+// One timer for all connections: their bounds are seconds, and nearly all requests end within them.
+void HttpListener::Server::sweep_later() {
+  sweep_timer.expires_after(sweep_interval);
+  sweep_timer.async_wait([self = shared_from_this()](const error_code& cancelled) {
+    if (cancelled || !self->acceptor.is_open())
+      return;
+    const auto now = ServerConnection::Clock::now();
+    for (const auto& entry : self->open_connections()) {
+      auto connection = entry.second.lock();
+      if (connection && connection->is_overdue(now))
+        connection->end_if_overdue();
+    }
+    self->sweep_later();
+  });
+}
+
+std::map<std::uint64_t, std::weak_ptr<ServerConnection>> HttpListener::Server::open_connections() {
+  std::lock_guard<std::mutex> guard(connections_mutex);
+  return connections;
+}
+
 void HttpListener::Server::close_acceptor() {
   std::promise<void> closed;
   boost::asio::dispatch(strand, [this, &closed] {
     error_code ignored;
     acceptor.close(ignored);
     retry_timer.cancel();
+    sweep_timer.cancel();
     closed.set_value();
   });
   closed.get_future().wait();
@@ -157,15 +188,18 @@
     LOG(ERROR) << "connections_left_open count=" << connections.size();
 }
 
-HttpListener::HttpListener(std::string address, Handler handler)
-    : server_(std::make_shared<Server>(std::move(address), std::move(handler))) {}
+HttpListener::HttpListener(std::string address, ListenerLimits limits, Handler handler)
+    : server_(std::make_shared<Server>(std::move(address), std::move(limits), std::move(handler))) {}
 
 HttpListener::~HttpListener() { close(); }
 
 absl::Status HttpListener::open() {
   if (auto listening = server_->listen(); !listening.ok())
     return listening;
-  boost::asio::dispatch(server_->strand, [server = server_] { server->accept(); });
+  boost::asio::dispatch(server_->strand, [server = server_] {
+    server->accept();
+    server->sweep_later();
+  });
   return absl::OkStatus();
 }
 
@@ -187,4 +221,11 @@
   context->reply(response, std::move(on_end));
 }
 
+// Closing alone is not enough: without a fault the library's reader of the body goes on waiting.
+void abandon_body(const web::http::http_request& request) {
+  auto fault = std::make_exception_ptr(std::runtime_error("the body is not wanted"));
+  request.body().streambuf().close(std::ios_base::in | std::ios_base::out, fault);
+  request._get_impl()->_complete(0);
+}
+
 }  // namespace emberdale
--- a/packages/http-server/src/server_connection.cpp
+++ b/packages/http-server/src/server_connection.cpp
@@ -20,11 +20,11 @@
 namespace {
 
 constexpr std::size_t max_unparsed_bytes = 64 << 10;  // of requests behind the one in progress
-constexpr std::uint32_t max_head_bytes = 64 << 10;    // the handler's own limits are lower
 constexpr std::size_t body_piece_size = 8192;
-constexpr std::chrono::milliseconds linger_limit{1000};  // for the client to read the last response
+constexpr std::chrono::milliseconds linger_limit{1000};        // for the client to read the last response
+constexpr std::chrono::milliseconds last_response_limit{500};  // for one that has begun when the listener closes
 constexpr const char* continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr int bad_request = 400, head_too_large = 431;
+constexpr int bad_request = 400, body_too_large = 413, head_too_large = 431;
 
 // The library ends the process for a fault that no one has looked at.
 template <class Result>
@@ -55,9 +55,10 @@
   connection->reply(exchange_number_, response, std::move(on_end));
 }
 
-ServerConnection::ServerConnection(ConnectionSocket socket, HttpListener::Handler handle,
+ServerConnection::ServerConnection(ConnectionSocket socket, const ListenerLimits& limits, HttpListener::Handler handle,
                                    std::function<void()> on_closed)
     : socket_(std::move(socket)),
+      limits_(limits),
       linger_timer_(socket_.get_executor()),
       handle_(std::move(handle)),
       on_closed_(std::move(on_closed)) {}
@@ -72,7 +73,32 @@
 }
 
 void ServerConnection::close() {
-  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->disconnect(); });
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    bool is_response_finite = self->response_ && self->response_->head.framing != BodyFraming::chunked;
+    if (!is_response_finite)
+      return self->disconnect();
+    self->is_closing_ = true;
+    self->linger_timer_.expires_after(last_response_limit);
+    self->linger_timer_.async_wait([self](const error_code& fault) {
+      if (!fault)
+        self->disconnect();
+    });
+  });
+}
+
+void ServerConnection::set_deadline(std::chrono::milliseconds time) {
+  deadline_ = (Clock::now() + time).time_since_epoch().count();
+}
+
+void ServerConnection::end_if_overdue() {
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->is_closed_ || !self->is_overdue(Clock::now()))
+      return;
+    bool is_within_request = self->has_request_begun_ && self->phase_ != Phase::complete;
+    if (is_within_request)
+      process_limit_counters().record(self->limits_.reader, LimitFault::too_slow);
+    self->disconnect();
+  });
 }
 
 void ServerConnection::reply(std::uint64_t exchange_number, const http_response& response, ReplyEnd on_end) {
@@ -95,9 +121,11 @@
 
 void ServerConnection::expect_request() {
   parser_.emplace();
-  parser_->header_limit(max_head_bytes);
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());  // the handler's own limits are lower
+  parser_->header_limit(static_cast<std::uint32_t>(limits_.request.max_head_bytes));
+  parser_->body_limit(limits_.request.max_body_bytes);
   phase_ = Phase::head;
+  has_request_begun_ = false;
+  set_deadline(limits_.idle_time);
 }
 
 void ServerConnection::read_more() {
@@ -147,17 +175,19 @@
 void ServerConnection::parse_head() {
   if (unparsed_.size() == 0)
     return;
+  if (!std::exchange(has_request_begun_, true))
+    set_deadline(limits_.request.total_time);
   error_code fault;
   unparsed_.consume(parser_->put(unparsed_.data(), fault));
   if (fault == beast_http::error::need_more)
     return;
   if (fault)
-    return reject(fault == beast_http::error::header_limit ? head_too_large : bad_request);
+    return reject(fault);
   if (!parser_->is_header_done())
     return;
   bool has_unknown_encoding = parser_->get().count(beast_http::field::transfer_encoding) > 0 && !parser_->chunked();
   if (has_unknown_encoding)  // where the request ends is not known
-    return reject(bad_request);
+    return reject(beast_http::error::bad_value);
   begin_request();
 }
 
@@ -177,7 +207,7 @@
   try {
     copy_head(request);
   } catch (const std::exception&) {  // the target is no URI
-    return reject(bad_request);
+    return reject(beast_http::error::bad_value);
   }
   exchange_->method = request.method();
   exchange_->request = request._get_impl();
@@ -216,6 +246,8 @@
     if (size > 0)
       deliver_body(piece.data(), size);
     bool wants_more = fault == beast_http::error::need_more || fault == beast_http::error::need_buffer;
+    if (fault == beast_http::error::body_limit)
+      process_limit_counters().record(limits_.reader, LimitFault::body_too_large);
     if (fault && !wants_more)
       return response_ ? stop_parsing() : disconnect();  // a response that is on its way goes out
     if (parser_->is_done())
@@ -245,12 +277,22 @@
 
 void ServerConnection::finish_body() {
   phase_ = Phase::complete;
+  clear_deadline();
   if (auto request = std::exchange(exchange_->request, {}).lock())
     request->_complete(exchange_->body_size);
 }
 
-// Answers bytes that are no request.
-void ServerConnection::reject(int status) {
+// Answers bytes that are no request, or one over its bounds.
+void ServerConnection::reject(const error_code& fault) {
+  int status = bad_request;
+  if (fault == beast_http::error::header_limit) {
+    process_limit_counters().record(limits_.reader, LimitFault::head_too_large);
+    status = head_too_large;
+  }
+  if (fault == beast_http::error::body_limit) {
+    process_limit_counters().record(limits_.reader, LimitFault::body_too_large);
+    status = body_too_large;
+  }
   exchange_ = Exchange{};
   exchange_->number = ++last_exchange_number_;
   phase_ = Phase::body;  // its end is not known
@@ -318,6 +360,8 @@
 
 void ServerConnection::write_out(bool is_complete) {
   response_->is_complete = is_complete;
+  if (phase_ == Phase::complete)
+    set_deadline(limits_.writing_time);
   auto on_written = [self = shared_from_this()](const error_code& fault, std::size_t) {
     if (self->is_closed_)
       return;
@@ -326,13 +370,15 @@
       return self->disconnect();
     if (self->response_->is_complete)
       return self->finish_response();
+    if (self->phase_ == Phase::complete)
+      self->clear_deadline();
     self->response_->body->next();
   };
   boost::asio::async_write(socket_, boost::asio::buffer(out_), std::move(on_written));
 }
 
 void ServerConnection::finish_response() {
-  bool is_last = response_->head.is_last_on_connection || is_peer_closed_ || is_unparsable_;
+  bool is_last = response_->head.is_last_on_connection || is_peer_closed_ || is_unparsable_ || is_closing_;
   ReplyEnd on_end = std::move(response_->on_end);
   response_.reset();
   if (auto request = exchange_->request.lock())
@@ -351,7 +397,7 @@
 // A socket that is closed with unread bytes resets the connection, and what the client has not read yet is lost. So the
 // sending side is ended first, and what still comes is dropped until the client closes.
 void ServerConnection::shut_down_gracefully() {
-  if (is_peer_closed_)
+  if (is_peer_closed_ || is_closing_)
     return disconnect();
   error_code ignored;
   socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
--- a/packages/http-server/src/server_connection.hpp
+++ b/packages/http-server/src/server_connection.hpp
@@ -11,8 +11,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,11 +49,16 @@
 // members are used on the connection's strand.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
-  // `handle` gets each request; `on_closed` is called once, at the end of the connection.
-  ServerConnection(ConnectionSocket socket, HttpListener::Handler handle, std::function<void()> on_closed);
+  using Clock = std::chrono::steady_clock;
+  // `handle` gets each request; `on_closed` is called once, at the end of the connection. The limits outlive it.
+  ServerConnection(ConnectionSocket socket, const ListenerLimits& limits, HttpListener::Handler handle,
+                   std::function<void()> on_closed);
   void start();
-  // Closes the connection; a request in progress is cancelled.
+  // Closes the connection, after a response that has begun and has a known length; a request in progress is cancelled.
   void close();
+  // True if the client has taken longer than its limits allow. Safe for use by any thread.
+  bool is_overdue(Clock::time_point now) const { return now.time_since_epoch().count() > deadline_; }
+  void end_if_overdue();
   void reply(std::uint64_t exchange_number, const web::http::http_response& response, ReplyEnd on_end);
   // The request was dropped without a reply.
   void abandon(std::uint64_t exchange_number);
@@ -76,6 +83,8 @@
     bool is_complete = false;       // all that is left is in the write under way
   };
 
+  void set_deadline(std::chrono::milliseconds time);
+  void clear_deadline() { deadline_ = no_deadline; }
   void expect_request();
   void read_more();
   void on_read(const boost::system::error_code& fault, std::size_t size);
@@ -88,7 +97,7 @@
   void copy_head(web::http::http_request& request) const;
   void deliver_body(const std::uint8_t* bytes, std::size_t size);
   void finish_body();
-  void reject(int status);
+  void reject(const boost::system::error_code& fault);
   void stop_parsing();
 
   void begin_response(const web::http::http_response& message, ReplyEnd on_end);
@@ -101,7 +110,11 @@
   void shut_down_gracefully();
   void disconnect();
 
+  static constexpr Clock::rep no_deadline = std::numeric_limits<Clock::rep>::max();
+
   ConnectionSocket socket_;
+  const ListenerLimits& limits_;
+  std::atomic<Clock::rep> deadline_{no_deadline};  // of what the client is to do next
   boost::asio::steady_timer linger_timer_;
   HttpListener::Handler handle_;
   std::function<void()> on_closed_;
@@ -114,6 +127,7 @@
   std::optional<Response> response_;
   std::string out_;  // what is being written
   bool is_reading_ = false, is_peer_closed_ = false, is_unparsable_ = false, is_closed_ = false;
+  bool has_request_begun_ = false, is_closing_ = false;
 };
 
 }  // namespace emberdale
--- a/packages/http-server/tests/http_listener_test.cpp
+++ b/packages/http-server/tests/http_listener_test.cpp
@@ -55,11 +55,18 @@
   std::map<std::string, int> counts_;
 };
 
+ListenerLimits wide_limits() {
+  ListenerLimits limits;
+  limits.reader = "test";
+  limits.request = {64 << 10, unlimited_body, milliseconds(30000)};
+  return limits;
+}
+
 class HttpListenerTest : public testing::Test {
  protected:
   void listen(HttpListener::Handler handler) {
     port_ = RawSocket::listen().port();
-    listener_ = std::make_unique<HttpListener>("127.0.0.1:" + std::to_string(port_), std::move(handler));
+    listener_ = std::make_unique<HttpListener>("127.0.0.1:" + std::to_string(port_), limits_, std::move(handler));
     ASSERT_TRUE(listener_->open().ok());
   }
   RawSocket connect() const { return RawSocket::connect(port_); }
@@ -112,6 +119,7 @@
   std::mutex mutex_;
   std::vector<http_request> held_;
   std::uint16_t port_ = 0;
+  ListenerLimits limits_ = wide_limits();
   std::unique_ptr<HttpListener> listener_;
 };
 
@@ -490,9 +498,122 @@
   EXPECT_TRUE(events_.wait_for("read"));
 }
 
+// What a client sends is bounded: the connection is closed, the fault counted, and others are served meanwhile.
+class ListenerLimitsTest : public HttpListenerTest {
+ protected:
+  void listen_within_limits() {
+    limits_.reader = "limits_test";
+    limits_.request = {2048, 5000, milliseconds(600)};
+    limits_.idle_time = milliseconds(600);
+    listen([this](const http_request& request) {
+      request.extract_vector().then([request](pplx::task<std::vector<unsigned char>> reading) {
+        try {
+          reading.get();
+        } catch (const std::exception&) {  // the connection is closed: there is nobody to reply to
+          return;
+        }
+        reply_to(request, http_response(200));
+      });
+    });
+  }
+  std::int64_t count(LimitFault fault) const { return process_limit_counters().count(limits_.reader, fault); }
+  void expect_that_others_are_served() {
+    auto other = connect();
+    other.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(read_response(other, limit_ms).status, 200);
+  }
+};
+
+TEST_F(ListenerLimitsTest, AHeadWithoutEndIsRefusedAndItsConnectionClosed) {
+  listen_within_limits();
+  const auto counted = count(LimitFault::head_too_large);
+  auto client = connect();
+  client.write("GET / HTTP/1.1\r\nX-Long: " + std::string(3000, 'x'));
+  EXPECT_EQ(read_response(client, limit_ms).status, 431);
+  EXPECT_TRUE(client.is_closed_within(limit_ms));
+  EXPECT_EQ(count(LimitFault::head_too_large), counted + 1);
+  expect_that_others_are_served();
+}
+
+TEST_F(ListenerLimitsTest, ABodyOverItsBoundEndsItsConnection) {
+  listen_within_limits();
+  const auto counted = count(LimitFault::body_too_large);
+  auto announced = connect();
+  announced.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5001\r\n\r\n");
+  EXPECT_EQ(read_response(announced, limit_ms).status, 413);
+  auto chunked = connect();
+  chunked.write("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 6; ++i)
+    chunked.write(chunk(std::string(1000, 'x')));
+  EXPECT_TRUE(chunked.is_closed_within(limit_ms));
+  EXPECT_EQ(count(LimitFault::body_too_large), counted + 2);
+  expect_that_others_are_served();
+}
+
+// A byte now and then does not begin the time anew, in the head or in the body.
+TEST_F(ListenerLimitsTest, ARequestThatComesSlowlyIsCutOff) {
+  listen_within_limits();
+  const auto counted = count(LimitFault::too_slow);
+  for (const char* begin :
+       {"GET / HTTP/1.1\r\nX-Long: ", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4000\r\n\r\n"}) {
+    auto client = connect();
+    client.write(begin);
+    bool is_closed = false;
+    for (int i = 0; i < 60 && !is_closed; ++i) {
+      client.write("x");
+      is_closed = client.is_closed_within(50);
+    }
+    EXPECT_TRUE(is_closed) << begin;
+  }
+  EXPECT_EQ(count(LimitFault::too_slow), counted + 2);
+  expect_that_others_are_served();
+}
+
+TEST_F(ListenerLimitsTest, AnIdleConnectionIsClosedWithoutACount) {
+  listen_within_limits();
+  const auto counted = count(LimitFault::too_slow);
+  auto silent = connect();
+  auto used = connect();
+  used.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(read_response(used, limit_ms).status, 200);
+  EXPECT_TRUE(silent.is_closed_within(limit_ms));
+  EXPECT_TRUE(used.is_closed_within(limit_ms));
+  EXPECT_EQ(count(LimitFault::too_slow), counted);
+}
+
+// The client that waits for its response is not the one that is slow.
+TEST_F(ListenerLimitsTest, ARequestInProgressIsNotIdle) {
+  limits_.request.total_time = limits_.idle_time = milliseconds(300);
+  listen([this](const http_request& request) { hold(request); });
+  auto client = connect();
+  client.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(events_.wait_for("arrived"));
+  std::this_thread::sleep_for(milliseconds(1500));
+  EXPECT_EQ(events_.count("departed"), 0);
+  reply_to(take_held(), http_response(200));
+  EXPECT_EQ(read_response(client, limit_ms).status, 200);
+}
+
+// Guards against a response that is lost because the listener closes right after it was given.
+TEST_F(HttpListenerTest, AResponseThatHasBegunIsFinishedWhenTheListenerCloses) {
+  for (int round = 0; round < 20; ++round) {
+    listen([this](const http_request& request) { hold(request); });
+    auto client = connect();
+    client.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(events_.wait_for("arrived", round + 1));
+    http_response response(200);
+    response.set_body(std::string(200000, 'x'));
+    reply_to(take_held(), response);
+    listener_->close();
+    auto seen = read_response(client, limit_ms);
+    EXPECT_TRUE(seen.is_whole) << round;
+  }
+}
+
 TEST_F(HttpListenerTest, AnAddressThatCannotBeUsedIsReported) {
   auto taken = RawSocket::listen();
   std::string address = "127.0.0.1:" + std::to_string(taken.port());
-  EXPECT_EQ(HttpListener(address, [](const http_request&) {}).open().code(), absl::StatusCode::kUnavailable);
-  EXPECT_EQ(HttpListener("nowhere", [](const http_request&) {}).open().code(), absl::StatusCode::kInvalidArgument);
+  EXPECT_EQ(HttpListener(address, limits_, [](const http_request&) {}).open().code(), absl::StatusCode::kUnavailable);
+  EXPECT_EQ(HttpListener("nowhere", limits_, [](const http_request&) {}).open().code(),
+            absl::StatusCode::kInvalidArgument);
 }
