--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -49,6 +49,7 @@
 // elsewhere.
 void RoutedRelay::stop(Duration timeout) {
   begin_draining();
+  aborts_at_ms_ = (steady_now() + timeout).value;
   if (!is_open_.exchange(false))
     return;
   wait_until_idle(timeout);
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -68,8 +68,11 @@
   // From here on responses ask clients to leave this connection; calls are still admitted.
   void begin_draining() { is_stopping_ = true; }
   bool ready() const { return is_open_ && !is_stopping_; }
-  // Finishes the open calls, or aborts them at the timeout; what comes later is refused.
+  // Finishes the open calls, or aborts them at the timeout. Of what comes meanwhile, calls are taken whose own deadline
+  // lies before that; all others are refused.
   void stop(Duration timeout);
+  // False from the begin of stop() on.
+  bool takes_calls() const { return is_open_; }
   RouteDispatcher::Counts counts() const;
   struct RelayCounts {
     std::atomic<std::int64_t> unsealed{0}, foreign_responses{0}, streams_broken{0}, connections_broken{0},
@@ -119,6 +122,7 @@
   // Admission: routed_relay_admission.cpp
   void handle(web::http::http_request request);
   std::optional<Refusal> refusal_of(const web::http::http_request& request) const;
+  bool may_outlast_this_daemon(const web::http::http_request& request) const;
   bool reserve_capacity(std::size_t body_size);
   void watch_departure(const std::shared_ptr<Handle>& handle);
   std::shared_ptr<Handle> register_call(const web::http::http_request& request, std::size_t body_size);
@@ -209,6 +213,7 @@
   std::atomic<CallIndex> last_index_{0};
   std::atomic<bool> is_open_{false}, is_listening_{false}, is_stopping_{false}, is_closing_{false},
       is_snapshot_changed_{false};
+  std::atomic<std::int64_t> aborts_at_ms_{0};  // of calls that are open then; set before is_open_ ends
   std::atomic<std::int64_t> max_header_bytes_{RequestLimits{}.max_header_bytes},
       max_body_bytes_{RequestLimits{}.max_body_bytes};
   RelayCounts relay_counts_;
--- a/packages/data-plane/src/routed_relay_admission.cpp
+++ b/packages/data-plane/src/routed_relay_admission.cpp
@@ -1,4 +1,5 @@
 // Accepting calls: what is refused unread, how much is open at once, and reading the bodies.
+#include "emberdale/program_settings.hpp"
 #include "relay_limits.hpp"
 #include "routed_relay_state.hpp"
 
@@ -54,9 +55,17 @@
     return Refusal{400, "the header " + header_names_.call_id + " is missing"};
   if (announced_size(request) > static_cast<std::size_t>(max_body_bytes_))
     return Refusal{413, "the body is too large"};
+  if (!is_open_ && may_outlast_this_daemon(request))
+    return Refusal{503, "this daemon stops", stopped_retry_after};
   return std::nullopt;
 }
 
+// A call without a deadline of its own may last as long as its route allows, which is decided later.
+bool RoutedRelay::may_outlast_this_daemon(const http_request& request) const {
+  auto deadline = read_deadline(header_value(request.headers(), header_names_.deadline));
+  return !deadline || deadline->value == 0 || aborts_at_ms_ < (steady_now() + *deadline).value;
+}
+
 // Counts an open call; the handle that is made next uncounts it at its end.
 bool RoutedRelay::reserve_capacity(std::size_t body_size) {
   std::lock_guard<std::mutex> guard(open_calls_->mutex);
--- a/packages/data-plane/tests/routed_relay_test.cpp
+++ b/packages/data-plane/tests/routed_relay_test.cpp
@@ -1057,6 +1057,41 @@
   EXPECT_FALSE(told.message.has("T-Not-Run"));
 }
 
+// Guards against review/3: a daemon that ends took streams that it had no time to finish, and cut them.
+TEST(RoutedRelay, AStoppingDaemonTakesOnlyWhatItHasTimeToFinish) {
+  std::promise<void> asked_for, go;
+  std::atomic<int> late_runs{0};
+  ScriptedRunner runner([&](RawConnection& connection, const RawMessage& received) {
+    if (received.header("T-Call") == "held") {
+      asked_for.set_value();
+      go.get_future().wait();
+    }
+    late_runs += received.header("T-Call") == "long" || received.header("T-Call") == "endless";
+    connection.write(answer(received, "{}"));
+    return true;
+  });
+  Bench bench({runner.place()});
+  auto held = bench.connect();
+  held->write(Bench::call("/once/x", "held"));
+  asked_for.get_future().wait();
+  std::thread stopping([&] { bench.relay().stop(Duration{4000}); });
+  while (bench.relay().takes_calls())
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  auto connection = bench.connect();
+  connection->write(Bench::call("/stream/x", "long", "T-Horizon: 4500\r\n"));
+  Told told = read_response(*connection);
+  EXPECT_EQ(told.code, 503);
+  EXPECT_TRUE(told.message.has("T-Not-Run"));
+  EXPECT_TRUE(told.message.has("Retry-After"));
+  EXPECT_EQ(told.message.header("Connection"), "close");
+  EXPECT_EQ(bench.ask("/once/x", "endless").code, 503);  // no deadline: it could last as long as its route allows
+  EXPECT_EQ(bench.tell(Bench::call("/once/x", "short", "T-Horizon: 500\r\n")).code, 200);
+  EXPECT_EQ(late_runs, 0);
+  go.set_value();
+  EXPECT_EQ(read_response(*held).code, 200);
+  stopping.join();
+}
+
 // A call whose body is whole only after the rest was broken off: no one takes it up any more, so it is refused at once.
 TEST(RoutedRelay, ACallThatArrivesWhileTheDaemonEndsIsRefusedAtOnce) {
   std::promise<void> asked_for;
