--- a/packages/control-plane/include/emberdale/cluster_bootstrapper.hpp
+++ b/packages/control-plane/include/emberdale/cluster_bootstrapper.hpp
@@ -1,8 +1,10 @@
 // Creates the register without an operator: on the very first start the seed with the smallest address does it, once
-// all seeds have answered that they are blank. docs/design.md, "One process a machine", shows why that can't happen
-// twice. Without I/O, clock or threads.
+// all seeds have answered that they are blank, or the next one where that has not done it for a time. docs/design.md,
+// "One process a machine", shows why no two of them differ. Without I/O, clock or threads.
 #pragma once
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,7 +19,7 @@
   ClusterBootstrapper(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds,
                       RandomGenerator random);
 
-  // Begins if this daemon is the seed with the smallest address; any other does nothing, ever.
+  // Begins if this daemon is a seed; any other does nothing, ever.
   void start(TimePoint now);
   void on_message(const Address& from, const Message& message, TimePoint now);
   void on_timer(TimePoint now);
@@ -29,7 +31,7 @@
 
  private:
   enum class Phase {
-    idle,      // not started, or not the seed that does it
+    idle,      // not started, or no seed
     asking,    // the seeds are asked whether they are blank
     founding,  // the first state is sent to the stores of the seeds
     over       // the register exists, by this daemon's hand or not
@@ -43,6 +45,7 @@
   void on(const Address& from, const BootstrapResponse& response, TimePoint now);
   template <class Other>
   void on(const Address&, const Other&, TimePoint) {}
+  bool are_all_blank(TimePoint now) const;
   bool may_begin(TimePoint now) const;
   void begin_bootstrap(TimePoint now);
   void send_read_requests();
@@ -61,6 +64,8 @@
   Bytes value_;                           // the first state, encoded
   bool was_bootstrapped_ = false;
   TimePoint started_, request_next_;
+  std::int64_t smaller_seeds_ = 0;
+  std::optional<TimePoint> all_blank_since_;
   std::vector<OutboundMessage> out_;
 };
 
--- a/packages/control-plane/src/cluster_bootstrapper.cpp
+++ b/packages/control-plane/src/cluster_bootstrapper.cpp
@@ -1,12 +1,17 @@
 #include "emberdale/cluster_bootstrapper.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "emberdale/avro_codec.hpp"
 
 namespace emberdale {
 namespace {
-constexpr Duration bootstrap_wait{400};  // the seeds are waited for at least so long
+constexpr Duration bootstrap_wait{400};   // the seeds are waited for at least so long
+constexpr Duration takeover_delay{1000};  // for each smaller seed, before a larger one asks at all
+// For each smaller seed, all seeds must have been blank for so long: it would have bootstrapped long before, if it
+// could.
+constexpr Duration takeover_wait{2000};
 constexpr Duration request_interval{150};
 constexpr Duration response_age{1000};  // an answer counts for so long
 const char* const fleet_name = "emberdale";
@@ -22,10 +27,13 @@
       request_id_(first_request_id(random_)) {}
 
 void ClusterBootstrapper::start(TimePoint now) {
-  if (phase_ != Phase::idle || seeds_.empty() || *seeds_.begin() != self_)
+  auto own_seed = seeds_.find(self_);
+  if (phase_ != Phase::idle || own_seed == seeds_.end())
     return;
+  smaller_seeds_ = std::distance(seeds_.begin(), own_seed);
   phase_ = Phase::asking;
-  started_ = request_next_ = now;
+  started_ = now;
+  request_next_ = now + Duration{takeover_delay.value * smaller_seeds_};
 }
 
 void ClusterBootstrapper::on_message(const Address& from, const Message& message, TimePoint now) {
@@ -44,8 +52,9 @@
   proposer_.learn_acceptors(response.acceptors);
 }
 
-// The first state is the same in each incarnation of this daemon, as long as the seeds' stores are. Only seeds are in
-// it: so every store that may have accepted an earlier attempt is asked, and has to be blank, before there is another.
+// The first state is the same by whichever seed, in each of its incarnations, as long as the seeds' stores are. Only
+// seeds are in it: so every store that may have accepted an earlier attempt is asked, and has to be blank, before there
+// is another.
 void ClusterBootstrapper::begin_bootstrap(TimePoint now) {
   phase_ = Phase::founding;
   FleetState state;
@@ -87,9 +96,7 @@
 }
 
 // Every seed has just answered that it is blank, and one of them at least keeps a store.
-bool ClusterBootstrapper::may_begin(TimePoint now) const {
-  if (now - started_ < bootstrap_wait)
-    return false;
+bool ClusterBootstrapper::are_all_blank(TimePoint now) const {
   bool has_all_seeds = std::all_of(seeds_.begin(), seeds_.end(), [&](const auto& seed) {
     auto blank = blanks_.find(seed);
     return blank != blanks_.end() && now - blank->second.heard <= response_age;
@@ -99,6 +106,15 @@
   return has_all_seeds && has_store;
 }
 
+// The smallest seed begins at once. Any other only if the smaller ones answer, and yet have not done it: they came back
+// without the permission to, for example.
+bool ClusterBootstrapper::may_begin(TimePoint now) const {
+  if (!all_blank_since_ || now - started_ < bootstrap_wait)
+    return false;
+  const Duration wait{takeover_wait.value * smaller_seeds_};
+  return wait <= now - *all_blank_since_;
+}
+
 void ClusterBootstrapper::send_read_requests() {
   for (const auto& seed : seeds_)
     out_.push_back({seed, ReadRequest{request_id_, DaemonRole::data, Ballot{}, false, false}});
@@ -107,6 +123,10 @@
 void ClusterBootstrapper::on_timer(TimePoint now) {
   if (phase_ == Phase::asking && (proposer_.has_state() || !proposer_.acceptors().empty()))
     phase_ = Phase::over;
+  if (!are_all_blank(now))
+    all_blank_since_.reset();
+  else if (!all_blank_since_)
+    all_blank_since_ = now;
   if (phase_ == Phase::asking && may_begin(now))
     begin_bootstrap(now);
   if (!is_at_work() || now < request_next_)
