What peers send has bounds of bytes and time

Change: a handshake has 4 KiB and 3 s from the connect on, a message 8 MiB as before and 10 s from its size on. Over a bound the connection is closed, and refused_frames and over_limit_peers_FAULT are counted. One timer looks at all inbound connections each second.

Tests: PeerConnections.AHandshakeThatIsTooLargeOrNeverComesEndsItsConnection, peer-connections-test, frame-codec-test.

--- a/packages/peer-connections/include/emberdale/peer_connections.hpp
+++ b/packages/peer-connections/include/emberdale/peer_connections.hpp
@@ -9,8 +9,10 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
+#include "emberdale/message_limits.hpp"
 #include "emberdale/messages.hpp"
 #include "emberdale/socket_address.hpp"
 
@@ -29,7 +31,7 @@
   std::int64_t frames_in = 0;
   std::int64_t frames_dropped = 0;  // not sent: the queue was full, the connection failed, or a fault was injected
   std::int64_t bytes_out = 0;
-  std::int64_t refused_frames = 0;  // malformed, too large or of another protocol; each ended its connection
+  std::int64_t refused_frames = 0;  // malformed, too large, too slow or of another protocol; each ended its connection
 };
 
 // The connections of one process.
@@ -72,6 +74,8 @@
 
   // Inbound: handshake, then one message after the other.
   void accept_next();
+  void sweep_inbound();
+  void refuse(LimitFault fault);
   void read_next(const std::shared_ptr<InboundConnection>& connection);
   void read_body(const std::shared_ptr<InboundConnection>& connection);
   bool handle_body(InboundConnection& connection);
@@ -96,6 +100,7 @@
   Address self_;
   OnMessage on_message_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<InboundConnection>> inbound_connections_;
   std::map<Address, std::shared_ptr<OutboundConnection>> outbound_connections_;  // the current one of each peer
   std::map<Address, ConnectionFault> faults_;
   ConnectionCounts counts_;
--- a/packages/peer-connections/src/frame_codec.hpp
+++ b/packages/peer-connections/src/frame_codec.hpp
@@ -15,6 +15,9 @@
 // No body is longer, compressed or not; a longer one ends the connection.
 inline constexpr std::size_t max_frame_size = 8u << 20;
 
+// Of the frame that begins a connection.
+inline constexpr std::size_t max_handshake_size = 4096;
+
 // The size that goes before a frame's body, as it is on the wire.
 using EncodedFrameHeader = std::array<char, 4>;
 
--- a/packages/peer-connections/src/peer_connections.cpp
+++ b/packages/peer-connections/src/peer_connections.cpp
@@ -21,6 +21,10 @@
 // The system ends a connection whose peer has acknowledged nothing for this long.
 constexpr int unacknowledged_timeout_ms = 3000;
 constexpr std::chrono::milliseconds reconnect_delay{20};
+// Of what a peer sends: the handshake from the connect on, a message from its size on.
+constexpr std::chrono::milliseconds handshake_time{3000}, frame_time{10000};
+constexpr std::chrono::milliseconds sweep_interval{1000};  // how late they may be noticed
+constexpr const char* reader_name = "peers";               // in the counters of what went over a bound
 
 tcp::endpoint endpoint_of(const SocketAddress& address) {
   boost::system::error_code ignored;  // the address has been parsed
@@ -44,7 +48,14 @@
 struct PeerConnections::InboundConnection {
   explicit InboundConnection(tcp::socket accepted) : socket(std::move(accepted)) {}
 
+  using Clock = std::chrono::steady_clock;
+  // The peer has so long for what it is to send next.
+  void set_deadline(std::chrono::milliseconds time) { deadline = Clock::now() + time; }
+  void clear_deadline() { deadline = Clock::time_point::max(); }
+  std::size_t max_body_size() const { return from.empty() ? max_handshake_size : max_frame_size; }
+
   tcp::socket socket;
+  Clock::time_point deadline = Clock::now() + handshake_time;
   Address from;  // empty until the handshake
   EncodedFrameHeader encoded_header{};
   FrameHeader header;
@@ -52,7 +63,9 @@
 };
 
 PeerConnections::PeerConnections(asio::io_context& context, Address self, OnMessage on_message)
-    : context_(context), self_(std::move(self)), on_message_(std::move(on_message)), acceptor_(context) {}
+    : context_(context), self_(std::move(self)), on_message_(std::move(on_message)), acceptor_(context) {
+  process_limit_counters().declare(reader_name);
+}
 
 PeerConnections::~PeerConnections() {
   *is_alive_ = false;
@@ -76,6 +89,7 @@
   if (error)
     return absl::UnavailableError("can't listen on " + self_.text + ": " + error.message());
   accept_next();
+  sweep_inbound();
   return absl::OkStatus();
 }
 
@@ -87,21 +101,48 @@
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       socket.set_option(asio::socket_base::keep_alive(true), ignored);  // ends connections whose peer has vanished
-      read_next(std::make_shared<InboundConnection>(std::move(socket)));
+      auto connection = std::make_shared<InboundConnection>(std::move(socket));
+      inbound_connections_.push_back(connection);
+      read_next(connection);
     }
     if (error != asio::error::operation_aborted)
       accept_next();
   });
 }
 
+// Closes the connections whose peers have taken longer than they may.
+void PeerConnections::sweep_inbound() {
+  const auto now = InboundConnection::Clock::now();
+  std::vector<std::weak_ptr<InboundConnection>> open;
+  for (const auto& entry : inbound_connections_) {
+    auto connection = entry.lock();
+    if (!connection)
+      continue;
+    open.push_back(connection);
+    if (now <= connection->deadline)
+      continue;
+    boost::system::error_code ignored;
+    connection->socket.close(ignored);
+    connection->clear_deadline();
+    refuse(LimitFault::too_slow);
+  }
+  inbound_connections_ = std::move(open);
+  call_later(sweep_interval, [this] { sweep_inbound(); });
+}
+
+void PeerConnections::refuse(LimitFault fault) {
+  ++counts_.refused_frames;
+  process_limit_counters().record(reader_name, fault);
+}
+
 void PeerConnections::read_next(const std::shared_ptr<InboundConnection>& connection) {
   asio::async_read(connection->socket, asio::buffer(connection->encoded_header),
                    [this, connection, is_alive = is_alive_](boost::system::error_code error, std::size_t) {
                      if (error || !*is_alive)
                        return;
                      connection->header = decode_frame_header(connection->encoded_header);
-                     if (connection->header.body_size > max_frame_size)
-                       ++counts_.refused_frames;
+                     if (connection->header.body_size > connection->max_body_size())
+                       refuse(LimitFault::body_too_large);
                      else
                        read_body(connection);
                    });
@@ -109,10 +150,13 @@
 
 void PeerConnections::read_body(const std::shared_ptr<InboundConnection>& connection) {
   connection->body.resize(connection->header.body_size);
+  if (!connection->from.empty())
+    connection->set_deadline(frame_time);
   asio::async_read(connection->socket, asio::buffer(connection->body.data(), connection->body.size()),
                    [this, connection, is_alive = is_alive_](boost::system::error_code error, std::size_t) {
                      if (error || !*is_alive)
                        return;
+                     connection->clear_deadline();
                      if (handle_body(*connection))
                        read_next(connection);
                      else
--- a/packages/peer-connections/tests/peer_connections_test.cpp
+++ b/packages/peer-connections/tests/peer_connections_test.cpp
@@ -47,6 +47,34 @@
   EXPECT_TRUE(refused.empty());
 }
 
+// The same cause as review/1 among peers: what a stranger announces was made room for, and waited for without a bound.
+TEST(PeerConnections, AHandshakeThatIsTooLargeOrNeverComesEndsItsConnection) {
+  asio::io_context context;
+  Address here = free_address(context);
+  PeerConnections connections(context, here, [](const Address&, Message) {});
+  ASSERT_TRUE(connections.listen().ok());
+  const auto colon = here.text.find(':');
+  const tcp::endpoint endpoint(asio::ip::make_address(here.text.substr(0, colon)),
+                               static_cast<unsigned short>(std::stoi(here.text.substr(colon + 1))));
+  int closed = 0;
+  auto connect = [&](const std::string& bytes) {
+    auto socket = std::make_shared<tcp::socket>(context);
+    auto byte = std::make_shared<char>();
+    socket->connect(endpoint);
+    asio::write(*socket, asio::buffer(bytes));
+    asio::async_read(*socket, asio::buffer(byte.get(), 1),
+                     [&closed, socket, byte](boost::system::error_code, std::size_t) { ++closed; });
+  };
+  connect(std::string("\x00\x00\x7f\x00", 4));  // announces 8 MB
+  ASSERT_TRUE(run_until(context, [&] { return closed == 1; }));
+  EXPECT_EQ(connections.counts().refused_frames, 1);
+  const auto counted = process_limit_counters().count("peers", LimitFault::too_slow);
+  connect("");                                      // sends nothing
+  connect(std::string("\x10\x00\x00\x00half", 8));  // announces 16 bytes, and sends four
+  ASSERT_TRUE(run_until(context, [&] { return closed == 3; }));
+  EXPECT_EQ(process_limit_counters().count("peers", LimitFault::too_slow), counted + 2);
+}
+
 TEST(PeerConnections, AnAddressWhereNoProcessListensIsReportedAtOnce) {
   asio::io_context context;
   Address here = free_address(context), nobody = free_address(context);
