The operators' programs and our own face's probes read through the bounded client

Both control processes and both data processes show resident_bytes.

Left: the fleet starter and the stand-ins, which are no part of what is delivered, still use the library's client.

--- a/packages/configuration-checker/src/fleet_snapshot.cpp
+++ b/packages/configuration-checker/src/fleet_snapshot.cpp
@@ -1,10 +1,9 @@
 #include "fleet_snapshot.hpp"
 
-#include <cpprest/http_client.h>
-
 #include <chrono>
 #include <sstream>
 
+#include "emberdale/http_fetch.hpp"
 #include "emberdale/serving_plans.hpp"
 
 namespace emberdale {
@@ -13,21 +12,19 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::seconds response_timeout{5};
+constexpr std::size_t max_head_bytes = 64 << 10, max_body_bytes = 64 << 20;
 
 // The body of the first response with status 200; nothing if no daemon gives one.
 std::optional<std::string> get(const std::string& addresses, const std::string& path) {
   std::stringstream stream(addresses);
   std::string address;
   while (std::getline(stream, address, ',')) {
-    try {
-      web::http::client::http_client_config config;
-      config.set_timeout(response_timeout);
-      web::http::client::http_client client("http://" + address, config);
-      auto response = client.request("GET", path).get();
-      if (response.status_code() == 200)
-        return response.extract_string(true).get();
-    } catch (const std::exception&) {  // the next daemon may respond
-    }
+    HttpClient client(address, "control");
+    HttpRequest request;
+    request.target = path;
+    auto response = fetch_and_wait(client, request, {max_head_bytes, max_body_bytes, response_timeout});
+    if (response.ok() && response->status == 200)
+      return response->body;  // else the next daemon may respond
   }
   return std::nullopt;
 }
--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -180,6 +180,7 @@
   post(call.request, [this, request = call.request] {
     auto counters = control_counters(daemon_, connections_, steady_now());
     counters.merge(process_limit_counters().counters());
+    counters["resident_bytes"] = resident_bytes();
     if (more_counters)
       for (const auto& [name, count] : more_counters())
         counters[name] = count;
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -1,5 +1,4 @@
 // emberdale-control-plane: one control daemon of a fleet.
-#include <cpprest/http_client.h>
 #include <docopt/docopt.h>
 #include <glog/logging.h>
 #include <pplx/threadpool.h>
@@ -9,6 +8,7 @@
 
 #include "control_interface.hpp"
 #include "control_process.hpp"
+#include "emberdale/http_fetch.hpp"
 #include "emberdale/pending_tasks.hpp"
 #include "emberdale/program_settings.hpp"
 
@@ -18,6 +18,8 @@
 using Json = nlohmann::json;
 
 constexpr Duration stop_grace{300};
+constexpr const char* probe_reader = "health";  // in the counters of what went over a bound
+constexpr std::size_t max_probe_head_bytes = 16 << 10, max_probe_body_bytes = 64 << 10;
 constexpr std::chrono::milliseconds probe_timeout{900};
 constexpr std::chrono::milliseconds last_probe_timeout{1500};  // at the end of the process
 constexpr int http_threads = 3;
@@ -123,36 +125,32 @@
     return exit_failure;
   }
 
-  web::http::client::http_client& client_of(const std::string& http_address) {
+  HttpClient& client_of(const std::string& http_address) {
     auto& client = clients_[http_address];
-    if (!client) {
-      web::http::client::http_client_config config;
-      config.set_timeout(probe_timeout);
-      client = std::make_unique<web::http::client::http_client>("http://" + http_address, config);
-    }
+    if (!client)
+      client = std::make_unique<HttpClient>(http_address, probe_reader);
     return *client;
   }
 
   void probe(const ProbeRequest& probe) {
-    client_of(probe.http)
-        .request(web::http::methods::GET, "/status")
-        .then([](web::http::http_response response) { return response.extract_string(true); })
-        .then([this, name = probe.runner, token = pending_.begin()](pplx::task<utility::string_t> reading) {
-          RunnerStatus status;
-          status.name = name;
-          try {
-            status = read_status(name, reading.get());
-          } catch (const std::exception&) {
-            // No answer: the status says that the runner can't be reached.
-          }
-          process_.post([status](ControlDaemon& daemon) { daemon.on_probe(status, steady_now()); });
-        });
+    HttpRequest request;
+    request.target = "/status";
+    request.may_be_sent_again = true;
+    const MessageLimits limits{max_probe_head_bytes, max_probe_body_bytes, probe_timeout};
+    fetch(client_of(probe.http), std::move(request), limits,
+          [this, name = probe.runner, token = pending_.begin()](absl::StatusOr<FetchedResponse> response) {
+            RunnerStatus status;
+            status.name = name;  // without a response the runner can't be reached
+            if (response.ok())
+              status = read_status(name, response->body);
+            process_.post([status](ControlDaemon& daemon) { daemon.on_probe(status, steady_now()); });
+          });
   }
 
   ProgramSettings settings_;
   ControlProcess process_;
   std::unique_ptr<ControlInterface> interface_;
-  std::map<std::string, std::unique_ptr<web::http::client::http_client>> clients_;
+  std::map<std::string, std::unique_ptr<HttpClient>> clients_;
   PendingTasks pending_;  // probes
 };
 
--- a/packages/data-plane/src/own_paths.cpp
+++ b/packages/data-plane/src/own_paths.cpp
@@ -77,6 +77,7 @@
                                                {"in_hand", static_cast<std::int64_t>(relay_.open_calls())}};
   counters.merge(process_invariants().counters());
   counters.merge(process_limit_counters().counters());
+  counters["resident_bytes"] = resident_bytes();
   reply(request, 200, counters_text("emberdale_data", counters), metrics_content_type);
 }
 
