Soak: answers and health answers without end, and a bound of memory for each daemon

Two runs in a hundred, and each 60th health answer, have a sound head and a body in chunks without end, at 100 MB a second. Each second the resident memory of every daemon is read; more than 260 MB is a violation, which soak-judge-test plants.

--- a/packages/fleet-soak/src/invariant_counts.cpp
+++ b/packages/fleet-soak/src/invariant_counts.cpp
@@ -7,6 +7,8 @@
 namespace emberdale::soak {
 namespace {
 
+const std::string memory_counter = "resident_bytes";
+constexpr std::int64_t max_resident_bytes = 260'000'000;  // of one process on the platform
 const std::string counter_mark = "invariant_", checks_end = "_checks", log_mark = "invariant_violated invariant=";
 
 bool ends_with(const std::string& text, const std::string& end) {
@@ -21,7 +23,11 @@
     std::istringstream fields(line);
     std::string name;
     std::int64_t value = 0;
-    if (!(fields >> name >> value) || name.find(counter_mark) == std::string::npos)
+    if (!(fields >> name >> value))
+      continue;
+    if (ends_with(name, memory_counter))
+      read_memory(daemon, value);
+    if (name.find(counter_mark) == std::string::npos)
       continue;
     bool is_of_checks = ends_with(name, checks_end);
     if (!is_of_checks && value == 0)
@@ -31,6 +37,14 @@
   }
 }
 
+void InvariantCounts::read_memory(const std::string& daemon, std::int64_t resident_bytes) {
+  most_resident_bytes_ = std::max(most_resident_bytes_, resident_bytes);
+  if (resident_bytes <= max_resident_bytes)
+    return;
+  std::int64_t& highest = violations_[daemon + " " + memory_counter];
+  highest = std::max(highest, resident_bytes);
+}
+
 void InvariantCounts::read_log(const std::string& daemon, const std::string& file) {
   std::ifstream lines(file);
   for (std::string line; std::getline(lines, line);) {
--- a/packages/fleet-soak/src/invariant_counts.hpp
+++ b/packages/fleet-soak/src/invariant_counts.hpp
@@ -1,4 +1,4 @@
-// What the daemons' own counters and logs say of their invariants.
+// What the daemons' own counters and logs say of their invariants, and of their memory.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -15,12 +15,18 @@
   // Reads the log of a daemon in all its lives: it names the first violation of each invariant in each life.
   void read_log(const std::string& daemon, const std::string& file);
 
-  // Counters of violations above zero, and violations that a log names.
+  // Counters of violations above zero, violations that a log names, and memory above its limit.
   const std::map<std::string, std::int64_t>& violations() const { return violations_; }
   std::int64_t checks() const;
 
+  // The most memory that a daemon had, in bytes.
+  std::int64_t most_resident_bytes() const { return most_resident_bytes_; }
+
  private:
+  void read_memory(const std::string& daemon, std::int64_t resident_bytes);
+
   std::map<std::string, std::int64_t> violations_, checks_;
+  std::int64_t most_resident_bytes_ = 0;
 };
 
 }  // namespace emberdale::soak
--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -261,6 +261,7 @@
                     {"reads", operators_.reads},
                     {"answers_unread", operators_.unread},
                     {"invariant_checks", invariants_.checks()},
+                    {"most_resident_bytes", invariants_.most_resident_bytes()},
                     {"soak_paused_ms", paused.value}};
   return report;
 }
--- a/packages/fleet-soak/src/soak_clients.cpp
+++ b/packages/fleet-soak/src/soak_clients.cpp
@@ -25,6 +25,7 @@
 constexpr std::int64_t openings = 40;
 constexpr std::size_t opening_bytes = 3000;
 constexpr double breaking_share = 0.05;  // runs whose runner loses the answer
+constexpr double flooding_share = 0.02;  // runs whose answer has no end
 
 enum class Behaviour {
   stays,
@@ -69,7 +70,7 @@
 Json draw_body(bool is_stream, RandomGenerator& random) {
   std::string opening = "opening " + std::to_string(random.below(openings)) + " ";
   opening.resize(opening_bytes, 'm');
-  Json body{{"opening", opening}, {"breaks", random.chance(breaking_share)}};
+  Json body{{"opening", opening}, {"breaks", random.chance(breaking_share)}, {"floods", random.chance(flooding_share)}};
   if (is_stream)
     body["pieces"] = fewest_pieces + random.below(pieces_spread);
   else
--- a/packages/fleet-soak/src/soak_runner_main.cpp
+++ b/packages/fleet-soak/src/soak_runner_main.cpp
@@ -1,6 +1,7 @@
 // A test double of a runner that notices at once when its peer closes the connection of a run, which the listener of
 // the HTTP library (packages/stand-ins) doesn't: it serves plain sockets, one thread a connection. It writes down when
-// each run began and how it ended. The request's body says how long it runs, and whether the connection breaks.
+// each run began and how it ended. The request's body says how long it runs, whether the connection breaks, and whether
+// the answer has no end; some health answers have none either.
 #include <docopt/docopt.h>
 #include <glog/logging.h>
 #include <unistd.h>
@@ -50,6 +51,11 @@
 constexpr Duration longest_idle{600000};
 constexpr Duration event_interval{60};
 constexpr std::int64_t default_service_ms = 100;
+// An answer without end: 100 MB a second, until the peer closes the connection.
+constexpr Duration flood_time{5000};
+constexpr std::size_t flood_piece_bytes = 64 << 10;
+constexpr std::chrono::microseconds flood_pause{640};
+constexpr std::int64_t probes_between_floods = 60;
 const std::string last_chunk = "0\r\n\r\n";
 
 class Runner {
@@ -115,7 +121,21 @@
     return "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
   }
 
+  // Sends a sound head and a body in chunks that does not end; false: the connection is of no more use.
+  bool flood(Connection& connection, const std::string& fields) {
+    const TimePoint end = steady_now() + flood_time;
+    const std::string piece = chunk(std::string(flood_piece_bytes, 'x'));
+    bool is_open = reply(connection, "200 OK", fields + "Transfer-Encoding: chunked\r\n", "");
+    while (is_open && steady_now() < end) {
+      is_open = connection.send(piece, steady_now() + io_timeout);
+      std::this_thread::sleep_for(flood_pause);
+    }
+    return false;
+  }
+
   bool reply_status(Connection& connection) {
+    if (++probes_ % probes_between_floods == 0)
+      return flood(connection, "");
     std::string body = Json{{"name", name_},         {"incarnation", incarnation_}, {"cold", is_warming_up()},
                             {"capacity", capacity_}, {"allowance", allowance_},     {"burden", running_.load()}}
                            .dump();
@@ -157,6 +177,8 @@
 
   // False: the peer closed the connection before the work was done.
   bool work(Connection& connection, const Message& request, const Json& question) {
+    if (question.value("floods", false))
+      return flood(connection, answer_fields(request, "seal"));
     if (question.contains("pieces"))
       return stream(connection, request, question);
     Duration service{question.value("service_ms", default_service_ms)};
@@ -176,12 +198,18 @@
     return size.str() + "\r\n" + text + "\r\n";
   }
 
+  // The head's fields that name the call, with a seal unless it is empty.
+  std::string answer_fields(const Message& request, const std::string& seal) const {
+    std::string fields = call_header_ + ": " + request.field(lower_case(call_header_)) + "\r\n";
+    if (!seal.empty())
+      fields += seal_header_ + ": " + seal + "\r\n";
+    return fields;
+  }
+
   bool stream(Connection& connection, const Message& request, const Json& question) {
     std::int64_t pieces = question.value("pieces", 1);
     std::string sealed_text;
-    std::string fields = call_header_ + ": " + request.field(lower_case(call_header_)) + "\r\n";
-    if (seals_heads_)
-      fields += seal_header_ + ": sealed\r\n";
+    std::string fields = answer_fields(request, seals_heads_ ? "sealed" : "");
     fields += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
     if (!reply(connection, "200 OK", fields, ""))
       return false;
@@ -207,7 +235,7 @@
   const bool seals_heads_;
   const TimePoint started_;
   const std::int64_t incarnation_;
-  std::atomic<std::int64_t> running_{0}, last_run_{0};
+  std::atomic<std::int64_t> running_{0}, last_run_{0}, probes_{0};
   std::mutex mutex_;
   std::ofstream records_;
   PauseMonitor monitor_;
--- a/packages/fleet-soak/tests/soak_judge_test.cpp
+++ b/packages/fleet-soak/tests/soak_judge_test.cpp
@@ -175,6 +175,16 @@
   EXPECT_EQ(overlap(records.pauses, TimePoint{0}, TimePoint{120}), Duration{10});
 }
 
+TEST(InvariantCounts, MemoryAboveTheLimitOfAProcessCounts) {
+  InvariantCounts counts;
+  counts.read_page(daemon_name, "emberdale_data_resident_bytes 260000000\n");
+  EXPECT_TRUE(counts.violations().empty());
+  counts.read_page(daemon_name, "emberdale_data_resident_bytes 260000001\n");
+  counts.read_page(daemon_name, "emberdale_data_resident_bytes 9000000\n");
+  EXPECT_EQ(counts.violations().at(daemon_name + " resident_bytes"), 260000001);
+  EXPECT_EQ(counts.most_resident_bytes(), 260000001);
+}
+
 TEST(InvariantCounts, CountersOfViolationsAndLinesOfLogsCountAndCountersOfChecksDoNot) {
   InvariantCounts counts;
   counts.read_page(daemon_name, "# HELP\nemberdale_data_invariant_x 0\nemberdale_data_invariant_x_checks 7\nother 3\n");
