--- a/packages/http-server/tests/http_listener_test.cpp
+++ b/packages/http-server/tests/http_listener_test.cpp
@@ -505,7 +505,7 @@
     limits_.reader = "limits_test";
     limits_.request = {2048, 5000, milliseconds(600)};
     limits_.idle_time = milliseconds(600);
-    listen([this](const http_request& request) {
+    listen([](const http_request& request) {
       request.extract_vector().then([request](pplx::task<std::vector<unsigned char>> reading) {
         try {
           reading.get();
--- a/packages/http-server/tests/support/endless_server.hpp
+++ b/packages/http-server/tests/support/endless_server.hpp
@@ -23,7 +23,7 @@
     int pause_ms = 0;  // before each piece
     std::size_t max_bytes = 64 << 20;
     int max_ms = 8000;
-    int hold_ms = 0;  // after the last piece, before the connection is closed
+    int hold_ms = 0;              // after the last piece, before the connection is closed
     std::string echoed_header{};  // of the request, repeated behind the status line; empty: none
   };
   struct Response {
