The client opens a socket of the address's own version

Found on reading the change once more: the client opened a socket of version 4 for every address, which a daemon on an address of version 6 could not be reached by (an operator's program may name one). The total of held responses was read a second time after it was added to, so two responses that grow at once could both be refused.

--- a/packages/data-plane/src/routed_relay_state.hpp
+++ b/packages/data-plane/src/routed_relay_state.hpp
@@ -52,7 +52,8 @@
   // False: there is no room for more.
   bool grow(std::size_t size) {
     size_ += size;
-    return *total_ += size, *total_ <= max_held_response_bytes;
+    const std::size_t total = total_->fetch_add(size) + size;
+    return total <= max_held_response_bytes;
   }
 
  private:
--- a/packages/http-client/src/client_connection.cpp
+++ b/packages/http-client/src/client_connection.cpp
@@ -23,9 +23,9 @@
 
 }  // namespace
 
-void ClientConnection::prepare() {
+void ClientConnection::prepare(const tcp& protocol) {
   boost::system::error_code ignored;  // a socket that can't be opened fails to connect
-  socket.open(tcp::v4(), ignored);
+  socket.open(protocol, ignored);
   if (!socket.is_open())
     return;
   int on = 1, silent_ms = unacknowledged_timeout_ms;
--- a/packages/http-client/src/client_connection.hpp
+++ b/packages/http-client/src/client_connection.hpp
@@ -19,7 +19,7 @@
 struct ClientConnection {
   explicit ClientConnection(const ClientStrand& strand) : socket(strand) {}
   // Opens the socket with its options; they hold for the connect as well.
-  void prepare();
+  void prepare(const boost::asio::ip::tcp& protocol);
   // True if the server has neither closed the idle connection nor sent bytes that no request asked for.
   bool is_idle_and_open();
 
--- a/packages/http-client/src/http_exchange.cpp
+++ b/packages/http-client/src/http_exchange.cpp
@@ -111,7 +111,6 @@
 void ClientExchange::open() {
   if (connection_->was_used)
     return send();
-  connection_->prepare();
   auto address = parse_socket_address(pool_->address());
   if (!address.ok())
     return resolve();
@@ -136,6 +135,7 @@
 }
 
 void ClientExchange::connect(const Endpoint& endpoint) {
+  connection_->prepare(endpoint.protocol());
   ++operations_;
   connection_->socket.async_connect(endpoint, [self = shared_from_this()](const Fault& fault) {
     --self->operations_;
--- a/packages/http-client/tests/http_client_test.cpp
+++ b/packages/http-client/tests/http_client_test.cpp
@@ -419,3 +419,18 @@
   HttpClient other(endless.address(), "test");
   EXPECT_TRUE(absl::IsResourceExhausted(fetch_and_wait(other, get("/"), small_limits()).status()));
 }
+
+TEST(HttpClient, AddressesOfBothVersionsAndNamesAreReached) {
+  ScriptedServer server([](int) { return Reply{sound_response}; });
+  const std::string port = server.address().substr(server.address().find(':'));
+  HttpClient by_name("localhost" + port, "test");
+  EXPECT_EQ(exchange_with(by_name, get("/")).body, "ok");
+  // Nobody listens there, which only a socket of the right version is told.
+  HttpClient version_6("::1" + port, "test");
+  auto refused = exchange_with(version_6, get("/"));
+  EXPECT_EQ(to_string(refused.end.fault), std::string("not_connected"));
+  bool has_no_such_network = refused.end.cause == boost::asio::error::network_unreachable ||
+                             refused.end.cause == boost::system::errc::address_not_available;
+  EXPECT_TRUE(refused.end.cause == boost::asio::error::connection_refused || has_no_such_network)
+      << refused.end.cause.message();
+}
