A refused file operation no longer stops the log

Callers saw: under 4,300 connections at a control port the process ended with "open segment-N: Too many open files", then LOG(FATAL). Cause: SegmentedLog took any failure to begin the next segment for an unknown state of the disk, and looked for "sync" or "rename" in the error's text to tell the others apart.

Change: file operations tell what they have left behind (FileFault): refused leaves the disk as it was, unknown does not.

Only a sync or a write that ended in an unknown state still stops the log. A corrupt folder may get another id than a blank one.

--- a/packages/segmented-log/include/emberdale/faulty_file_system.hpp
+++ b/packages/segmented-log/include/emberdale/faulty_file_system.hpp
@@ -14,10 +14,11 @@
  public:
   explicit FaultyFileSystem(std::shared_ptr<FileSystem> real) : real_(std::move(real)) {}
 
-  // "good", "slow" (each sync takes `ms` longer), "stalled" (none returns before it is good again), "full" or
-  // "sync_error". False: no such fault. Example: disk.set_fault("slow", 250)
+  // "good", "slow" (each sync takes `ms` longer), "stalled" (none returns before it is good again), "full",
+  // "sync_error" or "no_new_file" (a file that was not written before can't be opened: no descriptor is left). False:
+  // no such fault. Example: disk.set_fault("slow", 250)
   bool set_fault(const std::string& name, std::int64_t ms) {
-    for (Fault fault : {Fault::good, Fault::slow, Fault::stalled, Fault::full, Fault::sync_error})
+    for (Fault fault : {Fault::good, Fault::slow, Fault::stalled, Fault::full, Fault::sync_error, Fault::no_new_file})
       if (name == name_of(fault)) {
         slow_ms_ = ms;
         fault_ = fault;
@@ -26,27 +27,30 @@
     return false;
   }
 
-  Outcome<std::vector<std::string>> list() override { return real_->list(); }
-  Outcome<std::string> read(const std::string& file) override { return real_->read(file); }
-  Outcome<bool> append(const std::string& file, const std::string& bytes) override {
+  FileOutcome<std::vector<std::string>> list() override { return real_->list(); }
+  FileOutcome<std::string> read(const std::string& file) override { return real_->read(file); }
+  FileOutcome<bool> append(const std::string& file, const std::string& bytes) override {
     if (fault_ == Fault::full)
-      return failure("no space left (injected)");
+      return refused_operation("no space left (injected)");
+    if (fault_ == Fault::no_new_file && file != last_written_)
+      return refused_operation("open " + file + ": no descriptor is left (injected)");
+    last_written_ = file;
     return real_->append(file, bytes);
   }
-  Outcome<bool> truncate(const std::string& file, std::size_t size) override { return real_->truncate(file, size); }
-  Outcome<bool> sync(const std::string& file) override {
+  FileOutcome<bool> truncate(const std::string& file, std::size_t size) override { return real_->truncate(file, size); }
+  FileOutcome<bool> sync(const std::string& file) override {
     auto held = wait();
     return held ? real_->sync(file) : held;
   }
-  Outcome<bool> rename(const std::string& from, const std::string& to) override { return real_->rename(from, to); }
-  Outcome<bool> remove(const std::string& file) override { return real_->remove(file); }
-  Outcome<bool> sync_folder() override {
+  FileOutcome<bool> rename(const std::string& from, const std::string& to) override { return real_->rename(from, to); }
+  FileOutcome<bool> remove(const std::string& file) override { return real_->remove(file); }
+  FileOutcome<bool> sync_folder() override {
     auto held = wait();
     return held ? real_->sync_folder() : held;
   }
 
  private:
-  enum class Fault { good, slow, stalled, full, sync_error };
+  enum class Fault { good, slow, stalled, full, sync_error, no_new_file };
   static const char* name_of(Fault fault) {
     switch (fault) {
       case Fault::slow:
@@ -57,13 +61,15 @@
         return "full";
       case Fault::sync_error:
         return "sync_error";
+      case Fault::no_new_file:
+        return "no_new_file";
       default:
         return "good";
     }
   }
-  Outcome<bool> wait() {
+  FileOutcome<bool> wait() {
     if (fault_ == Fault::sync_error)
-      return failure("the sync failed (injected)");
+      return unknown_result("the sync failed (injected)");
     if (fault_ == Fault::slow)
       std::this_thread::sleep_for(std::chrono::milliseconds(slow_ms_));
     while (fault_ == Fault::stalled)
@@ -71,6 +77,7 @@
     return true;
   }
   std::shared_ptr<FileSystem> real_;
+  std::string last_written_;
   std::atomic<Fault> fault_{Fault::good};
   std::atomic<std::int64_t> slow_ms_{0};
 };
--- a/packages/segmented-log/src/disk_file_system.cpp
+++ b/packages/segmented-log/src/disk_file_system.cpp
@@ -12,7 +12,8 @@
 namespace emberdale {
 namespace {
 
-Failure errno_failure(const std::string& act) { return failure(act + ": " + std::strerror(errno)); }
+FileFailure refused_by_errno(const std::string& act) { return refused_operation(act + ": " + std::strerror(errno)); }
+FileFailure unknown_by_errno(const std::string& act) { return unknown_result(act + ": " + std::strerror(errno)); }
 
 class DiskFileSystem : public FileSystem {
  public:
@@ -25,10 +26,10 @@
     ::close(lock_handle_);
   }
 
-  Outcome<std::vector<std::string>> list() override {
+  FileOutcome<std::vector<std::string>> list() override {
     DIR* folder = ::opendir(folder_.c_str());
     if (folder == nullptr)
-      return errno_failure("list " + folder_);
+      return refused_by_errno("list " + folder_);
     std::vector<std::string> names;
     while (dirent* entry = ::readdir(folder)) {
       std::string name = entry->d_name;
@@ -39,10 +40,10 @@
     return names;
   }
 
-  Outcome<std::string> read(const std::string& file) override {
+  FileOutcome<std::string> read(const std::string& file) override {
     int handle = ::openat(folder_handle_, file.c_str(), O_RDONLY | O_CLOEXEC);
     if (handle < 0)
-      return errno_failure("read " + file);
+      return refused_by_errno("read " + file);
     std::string bytes;
     char part[65536];
     ssize_t size = 0;
@@ -50,59 +51,59 @@
       bytes.append(part, static_cast<std::size_t>(size));
     ::close(handle);
     if (size < 0)
-      return errno_failure("read " + file);
+      return refused_by_errno("read " + file);
     return bytes;
   }
 
-  Outcome<bool> append(const std::string& file, const std::string& bytes) override {
+  FileOutcome<bool> append(const std::string& file, const std::string& bytes) override {
     if (!use(file, O_CREAT))
-      return errno_failure("open " + file);
+      return refused_by_errno("open " + file);
     std::size_t done = 0;
     while (done < bytes.size()) {
       ssize_t size = ::write(handle_, bytes.data() + done, bytes.size() - done);
       if (size < 0 && errno == EINTR)
         continue;
       if (size < 0)
-        return errno_failure("write " + file);
+        return done == 0 ? refused_by_errno("write " + file) : unknown_by_errno("write " + file);
       done += static_cast<std::size_t>(size);
     }
     return true;
   }
 
-  Outcome<bool> truncate(const std::string& file, std::size_t size) override {
+  FileOutcome<bool> truncate(const std::string& file, std::size_t size) override {
     if (!use(file, 0))
-      return errno_failure("open " + file);
+      return refused_by_errno("open " + file);
     if (::ftruncate(handle_, static_cast<off_t>(size)) != 0)
-      return errno_failure("truncate " + file);
+      return unknown_by_errno("truncate " + file);
     return true;
   }
 
-  Outcome<bool> sync(const std::string& file) override {
+  FileOutcome<bool> sync(const std::string& file) override {
     if (!use(file, 0))
-      return errno_failure("open " + file);
+      return refused_by_errno("open " + file);
     if (::fdatasync(handle_) != 0)
-      return errno_failure("sync " + file);
+      return unknown_by_errno("sync " + file);
     return true;
   }
 
-  Outcome<bool> rename(const std::string& from, const std::string& to) override {
+  FileOutcome<bool> rename(const std::string& from, const std::string& to) override {
     forget(from);
     forget(to);
     if (::renameat(folder_handle_, from.c_str(), folder_handle_, to.c_str()) != 0)
-      return errno_failure("rename " + from);
+      return unknown_by_errno("rename " + from);
     return true;
   }
 
-  Outcome<bool> remove(const std::string& file) override {
+  FileOutcome<bool> remove(const std::string& file) override {
     forget(file);
-    if (::unlinkat(folder_handle_, file.c_str(), 0) != 0)
-      return errno_failure("remove " + file);
+    if (::unlinkat(folder_handle_, file.c_str(), 0) != 0 && errno != ENOENT)
+      return refused_by_errno("remove " + file);
     return true;
   }
 
-  Outcome<bool> sync_folder() override {
+  FileOutcome<bool> sync_folder() override {
     if (::fsync(folder_handle_) != 0)
-      return errno_failure("sync " + folder_);
+      return unknown_by_errno("sync " + folder_);
     return true;
   }
 
@@ -135,15 +136,15 @@
 
 }  // namespace
 
-Outcome<std::shared_ptr<FileSystem>> open_disk_folder(const std::string& folder) {
+FileOutcome<std::shared_ptr<FileSystem>> open_disk_folder(const std::string& folder) {
   if (::mkdir(folder.c_str(), 0750) != 0 && errno != EEXIST)
-    return errno_failure("make " + folder);
+    return refused_by_errno("make " + folder);
   int folder_handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (folder_handle < 0)
-    return errno_failure("open " + folder);
+    return refused_by_errno("open " + folder);
   int lock_handle = ::openat(folder_handle, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0640);
   if (lock_handle < 0 || ::flock(lock_handle, LOCK_EX | LOCK_NB) != 0) {
-    auto reason = errno_failure("lock " + folder + " (is another process using it?)");
+    auto reason = refused_by_errno("lock " + folder + " (is another process using it?)");
     ::close(folder_handle);
     if (lock_handle >= 0)
       ::close(lock_handle);
--- a/packages/segmented-log/src/memory_file_system.cpp
+++ b/packages/segmented-log/src/memory_file_system.cpp
@@ -8,7 +8,7 @@
   if (is_off)
     return Fault::power_cut;
   ++points;
-  if (points != fault_at)
+  if (points < fault_at || points >= fault_at + faulty_acts || fault_at < 0)
     return Fault::none;
   last_act = act;
   if (fault == Fault::power_cut)
@@ -16,6 +16,10 @@
   return fault;
 }
 
+FileFailure MemoryFileSystem::failure_without_effect(Fault fault, const std::string& reason) {
+  return fault == Fault::refused ? refused_operation(reason) : unknown_result(reason);
+}
+
 void MemoryFileSystem::power_on(RandomGenerator& random) {
   // Names that were not synced may or may not have reached the disk.
   Folder kept = synced_;
@@ -58,84 +62,84 @@
     entry->second->content[position] ^= 0x10;
 }
 
-Outcome<std::vector<std::string>> MemoryFileSystem::list() {
-  if (step("list") != Fault::none)
-    return failure("list failed");
+FileOutcome<std::vector<std::string>> MemoryFileSystem::list() {
+  if (Fault fault_now = step("list"); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "list failed");
   std::vector<std::string> names;
   for (const auto& [name, file] : now_)
     names.push_back(name);
   return names;
 }
 
-Outcome<std::string> MemoryFileSystem::read(const std::string& file) {
-  if (step("read " + file) != Fault::none)
-    return failure("read failed");
+FileOutcome<std::string> MemoryFileSystem::read(const std::string& file) {
+  if (Fault fault_now = step("read " + file); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "read failed");
   auto entry = now_.find(file);
   if (entry == now_.end())
-    return failure(file + " is not there");
+    return refused_operation(file + " is not there");
   return entry->second->content;
 }
 
-Outcome<bool> MemoryFileSystem::append(const std::string& file, const std::string& bytes) {
+FileOutcome<bool> MemoryFileSystem::append(const std::string& file, const std::string& bytes) {
   Fault fault_now = step("append " + file);
   if (fault_now == Fault::error)
-    return failure("write failed");
-  if (fault_now == Fault::full)
-    return failure("no space left");
+    return unknown_result("write failed");
+  if (fault_now == Fault::full || fault_now == Fault::refused)
+    return refused_operation("no space or no descriptor left");
   auto& entry = now_[file];
   if (!entry)
     entry = std::make_shared<File>();
   if (fault_now == Fault::torn_error || fault_now == Fault::power_cut) {
     entry->content += bytes.substr(0, bytes.size() / 2);
-    return failure("write cut short");
+    return unknown_result("write cut short");
   }
   entry->content += bytes;
   most_bytes_ = std::max(most_bytes_, this->bytes());
   return true;
 }
 
-Outcome<bool> MemoryFileSystem::truncate(const std::string& file, std::size_t size) {
-  if (step("truncate " + file) != Fault::none)
-    return failure("truncate failed");
+FileOutcome<bool> MemoryFileSystem::truncate(const std::string& file, std::size_t size) {
+  if (Fault fault_now = step("truncate " + file); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "truncate failed");
   auto entry = now_.find(file);
   if (entry == now_.end())
-    return failure(file + " is not there");
+    return refused_operation(file + " is not there");
   entry->second->content.resize(size);
   entry->second->synced = std::min(entry->second->synced, size);
   return true;
 }
 
-Outcome<bool> MemoryFileSystem::sync(const std::string& file) {
-  if (step("sync " + file) != Fault::none)
-    return failure("sync failed");
+FileOutcome<bool> MemoryFileSystem::sync(const std::string& file) {
+  if (Fault fault_now = step("sync " + file); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "sync failed");
   auto entry = now_.find(file);
   if (entry == now_.end())
-    return failure(file + " is not there");
+    return refused_operation(file + " is not there");
   entry->second->synced = entry->second->content.size();
   return true;
 }
 
-Outcome<bool> MemoryFileSystem::rename(const std::string& from, const std::string& to) {
-  if (step("rename " + from) != Fault::none)
-    return failure("rename failed");
+FileOutcome<bool> MemoryFileSystem::rename(const std::string& from, const std::string& to) {
+  if (Fault fault_now = step("rename " + from); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "rename failed");
   auto entry = now_.find(from);
   if (entry == now_.end())
-    return failure(from + " is not there");
+    return refused_operation(from + " is not there");
   now_[to] = entry->second;
   now_.erase(from);
   return true;
 }
 
-Outcome<bool> MemoryFileSystem::remove(const std::string& file) {
-  if (step("remove " + file) != Fault::none)
-    return failure("remove failed");
+FileOutcome<bool> MemoryFileSystem::remove(const std::string& file) {
+  if (Fault fault_now = step("remove " + file); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "remove failed");
   now_.erase(file);
   return true;
 }
 
-Outcome<bool> MemoryFileSystem::sync_folder() {
-  if (step("sync folder") != Fault::none)
-    return failure("folder sync failed");
+FileOutcome<bool> MemoryFileSystem::sync_folder() {
+  if (Fault fault_now = step("sync folder"); fault_now != Fault::none)
+    return failure_without_effect(fault_now, "folder sync failed");
   synced_ = now_;
   return true;
 }
--- a/packages/segmented-log/src/segmented_log.cpp
+++ b/packages/segmented-log/src/segmented_log.cpp
@@ -13,6 +13,8 @@
 const char* const snapshot_prefix = "snapshot-";
 const char* const draft_prefix = "draft-";
 const char* const set_aside_prefix = "set-aside-";
+// A snapshot that can't be begun is tried again each time the segment has grown by such a part of its bound.
+constexpr std::size_t snapshot_retries_of_segment = 8;
 
 bool has_prefix(const std::string& name, const std::string& prefix) { return name.rfind(prefix, 0) == 0; }
 
@@ -36,32 +38,28 @@
 }  // namespace
 
 SegmentedLog::SegmentedLog(std::shared_ptr<FileSystem> files, std::size_t segment_bound)
-    : files_(std::move(files)), segment_bound_(segment_bound) {}
+    : files_(std::move(files)), segment_bound_(segment_bound), snapshot_size_(segment_bound) {}
 
 std::string SegmentedLog::segment_file(std::int64_t number) const { return segment_prefix + std::to_string(number); }
 std::string SegmentedLog::snapshot_file(std::int64_t number) const { return snapshot_prefix + std::to_string(number); }
 
-Outcome<bool> SegmentedLog::write_whole(const std::string& file, const std::string& content) {
-  std::string draft = draft_prefix + file;
-  auto names = files_->list();
-  if (!names)
-    return failure(names.reason);
-  if (std::find(names->begin(), names->end(), draft) != names->end()) {
-    auto removed = files_->remove(draft);
-    if (!removed)
-      return removed;
-  }
-  auto written = files_->append(draft, encode_log_frame(content));
+FileOutcome<bool> SegmentedLog::write_whole(const std::string& file, const std::string& content) {
+  const std::string draft = draft_prefix + file;
+  auto written = files_->remove(draft);
+  if (written)
+    written = files_->append(draft, encode_log_frame(content));
   if (written)
     written = files_->sync(draft);
   if (written)
     written = files_->rename(draft, file);
   if (written)
     written = files_->sync_folder();
+  if (!written)
+    files_->remove(draft);
   return written;
 }
 
-Outcome<bool> SegmentedLog::set_aside(const std::vector<std::string>& names) {
+FileOutcome<bool> SegmentedLog::set_aside(const std::vector<std::string>& names) {
   std::int64_t round = 1;
   for (const auto& name : names)
     if (has_prefix(name, set_aside_prefix))
@@ -86,11 +84,11 @@
   return files_->sync_folder();
 }
 
-Outcome<SegmentedLog::FolderContent> SegmentedLog::list_folder() {
+FileOutcome<SegmentedLog::FolderContent> SegmentedLog::list_folder() {
   FolderContent content;
   auto names = files_->list();
   if (!names)
-    return failure(names.reason);
+    return failure_of(names);
   content.names = *names;
   for (const auto& name : content.names) {
     if (name == identity_file)
@@ -105,7 +103,7 @@
   return content;
 }
 
-Outcome<bool> SegmentedLog::read_identity(const FolderContent& content, Replay& replay) {
+FileOutcome<bool> SegmentedLog::read_identity(const FolderContent& content, Replay& replay) {
   if (!content.has_identity) {
     if (!content.segments.empty() || !content.snapshots.empty())
       replay.corruption = "content without identity";
@@ -113,7 +111,7 @@
   }
   auto bytes = files_->read(identity_file);
   if (!bytes)
-    return failure(bytes.reason);
+    return failure_of(bytes);
   if (auto identity = read_single_record(*bytes))
     replay.opening.store.text = *identity;
   else
@@ -121,13 +119,13 @@
   return true;
 }
 
-Outcome<bool> SegmentedLog::read_snapshot(const FolderContent& content, Replay& replay) {
+FileOutcome<bool> SegmentedLog::read_snapshot(const FolderContent& content, Replay& replay) {
   if (content.snapshots.empty())
     return true;
   replay.start = content.snapshots.back();
   auto bytes = files_->read(snapshot_file(replay.start));
   if (!bytes)
-    return failure(bytes.reason);
+    return failure_of(bytes);
   if (auto state = read_single_record(*bytes))
     replay.opening.records = {*state};
   else
@@ -135,7 +133,7 @@
   return true;
 }
 
-Outcome<bool> SegmentedLog::read_segments(const FolderContent& content, Replay& replay) {
+FileOutcome<bool> SegmentedLog::read_segments(const FolderContent& content, Replay& replay) {
   std::int64_t expected = replay.start;
   segment_ = replay.start;
   size_ = 0;
@@ -155,11 +153,11 @@
   return true;
 }
 
-Outcome<bool> SegmentedLog::read_segment(std::int64_t number, bool is_last, Replay& replay) {
+FileOutcome<bool> SegmentedLog::read_segment(std::int64_t number, bool is_last, Replay& replay) {
   const std::string file = segment_file(number);
   auto bytes = files_->read(file);
   if (!bytes)
-    return failure(bytes.reason);
+    return failure_of(bytes);
   LogFrameScan scan = scan_log_frames(*bytes);
   if (scan.is_corrupt || (scan.is_torn && !is_last)) {
     replay.corruption = file + " corrupt at byte " + std::to_string(scan.valid_bytes);
@@ -181,7 +179,7 @@
   return true;
 }
 
-Outcome<bool> SegmentedLog::begin_new_store(const FolderContent& content, Replay& replay) {
+FileOutcome<bool> SegmentedLog::begin_new_store(const FolderContent& content, Replay& replay) {
   auto moved = set_aside(content.names);
   if (!moved)
     return moved;
@@ -201,10 +199,13 @@
   for (auto number : content.snapshots)
     if (number < start)
       files_->remove(snapshot_file(number));
+  for (const auto& name : content.names)
+    if (has_prefix(name, draft_prefix))
+      files_->remove(name);
 }
 
 // The open segment exists by name before the first record is promised to be in it.
-Outcome<bool> SegmentedLog::create_segment(std::int64_t number) {
+FileOutcome<bool> SegmentedLog::create_segment(std::int64_t number) {
   auto made = files_->append(segment_file(number), "");
   if (made)
     made = files_->sync(segment_file(number));
@@ -213,7 +214,7 @@
   return made;
 }
 
-Outcome<bool> SegmentedLog::replay(const FolderContent& content, Replay& replay) {
+FileOutcome<bool> SegmentedLog::replay(const FolderContent& content, Replay& replay) {
   auto read = read_identity(content, replay);
   if (read && replay.corruption.empty())
     read = read_snapshot(content, replay);
@@ -222,79 +223,119 @@
   return read;
 }
 
-Outcome<LogOpening> SegmentedLog::open(const std::string& fresh_store) {
+FileOutcome<LogOpening> SegmentedLog::open(const std::string& first_store, const std::string& replacing_store) {
   auto content = list_folder();
   if (!content)
-    return failure(content.reason);
+    return failure_of(content);
   Replay replayed;
   auto done = replay(*content, replayed);
   bool is_corrupt = !replayed.corruption.empty();
   if (done && is_corrupt)
     done = begin_new_store(*content, replayed);
   if (!done)
-    return failure(done.reason);
+    return failure_of(done);
   if (!content->has_identity || is_corrupt) {
     replayed.opening.is_new = true;
-    replayed.opening.store.text = fresh_store;
-    auto written = write_whole(identity_file, fresh_store);
+    replayed.opening.store.text = is_corrupt ? replacing_store : first_store;
+    auto written = write_whole(identity_file, replayed.opening.store.text);
     if (!written)
-      return failure(written.reason);
+      return failure_of(written);
   } else {
     remove_covered_files(*content, replayed.start);
   }
   auto made = create_segment(segment_);
   if (!made)
-    return failure(made.reason);
+    return failure_of(made);
+  oldest_segment_ = replayed.start;
+  synced_size_ = size_;
   return replayed.opening;
 }
 
-Outcome<bool> SegmentedLog::append(const std::vector<std::string>& records) {
+FileOutcome<bool> SegmentedLog::cut_tail() {
+  if (!has_loose_tail_)
+    return true;
+  auto cut = files_->truncate(segment_file(segment_), size_);
+  if (cut)
+    cut = files_->sync(segment_file(segment_));  // a torn end of a segment that another follows would be corruption
+  has_loose_tail_ = !cut;
+  must_stop_ = must_stop_ || cut.fault == FileFault::unknown;
+  return cut;
+}
+
+FileOutcome<bool> SegmentedLog::append(const std::vector<std::string>& records) {
   if (must_stop_)
-    return failure("the log has stopped");
+    return unknown_result("the log has stopped");
+  auto written = cut_tail();
+  if (!written)
+    return written;
   std::string bytes;
   for (const auto& record : records)
     bytes += encode_log_frame(record);
-  auto written = files_->append(segment_file(segment_), bytes);
-  if (!written) {
-    auto cut = files_->truncate(segment_file(segment_), size_);
-    if (!cut)
-      must_stop_ = true;
-    return written;
-  }
-  size_ += bytes.size();
-  return true;
+  written = files_->append(segment_file(segment_), bytes);
+  if (written)
+    size_ += bytes.size();
+  has_loose_tail_ = written.fault == FileFault::unknown;
+  cut_tail();
+  return written;
 }
 
-Outcome<bool> SegmentedLog::sync() {
+FileOutcome<bool> SegmentedLog::sync() {
   if (must_stop_)
-    return failure("the log has stopped");
+    return unknown_result("the log has stopped");
   auto synced = files_->sync(segment_file(segment_));
-  if (!synced)
-    must_stop_ = true;
+  if (synced && !is_name_synced_)
+    synced = files_->sync_folder();
+  if (synced) {
+    is_name_synced_ = true;
+    synced_size_ = size_;
+  }
+  must_stop_ = synced.fault == FileFault::unknown;
+  if (synced.fault == FileFault::refused) {
+    has_loose_tail_ = size_ != synced_size_;
+    size_ = synced_size_;
+    cut_tail();
+  }
   return synced;
 }
 
-Outcome<bool> SegmentedLog::snapshot(const std::string& state) {
+FileOutcome<bool> SegmentedLog::begin_next_segment() {
+  auto made = cut_tail();
+  if (made)
+    made = files_->append(segment_file(segment_ + 1), "");
+  if (!made) {
+    must_stop_ = must_stop_ || made.fault == FileFault::unknown;
+    return made;
+  }
+  ++segment_;
+  size_ = synced_size_ = 0;
+  is_name_synced_ = false;
+  return made;
+}
+
+void SegmentedLog::remove_before(std::int64_t number) {
+  for (; oldest_segment_ < number; ++oldest_segment_) {
+    files_->remove(segment_file(oldest_segment_));
+    files_->remove(snapshot_file(oldest_segment_));
+  }
+}
+
+// The next segment comes first. Without the snapshot, or where it is not known whether its name is durable, the former
+// segments are still there and lead up to it.
+FileOutcome<bool> SegmentedLog::snapshot(const std::string& state) {
   if (must_stop_)
-    return failure("the log has stopped");
-  std::int64_t next = segment_ + 1;
-  auto written = write_whole(snapshot_file(next), state);
+    return unknown_result("the log has stopped");
+  auto written = begin_next_segment();
   if (!written) {
-    // The name may or may not be on disk; records must not go on in the old segment behind it.
-    must_stop_ = written.reason.find("sync") != std::string::npos || written.reason.find("rename") != std::string::npos;
+    snapshot_size_ = size_ + segment_bound_ / snapshot_retries_of_segment;
     return written;
   }
-  auto made = create_segment(next);
-  if (!made) {
-    must_stop_ = true;
-    return made;
+  snapshot_size_ = segment_bound_;
+  written = write_whole(snapshot_file(segment_), state);
+  if (written) {
+    is_name_synced_ = true;
+    remove_before(segment_);
   }
-  std::int64_t old = segment_;
-  segment_ = next;
-  size_ = 0;
-  files_->remove(segment_file(old));
-  files_->remove(snapshot_file(old));
-  return true;
+  return written;
 }
 
 }  // namespace emberdale
--- a/packages/segmented-log/tests/segmented_log_test.cpp
+++ b/packages/segmented-log/tests/segmented_log_test.cpp
@@ -1,7 +1,13 @@
 #include "emberdale/segmented_log.hpp"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <stdlib.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <optional>
+#include <vector>
 
 using namespace emberdale;
 
@@ -144,3 +150,120 @@
     EXPECT_GE(newest(*opening), 3);
   }
 }
+
+// Guards against issue 33: a file operation that was refused, for want of a descriptor or of space, ended the process.
+TEST(SegmentedLog, RefusedOperationsAtAnyPointNeverStopTheLogAndLoseNothing) {
+  constexpr std::int64_t last_number = 60;
+  for (std::int64_t refused : {1, 3, 9})
+    for (std::int64_t point = 8; point < 300; ++point) {
+      auto disk = std::make_shared<MemoryFileSystem>();
+      RandomGenerator random(static_cast<std::uint64_t>(point));
+      std::int64_t durable = 0;
+      {
+        SegmentedLog log(disk, 300);
+        ASSERT_TRUE(log.open("first"));
+        disk->fault_at = point;
+        disk->faulty_acts = refused;
+        disk->fault = Fault::refused;
+        for (std::int64_t number = 1; number <= last_number; ++number) {
+          if (log.append({std::to_string(number) + std::string(40, 'x')}) && log.sync())
+            durable = number;
+          if (log.wants_snapshot())
+            log.snapshot(std::to_string(durable) + std::string(40, 'x'));
+          ASSERT_FALSE(log.must_stop()) << "at " << number << " after " << disk->last_act;
+        }
+        disk->fault_at = -1;  // where the last acts of all were refused
+        EXPECT_TRUE(log.append({std::to_string(last_number + 1)}) && log.sync());
+        durable = last_number + 1;
+        EXPECT_GT(log.segment(), 3);
+      }
+      disk->is_off = true;
+      disk->power_on(random);
+      SegmentedLog again(disk, 300);
+      auto opening = again.open("second");
+      ASSERT_TRUE(opening) << opening.reason;
+      EXPECT_FALSE(opening->was_corrupt) << disk->last_act << ": " << opening->finding;
+      EXPECT_EQ(newest(*opening), durable) << disk->last_act;
+    }
+}
+
+// With power cuts at every point after a snapshot that could not be written.
+TEST(SegmentedLog, SegmentsWithoutASnapshotBetweenThemAreReplayed) {
+  for (std::int64_t point = 1; point < 60; ++point) {
+    auto disk = std::make_shared<MemoryFileSystem>();
+    RandomGenerator random(static_cast<std::uint64_t>(point));
+    std::int64_t durable = 0;
+    {
+      SegmentedLog log(disk, 300);
+      ASSERT_TRUE(log.open("first"));
+      durable = 7;
+      for (std::int64_t number = 1; number <= durable; ++number)
+        ASSERT_TRUE(log.append({std::to_string(number) + std::string(40, 'x')}) && log.sync());
+      disk->fault_at = disk->points + 3;  // the snapshot's draft: the next segment is there
+      disk->fault = Fault::refused;
+      EXPECT_FALSE(log.snapshot("7" + std::string(40, 'x')));
+      EXPECT_EQ(log.segment(), 2);
+      disk->fault_at = disk->points + point;
+      disk->fault = Fault::power_cut;
+      std::int64_t later = write_until_fault(log, durable + 1, 20);
+      durable = std::max(durable, later);
+    }
+    disk->is_off = true;
+    disk->power_on(random);
+    SegmentedLog again(disk, 300);
+    auto opening = again.open("second");
+    ASSERT_TRUE(opening) << opening.reason;
+    EXPECT_FALSE(opening->was_corrupt) << opening->finding;
+    EXPECT_GE(newest(*opening), durable) << "after " << disk->last_act;
+  }
+}
+
+// Holds every free descriptor of this process.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    for (int handle = ::open("/dev/null", O_RDONLY); handle >= 0; handle = ::open("/dev/null", O_RDONLY))
+      held_.push_back(handle);
+  }
+  ~NoDescriptors() {
+    for (int handle : held_)
+      ::close(handle);
+  }
+
+ private:
+  std::vector<int> held_;
+};
+
+TEST(SegmentedLog, ARealFolderGoesOnWithoutAFreeDescriptor) {
+  rlimit limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &limit), 0);
+  rlimit low = limit;
+  low.rlim_cur = 64;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &low), 0);
+  char folder[] = "/tmp/emberdale-log-XXXXXX";
+  ASSERT_NE(mkdtemp(folder), nullptr);
+  {
+    auto files = open_disk_folder(folder);
+    ASSERT_TRUE(files) << files.reason;
+    SegmentedLog log(*files, 300);
+    ASSERT_TRUE(log.open("first"));
+    std::optional<NoDescriptors> crowd;
+    crowd.emplace();
+    for (int number = 1; number <= 20; ++number) {
+      ASSERT_TRUE(log.append({std::to_string(number) + std::string(40, 'x')})) << number;
+      ASSERT_TRUE(log.sync());
+      if (!log.wants_snapshot())
+        continue;
+      auto taken = log.snapshot(std::to_string(number) + std::string(40, 'x'));
+      EXPECT_EQ(taken.fault, FileFault::refused) << taken.reason;
+      EXPECT_FALSE(log.must_stop());
+    }
+    EXPECT_EQ(log.segment(), 1);
+    crowd.reset();
+    EXPECT_TRUE(log.snapshot("20" + std::string(40, 'x')));
+    EXPECT_EQ(log.segment(), 2);
+  }
+  EXPECT_EQ(::setrlimit(RLIMIT_NOFILE, &limit), 0);
+  std::string removal = std::string("rm -r ") + folder;
+  EXPECT_EQ(system(removal.c_str()), 0);
+}
