The port for peers holds a bounded number of connections, and pauses without a descriptor

Cause: nothing bounded what strangers open at the port for peers, and an accept that failed for want of a descriptor was begun anew at once, on the thread of the state machine, which then did nothing else. Change: at most max_inbound connections; the oldest without a handshake gives way, a peer that connects again gives its former ones up but for one; a failed accept waits 10 ms; an address that is taken may be asked for again.

Tests: PeerConnections.StrangersGiveWayAndPeersAreStillHeard, AnAcceptWithoutAFreeDescriptorIsTriedAgainAfterAPause (2 to 60 tries in 500 ms), AnAddressThatIsTakenCanBeHadLater.

--- a/packages/peer-connections/include/emberdale/peer_connections.hpp
+++ b/packages/peer-connections/include/emberdale/peer_connections.hpp
@@ -31,7 +31,9 @@
   std::int64_t frames_in = 0;
   std::int64_t frames_dropped = 0;  // not sent: the queue was full, the connection failed, or a fault was injected
   std::int64_t bytes_out = 0;
-  std::int64_t refused_frames = 0;  // malformed, too large, too slow or of another protocol; each ended its connection
+  std::int64_t refused_frames = 0;   // malformed, too large, too slow or of another protocol; each ended its connection
+  std::int64_t inbound_evicted = 0;  // connections of others that were closed for newer ones
+  std::int64_t accept_failed = 0;    // e.g. without a free descriptor; tried again
 };
 
 // The connections of one process.
@@ -47,8 +49,12 @@
  public:
   using OnMessage = std::function<void(const Address& from, Message message)>;
 
-  // `self` is the address to listen on, which peers are told in the handshake.
-  PeerConnections(boost::asio::io_context& context, Address self, OnMessage on_message);
+  static constexpr std::size_t default_max_inbound = 1024;
+
+  // `self` is the address to listen on, which peers are told in the handshake. Of connections that others have opened
+  // at most `max_inbound` are held: the oldest without a handshake gives way, or else the newest is closed.
+  PeerConnections(boost::asio::io_context& context, Address self, OnMessage on_message,
+                  std::size_t max_inbound = default_max_inbound);
   ~PeerConnections();
 
   // Begins to accept connections. InvalidArgument if the own address is malformed, Unavailable if the system refuses
@@ -74,6 +80,11 @@
 
   // Inbound: handshake, then one message after the other.
   void accept_next();
+  void add_inbound(boost::asio::ip::tcp::socket socket);
+  // False if there is no room for one more.
+  bool make_room();
+  // A peer that has connected again has given its former connections up; the last of them may still hold messages.
+  void close_former_connections(const InboundConnection& newest);
   void sweep_inbound();
   void refuse(LimitFault fault);
   void read_next(const std::shared_ptr<InboundConnection>& connection);
@@ -99,8 +110,9 @@
   boost::asio::io_context& context_;
   Address self_;
   OnMessage on_message_;
+  const std::size_t max_inbound_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::vector<std::weak_ptr<InboundConnection>> inbound_connections_;
+  std::vector<std::weak_ptr<InboundConnection>> inbound_connections_;            // in the order of their accepts
   std::map<Address, std::shared_ptr<OutboundConnection>> outbound_connections_;  // the current one of each peer
   std::map<Address, ConnectionFault> faults_;
   ConnectionCounts counts_;
--- a/packages/peer-connections/src/peer_connections.cpp
+++ b/packages/peer-connections/src/peer_connections.cpp
@@ -3,6 +3,8 @@
 #include <glog/logging.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
+
 #include "emberdale/avro_codec.hpp"
 #include "frame_codec.hpp"
 
@@ -21,6 +23,7 @@
 // The system ends a connection whose peer has acknowledged nothing for this long.
 constexpr int unacknowledged_timeout_ms = 3000;
 constexpr std::chrono::milliseconds reconnect_delay{20};
+constexpr std::chrono::milliseconds accept_retry_interval{10};
 // Of what a peer sends: the handshake from the connect on, a message from its size on.
 constexpr std::chrono::milliseconds handshake_time{3000}, frame_time{10000};
 constexpr std::chrono::milliseconds sweep_interval{1000};  // how late they may be noticed
@@ -52,6 +55,10 @@
   // The peer has so long for what it is to send next.
   void set_deadline(std::chrono::milliseconds time) { deadline = Clock::now() + time; }
   void clear_deadline() { deadline = Clock::time_point::max(); }
+  void close() {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  }
   std::size_t max_body_size() const { return from.empty() ? max_handshake_size : max_frame_size; }
 
   tcp::socket socket;
@@ -62,8 +69,12 @@
   std::string body;
 };
 
-PeerConnections::PeerConnections(asio::io_context& context, Address self, OnMessage on_message)
-    : context_(context), self_(std::move(self)), on_message_(std::move(on_message)), acceptor_(context) {
+PeerConnections::PeerConnections(asio::io_context& context, Address self, OnMessage on_message, std::size_t max_inbound)
+    : context_(context),
+      self_(std::move(self)),
+      on_message_(std::move(on_message)),
+      max_inbound_(max_inbound),
+      acceptor_(context) {
   process_limit_counters().declare(reader_name);
 }
 
@@ -86,8 +97,11 @@
   acceptor_.bind(endpoint, error);
   if (!error)
     acceptor_.listen(listen_backlog, error);
-  if (error)
+  if (error) {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
     return absl::UnavailableError("can't listen on " + self_.text + ": " + error.message());
+  }
   accept_next();
   sweep_inbound();
   return absl::OkStatus();
@@ -97,19 +111,60 @@
   acceptor_.async_accept([this, is_alive = is_alive_](boost::system::error_code error, tcp::socket socket) {
     if (!*is_alive)
       return;
-    if (!error) {
-      boost::system::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      socket.set_option(asio::socket_base::keep_alive(true), ignored);  // ends connections whose peer has vanished
-      auto connection = std::make_shared<InboundConnection>(std::move(socket));
-      inbound_connections_.push_back(connection);
-      read_next(connection);
+    if (error == asio::error::operation_aborted)
+      return;
+    if (error) {  // without a pause this thread would do nothing else
+      ++counts_.accept_failed;
+      return call_later(accept_retry_interval, [this] { accept_next(); });
     }
-    if (error != asio::error::operation_aborted)
-      accept_next();
+    add_inbound(std::move(socket));
+    accept_next();
   });
 }
 
+void PeerConnections::add_inbound(tcp::socket socket) {
+  if (!make_room()) {
+    ++counts_.inbound_evicted;
+    return;  // which closes it
+  }
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);  // ends connections whose peer has vanished
+  auto connection = std::make_shared<InboundConnection>(std::move(socket));
+  inbound_connections_.push_back(connection);
+  read_next(connection);
+}
+
+bool PeerConnections::make_room() {
+  if (inbound_connections_.size() < max_inbound_)
+    return true;
+  inbound_connections_.erase(std::remove_if(inbound_connections_.begin(), inbound_connections_.end(),
+                                            [](const auto& entry) { return entry.expired(); }),
+                             inbound_connections_.end());
+  if (inbound_connections_.size() < max_inbound_)
+    return true;
+  for (auto entry = inbound_connections_.begin(); entry != inbound_connections_.end(); ++entry) {
+    auto connection = entry->lock();
+    if (!connection || !connection->from.empty())
+      continue;
+    connection->close();
+    inbound_connections_.erase(entry);
+    ++counts_.inbound_evicted;
+    return true;
+  }
+  return false;
+}
+
+void PeerConnections::close_former_connections(const InboundConnection& newest) {
+  int former = 0;
+  for (auto entry = inbound_connections_.rbegin(); entry != inbound_connections_.rend(); ++entry) {
+    auto connection = entry->lock();
+    bool is_former = connection && connection.get() != &newest && connection->from == newest.from;
+    if (is_former && ++former > 1)
+      connection->close();
+  }
+}
+
 // Closes the connections whose peers have taken longer than they may.
 void PeerConnections::sweep_inbound() {
   const auto now = InboundConnection::Clock::now();
@@ -121,8 +176,7 @@
     open.push_back(connection);
     if (now <= connection->deadline)
       continue;
-    boost::system::error_code ignored;
-    connection->socket.close(ignored);
+    connection->close();
     connection->clear_deadline();
     refuse(LimitFault::too_slow);
   }
@@ -182,6 +236,7 @@
     return false;
   }
   connection.from.text = std::move(*sender);
+  close_former_connections(connection);
   restart_stuck_connect(connection.from);
   return true;
 }
--- a/packages/peer-connections/tests/peer_connections_test.cpp
+++ b/packages/peer-connections/tests/peer_connections_test.cpp
@@ -2,6 +2,7 @@
 #include "emberdale/peer_connections.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 namespace emberdale {
 namespace {
@@ -75,6 +76,69 @@
   EXPECT_EQ(process_limit_counters().count("peers", LimitFault::too_slow), counted + 2);
 }
 
+tcp::endpoint endpoint_of(const Address& address) {
+  const auto colon = address.text.find(':');
+  return {asio::ip::make_address(address.text.substr(0, colon)),
+          static_cast<unsigned short>(std::stoi(address.text.substr(colon + 1)))};
+}
+
+// Guards against issue 33: strangers at the port for peers took the descriptors of the process.
+TEST(PeerConnections, StrangersGiveWayAndPeersAreStillHeard) {
+  constexpr std::size_t max_inbound = 4;
+  asio::io_context context;
+  Address here = free_address(context), there = free_address(context);
+  int heard = 0;
+  PeerConnections mine(
+      context, here, [&](const Address&, Message) { ++heard; }, max_inbound);
+  ASSERT_TRUE(mine.listen().ok());
+  PeerConnections theirs(context, there, [](const Address&, Message) {});
+  theirs.send(here, Message{LeaveNotice{}});
+  ASSERT_TRUE(run_until(context, [&] { return heard == 1; }));
+  std::vector<std::unique_ptr<tcp::socket>> strangers;
+  int closed = 0;
+  char byte = 0;
+  for (int i = 0; i < 20; ++i) {
+    strangers.push_back(std::make_unique<tcp::socket>(context));
+    strangers.back()->connect(endpoint_of(here));
+    strangers.back()->async_read_some(asio::buffer(&byte, 1),
+                                      [&closed](boost::system::error_code, std::size_t) { ++closed; });
+  }
+  ASSERT_TRUE(run_until(context, [&] { return closed >= 17; }));
+  EXPECT_GE(mine.counts().inbound_evicted, 17);
+  theirs.send(here, Message{LeaveNotice{}});
+  ASSERT_TRUE(run_until(context, [&] { return heard == 2; }));
+}
+
+// Without a descriptor the accept was tried again at once, for ever: the thread of the state machine did nothing else.
+TEST(PeerConnections, AnAcceptWithoutAFreeDescriptorIsTriedAgainAfterAPause) {
+  asio::io_context context;
+  Address here = free_address(context);
+  PeerConnections connections(context, here, [](const Address&, Message) {});
+  ASSERT_TRUE(connections.listen().ok());
+  tcp::socket stranger(context);
+  stranger.open(tcp::v4());
+  rlimit limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &limit), 0);
+  rlimit low = limit;
+  low.rlim_cur = static_cast<rlim_t>(stranger.native_handle()) + 1;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &low), 0);
+  stranger.connect(endpoint_of(here));
+  context.run_for(std::chrono::milliseconds(500));
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &limit), 0);
+  EXPECT_GE(connections.counts().accept_failed, 2);
+  EXPECT_LE(connections.counts().accept_failed, 60);
+}
+
+// A former process may hold the port for a while yet.
+TEST(PeerConnections, AnAddressThatIsTakenCanBeHadLater) {
+  asio::io_context context;
+  auto former = std::make_unique<tcp::acceptor>(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  PeerConnections connections(context, {text_of(former->local_endpoint())}, [](const Address&, Message) {});
+  EXPECT_EQ(connections.listen().code(), absl::StatusCode::kUnavailable);
+  former.reset();
+  EXPECT_TRUE(connections.listen().ok());
+}
+
 TEST(PeerConnections, AnAddressWhereNoProcessListensIsReportedAtOnce) {
   asio::io_context context;
   Address here = free_address(context), nobody = free_address(context);
