HTTP ports hold a bounded number of connections; silent ones end by the configuration's times

Callers saw: connections that came and went at one port took every descriptor of the process; others were accepted only when one was free by chance. Cause: no bound on connections, and idle and head times of a minute that no configuration changed.

Change: ListenerLimits.max_connections; at the bound those that wait for a request, or for the rest of its head, give way, oldest first, none that came within 100 ms; a request whose head is there never does. HeaderTimeoutMs and IdleTimeoutMs of the configuration in force bound the front's connections; the latter is never undercut, so that a client that rests for four fifths of it finds its connection open.

Tests: CrowdedListenerTest (three); they can't be put to the code before, which has no bound.

--- a/packages/control-plane/include/emberdale/applied_routing_table.hpp
+++ b/packages/control-plane/include/emberdale/applied_routing_table.hpp
@@ -20,15 +20,17 @@
   // The configuration revision that the rows come from; 0 without a table.
   std::int64_t revision() const { return rows_.empty() ? 0 : revision_; }
   const std::map<PoolName, RoutePool>& pools() const { return pools_; }
+  const RequestLimits& limits() const { return limits_; }
   // Nullptr if the table has no such pool.
   const RoutePool* pool(const PoolName& name) const;
 
  private:
-  // Invariant: `rows_` and `pools_` were read from `document_`, which came with `revision_`.
+  // Invariant: `rows_`, `pools_` and `limits_` were read from `document_`, which came with `revision_`.
   std::string document_;
   std::int64_t revision_ = 0;
   std::vector<SliceRow> rows_;
   std::map<PoolName, RoutePool> pools_;
+  RequestLimits limits_;
 };
 
 }  // namespace emberdale
--- a/packages/control-plane/src/applied_routing_table.cpp
+++ b/packages/control-plane/src/applied_routing_table.cpp
@@ -5,6 +5,7 @@
 namespace emberdale {
 namespace {
 constexpr const char* pool_key_prefix = "pool/";
+constexpr const char* limits_key = "limits";
 
 bool is_pool_key(const std::string& key) { return key.rfind(pool_key_prefix, 0) == 0; }
 }  // namespace
@@ -17,12 +18,15 @@
   revision_ = state.config_revision;
   rows_.clear();
   pools_.clear();
+  limits_ = RequestLimits{};
   if (document.empty())
     return;
   for (auto& [key, body] : split_routing_table(document)) {
     if (is_pool_key(key))
       if (auto pool = read_route_pool(body))
         pools_[pool->name] = *pool;
+    if (key == limits_key)
+      limits_ = read_request_limits(body);
     rows_.push_back({key, {std::move(body)}});
   }
 }
--- a/packages/data-plane/src/call_relay.cpp
+++ b/packages/data-plane/src/call_relay.cpp
@@ -28,10 +28,12 @@
 
 }  // namespace
 
-CallRelay::CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http_address)
+CallRelay::CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http_address,
+                     std::size_t max_connections)
     : settings_(settings),
       snapshot_(snapshot),
-      listener_(http_address, front_limits(), [this](http_request request) { handle(std::move(request)); }),
+      listener_(http_address, front_limits(max_connections),
+                [this](http_request request) { handle(std::move(request)); }),
       dispatcher_(settings) {}
 
 CallRelay::~CallRelay() { stop(Duration{0}); }
--- a/packages/data-plane/src/call_relay.hpp
+++ b/packages/data-plane/src/call_relay.hpp
@@ -44,7 +44,8 @@
 // Use: CallRelay relay(dispatcher_settings, snapshot, "127.0.0.1:80"); relay.open(); ... relay.stop(Duration{5000});
 class CallRelay {
  public:
-  CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http_address);
+  CallRelay(DispatcherSettings settings, const ControlSnapshot& snapshot, const std::string& http_address,
+            std::size_t max_connections = ListenerLimits{}.max_connections);
   ~CallRelay();
   // Listens for clients; Unavailable if the address can't be used.
   absl::Status open();
--- a/packages/data-plane/src/relay_limits.hpp
+++ b/packages/data-plane/src/relay_limits.hpp
@@ -10,11 +10,12 @@
 constexpr std::size_t max_open_body_bytes = 16 << 20;  // of the bodies of all open calls of clients
 
 // The configuration's own limits, which the relays keep with responses of their own, are lower.
-inline ListenerLimits front_limits() {
+inline ListenerLimits front_limits(std::size_t max_connections) {
   constexpr std::size_t max_head_bytes = 64 << 10;
   constexpr std::chrono::seconds request_time{30};
   ListenerLimits limits;
   limits.reader = "front";
+  limits.max_connections = max_connections;
   limits.request = {max_head_bytes, max_open_body_bytes, request_time};
   return limits;
 }
--- a/packages/data-plane/src/routed_relay.cpp
+++ b/packages/data-plane/src/routed_relay.cpp
@@ -20,11 +20,12 @@
 }  // namespace
 
 RoutedRelay::RoutedRelay(RouteDispatcherSettings settings, RelayHeaderNames header_names,
-                         const ControlSnapshot& snapshot, const std::string& http_address)
+                         const ControlSnapshot& snapshot, const std::string& http_address, std::size_t max_connections)
     : settings_(settings),
       header_names_(std::move(header_names)),
       snapshot_(snapshot),
-      listener_(http_address, front_limits(), [this](web::http::http_request request) { handle(std::move(request)); }),
+      listener_(http_address, front_limits(max_connections),
+                [this](web::http::http_request request) { handle(std::move(request)); }),
       dispatcher_(std::move(settings)) {}
 
 RoutedRelay::~RoutedRelay() {
@@ -148,6 +149,8 @@
   view_ = view;
   max_header_bytes_ = view->limits.max_header_bytes;
   max_body_bytes_ = view->limits.max_body_bytes;
+  listener_.set_times(std::chrono::milliseconds(view->limits.header_timeout_ms),
+                      std::chrono::milliseconds(view->limits.idle_timeout_ms));
   drop_connections(*view);
   abandon_unsent_attempts(*view, now);
   dispatcher_.update_view(view, now);
--- a/packages/data-plane/src/routed_relay.hpp
+++ b/packages/data-plane/src/routed_relay.hpp
@@ -59,7 +59,7 @@
 class RoutedRelay {
  public:
   RoutedRelay(RouteDispatcherSettings settings, RelayHeaderNames header_names, const ControlSnapshot& snapshot,
-              const std::string& http_address);
+              const std::string& http_address, std::size_t max_connections = ListenerLimits{}.max_connections);
   ~RoutedRelay();
   // Listens for clients; Unavailable if the address can't be used.
   absl::Status open();
@@ -81,6 +81,7 @@
   };
   const RelayCounts& relay_counts() const { return relay_counts_; }
   std::size_t open_calls() const;
+  ListenerCounts listener_counts() const { return listener_.counts(); }
 
  private:
   // The daemon's own response to a call that surely did not run.
--- a/packages/http-server/src/http_listener.cpp
+++ b/packages/http-server/src/http_listener.cpp
@@ -3,8 +3,10 @@
 #include <glog/logging.h>
 #include <pplx/threadpool.h>
 
+#include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <condition_variable>
@@ -14,6 +16,8 @@
 #include <mutex>
 #include <shared_mutex>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 #include "emberdale/socket_address.hpp"
 #include "server_connection.hpp"
@@ -28,6 +32,10 @@
 constexpr std::chrono::milliseconds accept_retry_interval{10};  // while there is no free descriptor
 constexpr std::chrono::seconds close_limit{10};
 constexpr std::chrono::milliseconds sweep_interval{500};  // how late a bound of time may be noticed
+constexpr std::size_t evicted_part = 32;                  // of all connections, at a time
+// Its request may be on its way to a connection that has waited for less.
+constexpr std::chrono::milliseconds shortest_wait{100};
+constexpr std::chrono::milliseconds evict_interval{20};  // while there is no room
 
 boost::asio::io_context& library_context() { return crossplat::threadpool::shared_instance().service(); }
 
@@ -44,12 +52,19 @@
         retry_timer(strand),
         sweep_timer(strand) {
     process_limit_counters().declare(limits.reader);
+    times.head_ms = limits.head_time.count();
+    times.idle_ms = limits.idle_time.count();
   }
 
   absl::Status listen();
   void accept();
   void on_accepted(const error_code& fault, ConnectionSocket socket);
   void add_connection(ConnectionSocket socket);
+  void accept_when_there_is_room();
+  void on_connection_closed(std::uint64_t number);
+  // Closes some of those that have been waiting the longest, so that not each new connection looks through all.
+  void evict_waiting();
+  void evict_later();
   void handle(web::http::http_request request);
   void sweep_later();
   std::map<std::uint64_t, std::weak_ptr<ServerConnection>> open_connections();
@@ -58,6 +73,7 @@
 
   const std::string address;
   const ListenerLimits limits;
+  ConnectionTimes times;
   std::shared_mutex handler_mutex;  // held shared while a handler runs
   Handler handler;                  // null once closed
   ConnectionStrand strand;          // of the acceptor and its timer
@@ -67,7 +83,9 @@
   std::condition_variable connection_closed;
   std::map<std::uint64_t, std::weak_ptr<ServerConnection>> connections;
   std::uint64_t last_connection = 0;
-  bool is_closed = false;  // no connection is added any more
+  ListenerCounts counts;
+  bool is_accept_due = false;  // once there is room
+  bool is_closed = false;      // no connection is added any more
 };
 
 absl::Status HttpListener::Server::listen() {
@@ -102,7 +120,7 @@
     return;
   if (!fault) {
     add_connection(std::move(socket));
-    return accept();
+    return accept_when_there_is_room();
   }
   LOG_EVERY_N(WARNING, 100) << "accept_failed reason=" << fault.message();
   retry_timer.expires_after(accept_retry_interval);
@@ -122,18 +140,76 @@
       return;
     std::uint64_t number = ++last_connection;
     connection = std::make_shared<ServerConnection>(
-        std::move(socket), limits,
+        std::move(socket), limits, times,
         [self = shared_from_this()](web::http::http_request request) { self->handle(std::move(request)); },
-        [self = shared_from_this(), number] {
-          std::lock_guard<std::mutex> closing(self->connections_mutex);
-          self->connections.erase(number);
-          self->connection_closed.notify_all();
-        });
+        [self = shared_from_this(), number] { self->on_connection_closed(number); });
     connections[number] = connection;
+    ++counts.accepted;
   }
   connection->start();
 }
 
+void HttpListener::Server::on_connection_closed(std::uint64_t number) {
+  bool is_due = false;
+  {
+    std::lock_guard<std::mutex> closing(connections_mutex);
+    connections.erase(number);
+    connection_closed.notify_all();
+    is_due = connections.size() < limits.max_connections && std::exchange(is_accept_due, false);
+  }
+  if (is_due)
+    boost::asio::post(strand, [self = shared_from_this()] {
+      if (self->acceptor.is_open())
+        self->accept();
+    });
+}
+
+void HttpListener::Server::accept_when_there_is_room() {
+  {
+    std::lock_guard<std::mutex> guard(connections_mutex);
+    is_accept_due = connections.size() >= limits.max_connections;
+    if (!is_accept_due)
+      return accept();
+  }
+  evict_waiting();
+}
+
+void HttpListener::Server::evict_waiting() {
+  using Waiting = std::pair<ServerConnection::Clock::rep, std::shared_ptr<ServerConnection>>;
+  std::vector<Waiting> waiting;
+  const auto newest = (ServerConnection::Clock::now() - shortest_wait).time_since_epoch().count();
+  for (const auto& entry : open_connections())
+    if (auto connection = entry.second.lock())
+      if (connection->waiting_since() <= newest)
+        waiting.push_back({connection->waiting_since(), std::move(connection)});
+  const std::size_t count = std::min(waiting.size(), limits.max_connections / evicted_part + 1);
+  std::partial_sort(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(count), waiting.end(),
+                    [](const Waiting& a, const Waiting& b) { return a.first < b.first; });
+  std::int64_t evicted = 0;
+  for (std::size_t i = 0; i < count; ++i)
+    if (waiting[i].second->evict())
+      ++evicted;
+  std::lock_guard<std::mutex> guard(connections_mutex);
+  counts.evicted += evicted;
+  if (is_accept_due)
+    evict_later();
+}
+
+void HttpListener::Server::evict_later() {
+  retry_timer.expires_after(evict_interval);
+  retry_timer.async_wait([self = shared_from_this()](const error_code& cancelled) {
+    if (cancelled || !self->acceptor.is_open())
+      return;
+    bool is_due = false;
+    {
+      std::lock_guard<std::mutex> guard(self->connections_mutex);
+      is_due = self->is_accept_due;
+    }
+    if (is_due)
+      self->evict_waiting();
+  });
+}
+
 void HttpListener::Server::handle(web::http::http_request request) {
   std::shared_lock<std::shared_mutex> guard(handler_mutex);
   if (handler)
@@ -203,6 +279,18 @@
   return absl::OkStatus();
 }
 
+void HttpListener::set_times(std::chrono::milliseconds head_time, std::chrono::milliseconds idle_time) {
+  server_->times.head_ms = head_time.count();
+  server_->times.idle_ms = idle_time.count();
+}
+
+ListenerCounts HttpListener::counts() const {
+  std::lock_guard<std::mutex> guard(server_->connections_mutex);
+  ListenerCounts counts = server_->counts;
+  counts.open = static_cast<std::int64_t>(server_->connections.size());
+  return counts;
+}
+
 void HttpListener::close() {
   {
     std::unique_lock<std::shared_mutex> guard(server_->handler_mutex);
--- a/packages/http-server/src/server_connection.cpp
+++ b/packages/http-server/src/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -55,10 +56,11 @@
   connection->reply(exchange_number_, response, std::move(on_end));
 }
 
-ServerConnection::ServerConnection(ConnectionSocket socket, const ListenerLimits& limits, HttpListener::Handler handle,
-                                   std::function<void()> on_closed)
+ServerConnection::ServerConnection(ConnectionSocket socket, const ListenerLimits& limits, const ConnectionTimes& times,
+                                   HttpListener::Handler handle, std::function<void()> on_closed)
     : socket_(std::move(socket)),
       limits_(limits),
+      times_(times),
       linger_timer_(socket_.get_executor()),
       handle_(std::move(handle)),
       on_closed_(std::move(on_closed)) {}
@@ -86,8 +88,17 @@
   });
 }
 
-void ServerConnection::set_deadline(std::chrono::milliseconds time) {
-  deadline_ = (Clock::now() + time).time_since_epoch().count();
+// A request whose head is there is never given up: it may have been passed on.
+bool ServerConnection::evict() {
+  if (is_evicted_.exchange(true))
+    return false;
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->waiting_since_ != not_waiting)
+      self->disconnect();
+    else
+      self->is_evicted_ = false;
+  });
+  return true;
 }
 
 void ServerConnection::end_if_overdue() {
@@ -125,7 +136,8 @@
   parser_->body_limit(limits_.request.max_body_bytes);
   phase_ = Phase::head;
   has_request_begun_ = false;
-  set_deadline(limits_.idle_time);
+  waiting_since_ = Clock::now().time_since_epoch().count();
+  set_deadline(std::chrono::milliseconds(times_.idle_ms));
 }
 
 void ServerConnection::read_more() {
@@ -175,8 +187,11 @@
 void ServerConnection::parse_head() {
   if (unparsed_.size() == 0)
     return;
-  if (!std::exchange(has_request_begun_, true))
-    set_deadline(limits_.request.total_time);
+  if (!std::exchange(has_request_begun_, true)) {
+    request_begun_at_ = Clock::now();
+    waiting_since_ = request_begun_at_.time_since_epoch().count();
+    set_deadline(request_begun_at_ + std::min(limits_.request.total_time, std::chrono::milliseconds(times_.head_ms)));
+  }
   error_code fault;
   unparsed_.consume(parser_->put(unparsed_.data(), fault));
   if (fault == beast_http::error::need_more)
@@ -200,6 +215,8 @@
 }
 
 void ServerConnection::begin_request() {
+  waiting_since_ = not_waiting;
+  set_deadline(request_begun_at_ + limits_.request.total_time);
   http_request request =
       http_request::_create_request(std::make_unique<RequestContext>(weak_from_this(), ++last_exchange_number_));
   exchange_ = Exchange{};
@@ -284,6 +301,7 @@
 
 // Answers bytes that are no request, or one over its bounds.
 void ServerConnection::reject(const error_code& fault) {
+  waiting_since_ = not_waiting;
   int status = bad_request;
   if (fault == beast_http::error::header_limit) {
     process_limit_counters().record(limits_.reader, LimitFault::head_too_large);
--- a/packages/http-server/src/server_connection.hpp
+++ b/packages/http-server/src/server_connection.hpp
@@ -30,6 +30,11 @@
 
 class ServerConnection;
 
+// The bounds of time that may change while the listener is open. Safe for use by several threads.
+struct ConnectionTimes {
+  std::atomic<std::int64_t> head_ms{0}, idle_ms{0};
+};
+
 // What the library keeps with a request for its listener: the way back to the connection.
 class RequestContext final : public web::http::details::_http_server_context {
  public:
@@ -50,19 +55,27 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   using Clock = std::chrono::steady_clock;
-  // `handle` gets each request; `on_closed` is called once, at the end of the connection. The limits outlive it.
-  ServerConnection(ConnectionSocket socket, const ListenerLimits& limits, HttpListener::Handler handle,
-                   std::function<void()> on_closed);
+  // `handle` gets each request; `on_closed` is called once, at the end of the connection. Limits and times outlive it.
+  ServerConnection(ConnectionSocket socket, const ListenerLimits& limits, const ConnectionTimes& times,
+                   HttpListener::Handler handle, std::function<void()> on_closed);
   void start();
   // Closes the connection, after a response that has begun and has a known length; a request in progress is cancelled.
   void close();
   // True if the client has taken longer than its limits allow. Safe for use by any thread.
   bool is_overdue(Clock::time_point now) const { return now.time_since_epoch().count() > deadline_; }
   void end_if_overdue();
+  // Since when it has been waiting for the next request or for the rest of its head; `not_waiting` while a
+  // request is in progress. Safe for use by any thread.
+  Clock::rep waiting_since() const { return waiting_since_; }
+  // Closes the connection, if it still waits when its turn comes. False if that was asked for before.
+  bool evict();
   void reply(std::uint64_t exchange_number, const web::http::http_response& response, ReplyEnd on_end);
   // The request was dropped without a reply.
   void abandon(std::uint64_t exchange_number);
 
+  static constexpr Clock::rep no_deadline = std::numeric_limits<Clock::rep>::max();
+  static constexpr Clock::rep not_waiting = no_deadline;
+
  private:
   using RequestParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
   enum class Phase { head, body, complete };  // how much of the current request has been read
@@ -83,7 +96,8 @@
     bool is_complete = false;       // all that is left is in the write under way
   };
 
-  void set_deadline(std::chrono::milliseconds time);
+  void set_deadline(Clock::time_point deadline) { deadline_ = deadline.time_since_epoch().count(); }
+  void set_deadline(std::chrono::milliseconds time) { set_deadline(Clock::now() + time); }
   void clear_deadline() { deadline_ = no_deadline; }
   void expect_request();
   void read_more();
@@ -110,11 +124,13 @@
   void shut_down_gracefully();
   void disconnect();
 
-  static constexpr Clock::rep no_deadline = std::numeric_limits<Clock::rep>::max();
-
   ConnectionSocket socket_;
   const ListenerLimits& limits_;
+  const ConnectionTimes& times_;
   std::atomic<Clock::rep> deadline_{no_deadline};  // of what the client is to do next
+  std::atomic<Clock::rep> waiting_since_{Clock::now().time_since_epoch().count()};
+  std::atomic<bool> is_evicted_{false};
+  Clock::time_point request_begun_at_;
   boost::asio::steady_timer linger_timer_;
   HttpListener::Handler handle_;
   std::function<void()> on_closed_;
--- a/packages/http-server/tests/http_listener_test.cpp
+++ b/packages/http-server/tests/http_listener_test.cpp
@@ -594,6 +594,77 @@
   EXPECT_EQ(read_response(client, limit_ms).status, 200);
 }
 
+// Guards against issue 33: connections at one port took every descriptor of the process.
+class CrowdedListenerTest : public ListenerLimitsTest {
+ protected:
+  static constexpr std::size_t max_connections = 8;
+
+  void SetUp() override {
+    limits_.max_connections = max_connections;
+    limits_.head_time = limits_.idle_time = milliseconds(60000);
+  }
+  std::vector<RawSocket> crowd(std::size_t count, const std::string& bytes) {
+    std::vector<RawSocket> clients;
+    for (std::size_t i = 0; i < count; ++i) {
+      clients.push_back(connect());
+      if (!bytes.empty())
+        clients.back().write(bytes);
+    }
+    return clients;
+  }
+  void expect_bounded() { EXPECT_LE(listener_->counts().open, static_cast<std::int64_t>(max_connections)); }
+};
+
+TEST_F(CrowdedListenerTest, SilentConnectionsGiveWayToNewOnes) {
+  listen([](const http_request& request) { reply_to(request, http_response(200)); });
+  for (const char* begin : {"", "GET / HTTP/1.1\r\nX-Long: "}) {
+    auto silent = crowd(5 * max_connections, begin);
+    for (int i = 0; i < 20; ++i) {
+      expect_that_others_are_served();
+      expect_bounded();
+    }
+    EXPECT_TRUE(silent.front().is_closed_within(limit_ms));
+  }
+  EXPECT_GT(listener_->counts().evicted, static_cast<std::int64_t>(max_connections));
+}
+
+TEST_F(CrowdedListenerTest, ARequestInProgressNeverGivesWay) {
+  listen([this](const http_request& request) { hold(request); });
+  auto busy = crowd(max_connections, "GET /held HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(events_.wait_for("arrived", static_cast<int>(max_connections)));
+  auto waiting = connect();
+  waiting.write("GET /held HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1200));
+  expect_bounded();
+  EXPECT_EQ(events_.count("departed"), 0);
+  for (std::size_t i = 0; i < max_connections; ++i)
+    reply_to(take_held(), http_response(200));
+  for (auto& client : busy)
+    EXPECT_EQ(read_response(client, limit_ms).status, 200);
+  ASSERT_TRUE(events_.wait_for("arrived", static_cast<int>(max_connections) + 1));
+  reply_to(take_held(), http_response(200));
+  EXPECT_EQ(read_response(waiting, limit_ms).status, 200);
+}
+
+// The head's bound of time is shorter than that of the request, and both bounds can be changed.
+TEST_F(CrowdedListenerTest, SilentConnectionsEndByTheBoundsThatAreInForce) {
+  listen([](const http_request& request) { reply_to(request, http_response(200)); });
+  listener_->set_times(milliseconds(400), milliseconds(5000));
+  auto slow = connect();
+  slow.write("GET / HTTP/1.1\r\nX-Long: ");
+  auto kept = connect();
+  kept.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(read_response(kept, limit_ms).status, 200);
+  EXPECT_TRUE(slow.is_closed_within(3000));
+  EXPECT_FALSE(kept.is_closed_within(2500));  // four fifths of the bound are the client's
+  kept.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(read_response(kept, limit_ms).status, 200);
+  listener_->set_times(milliseconds(400), milliseconds(500));
+  kept.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(read_response(kept, limit_ms).status, 200);
+  EXPECT_TRUE(kept.is_closed_within(3000));
+}
+
 // Guards against a response that is lost because the listener closes right after it was given.
 TEST_F(HttpListenerTest, AResponseThatHasBegunIsFinishedWhenTheListenerCloses) {
   for (int round = 0; round < 20; ++round) {
