The register is founded at a majority of the seeds, by its own two rounds

Callers saw: a seed that is lost for good before the bootstrap is waited for for ever; every change gets 503 and nothing is ever served ("the system didn't start"). Cause: the first state was written only once each seed had answered that it is blank, since without a vote two seeds could have written two.

Change: the first state goes through Prepare and Accept (RegisterProposer::found). Votes have the stores that were made at the first start on the seeds' machines; their ids tell so, so a process that is killed and comes back without the flag still votes and founds, and a store on a lost disk does not. The first state names every seed that may keep a store, by its seat where it could not be reached: a seed that starts late is a member at once, and a set of two does not come about.

--- a/packages/call-matching/src/lease_manager.cpp
+++ b/packages/call-matching/src/lease_manager.cpp
@@ -1,6 +1,7 @@
 #include "emberdale/lease_manager.hpp"
 
 #include "emberdale/register_proposer.hpp"
+#include "emberdale/store_seat.hpp"
 
 namespace emberdale {
 namespace {
@@ -63,6 +64,7 @@
     return;
   PendingRead& read = entry->second;
   read.responded.insert(response.store);
+  read.responded.insert(seat_of(response.store));  // the set may name the store by its seat
   if (read.minimum_version < response.minimum_version)
     read.minimum_version = response.minimum_version;
   if (read.highest < response.accepted) {
--- a/packages/configuration-register/include/emberdale/register_proposer.hpp
+++ b/packages/configuration-register/include/emberdale/register_proposer.hpp
@@ -74,6 +74,12 @@
   // be null.
   void change(Change change, std::function<void(const ChangeResult&)> done, TimePoint now, Duration timeout);
 
+  // Queues the founding of the register: the same two rounds at a majority of these stores, which may all be blank;
+  // `change` is called with a state of version 0 if they are. Without a state only; ends as refused if there is one. A
+  // majority of the set must be a majority of all that may ever vote on a founding. `done` as above.
+  void found(const std::vector<AcceptorEntry>& stores, Change change, std::function<void(const ChangeResult&)> done,
+             TimePoint now, Duration timeout);
+
   // Begins a read in place of the one in flight and returns its number; numbers of one incarnation only grow.
   // `wants_contacts`: also asks when each replica last received a message of each daemon.
   std::int64_t poll(TimePoint now, DaemonRole role, bool wants_contacts);
@@ -135,7 +141,8 @@
     Change change;
     std::function<void(const ChangeResult&)> done;
     TimePoint deadline;
-    bool was_accept_sent = false;  // it may be chosen: past its deadline the outcome is unknown
+    bool was_accept_sent = false;               // it may be chosen: past its deadline the outcome is unknown
+    std::vector<AcceptorEntry> founding_set{};  // of a founding: the stores that are asked first; else empty
   };
 
   // The change that is under way: tries of two rounds each, with a higher ballot each time.
@@ -145,6 +152,7 @@
     QueuedChange change;
     Phase phase = Phase::backing_off;
     std::int64_t request_id = 0;  // of the requests of this phase; responses to others are late
+    bool is_founding() const { return !change.founding_set.empty(); }
     Ballot ballot;
     TimePoint phase_end;
     int tries = 0;
--- a/packages/configuration-register/src/register_acceptor.cpp
+++ b/packages/configuration-register/src/register_acceptor.cpp
@@ -3,6 +3,7 @@
 
 #include "emberdale/avro_codec.hpp"
 #include "emberdale/content_digest.hpp"
+#include "emberdale/store_seat.hpp"
 #include "emberdale/value_delta.hpp"
 
 namespace emberdale {
@@ -94,7 +95,7 @@
 }
 
 void RegisterAcceptor::on_prepare(const Address& from, const Prepare& prepare) {
-  if (prepare.store != store_ || is_backlogged())
+  if (!answers_to(store_, prepare.store) || is_backlogged())
     return;  // meant for the store that was here before
   auto fault = check_ballot_step(prepare.ballot, latest_.promised);
   if (!fault && prepare.ballot.proposer != from)
@@ -102,27 +103,27 @@
   if (fault)
     return refusals_.add(from, *fault, "Prepare with ballot " + std::to_string(prepare.ballot.number));
   if (prepare.ballot < latest_.promised || prepare.ballot == latest_.promised) {
-    out_.push_back({from, Promise{prepare.request_id, store_, false, latest_.promised, Ballot{}, Bytes{}}});
+    out_.push_back({from, Promise{prepare.request_id, prepare.store, false, latest_.promised, Ballot{}, Bytes{}}});
     return;
   }
   AcceptorRecord after = latest_;
   after.promised = prepare.ballot;
   bool is_known = prepare.known_ballot == latest_.accepted;
-  Promise promise{prepare.request_id, store_,           true,
+  Promise promise{prepare.request_id, prepare.store,    true,
                   prepare.ballot,     latest_.accepted, is_known ? Bytes{} : latest_.value};
   write(after, std::nullopt, {from, std::move(promise)});
 }
 
 void RegisterAcceptor::on_accept(const Address& from, const Accept& accept) {
-  if (accept.store != store_ || is_backlogged())
+  if (!answers_to(store_, accept.store) || is_backlogged())
     return;
   if (auto fault = check_ballot_step(accept.ballot, latest_.promised))
     return refusals_.add(from, *fault, "Accept with ballot " + std::to_string(accept.ballot.number));
   if (accept.ballot < latest_.promised) {
-    out_.push_back({from, Accepted{accept.request_id, store_, false, latest_.promised}});
+    out_.push_back({from, Accepted{accept.request_id, accept.store, false, latest_.promised}});
     return;
   }
-  OutboundMessage response{from, Accepted{accept.request_id, store_, true, accept.ballot}};
+  OutboundMessage response{from, Accepted{accept.request_id, accept.store, true, accept.ballot}};
   if (accept.ballot == latest_.accepted) {  // a copy that is already here, or on its way to disk
     if (pending_writes_.empty())
       out_.push_back(std::move(response));
@@ -132,7 +133,7 @@
   }
   auto value = decode_value(accept);
   if (!value) {
-    out_.push_back({from, Accepted{accept.request_id, store_, false, accept.ballot, true}});
+    out_.push_back({from, Accepted{accept.request_id, accept.store, false, accept.ballot, true}});
     return;
   }
   auto checked = check_value(*value, accept.ballot, state_.fleet_name);
--- a/packages/configuration-register/src/register_proposer_reads.cpp
+++ b/packages/configuration-register/src/register_proposer_reads.cpp
@@ -6,6 +6,7 @@
 
 #include "emberdale/avro_codec.hpp"
 #include "emberdale/content_digest.hpp"
+#include "emberdale/store_seat.hpp"
 #include "emberdale/value_delta.hpp"
 #include "proposer_limits.hpp"
 
@@ -72,8 +73,13 @@
   if (!store_read_value(from, response) || !is_current || response.store.empty())
     return;
   Read& read = *read_;
-  read.ballots[response.store] = response.accepted;
-  read.addresses[response.store] = from;
+  // A set may name the store by its seat.
+  for (const StoreId& store : {response.store, seat_of(response.store)}) {
+    if (store.empty())
+      continue;
+    read.ballots[store] = response.accepted;
+    read.addresses[store] = from;
+  }
   if (read.highest_ballot < response.accepted) {
     read.highest_ballot = response.accepted;
     read.acceptors = response.acceptors;
@@ -201,7 +207,9 @@
 
 // A change is under way, or was left behind: in the end the newest value is carried through once more.
 void RegisterProposer::resolve_split_read(const Read& read, TimePoint now) {
-  bool have_all_answered = read.ballots.size() == all_acceptors().size();
+  const auto members = all_acceptors();
+  bool have_all_answered = std::all_of(members.begin(), members.end(),
+                                       [&](const auto& member) { return read.ballots.count(member.store) != 0; });
   if (!have_all_answered && ++split_reads_in_a_row_ < max_split_reads)
     return;
   split_reads_in_a_row_ = 0;
--- a/packages/configuration-register/src/register_proposer_rounds.cpp
+++ b/packages/configuration-register/src/register_proposer_rounds.cpp
@@ -29,12 +29,25 @@
     start_next_change(now);
 }
 
+void RegisterProposer::found(const std::vector<AcceptorEntry>& stores, Change change,
+                             std::function<void(const ChangeResult&)> done, TimePoint now, Duration timeout) {
+  queued_changes_.push_back({std::move(change), std::move(done), now + timeout, false, stores});
+  if (!current_)
+    start_next_change(now);
+}
+
 void RegisterProposer::start_next_change(TimePoint now) {
   if (current_ || queued_changes_.empty())
     return;
   current_ = Round();
   current_->change = std::move(queued_changes_.front());
   queued_changes_.pop_front();
+  if (current_->is_founding()) {
+    if (has_state_)
+      return finish_change({ChangeResult::Kind::refused, state_, "a register exists"}, now);
+    acceptors_ = current_->change.founding_set;
+    next_acceptors_.clear();
+  }
   begin_prepare(now);
 }
 
@@ -86,8 +99,10 @@
 void RegisterProposer::begin_accept(TimePoint now) {
   Round& round = *current_;
   const FleetState& found = round.found_state;
-  // The set that voted must be the set the value names: else vote again among those.
-  if (!is_same_set(found.acceptors, acceptors_) || !is_same_set(found.next_acceptors, next_acceptors_)) {
+  // The set that voted must be the set the value names: else vote again among those. Blank stores name none.
+  bool is_blank = round.highest_ballot == Ballot{};
+  bool is_voting_set = is_same_set(found.acceptors, acceptors_) && is_same_set(found.next_acceptors, next_acceptors_);
+  if (!is_blank && !is_voting_set) {
     acceptors_ = found.acceptors;
     next_acceptors_ = found.next_acceptors;
     back_off(now);
@@ -194,6 +209,8 @@
 
 void RegisterProposer::finish_change(ChangeResult result, TimePoint now) {
   auto done = std::move(current_->change.done);
+  if (current_->is_founding() && !has_state_)
+    acceptors_.clear();  // they are no replica set that anybody has chosen
   current_.reset();
   if (result.kind == ChangeResult::Kind::committed)
     ++counts_.committed;
@@ -268,7 +285,7 @@
   round.held_ballots[promise.store] = promise.accepted;
   if (!has_majority(acceptors_, next_acceptors_, round.granted))
     return;
-  if (round.highest_ballot == Ballot{})
+  if (round.highest_ballot == Ballot{} && !round.is_founding())
     finish_change({ChangeResult::Kind::no_majority, {}, "no register has been founded here"}, now);
   else
     begin_accept(now);
--- a/packages/control-plane/include/emberdale/cluster_bootstrapper.hpp
+++ b/packages/control-plane/include/emberdale/cluster_bootstrapper.hpp
@@ -1,71 +1,77 @@
-// Creates the register without an operator: on the very first start the seed with the smallest address does it, once
-// all seeds have answered that they are blank, or the next one where that has not done it for a time. docs/design.md,
-// "One process a machine", shows why no two of them differ. Without I/O, clock or threads.
+// Creates the register without an operator, at the first start of the whole system: a majority of the seeds decides the
+// first state by the register's own two rounds. docs/design.md, "One process a machine", says which stores vote, and
+// docs/control-safety.md, "The founding", shows why no two first states are chosen. Without I/O, clock or threads.
 #pragma once
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 #include "emberdale/event_journal.hpp"
+#include "emberdale/founding_electorate.hpp"
 #include "emberdale/register_proposer.hpp"
 
 namespace emberdale {
 
 class ClusterBootstrapper {
  public:
-  ClusterBootstrapper(RegisterProposer& proposer, EventJournal& journal, Address self, std::vector<Address> seeds,
-                      RandomGenerator random);
+  // `most_lost_stores`: how many machines may lose their disks at the same time.
+  ClusterBootstrapper(RegisterProposer& proposer, EventJournal& journal, Address self,
+                      const std::vector<Address>& seeds, std::size_t most_lost_stores, RandomGenerator random);
 
   // Begins if this daemon is a seed; any other does nothing, ever.
   void start(TimePoint now);
   void on_message(const Address& from, const Message& message, TimePoint now);
   void on_timer(TimePoint now);
   std::vector<OutboundMessage> drain_outbound() { return std::exchange(out_, {}); }
-  // True once, when a majority holds the first state.
+  // True once, when the first state is known to be chosen.
   bool drain_bootstrapped() { return std::exchange(was_bootstrapped_, false); }
-  // Still waits for the seeds, or carries the first state to the last of them.
+  // Still waits for the seeds, or for the rounds of the first state.
   bool is_at_work() const { return phase_ == Phase::asking || phase_ == Phase::founding; }
 
  private:
   enum class Phase {
     idle,      // not started, or no seed
     asking,    // the seeds are asked whether they are blank
-    founding,  // the first state is sent to the stores of the seeds
+    founding,  // the rounds of the first state are under way
     over       // the register exists, by this daemon's hand or not
   };
-  // The last answer of a blank seed.
-  struct Blank {
+  // The last answer of a seed.
+  struct SeedAnswer {
     StoreId store;  // empty: it keeps no store
+    bool is_blank = false;
     TimePoint heard;
   };
   void on(const Address& from, const ReadResponse& response, TimePoint now);
-  void on(const Address& from, const BootstrapResponse& response, TimePoint now);
   template <class Other>
   void on(const Address&, const Other&, TimePoint) {}
-  bool are_all_blank(TimePoint now) const;
+  void forget_old_answers(TimePoint now);
+  void observe_answers(TimePoint now);
+  // The stores that the first state would name, as far as they are known now; empty where it can't be founded on them.
+  std::vector<AcceptorEntry> founding_set() const;
+  bool has_answer_of_all() const { return answers_.size() == seeds_.size(); }
   bool may_begin(TimePoint now) const;
-  void begin_bootstrap(TimePoint now);
+  void begin_founding(TimePoint now);
+  void on_founding_end(const ChangeResult& end, TimePoint now);
   void send_read_requests();
-  void send_bootstrap_requests();
 
   RegisterProposer& proposer_;
   EventJournal& journal_;
   Address self_;
   std::set<Address> seeds_;
+  FoundingElectorate electorate_;
+  std::size_t most_lost_stores_;
   RandomGenerator random_;
   std::int64_t request_id_;
   Phase phase_ = Phase::idle;
-  std::map<Address, Blank> blanks_;
-  std::vector<AcceptorEntry> acceptors_;  // of the first state
-  std::set<StoreId> granted_, answered_;  // stores that have accepted it, and that have answered at all
-  Bytes value_;                           // the first state, encoded
+  std::map<Address, SeedAnswer> answers_;      // recent ones
+  std::optional<TimePoint> complete_since_;    // all seeds have been answering that they are blank
+  std::optional<TimePoint> sufficient_since_;  // a majority of them has
+  bool is_own_proposal_ = false;               // the last round proposed this daemon's first state
   bool was_bootstrapped_ = false;
   TimePoint started_, request_next_;
   std::int64_t smaller_seeds_ = 0;
-  std::optional<TimePoint> all_blank_since_;
   std::vector<OutboundMessage> out_;
 };
 
--- a/packages/control-plane/include/emberdale/control_daemon.hpp
+++ b/packages/control-plane/include/emberdale/control_daemon.hpp
@@ -113,6 +113,8 @@
   // so long.
   const DurationHistogram& gateway_evidence_ages() const { return gateway_directory_.evidence_ages(); }
   // That pool of the routing table in force here; nullptr if there is none.
+  // Of what clients may send, as the routing table in force has them.
+  const RequestLimits& request_limits() const { return routing_table_.limits(); }
   const RoutePool* route_pool(const PoolName& pool) const { return routing_table_.pool(pool); }
 
   // --- requests of operators; each callback is called exactly once --------------------------------
@@ -199,6 +201,9 @@
   bool is_led_by_others(TimePoint now) const;
   bool is_dead_member(const Address& daemon, TimePoint now) const;
   DecisionRight decision_right() const;
+  bool may_bootstrap() const;
+  // Once the first state is chosen: the register is read, and learners that are there are added at once.
+  void follow_bootstrap(TimePoint now);
   void refresh_state(TimePoint now);
   void on_new_state(TimePoint now);
   void update_roster(TimePoint now);
--- a/packages/control-plane/src/control_daemon.cpp
+++ b/packages/control-plane/src/control_daemon.cpp
@@ -22,7 +22,7 @@
       peers_(settings_.self.address),
       gossip_(settings_.seeds),
       reconciler_(proposer_, settings_.self, settings_.membership, RandomGenerator(settings_.random_seed + 5)),
-      bootstrapper_(proposer_, journal_, settings_.self.address, settings_.seeds,
+      bootstrapper_(proposer_, journal_, settings_.self.address, settings_.seeds, settings_.membership.lost_machines,
                     RandomGenerator(settings_.random_seed + 6)),
       replica_set_manager_(proposer_, journal_, settings_.self.role, acceptor_ != nullptr,
                            RandomGenerator(settings_.random_seed + 3)),
@@ -49,7 +49,7 @@
   pauses_.start(now);
   reconciler_.start(now);
   replica_set_manager_.start(now);
-  if (settings_.bootstraps_itself && (!acceptor_ || acceptor_->is_blank()))
+  if (may_bootstrap())
     bootstrapper_.start(now);
   membership_registry_.start(now);
   if (is_edge()) {
@@ -60,6 +60,21 @@
   on_timer(now);
 }
 
+// A process that is killed at the first start comes back without the permission; its store still has its vote.
+bool ControlDaemon::may_bootstrap() const {
+  if (!acceptor_)
+    return settings_.bootstraps_itself;
+  bool has_vote = FoundingElectorate(settings_.seeds).has_vote(acceptor_->store(), settings_.self.address);
+  return acceptor_->is_blank() && (settings_.bootstraps_itself || has_vote);
+}
+
+void ControlDaemon::follow_bootstrap(TimePoint now) {
+  if (!bootstrapper_.drain_bootstrapped())
+    return;
+  poll_next_ = now;
+  reconciler_.on_bootstrapped(now);
+}
+
 void ControlDaemon::stop(TimePoint now) {
   if (is_stopping_)
     return;
@@ -136,6 +151,7 @@
   if (is_edge())
     update_roster(now);
   bootstrapper_.on_timer(now);
+  follow_bootstrap(now);
   if (settings_.reconciles_membership)
     reconcile_membership(now);
   replica_set_manager_.on_timer(now);
--- a/packages/control-plane/src/control_membership.cpp
+++ b/packages/control-plane/src/control_membership.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "emberdale/control_daemon.hpp"
+#include "emberdale/store_seat.hpp"
 
 namespace emberdale {
 namespace {
@@ -15,7 +16,7 @@
 }
 
 bool has_store(const std::vector<AcceptorEntry>& set, const StoreId& store) {
-  return std::any_of(set.begin(), set.end(), [&](const auto& entry) { return entry.store == store; });
+  return std::any_of(set.begin(), set.end(), [&](const auto& entry) { return answers_to(store, entry.store); });
 }
 
 // How many daemons of the roster have joined the claim, the claimant among them.
--- a/packages/control-plane/src/control_messages.cpp
+++ b/packages/control-plane/src/control_messages.cpp
@@ -31,12 +31,9 @@
   replica_set_manager_.on_message(from, message, now);
   if (replica_set_manager_.drain_bootstrapped())
     poll_next_ = now;
-  if (bootstrapper_.drain_bootstrapped()) {
-    poll_next_ = now;
-    reconciler_.on_bootstrapped(now);
-  }
   std::visit([&](const auto& content) { handle(from, content, now); }, message);
   proposer_.on_message(from, message, now);
+  follow_bootstrap(now);
   if (is_edge())
     election_.on_message(from, message, now);
   refresh_state(now);
--- a/packages/control-plane/src/control_process.cpp
+++ b/packages/control-plane/src/control_process.cpp
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <future>
 
 #include "emberdale/program_settings.hpp"
@@ -15,6 +16,7 @@
 // What is done may cause more to be done; what is left after so many rounds waits for the next timer.
 constexpr int most_flush_rounds = 64;
 constexpr int refusals_per_log_line = 100;
+constexpr std::size_t unique_digits = 16;  // of the id of a store that has a seat
 }  // namespace
 
 ControlProcess::ControlProcess(ControlProcessSettings settings) : settings_(std::move(settings)) {}
@@ -46,7 +48,7 @@
   if (settings_.may_fault_connections)
     disk = faulty_disk_ = std::make_shared<FaultyFileSystem>(disk);
   log_ = std::make_unique<SegmentedLog>(disk, segment_bytes);
-  auto opening = log_->open(random_id());
+  auto opening = log_->open(first_store_id().text, random_id());
   if (!opening)
     return failure(opening.reason);
   if (!opening->finding.empty())
@@ -60,6 +62,15 @@
   return Outcome<std::unique_ptr<RegisterAcceptor>>(std::move(acceptor));
 }
 
+StoreId ControlProcess::first_store_id() const {
+  const auto& seeds = settings_.daemon.seeds;
+  const Address& self = settings_.daemon.self.address;
+  bool is_seed = std::find(seeds.begin(), seeds.end(), self) != seeds.end();
+  if (!settings_.daemon.bootstraps_itself || !is_seed)
+    return StoreId{random_id()};
+  return FoundingElectorate(seeds).make_store(self, random_id().substr(0, unique_digits));
+}
+
 void ControlProcess::connect_peers() {
   connections_ = std::make_unique<PeerConnections>(context_, settings_.daemon.self.address,
                                                    [this](const Address& from, Message message) {
--- a/packages/control-plane/src/control_process.hpp
+++ b/packages/control-plane/src/control_process.hpp
@@ -59,6 +59,8 @@
     std::int64_t epoch = 0;  // what was decided on top of a refused write is refused as well
   };
   Outcome<std::unique_ptr<RegisterAcceptor>> open_replica();
+  // The id of a store on a blank folder.
+  StoreId first_store_id() const;
   void connect_peers();
   void run_control();
   void schedule_timer();
--- a/packages/control-plane/src/membership_reconciler.cpp
+++ b/packages/control-plane/src/membership_reconciler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "emberdale/store_seat.hpp"
+
 namespace emberdale {
 namespace {
 constexpr Duration request_interval{950};  // a learner is asked about once a second
@@ -199,7 +201,7 @@
 
 bool MembershipReconciler::has_answered_as(const AcceptorEntry& entry) const {
   auto answered = answered_.find(entry.address);
-  return answered != answered_.end() && answered->second.store == entry.store;
+  return answered != answered_.end() && answers_to(answered->second.store, entry.store);
 }
 
 MemberView MembershipReconciler::member_view(const AcceptorEntry& entry, TimePoint now) const {
--- a/packages/control-plane/src/replica_set_manager.cpp
+++ b/packages/control-plane/src/replica_set_manager.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "emberdale/avro_codec.hpp"
+#include "emberdale/store_seat.hpp"
 
 namespace emberdale {
 namespace {
@@ -154,7 +155,7 @@
       continue;
     bool may_be_overwritten =
         reconciler_ != nullptr && proposer_.has_state() && !(proposer_.ballot() < response.accepted);
-    if ((response.blank || may_be_overwritten) && entry.store != response.store)
+    if ((response.blank || may_be_overwritten) && !answers_to(response.store, entry.store))
       renewed_stores_[from] = response.store;
     else
       renewed_stores_.erase(from);
--- a/packages/control-plane/tests/support/machine_fleet.hpp
+++ b/packages/control-plane/tests/support/machine_fleet.hpp
@@ -138,6 +138,8 @@
     Message message;
   };
 
+  // The id of the store that a machine makes on an empty disk.
+  StoreId new_store(const Machine& machine, bool is_first_start) const;
   ControlDaemonSettings settings_of(const Machine& machine, bool bootstraps_itself) const;
   void tick(const std::string& name, int incarnation);
   void end_when_ready(const std::string& name, int incarnation);
--- a/packages/model-checker/include/emberdale/register_world.hpp
+++ b/packages/model-checker/include/emberdale/register_world.hpp
@@ -22,6 +22,7 @@
   leader_append,   // adds its own mark while its proposer leads the term that it won
   replace_member,  // begins a joint change: a wiped store is readmitted, else the last member gives way to a spare
   finish_change,   // ends a joint change that is under way
+  found,           // founds the register on the stores of its founding set
 };
 
 // A fault of the machines themselves, planted by the world between them, to show that the checker finds each.
@@ -41,7 +42,10 @@
 struct RegisterScenario {
   int members = 3, spares = 0, proposers = 2;
   std::vector<OrderKind> orders{OrderKind::append};
-  std::vector<int> placed_at;   // proposer of each order; empty: in turn
+  std::vector<int> placed_at;  // proposer of each order; empty: in turn
+  // Not empty: all stores are blank at the start, and order i is to found the register on the stores of these members,
+  // if it is of that kind. The others learn the set from whichever store holds a value.
+  std::vector<std::vector<int>> founding_sets;
   bool is_in_sequence = false;  // each order starts once the one before it has ended
   // A proposer's requests reach some acceptors and are answered at once, or are lost: far fewer states, so that
   // longer paths fit.
@@ -128,6 +132,10 @@
   Change change_of(std::size_t order) const;
   std::uint64_t fingerprint_of_arguments(std::size_t order) const;
   Change replacement() const;
+  bool is_blank_at_start() const { return !scenario_->founding_sets.empty(); }
+  std::vector<AcceptorEntry> founding_set(std::size_t order) const;
+  // The replica set that some store's value names; empty while all are blank.
+  std::vector<AcceptorEntry> visible_set() const;
   void after_acceptor(std::size_t index);
   void after_proposer(std::size_t index);
   void send(std::size_t from, std::vector<OutboundMessage> outbound_messages);
--- a/packages/model-checker/src/register_world_choices.cpp
+++ b/packages/model-checker/src/register_world_choices.cpp
@@ -20,6 +20,10 @@
   for (std::size_t earlier = 0; earlier < order; ++earlier)
     if (proposer_of(earlier) == proposer_of(order) && started_.count(earlier) == 0)
       return false;
+  if (scenario_->orders[order] == OrderKind::found)
+    return true;
+  if (is_blank_at_start() && visible_set().empty())
+    return false;
   if (scenario_->orders[order] == OrderKind::leader_append)
     return proposers_[proposer_of(order)]->won_term > 0;
   if (scenario_->orders[order] == OrderKind::replace_member)
--- a/packages/model-checker/src/register_world_nodes.hpp
+++ b/packages/model-checker/src/register_world_nodes.hpp
@@ -60,6 +60,7 @@
 ChangeDecision append(const FleetState& state, const std::string& mark, std::int64_t term);
 ChangeDecision claim(const FleetState& state, std::int64_t expected, const Address& self);
 ChangeDecision finish_joint_change(const FleetState& state);
+ChangeDecision found(const FleetState& state, const std::vector<AcceptorEntry>& set);
 
 // --- messages ---
 std::string show(const Message& message);
--- a/packages/model-checker/src/register_world_orders.cpp
+++ b/packages/model-checker/src/register_world_orders.cpp
@@ -41,6 +41,31 @@
   return {ChangeDecision::Kind::apply, next, ""};
 }
 
+ChangeDecision found(const FleetState& state, const std::vector<AcceptorEntry>& set) {
+  if (state.version > 0)
+    return {ChangeDecision::Kind::already_there, {}, ""};
+  FleetState first;
+  first.fleet_name = "model";
+  first.acceptors = set;
+  return {ChangeDecision::Kind::apply, first, ""};
+}
+
+std::vector<AcceptorEntry> RegisterWorld::founding_set(std::size_t order) const {
+  std::vector<AcceptorEntry> set;
+  for (int member : scenario_->founding_sets[order]) {
+    auto index = static_cast<std::size_t>(member);
+    set.push_back({store_of(index, 0), acceptor_address(index)});
+  }
+  return set;
+}
+
+std::vector<AcceptorEntry> RegisterWorld::visible_set() const {
+  for (const auto& node : acceptors_)
+    if (!node->machine.is_blank())
+      return node->machine.state().acceptors;
+  return {};
+}
+
 Change RegisterWorld::replacement() const {
   const FleetState& newest = history_->newest;
   if (!newest.next_acceptors.empty())
@@ -97,6 +122,10 @@
       return replacement();
     case OrderKind::finish_change:
       return finish_joint_change;
+    case OrderKind::found:
+      return [set = founding_set(order)](const FleetState& state) {
+        return found(state, set);
+      };
   }
   return nullptr;
 }
@@ -121,12 +150,15 @@
   Change change = change_of(order);
   ProposerNode& node = change_proposer(index);
   node.arguments.add(order).add(static_cast<std::uint64_t>(node.won_term)).add(fingerprint_of_arguments(order));
-  node.machine.change(
-      std::move(change),
-      [order](const ChangeResult& end) {
-        pending_order_ends().push_back({order, end});
-      },
-      node.clock, order_timeout);
+  auto on_end = [order](const ChangeResult& end) {
+    pending_order_ends().push_back({order, end});
+  };
+  if (is_blank_at_start() && scenario_->orders[order] != OrderKind::found)
+    node.machine.learn_acceptors(visible_set());
+  if (scenario_->orders[order] == OrderKind::found)
+    node.machine.found(founding_set(order), std::move(change), on_end, node.clock, order_timeout);
+  else
+    node.machine.change(std::move(change), on_end, node.clock, order_timeout);
   after_proposer(index);
 }
 
--- a/packages/model-checker/src/state_inspector.cpp
+++ b/packages/model-checker/src/state_inspector.cpp
@@ -37,6 +37,8 @@
         .add(round.highest_ballot)
         .add(round.found_value.data);
     // What is proposed follows from the value found and the job.
+    for (const auto& entry : round.change.founding_set)
+      own.add(entry.store.text);
     own.add(round.is_carrying_found ? 1 : 0).add(round.change.was_accept_sent ? 1 : 0).add(round.change.done ? 1 : 0);
     own.add(static_cast<std::uint64_t>(std::min(left, far_off))).add(static_cast<std::uint64_t>(round.result.kind));
     for (const auto& ballot : round.seen_ballots)
--- a/packages/model-checker/tests/register_model_test.cpp
+++ b/packages/model-checker/tests/register_model_test.cpp
@@ -198,6 +198,59 @@
   expect_sound(scenario, {60, 15000, 64}, false);
 }
 
+// Foundings by several seeds at the same time, each on the seeds that it has heard; two of three are a majority.
+RegisterScenario foundings(const std::vector<std::vector<int>>& sets) {
+  RegisterScenario scenario;
+  scenario.proposers = static_cast<int>(sets.size());
+  scenario.orders.assign(sets.size(), OrderKind::found);
+  scenario.founding_sets = sets;
+  return scenario;
+}
+
+TEST(RegisterModel, OfTwoFoundingsOnAnyMajoritiesOneIsChosen) {
+  expect_sound(foundings({{0, 1}, {1, 2}}), {60, 200000, 16}, true);
+  RegisterScenario timed = foundings({{0, 1}, {0, 2}});
+  timed.budget.timers = 2;
+  timed.budget.duplicates = 1;
+  expect_sound(timed, {60, 50000, 64}, false);
+  RegisterScenario with_all = foundings({{0, 1, 2}, {0, 1}});
+  with_all.budget.timers = 1;
+  expect_sound(with_all, {60, 50000, 64}, false);
+}
+
+// Whole rounds: three seeds found the register, one of the stores is wiped, a proposer restarts, and a daemon that has
+// seen one store's value makes a change on the set that it names.
+TEST(RegisterModel, FoundingsAreCarriedThroughByChangesOnWhatTheyLeft) {
+  RegisterScenario scenario = foundings({{0, 1}, {1, 2}, {0, 1, 2}});
+  scenario.is_round_atomic = true;
+  scenario.budget.timers = 1;
+  expect_sound(scenario, {60, 150000, 64}, true);
+  scenario = foundings({{0, 1}, {0, 1, 2}});
+  scenario.proposers = 3;
+  scenario.orders.push_back(OrderKind::append);
+  scenario.is_round_atomic = true;
+  scenario.budget.timers = 1;
+  scenario.budget.wipes = 1;
+  scenario.budget.restarts = 1;
+  expect_sound(scenario, {60, 150000, 64}, true);
+}
+
+// Planted: the stores of one of the foundings are no majority of the seeds.
+TEST(RegisterModel, AFoundingOnLessThanAMajorityIsFound) {
+  SearchResult result = search_exhaustively(RegisterWorld(foundings({{0}, {1, 2}})), {60, 30000, 0});
+  ASSERT_TRUE(result.violation);
+  EXPECT_NE(result.violation->reason.find("another value of version 1"), std::string::npos);
+}
+
+// Planted: a store that was wiped votes again as the store that was there before.
+TEST(RegisterModel, AWipedStoreThatVotesAgainOnAFoundingIsFound) {
+  RegisterScenario scenario = foundings({{0, 1}, {1, 2}});
+  scenario.is_in_sequence = true;
+  scenario.budget.wipes = 1;
+  scenario.fault = InjectedFault::keeps_wiped_store;
+  expect_found(scenario, {60, 30000, 0}, "another value of version 1");
+}
+
 TEST(RegisterModel, AnAcceptorThatForgetsItsPromisesIsFound) {
   RegisterScenario scenario = appends(3, 2);
   scenario.budget.restarts = 1;
