--- a/packages/control-plane/src/control_process.cpp
+++ b/packages/control-plane/src/control_process.cpp
@@ -21,36 +21,35 @@
 
 ControlProcess::ControlProcess(ControlProcessSettings settings) : settings_(std::move(settings)) {}
 
-Outcome<bool> ControlProcess::open() {
+absl::Status ControlProcess::open_store() {
   std::unique_ptr<RegisterAcceptor> acceptor;
   if (!settings_.data_folder.empty()) {
     auto opened = open_replica();
-    if (!opened)
-      return failure(opened.reason);
-    acceptor = std::move(*opened);
+    if (!opened.ok())
+      return opened.status();
+    acceptor = *std::move(opened);
   }
   daemon_ = std::make_unique<ControlDaemon>(settings_.daemon, std::move(acceptor));
   daemon_->journal().on_event = [](const JournalEvent& event) {
     LOG(INFO) << event.kind << ": " << event.detail;
   };
   connect_peers();
-  absl::Status listening = connections_->listen();
-  if (!listening.ok())
-    return failure(std::string(listening.message()));
-  return true;
+  return absl::OkStatus();
 }
 
-Outcome<std::unique_ptr<RegisterAcceptor>> ControlProcess::open_replica() {
+absl::StatusOr<std::unique_ptr<RegisterAcceptor>> ControlProcess::open_replica() {
+  log_.reset();  // of an attempt before, with its lock
+  faulty_disk_.reset();
   auto files = open_disk_folder(settings_.data_folder);
   if (!files)
-    return failure(files.reason);
+    return absl::UnavailableError(files.reason);
   std::shared_ptr<FileSystem> disk = *files;
   if (settings_.may_fault_connections)
     disk = faulty_disk_ = std::make_shared<FaultyFileSystem>(disk);
   log_ = std::make_unique<SegmentedLog>(disk, segment_bytes);
   auto opening = log_->open(first_store_id().text, random_id());
   if (!opening)
-    return failure(opening.reason);
+    return absl::UnavailableError(opening.reason);
   if (!opening->finding.empty())
     LOG(WARNING) << opening->finding;
   LOG(INFO) << "store " << opening->store << (opening->is_new ? " (new)" : "") << ", " << opening->records.size()
@@ -58,8 +57,8 @@
   auto acceptor = std::make_unique<RegisterAcceptor>(opening->store);
   auto restored = acceptor->restore(opening->records);
   if (!restored)
-    return failure("the log can't be replayed: " + restored.reason);
-  return Outcome<std::unique_ptr<RegisterAcceptor>>(std::move(acceptor));
+    return absl::DataLossError("the log can't be replayed: " + restored.reason);
+  return acceptor;
 }
 
 StoreId ControlProcess::first_store_id() const {
@@ -72,11 +71,13 @@
 }
 
 void ControlProcess::connect_peers() {
-  connections_ = std::make_unique<PeerConnections>(context_, settings_.daemon.self.address,
-                                                   [this](const Address& from, Message message) {
-                                                     daemon_->on_message(from, message, steady_now());
-                                                     flush();
-                                                   });
+  connections_ = std::make_unique<PeerConnections>(
+      context_, settings_.daemon.self.address,
+      [this](const Address& from, Message message) {
+        daemon_->on_message(from, message, steady_now());
+        flush();
+      },
+      settings_.max_inbound_peers);
   connections_->on_refused = [this](const Address& peer) {
     daemon_->on_refused(peer, steady_now());
     flush();
@@ -166,8 +167,11 @@
   auto writes = daemon_->drain_writes();
   if (writes.empty())
     return false;
-  if (!jobs_.offer({std::move(writes), epoch_}))
-    LOG(FATAL) << "the disk is " << most_disk_jobs << " writes behind";
+  const std::int64_t last_token = writes.back().token;
+  if (!jobs_.offer({std::move(writes), epoch_})) {
+    ++disk_refused_;
+    daemon_->write_refused(last_token);  // the disk is too far behind
+  }
   return true;
 }
 
@@ -200,6 +204,7 @@
     if (job->epoch <= refused_epoch_)
       continue;
     write_job(*job);
+    // A restart reads from the disk what it really holds: the answers that this process has given rest on it.
     if (log_->must_stop())
       LOG(FATAL) << "the data folder can't be trusted any more: stopping";
   }
@@ -215,7 +220,7 @@
     return on_write_refused(job, written.reason);
   auto synced = log_->sync();
   if (!synced)
-    LOG(FATAL) << "the data folder can't be synced, nothing is known of it: " << synced.reason;
+    return on_write_refused(job, synced.reason);
   on_written(job.writes.back().token, records.size());
 }
 
--- a/packages/control-plane/src/control_process.hpp
+++ b/packages/control-plane/src/control_process.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <thread>
 
+#include "absl/status/statusor.h"
 #include "emberdale/bounded_queue.hpp"
 #include "emberdale/control_daemon.hpp"
 #include "emberdale/faulty_file_system.hpp"
@@ -20,14 +21,18 @@
   std::string data_folder;             // empty: keeps no replica of the register
   bool may_fault_connections = false;  // tests only
   Duration timer_interval{25};
+  std::size_t max_inbound_peers = PeerConnections::default_max_inbound;
 };
 
-// open(), set the callbacks, start(), and at last stop().
+// open_store(), listen(), set the callbacks, start(), and at last stop().
 class ControlProcess {
  public:
   explicit ControlProcess(ControlProcessSettings settings);
-  // Opens the data folder and the connections to peers; the reason says what can't be had.
-  Outcome<bool> open();
+  // Opens the data folder. Unavailable: it may be called again, a former process may still hold the folder, or the disk
+  // refuses the first files. DataLoss: what the folder holds can't be read.
+  absl::Status open_store();
+  // Listens for peers, after open_store(). Unavailable: it may be called again.
+  absl::Status listen() { return connections_->listen(); }
   void start();
   // Hands over the place in the set of replicas, lays the term down, waits for `grace` so that open requests can end,
   // ends the others, calls `before_end`, and joins the threads.
@@ -58,7 +63,7 @@
     std::vector<LogWrite> writes;
     std::int64_t epoch = 0;  // what was decided on top of a refused write is refused as well
   };
-  Outcome<std::unique_ptr<RegisterAcceptor>> open_replica();
+  absl::StatusOr<std::unique_ptr<RegisterAcceptor>> open_replica();
   // The id of a store on a blank folder.
   StoreId first_store_id() const;
   void connect_peers();
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -73,9 +73,13 @@
 
   // Serves until a signal comes; the exit code of the program.
   int run() {
-    auto opened = process_.open();
-    if (!opened)
-      return refuse(opened.reason);
+    auto open_all = [this] {
+      absl::Status opened = process_.open_store();
+      return opened.ok() ? process_.listen() : opened;
+    };
+    absl::Status opened = open_patiently(open_all);
+    if (!opened.ok())
+      return refuse(std::string(opened.message()));
     open_interface();
     auto listens = interface_->open();
     if (!listens)
--- a/packages/data-plane/src/data_process.cpp
+++ b/packages/data-plane/src/data_process.cpp
@@ -6,18 +6,19 @@
 
 namespace emberdale {
 
-DataProcess::DataProcess(DaemonEntry self, std::vector<Address> seeds, Duration timer_interval)
+DataProcess::DataProcess(DaemonEntry self, std::vector<Address> seeds, Duration timer_interval,
+                         std::size_t max_inbound_peers)
     : self_(self),
       timer_interval_(timer_interval),
       daemon_(self, std::move(seeds), static_cast<std::uint64_t>(self.incarnation)) {
   daemon_.journal().on_event = [](const JournalEvent& event) {
     LOG(INFO) << event.kind << " " << event.detail;
   };
-  connections_ =
-      std::make_unique<PeerConnections>(context_, self_.address, [this](const Address& from, Message message) {
-        daemon_.on_message(from, message, steady_now());
-        flush();
-      });
+  auto on_message = [this](const Address& from, Message message) {
+    daemon_.on_message(from, message, steady_now());
+    flush();
+  };
+  connections_ = std::make_unique<PeerConnections>(context_, self_.address, std::move(on_message), max_inbound_peers);
   connections_->on_refused = [this](const Address& peer) {
     daemon_.on_refused(peer, steady_now());
     flush();
--- a/packages/data-plane/src/data_process.hpp
+++ b/packages/data-plane/src/data_process.hpp
@@ -18,7 +18,8 @@
 //   CallRelay relay(dispatcher_settings, process.snapshot(), http_address); process.start(); ... process.stop();
 class DataProcess {
  public:
-  DataProcess(DaemonEntry self, std::vector<Address> seeds, Duration timer_interval);
+  DataProcess(DaemonEntry self, std::vector<Address> seeds, Duration timer_interval,
+              std::size_t max_inbound_peers = PeerConnections::default_max_inbound);
   // Listens for peers; an error says why the address can't be used.
   absl::Status open();
   void start();
--- a/packages/data-plane/src/own_paths.cpp
+++ b/packages/data-plane/src/own_paths.cpp
@@ -84,7 +84,14 @@
 void OwnPaths::read_faults(http_request request) {
   if (!may_fault_connections_)
     return reply(request, 403, R"({"reason":"started without --allow-link-faults"})");
-  request.extract_string(true).then([this, request](utility::string_t body) { set_faults(request, body); });
+  request.extract_string(true).then([this, request](pplx::task<utility::string_t> reading) {
+    std::string body;
+    try {
+      body = reading.get();
+    } catch (const std::exception&) {  // the client left; what is no JSON is refused
+    }
+    set_faults(request, body);
+  });
 }
 
 void OwnPaths::set_faults(const http_request& request, const std::string& body) {
--- a/packages/program-settings/include/emberdale/program_runtime.hpp
+++ b/packages/program-settings/include/emberdale/program_runtime.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "absl/status/status.h"
 #include "emberdale/duration_histogram.hpp"
 #include "emberdale/small_types.hpp"
 
@@ -19,10 +20,22 @@
 // The memory of this process that is resident, in bytes; 0 where the system does not tell.
 std::int64_t resident_bytes();
 
-// Begins logging to standard error, ignores SIGPIPE and blocks the signals that wait_for_stop() waits for. To be called
+// Begins logging to standard error, ignores SIGPIPE and blocks the signals that wait_for_stop() waits for. From then on
+// a crash, or an exception that nobody catches, leaves its stack there. To be called
 // by the main thread before others are started. Example: start_program("emberdale-data-plane")
 void start_program(const char* name);
 
+// The files, sockets and pipes that this process has open, and how many it may have; 0 where the system does not tell.
+std::int64_t open_descriptors();
+std::int64_t descriptor_limit();
+// Lowers the limit of this process to that number; a number that is not positive, or above the limit, changes nothing.
+void limit_descriptors(std::int64_t count);
+
+// Calls `open` until it gives another status than Unavailable, which is returned: a former process may still hold the
+// address or the folder, and a disk may refuse for a time. What it waits for is logged. After a signal to stop, the
+// status is Cancelled.
+absl::Status open_patiently(const std::function<absl::Status()>& open);
+
 // Waits for SIGTERM or SIGINT and gives its number. A SIGHUP says that the settings file has changed: it calls
 // `on_hang_up`, if given, and waiting goes on.
 int wait_for_stop(const std::function<void()>& on_hang_up = nullptr);
--- a/packages/program-settings/src/program_runtime.cpp
+++ b/packages/program-settings/src/program_runtime.cpp
@@ -1,17 +1,29 @@
 #include "emberdale/program_runtime.hpp"
 
+#include <dirent.h>
 #include <glog/logging.h>
+#include <glog/raw_logging.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <time.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <exception>
 #include <fstream>
+#include <iomanip>
 #include <random>
+#include <typeinfo>
 
 namespace emberdale {
 
 namespace {
 
+constexpr std::int64_t entries_of_no_descriptor = 3;  // of a listing: "." and "..", and the listing's own descriptor
+constexpr long open_interval_ms = 100;
+constexpr int waits_per_log_line = 50;
+
 // The signals that wait_for_stop() waits for.
 sigset_t awaited_signals() {
   sigset_t signals;
@@ -22,6 +34,20 @@
   return signals;
 }
 
+// Names the exception; the handler of the signal that follows writes the stack.
+void log_exception_and_abort() {
+  try {
+    if (std::exception_ptr unhandled = std::current_exception())
+      std::rethrow_exception(unhandled);
+    RAW_LOG(ERROR, "terminated without an exception");
+  } catch (const std::exception& error) {
+    RAW_LOG(ERROR, "unhandled_exception type=%s reason=%s", typeid(error).name(), error.what());
+  } catch (...) {
+    RAW_LOG(ERROR, "unhandled_exception of an unknown type");
+  }
+  std::abort();
+}
+
 std::mt19937_64 seeded_engine() {
   std::random_device device;
   std::seed_seq seed{device(), device(), device(), device()};
@@ -57,9 +83,52 @@
   return id;
 }
 
+std::int64_t open_descriptors() {
+  DIR* folder = ::opendir("/proc/self/fd");
+  if (folder == nullptr)
+    return 0;
+  std::int64_t count = 0;
+  while (::readdir(folder) != nullptr)
+    ++count;
+  ::closedir(folder);
+  return std::max<std::int64_t>(0, count - entries_of_no_descriptor);
+}
+
+std::int64_t descriptor_limit() {
+  rlimit limit{};
+  return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? static_cast<std::int64_t>(limit.rlim_cur) : 0;
+}
+
+void limit_descriptors(std::int64_t count) {
+  rlimit limit{};
+  bool is_lower = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && count > 0 && static_cast<rlim_t>(count) < limit.rlim_cur;
+  if (!is_lower)
+    return;
+  limit.rlim_cur = static_cast<rlim_t>(count);
+  if (::setrlimit(RLIMIT_NOFILE, &limit) != 0)
+    PLOG(WARNING) << "descriptor_limit_refused count=" << count;
+}
+
+absl::Status open_patiently(const std::function<absl::Status()>& open) {
+  const sigset_t signals = awaited_signals();
+  const timespec interval{0, open_interval_ms * 1000000};
+  for (;;) {
+    absl::Status status = open();
+    if (!absl::IsUnavailable(status))
+      return status;
+    LOG_EVERY_N(WARNING, waits_per_log_line) << "start_waits reason=" << std::quoted(std::string(status.message()));
+    int signal = ::sigtimedwait(&signals, nullptr, &interval);
+    if (signal == SIGTERM || signal == SIGINT)
+      return absl::CancelledError("stopped before it had started");
+  }
+}
+
 void start_program(const char* name) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(name);
+  google::InstallFailureSignalHandler();
+  signal(SIGTERM, SIG_DFL);  // that handler takes it for a failure
+  std::set_terminate(log_exception_and_abort);
   signal(SIGPIPE, SIG_IGN);
   sigset_t signals = awaited_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
