Soak: starts with a core machine late, killed or lost; crowds; series; kills of the whole core

Crowds hold more connections at a port than the process may have descriptors (--crowd; 4300 gives daemons 4,100), SIGHUPs and stops of core machines come in series, and all control processes may be killed at the same moment. New rule: no daemon has more than nine tenths of its descriptors open.

--- a/packages/control-plane/src/control_interface.cpp
+++ b/packages/control-plane/src/control_interface.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "emberdale/descriptor_budget.hpp"
 #include "emberdale/json_text.hpp"
 #include "emberdale/program_settings.hpp"
 #include "http_reply.hpp"
@@ -32,6 +33,7 @@
   ListenerLimits limits;
   limits.reader = "operators";
   limits.request = {max_head, max_body, request_time};
+  limits.max_connections = DescriptorBudget(descriptor_limit()).connections(DescriptorUse::operators);
   return limits;
 }
 
--- a/packages/control-plane/src/main.cpp
+++ b/packages/control-plane/src/main.cpp
@@ -8,6 +8,7 @@
 
 #include "control_interface.hpp"
 #include "control_process.hpp"
+#include "emberdale/descriptor_budget.hpp"
 #include "emberdale/http_fetch.hpp"
 #include "emberdale/pending_tasks.hpp"
 #include "emberdale/program_settings.hpp"
@@ -104,6 +105,7 @@
     process_settings.daemon.random_seed =
         static_cast<std::uint64_t>(settings.self.incarnation) ^ stable_hash(settings.self.address.text);
     process_settings.data_folder = settings.data_folder;
+    process_settings.max_inbound_peers = DescriptorBudget(descriptor_limit()).connections(DescriptorUse::peers);
     process_settings.may_fault_connections = settings.may_fault_connections;
     return process_settings;
   }
@@ -177,4 +179,4 @@
 }  // namespace
 }  // namespace emberdale
 
-int main(int argc, char** argv) { return emberdale::run_program(argc, argv); }
+int main(int argc, char** argv) { emberdale::end_program(emberdale::run_program(argc, argv)); }
--- a/packages/data-plane/src/main.cpp
+++ b/packages/data-plane/src/main.cpp
@@ -8,6 +8,7 @@
 
 #include "call_relay.hpp"
 #include "data_process.hpp"
+#include "emberdale/descriptor_budget.hpp"
 #include "emberdale/program_settings.hpp"
 #include "own_paths.hpp"
 
@@ -49,15 +50,17 @@
 }
 
 int run(const ProgramSettings& settings) {
-  DataProcess process(settings.self, settings.seeds, timer_interval);
-  if (auto listening = process.open(); !listening.ok())
+  const DescriptorBudget budget(descriptor_limit());
+  DataProcess process(settings.self, settings.seeds, timer_interval, budget.connections(DescriptorUse::peers));
+  if (auto listening = open_patiently([&] { return process.open(); }); !listening.ok())
     return fail(listening);
-  CallRelay relay(dispatcher_settings(settings), process.snapshot(), settings.self.http_address);
+  CallRelay relay(dispatcher_settings(settings), process.snapshot(), settings.self.http_address,
+                  budget.connections(DescriptorUse::clients));
   OwnPaths own_paths(process, relay, settings.may_fault_connections);
   relay.on_own_path = [&own_paths](web::http::http_request request) {
     own_paths.handle(std::move(request));
   };
-  if (auto listening = relay.open(); !listening.ok())
+  if (auto listening = open_patiently([&] { return relay.open(); }); !listening.ok())
     return fail(listening);
   process.start();
   LOG(INFO) << "serving zone=" << settings.self.zone << " region=" << settings.self.region
@@ -82,5 +85,5 @@
     return emberdale::exit_settings;
   emberdale::start_program("emberdale-data-plane");
   crossplat::threadpool::initialize_with_threads(emberdale::library_threads);
-  return emberdale::run(settings);
+  emberdale::end_program(emberdale::run(settings));
 }
--- a/packages/fleet-soak/src/invariant_counts.cpp
+++ b/packages/fleet-soak/src/invariant_counts.cpp
@@ -9,6 +9,7 @@
 
 const std::string memory_counter = "resident_bytes";
 constexpr std::int64_t max_resident_bytes = 260'000'000;  // of one process on the platform
+const std::string descriptor_counter = "_open_descriptors", descriptor_limit_counter = "_descriptor_limit";
 const std::string counter_mark = "invariant_", checks_end = "_checks", log_mark = "invariant_violated invariant=";
 
 bool ends_with(const std::string& text, const std::string& end) {
@@ -27,6 +28,10 @@
       continue;
     if (ends_with(name, memory_counter))
       read_memory(daemon, value);
+    if (ends_with(name, descriptor_limit_counter))
+      descriptor_limits_[daemon] = value;
+    if (ends_with(name, descriptor_counter))
+      open_descriptors_[daemon] = std::max(open_descriptors_[daemon], value);
     if (name.find(counter_mark) == std::string::npos)
       continue;
     bool is_of_checks = ends_with(name, checks_end);
@@ -37,6 +42,17 @@
   }
 }
 
+// Before any fails to get one.
+std::map<std::string, std::int64_t> InvariantCounts::short_of_descriptors() const {
+  std::map<std::string, std::int64_t> found;
+  for (const auto& [daemon, count] : open_descriptors_) {
+    auto limit = descriptor_limits_.find(daemon);
+    if (limit != descriptor_limits_.end() && limit->second > 0 && count > limit->second * 9 / 10)
+      found[daemon] = count;
+  }
+  return found;
+}
+
 void InvariantCounts::read_memory(const std::string& daemon, std::int64_t resident_bytes) {
   most_resident_bytes_ = std::max(most_resident_bytes_, resident_bytes);
   if (resident_bytes <= max_resident_bytes)
--- a/packages/fleet-soak/src/invariant_counts.hpp
+++ b/packages/fleet-soak/src/invariant_counts.hpp
@@ -19,6 +19,9 @@
   const std::map<std::string, std::int64_t>& violations() const { return violations_; }
   std::int64_t checks() const;
 
+  // The daemons that had more than nine tenths of their descriptors open, with how many.
+  std::map<std::string, std::int64_t> short_of_descriptors() const;
+
   // The most memory that a daemon had, in bytes.
   std::int64_t most_resident_bytes() const { return most_resident_bytes_; }
 
@@ -26,6 +29,7 @@
   void read_memory(const std::string& daemon, std::int64_t resident_bytes);
 
   std::map<std::string, std::int64_t> violations_, checks_;
+  std::map<std::string, std::int64_t> open_descriptors_, descriptor_limits_;  // by daemon; the most of the former
   std::int64_t most_resident_bytes_ = 0;
 };
 
--- a/packages/fleet-soak/src/own_face.cpp
+++ b/packages/fleet-soak/src/own_face.cpp
@@ -26,7 +26,7 @@
     fleet_.at(name).words[0] = programs + "/emberdale-soak-runner";
 }
 
-std::string OwnFace::bring_up() {
+std::string OwnFace::bring_up(std::uint64_t) {
   for (auto step : {&FleetOfProcesses::start_all, &FleetOfProcesses::found, &FleetOfProcesses::declare}) {
     auto done = (fleet_.*step)();
     if (!done)
--- a/packages/fleet-soak/src/own_face.hpp
+++ b/packages/fleet-soak/src/own_face.hpp
@@ -13,7 +13,7 @@
   OwnFace(const std::string& folder, const std::string& programs);
 
   FleetOfProcesses& fleet() override { return fleet_; }
-  std::string bring_up() override;
+  std::string bring_up(std::uint64_t seed) override;
   SoakTargets targets() const override;
   bool is_ready(const FleetProcess& data_daemon) const override;
   std::string metrics_path(const FleetProcess& daemon) const override;
--- a/packages/fleet-soak/src/soak.cpp
+++ b/packages/fleet-soak/src/soak.cpp
@@ -62,7 +62,7 @@
 }
 
 SoakReport Soak::run() {
-  std::string reason = face_.bring_up();
+  std::string reason = face_.bring_up(options_.seed);
   if (!reason.empty())
     return {{{"start", "the fleet did not come up: " + reason}}, {}};
   {
@@ -108,7 +108,7 @@
 }
 
 void Soak::begin(const PlannedTrouble& trouble, TroubleRecord& record) {
-  record = {trouble.kind, trouble.target, {steady_now(), {}}};
+  record = {trouble.kind, trouble.target, {steady_now(), {}}, trouble.is_of_all_cores};
   switch (trouble.kind) {
     case TroubleKind::kill_daemon:
       read_invariants(trouble.target);
@@ -133,6 +133,10 @@
     case TroubleKind::cut_daemon:
       cut(trouble, true);
       break;
+    case TroubleKind::crowd_daemon:
+      crowds_[trouble.target] =
+          std::make_unique<Crowd>(fleet_.at(trouble.target).http, options_.crowd_connections, options_.seed);
+      break;
   }
 }
 
@@ -156,6 +160,9 @@
     case TroubleKind::cut_daemon:
       cut(trouble, false);
       break;
+    case TroubleKind::crowd_daemon:
+      crowds_.erase(trouble.target);
+      break;
   }
   record.time.until = steady_now();
 }
@@ -240,6 +247,8 @@
     report.violations.push_back({"acknowledged configuration", finding});
   for (const auto& [name, count] : invariants_.violations())
     report.violations.push_back({"invariant of a daemon", name + " " + std::to_string(count)});
+  for (const auto& [name, count] : invariants_.short_of_descriptors())
+    report.violations.push_back({"descriptors", name + " had " + std::to_string(count) + " open"});
   if (verdict.departed_runs < fewest_departed_runs)
     report.violations.push_back(
         {"too little judged", std::to_string(verdict.departed_runs) + " runs of clients that left"});
@@ -248,6 +257,7 @@
     ++outcomes[to_string(call.outcome)];
   Duration paused = overlap(records_.pauses, TimePoint{}, records_.read_at);
   report.figures = {{"seed", options_.seed},
+                    {"start", face_.start_description()},
                     {"troubles", schedule_.size()},
                     {"calls", outcomes},
                     {"runs", verdict.runs},
--- a/packages/fleet-soak/src/soak.hpp
+++ b/packages/fleet-soak/src/soak.hpp
@@ -1,11 +1,13 @@
 // One soak: a fleet of real processes serves clients and operators while the troubles of a seed come and go.
 #pragma once
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "crowd.hpp"
 #include "emberdale/fleet_of_processes.hpp"
 #include "invariant_counts.hpp"
 #include "soak_face.hpp"
@@ -19,6 +21,7 @@
   std::string folder;  // schedule, records and logs
   std::uint64_t seed = 1;
   Duration length;  // of the load
+  std::size_t crowd_connections = 700;
 };
 
 struct SoakReport {
@@ -55,9 +58,10 @@
   SoakRecords records_;
   OperatorRecords operators_;
   InvariantCounts invariants_;
-  std::map<std::string, TimePoint> started_at_;  // processes that were started again
-  std::set<std::string> terminated_at_start_;    // of these, told to stop before they can have set up their signals
-  std::vector<Violation> violations_;            // beside those of the judge
+  std::map<std::string, std::unique_ptr<Crowd>> crowds_;  // by daemon
+  std::map<std::string, TimePoint> started_at_;           // processes that were started again
+  std::set<std::string> terminated_at_start_;  // of these, told to stop before they can have set up their signals
+  std::vector<Violation> violations_;          // beside those of the judge
 };
 
 }  // namespace emberdale::soak
--- a/packages/fleet-soak/src/soak_face.hpp
+++ b/packages/fleet-soak/src/soak_face.hpp
@@ -1,6 +1,7 @@
 // What differs between the faces of the system under soak, our own and that of the users' platform: how the fleet is
 // set up, how calls and changes are made, and what the answers mean.
 #pragma once
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,8 +30,11 @@
   virtual ~SoakFace() = default;
 
   virtual FleetOfProcesses& fleet() = 0;
-  // Starts every process and configures the fleet; empty: it serves, else the reason why not.
-  virtual std::string bring_up() = 0;
+  // Starts every process and configures the fleet; empty: it serves, else the reason why not. What goes wrong meanwhile
+  // is drawn from the seed.
+  virtual std::string bring_up(std::uint64_t seed) = 0;
+  // What went wrong while it started, for the report; empty: nothing.
+  virtual std::string start_description() const { return ""; }
   virtual SoakTargets targets() const = 0;
   virtual bool is_ready(const FleetProcess& data_daemon) const = 0;
   // Where a daemon shows its counters.
--- a/packages/fleet-soak/src/soak_main.cpp
+++ b/packages/fleet-soak/src/soak_main.cpp
@@ -3,8 +3,8 @@
 #include "soak_program.hpp"
 
 int main(int argc, char** argv) {
-  return emberdale::soak::run_soak_program("emberdale-fleet-soak", argc, argv,
-                                           [](const auto& folder, const auto& programs, int) {
-                                             return std::make_unique<emberdale::soak::OwnFace>(folder, programs);
-                                           });
+  using namespace emberdale::soak;
+  return run_soak_program("emberdale-fleet-soak", argc, argv, [](const FaceOptions& options) {
+    return std::make_unique<OwnFace>(options.folder, options.programs);
+  });
 }
--- a/packages/fleet-soak/src/soak_program.cpp
+++ b/packages/fleet-soak/src/soak_program.cpp
@@ -2,6 +2,7 @@
 
 #include <docopt/docopt.h>
 #include <pplx/threadpool.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -27,6 +28,7 @@
   --count K           How many seeds, one after the other [default: 1].
   --seconds S         Length of the load of each seed [default: 25].
   --data-daemons N    Data daemons in each zone, on the platform [default: 2].
+  --crowd N           Connections of a crowd at one port [default: 700].
   --folder FOLDER     Removed at the start [default: fleet-soak].
   --programs FOLDER   Where the programs are; else beside this one.
   --keep              Keep the folders of seeds without a violation, too.
@@ -36,6 +38,7 @@
 constexpr int http_threads = 4;
 constexpr std::size_t shown_violations = 20;
 constexpr std::int64_t ms_per_second = 1000;
+constexpr std::int64_t fewer_descriptors = 200;  // of a daemon than connections in a crowd
 
 void print_report(const SoakReport& report, const std::string& folder) {
   std::cout << report.figures.dump() << "\n";
@@ -51,6 +54,15 @@
   std::cout << std::flush;
 }
 
+// For the connections of a crowd.
+void raise_descriptor_limit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 void write_violations(const SoakReport& report, const std::string& file) {
   std::ofstream stream(file);
   for (const auto& violation : report.violations)
@@ -65,12 +77,16 @@
   SoakOptions options;
   std::string programs =
       arguments["--programs"].isString() ? arguments["--programs"].asString() : self.substr(0, self.rfind('/'));
+  options.crowd_connections = static_cast<std::size_t>(arguments["--crowd"].asLong());
   options.length = Duration{arguments["--seconds"].asLong() * ms_per_second};
   start_program(program.c_str());
+  raise_descriptor_limit();
   crossplat::threadpool::initialize_with_threads(http_threads);
   std::filesystem::create_directories(arguments["--folder"].asString());
   auto first = arguments["--seed"].asLong(), count = arguments["--count"].asLong();
   int data_daemons = static_cast<int>(arguments["--data-daemons"].asLong());
+  // A crowd that nobody bounds would take them all.
+  auto max_descriptors = static_cast<std::int64_t>(options.crowd_connections) - fewer_descriptors;
   std::size_t violations = 0;
   for (auto seed = first; seed < first + count; ++seed) {
     options.seed = static_cast<std::uint64_t>(seed);
@@ -78,7 +94,7 @@
     std::filesystem::remove_all(options.folder);  // an earlier run's records would count as this one's
     SoakReport report;
     {
-      auto face = make_face(options.folder, programs, data_daemons);
+      auto face = make_face({options.folder, programs, data_daemons, max_descriptors});
       report = Soak(*face, options).run();
     }
     print_report(report, options.folder);
--- a/packages/fleet-soak/src/soak_records.hpp
+++ b/packages/fleet-soak/src/soak_records.hpp
@@ -77,7 +77,8 @@
   hang_up_daemon,
   cut_daemon,
   kill_runner,
-  stop_runner
+  stop_runner,
+  crowd_daemon  // many connections at its port for HTTP
 };
 
 // A trouble as it was done: from before its begin (a kill: from the end of the process) until after its end.
@@ -85,6 +86,7 @@
   TroubleKind kind;
   std::string target;
   Interval time;
+  bool is_of_all_cores = false;  // every core machine had it at the same time
 };
 
 // A runner that was marked as draining, from the acknowledged request on until the request that took the mark away.
--- a/packages/fleet-soak/src/soak_schedule.cpp
+++ b/packages/fleet-soak/src/soak_schedule.cpp
@@ -15,11 +15,13 @@
 // How often a daemon that stops in order begins a series: the data daemons stop one after the other.
 constexpr double series_share = 0.4;
 constexpr std::int64_t shortest_series_gap_ms = 300, series_gap_spread_ms = 1200;
+constexpr double all_cores_share = 0.4;  // of kills of a core machine
+constexpr std::int64_t shortest_kill_of_all_ms = 200, kill_of_all_spread_ms = 800;
 constexpr double core_share = 0.3, data_share = 0.5;  // of daemons that are troubled; the rest are edge daemons
 
 constexpr TroubleKind kinds[] = {TroubleKind::kill_daemon,    TroubleKind::terminate_daemon, TroubleKind::stop_daemon,
                                  TroubleKind::hang_up_daemon, TroubleKind::kill_runner,      TroubleKind::stop_runner,
-                                 TroubleKind::cut_daemon};
+                                 TroubleKind::crowd_daemon,   TroubleKind::cut_daemon};
 
 const std::string& draw_name(const std::vector<std::string>& names, RandomGenerator& random) {
   return names[static_cast<std::size_t>(random.below(static_cast<std::int64_t>(names.size())))];
@@ -41,9 +43,15 @@
       if (end_ < trouble.ends)
         return std::move(troubles_);
       *course = trouble.ends;
-      if (is_free(trouble))
+      bool is_kill_of_all = trouble.kind == TroubleKind::kill_daemon && is_core(trouble.target) &&
+                            targets_.can_lose_all_cores && random_.chance(all_cores_share);
+      if (is_kill_of_all)
+        add_kill_of_all(trouble);
+      else if (is_free(trouble))
         troubles_.push_back(trouble);
-      if (trouble.kind == TroubleKind::terminate_daemon && random_.chance(series_share))
+      bool may_begin_series =
+          trouble.kind == TroubleKind::terminate_daemon || trouble.kind == TroubleKind::hang_up_daemon;
+      if (may_begin_series && random_.chance(series_share))
         add_series(trouble);
     }
   }
@@ -60,11 +68,14 @@
     return trouble;
   }
 
-  // Troubles of the other courses go on meanwhile.
+  // Troubles of the other courses go on meanwhile. Core machines have theirs one after the other.
   void add_series(const PlannedTrouble& first) {
     PlannedTrouble next = first;
-    for (const auto& name : targets_.data) {
-      Duration gap{shortest_series_gap_ms + random_.below(series_gap_spread_ms)};
+    next.is_of_series = true;
+    const bool is_of_cores = is_core(first.target);
+    const Duration step{is_of_cores ? first.ends.value - first.begins.value : 0};
+    for (const auto& name : is_of_cores ? targets_.cores : targets_.data) {
+      Duration gap{step.value + shortest_series_gap_ms + random_.below(series_gap_spread_ms)};
       next.target = name;
       next.begins = next.begins + gap;
       next.ends = next.ends + gap;
@@ -73,6 +84,18 @@
     }
   }
 
+  // Their disks survive, and they are back within a second.
+  void add_kill_of_all(PlannedTrouble trouble) {
+    trouble.is_of_all_cores = true;
+    trouble.ends = Duration{trouble.begins.value + shortest_kill_of_all_ms + random_.below(kill_of_all_spread_ms)};
+    if (!is_free(trouble))
+      return;
+    for (const auto& name : targets_.cores) {
+      trouble.target = name;
+      troubles_.push_back(trouble);
+    }
+  }
+
   std::string draw_daemon() {
     if (random_.chance(core_share))
       return draw_name(targets_.cores, random_);
@@ -128,6 +151,8 @@
       return "kill runner";
     case TroubleKind::stop_runner:
       return "stop runner";
+    case TroubleKind::crowd_daemon:
+      return "crowd daemon";
   }
   return "";
 }
@@ -141,7 +166,8 @@
                     {"ends_ms", trouble.ends.value},
                     {"peers", trouble.peers},
                     {"cuts_in", trouble.cuts_in},
-                    {"cuts_out", trouble.cuts_out}});
+                    {"cuts_out", trouble.cuts_out},
+                    {"all_cores", trouble.is_of_all_cores}});
   return list;
 }
 
--- a/packages/fleet-soak/src/soak_schedule.hpp
+++ b/packages/fleet-soak/src/soak_schedule.hpp
@@ -11,7 +11,8 @@
 // What may be troubled.
 struct SoakTargets {
   std::vector<std::string> cores, edges, data, runners;
-  bool can_be_cut = true;  // whether daemons take cuts of their peer connections
+  bool can_be_cut = true;           // whether daemons take cuts of their peer connections
+  bool can_lose_all_cores = false;  // whether all core machines may be killed at the same time
 };
 
 // One trouble; times count from the begin of the load.
@@ -21,6 +22,8 @@
   Duration begins, ends;
   std::vector<std::string> peers;  // towards which a cut daemon is cut
   bool cuts_in = false, cuts_out = false;
+  bool is_of_all_cores = false;  // each of them has it at the same time
+  bool is_of_series = false;     // beside the courses
 };
 
 // Example: auto troubles = draw_schedule(targets, 7, Duration{25000});
--- a/packages/program-settings/include/emberdale/program_runtime.hpp
+++ b/packages/program-settings/include/emberdale/program_runtime.hpp
@@ -25,6 +25,10 @@
 // by the main thread before others are started. Example: start_program("emberdale-data-plane")
 void start_program(const char* name);
 
+// Ends the process at once, without destructors of static objects: the HTTP library's threads may still use them. To be
+// called by daemons once all that matters is written.
+[[noreturn]] void end_program(int status);
+
 // The files, sockets and pipes that this process has open, and how many it may have; 0 where the system does not tell.
 std::int64_t open_descriptors();
 std::int64_t descriptor_limit();
--- a/packages/program-settings/src/program_runtime.cpp
+++ b/packages/program-settings/src/program_runtime.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
@@ -134,6 +135,12 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+void end_program(int status) {
+  google::FlushLogFiles(google::INFO);
+  std::fflush(nullptr);
+  std::_Exit(status);
+}
+
 int wait_for_stop(const std::function<void()>& on_hang_up) {
   sigset_t signals = awaited_signals();
   for (;;) {
