--- a/packages/program-settings/tests/program_settings_test.cpp
+++ b/packages/program-settings/tests/program_settings_test.cpp
@@ -2,10 +2,14 @@
 #include "emberdale/program_settings.hpp"
 
 #include <gtest/gtest.h>
+#include <signal.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
 
+#include "emberdale/descriptor_budget.hpp"
+
 namespace emberdale {
 namespace {
 
@@ -88,6 +92,46 @@
   EXPECT_EQ(findings, std::vector<std::string>{"--http: must differ from the link address"});
 }
 
+// Guards against issue 33: a start whose port or folder a former process still held ended the process.
+TEST(ProgramRuntime, AStartWaitsForWhatCannotBeHadYet) {
+  int asked = 0;
+  absl::Status opened = open_patiently(
+      [&asked] { return ++asked < 4 ? absl::UnavailableError("a former process holds it") : absl::OkStatus(); });
+  EXPECT_TRUE(opened.ok());
+  EXPECT_EQ(asked, 4);
+}
+
+TEST(ProgramRuntime, AStartDoesNotWaitForWhatCanNeverBeHad) {
+  absl::Status opened = open_patiently([] { return absl::InvalidArgumentError("no address"); });
+  EXPECT_EQ(opened.code(), absl::StatusCode::kInvalidArgument);
+}
+
+TEST(ProgramRuntime, AStartThatWaitsEndsWithASignalToStop) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  ::kill(::getpid(), SIGTERM);
+  absl::Status opened = open_patiently([] { return absl::UnavailableError("for ever"); });
+  EXPECT_EQ(opened.code(), absl::StatusCode::kCancelled);
+}
+
+TEST(DescriptorBudget, WhatPortsMayHoldTogetherLeavesRoomForFilesAndPeers) {
+  for (std::int64_t limit : {0, 300, 600, 1024, 4100, 1000000}) {
+    const DescriptorBudget budget(limit);
+    const std::size_t peers = budget.connections(DescriptorUse::peers);
+    const std::size_t of_control =
+        budget.connections(DescriptorUse::operators) + budget.connections(DescriptorUse::directory) + peers;
+    // Each request in progress may have a connection to a runner.
+    const std::size_t of_data =
+        2 * budget.connections(DescriptorUse::clients) + budget.connections(DescriptorUse::readiness);
+    const auto usable = static_cast<std::size_t>((limit == 0 ? 1024 : limit) - 200);
+    EXPECT_LE(of_control * 10, usable * 8) << limit;
+    EXPECT_LE(of_data * 10, usable * 9) << limit;
+    EXPECT_GT(peers, 0u);
+  }
+}
+
 TEST(ProgramRuntime, CountersAreInTheFormatOfPrometheus) {
   EXPECT_EQ(counters_text("emberdale", {{"calls", 3}}), "# TYPE emberdale_calls gauge\nemberdale_calls 3\n");
 }
