--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -39,8 +39,8 @@
 class Record:
     """What was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
 
     def now(self):
@@ -359,9 +359,9 @@
                        "IdleTimeoutMs": 15000}}
 
 
-def run_case(folder, play):
+def run_case(record_path, play):
     """Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
-    record = Record(folder)
+    record = Record(record_path)
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     verdict = 2
